--- /dev/null
+++ b/src/main/java/sagepulley/Control.java
@@ -0,0 +1,876 @@
+package sagepulley;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import sagepulley.model.Band;
+import sagepulley.model.Deployment;
+import sagepulley.model.Hop;
+import sagepulley.model.Node;
+import sagepulley.model.Operation;
+import sagepulley.model.Outcome;
+import sagepulley.model.Pause;
+import sagepulley.model.Placement;
+import sagepulley.model.Ring;
+import sagepulley.model.Rulebook;
+import sagepulley.model.Sequel;
+import sagepulley.model.Volume;
+
+/**
+ * Every decision of one gateway: the Flint placement score, the bound of each node, and the guards round them.
+ *
+ * How it is called (the types are those of sagepulley.model; times are milliseconds on one clock):
+ *   place(operation)  where to send it, or not yet, or never; a SEND has already added the hop to the operation
+ *   after(hop)        what to do for its operation after this outcome
+ *   pause()           how long to wait, and what is due now: operations to place, probes, list calls;
+ *                     asked again until no operation is due
+ * and told, with no answer: listed, listFailed, probed, left. A caller keeps timers and operations in hand.
+ */
+public final class Control {
+    // The page's figures.
+    private static final double PLACEMENTS_WINDOW = 10_000;
+    private static final double BUSY_REFRESH = 1_000;
+    private static final double FIRST_BOUND = 4;
+    private static final int RUN = 4;
+    // Weights of the score: placements, busy, fragment, preference; each term is 1 on average.
+    private static final double ALPHA = 1;
+    private static final double GAMMA = 2;
+    private static final double DELTA = 0.2;
+    private static final double ETA = 0.2;
+    private static final double BUSY_KEEP = 0.5;
+    // The bound moves between these by what is seen of the queue at the node.
+    private static final double LEAST_BOUND = 1;
+    private static final double MOST_BOUND = 8;
+    private static final double QUEUE_SHARE = 0.25;
+    private static final double BOUND_CUT = 0.7;
+    private static final double BOUND_STEP = 0.25;
+    private static final double PACE_STEP = 0.05;
+    private static final double PACE_QUANTILE = 0.2;
+    // Silence of a node, as a share of the shortest target time, and how often it is tried then.
+    private static final double SILENCE_SHARE = 0.5;
+    private static final double TRIAL_EVERY = 400;
+    // An operation that would need more than this part of its usual time beyond its target time is late.
+    private static final double LATE_FACTOR = 0.7;
+    private static final double SHARE_WINDOW = 1_000;
+    private static final int MOST_FURTHER_HOPS = 2;
+    private static final double OVERLOAD_WINDOW = 1_000;
+    private static final double OVERLOAD_SHARE = 0.03;
+    private static final double TURN_SHARE = 0.35;
+    private static final double ASK_AGAIN = 1_000;
+    private static final double ASK_STAGGER = 250;
+
+    private static final int RESERVED = 0;
+    private static final int IN_SHARE = 1;
+    private static final int BEYOND = 2;
+    private static final int LATE = 3;
+
+    private final Deployment site;
+    private final Rulebook rules;
+    private final RandomGenerator chance;
+    private final BandRow[] rows;
+    private final List<Seat> seats = new ArrayList<>();
+    private final List<Operation> fresh = new ArrayList<>();
+    private final List<Operation> homeless = new ArrayList<>();
+    private final Map<Long, KeyLine> lines = new HashMap<>();
+    private final Ring taken;
+    private final Ring further;
+    private final Ring arrivals = new Ring(OVERLOAD_WINDOW, 10);
+    private final Ring declines = new Ring(OVERLOAD_WINDOW, 10);
+    private final double shortestTarget;
+    private final double lastCall;
+    private int waiting;
+    private double nextLook;
+    private double refreshAt = Double.NEGATIVE_INFINITY;
+    private boolean knowsList;
+    private double askAt = Double.POSITIVE_INFINITY;
+    private double askGap = ASK_AGAIN;
+    private boolean asked;
+
+    /** What differs by band. */
+    private static final class BandRow {
+        double patienceSeen;
+        double basePace;
+        double meanPace;
+    }
+
+    /** What is kept of an operation in hand. */
+    private static final class Ticket {
+        double targetEnds;
+        boolean waits;
+        Seat seat;
+        KeyLine line;
+    }
+
+    /** What is kept of a volume. */
+    private static final class Account {
+        double reserve;
+        double reserveAt;
+        double limit;
+        double limitAt;
+        Ring[] served = new Ring[0];
+    }
+
+    /** Operations of one key, in the order taken, where a band asks for order. */
+    private static final class KeyLine {
+        final List<Operation> operations = new ArrayList<>(2);
+        double restsUntil = Double.NEGATIVE_INFINITY;
+    }
+
+    /** What is kept of a node. */
+    private static final class Seat {
+        final int index;
+        final Node node;
+        final List<Operation> waiting = new ArrayList<>();
+        final List<Hop> out = new ArrayList<>();
+        final Ring placements = new Ring(PLACEMENTS_WINDOW, 10);
+        final Ring coldSpent;
+        double bound = FIRST_BOUND;
+        double cutAt = Double.NEGATIVE_INFINITY;
+        long lastExtent;
+        int runLeft;
+        double startedAt;
+        boolean startKnown = true;
+        double turnStart = Double.NaN;
+        double turnSpent;
+        double heardAt = Double.NEGATIVE_INFINITY;
+        double sentAt = Double.NEGATIVE_INFINITY;
+        boolean distrusted;
+        final double[] took = new double[2];
+        final double[] units = new double[2];
+        final double[] pace = {Double.NaN, Double.NaN};
+        double rawBusy = Double.NaN;
+        double busy = 1;
+        double fragment = 1;
+
+        Seat(int index, Node node, double fallTime) {
+            this.index = index;
+            this.node = node;
+            this.startedAt = node.startedAt;
+            this.coldSpent = new Ring(fallTime, 10);
+        }
+    }
+
+    public Control(Deployment site, long seed) {
+        this.site = site;
+        this.rules = site.rules();
+        this.chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        this.rows = new BandRow[site.bands().size()];
+        double shortest = Double.POSITIVE_INFINITY;
+        for (Band band : site.bands()) {
+            rows[band.index()] = new BandRow();
+            shortest = Math.min(shortest, band.targetTime());
+        }
+        this.shortestTarget = shortest;
+        this.lastCall = 1.5 * site.tick();
+        double window = rules.hasBudget() ? rules.budgetWindow() : 1;
+        this.taken = new Ring(window, 50);
+        this.further = new Ring(window, 50);
+    }
+
+    // ---- facts ----
+
+    /** The list as it now stands; a node that left it is GONE. */
+    public void listed(List<Node> nodes, double now) {
+        for (Node node : nodes) {
+            Seat seat = (Seat) node.kept;
+            if (seat == null) {
+                seat = new Seat(seats.size(), node, rules.fallTime());
+                node.kept = seat;
+                seats.add(seat);
+                // A node that turns up later has just started, whatever its line says of its start.
+                if (knowsList && node.startedAt < now - rules.coldTime()) {
+                    seat.startedAt = now;
+                    seat.startKnown = false;
+                }
+            } else if (node.startedAt > seat.startedAt && node.startedAt != seat.startedAt) {
+                seat.startedAt = node.startedAt;
+                seat.startKnown = true;
+                seat.bound = LEAST_BOUND;
+            }
+        }
+        if (!knowsList) {
+            knowsList = true;
+            if (site.mustAsk()) {
+                askAt = now + site.me() * ASK_STAGGER;
+            }
+        } else if (asked) {
+            askGap = ASK_AGAIN;
+            askAt = Double.POSITIVE_INFINITY;
+        }
+        // Whoever waits for a node that drains, or for a shard that moved, is looked at anew.
+        for (Operation operation : List.copyOf(homeless)) {
+            dequeue(operation);
+            enqueue(operation);
+        }
+        for (Seat seat : seats) {
+            if (seat.node.standing != Node.Standing.READY) {
+                for (Operation operation : List.copyOf(seat.waiting)) {
+                    dequeue(operation);
+                    enqueue(operation);
+                }
+            }
+        }
+    }
+
+    /** A list call failed, or the subscription dropped. */
+    public void listFailed(double now) {
+        if (site.mustAsk()) {
+            askAt = now + askGap * (0.5 + chance.nextDouble());
+            askGap = Math.min(askGap * 2, site.askWithin() / 2);
+        }
+    }
+
+    /** What a probe found. */
+    public void probed(Node node, Outcome outcome, double took, double[] report, double now) {
+        // No probe is asked for yet.
+    }
+
+    /** The client has left; nothing more is owed or sent. */
+    public void left(Operation operation, double now) {
+        drop(operation);
+    }
+
+    // ---- the three calls ----
+
+    /** Where to send this operation, or not yet, or never. */
+    public Placement place(Operation operation, double now) {
+        Ticket ticket = ticket(operation, now);
+        if (operation.over) {
+            drop(operation);
+            return Placement.NOT_YET;
+        }
+        if (!ticket.waits) {
+            enqueue(operation);
+        }
+        boolean mayHop = operation.hops.isEmpty() || mayHopAgain(operation, now);
+        Seat seat = mayHop ? turn(operation, now) : null;
+        if (seat != null && lawful(operation, seat, now)) {
+            return send(operation, seat, now);
+        }
+        if (!mayHop || now >= operation.patienceEnds - lastCall || lateAt(operation) <= now) {
+            return giveUp(operation, now);
+        }
+        return Placement.NOT_YET;
+    }
+
+    /** What to do for the operation after this outcome. */
+    public Sequel after(Hop hop, double now) {
+        Operation operation = hop.operation;
+        Seat seat = (Seat) hop.node.kept;
+        seat.out.remove(hop);
+        learn(hop, seat, now);
+        Ticket ticket = (Ticket) operation.kept;
+        if (ticket.line != null) {
+            if (hop.outcome == Outcome.TIMED_OUT || hop.outcome == Outcome.RESET
+                    || hop.outcome == Outcome.CALLED_OFF) {
+                ticket.line.restsUntil = now + rules.keyRest();
+            }
+        }
+        if (operation.over) {
+            drop(operation);
+            return Sequel.NOTHING;
+        }
+        return hopsOut(operation) > 0 ? Sequel.NOTHING : Sequel.PLACE_AGAIN;
+    }
+
+    /** How long to wait before asking again, and what is due now. */
+    public Pause pause(double now) {
+        nextLook = Double.POSITIVE_INFINITY;
+        refresh(now);
+        List<Operation> due = new ArrayList<>(4);
+        for (Seat seat : seats) {
+            Operation next = pick(seat, now);
+            if (next != null && turn(next, now) != null) {
+                due.add(next);
+            }
+            overdue(seat.waiting, due, now);
+        }
+        Operation next = pickFresh(now);
+        if (next != null && turn(next, now) != null) {
+            due.add(next);
+        }
+        overdue(fresh, due, now);
+        overdue(homeless, due, now);
+        Pause.ListCall call = Pause.ListCall.NONE;
+        if (askAt <= now) {
+            call = Pause.ListCall.SUBSCRIBE;
+            asked = true;
+            askAt = now + site.askWithin() / 2;
+        }
+        lookAt(askAt);
+        return new Pause(Math.max(0, nextLook - now), due, List.of(), List.of(), call);
+    }
+
+    private void overdue(List<Operation> queue, List<Operation> due, double now) {
+        for (Operation operation : queue) {
+            double end = Math.min(lateAt(operation), operation.patienceEnds - lastCall);
+            if (end <= now) {
+                if (!due.contains(operation)) {
+                    due.add(operation);
+                }
+            } else {
+                lookAt(end);
+            }
+        }
+    }
+
+    private void lookAt(double time) {
+        nextLook = Math.min(nextLook, time);
+    }
+
+    // ---- the rules: every send passes here ----
+
+    private boolean lawful(Operation operation, Seat seat, double now) {
+        // 1: one final answer, in time, and nothing after it.
+        if (operation.over || now >= operation.patienceEnds - lastCall) {
+            return false;
+        }
+        // 3: nothing new to a node that drains or is gone.
+        if (seat.node.standing != Node.Standing.READY) {
+            return false;
+        }
+        if (operation.shard >= 0 && operation.shard != seat.node.cell) {
+            return false;
+        }
+        int hops = operation.hops.size();
+        if (hops > 0) {
+            // 2: no effect twice.
+            if (!mayRepeat(operation, seat, now) || hops >= rules.mostHops()
+                    || !rules.secondCopies() && hopsOut(operation) > 0) {
+                return false;
+            }
+            // 6: the budget of further hops, counted against ourselves where a bucket is cut.
+            if (rules.hasBudget() && further.sumOver(now) + 1
+                    > rules.budgetFree() + rules.budgetShare() * taken.sumWithin(now)) {
+                return false;
+            }
+        }
+        // 4: a cold node is not pushed over.
+        if (operation.units > coldRoom(seat, now)) {
+            return false;
+        }
+        // 5: order by key.
+        if (!isFirstOfKey(operation, now)) {
+            return false;
+        }
+        // 7: the volume's limit, of which this gateway spends its own part.
+        return hops > 0 || operation.units <= limitRoom(operation.volume, now);
+    }
+
+    private boolean mayRepeat(Operation operation, Seat seat, double now) {
+        Band band = operation.band;
+        if (band.repeat() == Band.Repeat.IDEMPOTENT) {
+            return true;
+        }
+        for (Hop hop : operation.hops) {
+            if (hop.outcome != null && hop.outcome.provesNotRun) {
+                continue;
+            }
+            if (band.repeat() == Band.Repeat.UNREPEATABLE) {
+                return false;
+            }
+            boolean same = switch (band.group()) {
+                case ALL -> true;
+                case ZONE -> hop.node.zone == seat.node.zone;
+                case CELL -> hop.node.cell == seat.node.cell;
+            };
+            if (!same || now > hop.sentAt + band.groupMemory() - lastCall) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** A decline promises that asking again does no harm. */
+    private boolean mayDecline(Operation operation) {
+        Band band = operation.band;
+        if (band.repeat() == Band.Repeat.IDEMPOTENT
+                || band.repeat() == Band.Repeat.DEDUPLICATED && band.group() == Band.Group.ALL) {
+            return true;
+        }
+        for (Hop hop : operation.hops) {
+            if (hop.outcome == null || !hop.outcome.provesNotRun) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Units that may go to a node now: without end when it is warm. */
+    private double coldRoom(Seat seat, double now) {
+        double age = now - seat.startedAt;
+        if (!(age < rules.coldTime())) {
+            return Double.POSITIVE_INFINITY;
+        }
+        lookAt(now + 20);
+        // What all gateways may send within the rule's time, judged at that time's start.
+        double grown = Math.max(0, age - rules.fallTime()) / rules.coldTime();
+        double bears = rules.coldUnits() * (rules.coldShare() + (1 - rules.coldShare()) * grown) / rules.coldShare();
+        double part = bears / site.gateways();
+        if (part >= site.mostUnits()) {
+            return part - seat.coldSpent.sumOver(now);
+        }
+        if (!seat.startKnown) {
+            return 0;
+        }
+        // A part smaller than one operation is no use: gateways take turns, further apart than the rule's time.
+        double period = rules.fallTime() * (1 + TURN_SHARE);
+        double turn = Math.floor(age / period);
+        if (turn % site.gateways() != site.me() || age - turn * period > rules.fallTime() * TURN_SHARE * 0.7) {
+            return 0;
+        }
+        if (seat.turnStart != turn) {
+            seat.turnStart = turn;
+            seat.turnSpent = 0;
+        }
+        return bears - Math.max(seat.turnSpent, seat.coldSpent.sumOver(now));
+    }
+
+    private boolean isFirstOfKey(Operation operation, double now) {
+        KeyLine line = ((Ticket) operation.kept).line;
+        if (line == null) {
+            return true;
+        }
+        if (line.operations.get(0) != operation) {
+            return false;
+        }
+        if (operation.hops.isEmpty() && now <= line.restsUntil) {
+            lookAt(line.restsUntil + site.tick());
+            return false;
+        }
+        return true;
+    }
+
+    private double limitRoom(Volume volume, double now) {
+        double rate = volume.plan.limit();
+        if (!(rate > 0)) {
+            return Double.POSITIVE_INFINITY;
+        }
+        Account account = account(volume, now);
+        double parts = volume.gateways;
+        account.limit = Math.min(volume.plan.limitBurst() / parts,
+                account.limit + rate / parts * (now - account.limitAt) / 1000);
+        account.limitAt = now;
+        lookAt(now + 20);
+        return account.limit;
+    }
+
+    // ---- sending ----
+
+    private Placement send(Operation operation, Seat seat, double now) {
+        boolean first = operation.hops.isEmpty();
+        dequeue(operation);
+        Hop hop = new Hop(operation, seat.node, operation.hops.size(), now);
+        operation.hops.add(hop);
+        seat.out.add(hop);
+        seat.sentAt = now;
+        seat.coldSpent.add(now, operation.units);
+        seat.turnSpent += operation.units;
+        if (operation.extent != 0 && operation.extent == seat.lastExtent) {
+            seat.runLeft--;
+        } else {
+            seat.lastExtent = operation.extent;
+            seat.runLeft = RUN - 1;
+        }
+        if (operation.shard < 0) {
+            seat.placements.add(now, 1);
+        }
+        Account account = account(operation.volume, now);
+        if (first) {
+            account.limit -= operation.units;
+            spend(operation.volume, seat, operation.units, now);
+        } else {
+            further.add(now, 1);
+        }
+        return Placement.send(seat.node, operation.patienceEnds - lastCall - now);
+    }
+
+    private Placement giveUp(Operation operation, double now) {
+        if (hopsOut(operation) > 0) {
+            return Placement.NOT_YET;
+        }
+        drop(operation);
+        operation.over = true;
+        declines.add(now, 1);
+        if (!mayDecline(operation)) {
+            return Placement.SCRAPPED;
+        }
+        return Placement.decline(0);
+    }
+
+    /** Whether another hop is wanted at all; what the rules say of it is asked elsewhere. */
+    private boolean mayHopAgain(Operation operation, double now) {
+        return operation.hops.size() <= MOST_FURTHER_HOPS && operation.hops.size() < rules.mostHops()
+                && !overloaded(now) && hopsOut(operation) == 0;
+    }
+
+    private boolean overloaded(double now) {
+        return waiting > seats.size()
+                || declines.sumOver(now) > OVERLOAD_SHARE * arrivals.sumOver(now) + 1;
+    }
+
+    private static int hopsOut(Operation operation) {
+        int out = 0;
+        for (Hop hop : operation.hops) {
+            if (hop.outcome == null) {
+                out++;
+            }
+        }
+        return out;
+    }
+
+    // ---- whose turn it is ----
+
+    /** The seat to which this operation may go now, if it is its turn there; null if it waits. */
+    private Seat turn(Operation operation, double now) {
+        Ticket ticket = (Ticket) operation.kept;
+        if (operation.shard < 0) {
+            return pickFresh(now) == operation ? lowestScore(operation, now) : null;
+        }
+        Seat seat = ticket.seat;
+        if (seat == null || !hasRoom(seat, now) || pick(seat, now) != operation) {
+            return null;
+        }
+        Operation other = pickFresh(now);
+        if (other != null && outranks(other, operation, seat, now) && lowestScore(other, now) == seat) {
+            return null;
+        }
+        return seat;
+    }
+
+    private boolean hasRoom(Seat seat, double now) {
+        if (seat.node.standing != Node.Standing.READY) {
+            return false;
+        }
+        if (silent(seat, now)) {
+            // One operation at a time tries a node that takes work and answers none.
+            if (now - seat.sentAt < TRIAL_EVERY) {
+                lookAt(seat.sentAt + TRIAL_EVERY);
+                return false;
+            }
+            return seat.out.size() < MOST_BOUND;
+        }
+        return seat.out.size() < (int) seat.bound;
+    }
+
+    private boolean silent(Seat seat, double now) {
+        if (seat.distrusted) {
+            return true;
+        }
+        if (seat.out.isEmpty()) {
+            return false;
+        }
+        double since = Math.max(seat.out.get(0).sentAt, seat.heardAt);
+        double limit = shortestTarget * SILENCE_SHARE;
+        if (now - since > limit) {
+            return true;
+        }
+        lookAt(since + limit);
+        return false;
+    }
+
+    /** The page's order: the extent last sent there, a few in a row, then the earliest deadline. */
+    private Operation pick(Seat seat, double now) {
+        Operation best = null;
+        if (seat.waiting.isEmpty() || !hasRoom(seat, now)) {
+            return null;
+        }
+        for (Operation operation : seat.waiting) {
+            if (!lawful(operation, seat, now)) {
+                continue;
+            }
+            if (seat.runLeft > 0 && operation.extent == seat.lastExtent && operation.extent != 0) {
+                return operation;
+            }
+            if (best == null || outranks(operation, best, seat, now)) {
+                best = operation;
+            }
+        }
+        return best;
+    }
+
+    private Operation pickFresh(double now) {
+        Operation best = null;
+        for (Operation operation : fresh) {
+            if (best == null || outranks(operation, best, null, now)) {
+                best = operation;
+            }
+        }
+        return best;
+    }
+
+    /** Utility still due goes first; among equals the earliest deadline. */
+    private boolean outranks(Operation one, Operation other, Seat seat, double now) {
+        int a = tier(one, seat, now);
+        int b = tier(other, seat, now);
+        return a != b ? a < b : one.patienceEnds < other.patienceEnds;
+    }
+
+    private int tier(Operation operation, Seat seat, double now) {
+        if (lateAt(operation) <= now) {
+            return LATE;
+        }
+        Volume volume = operation.volume;
+        Account account = account(volume, now);
+        if (account.reserve >= operation.units) {
+            return RESERVED;
+        }
+        if (seat == null) {
+            return IN_SHARE;
+        }
+        double sum = 0;
+        double weights = 0;
+        for (Operation rival : seat.waiting) {
+            sum += level(rival.volume, seat, now) * rival.volume.plan.weight();
+            weights += rival.volume.plan.weight();
+        }
+        return level(volume, seat, now) * weights <= sum * 1.05 + 1e-9 ? IN_SHARE : BEYOND;
+    }
+
+    /** Units lately served for the volume at the node, through all gateways, for each unit of weight. */
+    private double level(Volume volume, Seat seat, double now) {
+        Account account = (Account) volume.kept;
+        if (account == null || seat.index >= account.served.length || account.served[seat.index] == null) {
+            return 0;
+        }
+        return account.served[seat.index].sumOver(now) / volume.plan.weight();
+    }
+
+    private void spend(Volume volume, Seat seat, double units, double now) {
+        Account account = account(volume, now);
+        if (seat.index >= account.served.length) {
+            account.served = Arrays.copyOf(account.served, seats.size());
+        }
+        if (account.served[seat.index] == null) {
+            account.served[seat.index] = new Ring(SHARE_WINDOW, 5);
+        }
+        account.served[seat.index].add(now, units);
+        account.reserve -= units;
+    }
+
+    // ---- the score ----
+
+    /** The open seat with the lowest score for a new object; null if none has room. */
+    private Seat lowestScore(Operation operation, double now) {
+        double mean = 0;
+        double weight = 0;
+        int ready = 0;
+        for (Seat seat : seats) {
+            if (seat.node.standing == Node.Standing.READY) {
+                mean += seat.placements.sumOver(now);
+                weight += seat.node.weight;
+                ready++;
+            }
+        }
+        Seat best = null;
+        double least = Double.POSITIVE_INFINITY;
+        for (Seat seat : seats) {
+            // A cold node shows no placements and no latency: new objects would pour onto it.
+            if (!hasRoom(seat, now) || silent(seat, now) || now - seat.startedAt < rules.coldTime()
+                    || !lawful(operation, seat, now)) {
+                continue;
+            }
+            Operation rival = pick(seat, now);
+            if (rival != null && !outranks(operation, rival, seat, now)) {
+                continue;
+            }
+            double preference = site.weighsNodes() && seat.node.weight > 0 ? weight / ready / seat.node.weight : 1;
+            if (site.crossZonePrice() > 0 && seat.node.zone != site.zone()) {
+                preference += 1;
+            }
+            double score = ALPHA * (seat.placements.sumOver(now) + 1) / (mean / ready + 1) + GAMMA * seat.busy
+                    + DELTA * seat.fragment + ETA * preference;
+            if (score < least) {
+                least = score;
+                best = seat;
+            }
+        }
+        return best;
+    }
+
+    private void refresh(double now) {
+        if (now < refreshAt) {
+            return;
+        }
+        refreshAt = now + BUSY_REFRESH;
+        double busySum = 0;
+        double fragmentSum = 0;
+        int busyCount = 0;
+        int fragmentCount = 0;
+        for (Seat seat : seats) {
+            double units = seat.units[0] + seat.units[1];
+            if (units > 0) {
+                double now1 = (seat.took[0] + seat.took[1]) / units;
+                seat.rawBusy = Double.isNaN(seat.rawBusy) ? now1 : BUSY_KEEP * seat.rawBusy + (1 - BUSY_KEEP) * now1;
+            }
+            for (int i = 0; i < 2; i++) {
+                if (seat.units[i] > 0) {
+                    double pace = seat.took[i] / seat.units[i];
+                    seat.pace[i] = Double.isNaN(seat.pace[i]) ? pace
+                            : BUSY_KEEP * seat.pace[i] + (1 - BUSY_KEEP) * pace;
+                }
+                seat.took[i] = 0;
+                seat.units[i] = 0;
+            }
+            if (!Double.isNaN(seat.rawBusy)) {
+                busySum += seat.rawBusy;
+                busyCount++;
+            }
+            if (!Double.isNaN(seat.pace[0]) && !Double.isNaN(seat.pace[1]) && seat.pace[0] > 0) {
+                fragmentSum += seat.pace[1] / seat.pace[0];
+                fragmentCount++;
+            }
+        }
+        for (Seat seat : seats) {
+            seat.busy = Double.isNaN(seat.rawBusy) || !(busySum > 0) ? 1 : seat.rawBusy / (busySum / busyCount);
+            seat.fragment = Double.isNaN(seat.pace[0]) || Double.isNaN(seat.pace[1]) || !(fragmentSum > 0) ? 1
+                    : seat.pace[1] / seat.pace[0] / (fragmentSum / fragmentCount);
+        }
+    }
+
+    // ---- what is learned from an outcome ----
+
+    private void learn(Hop hop, Seat seat, double now) {
+        Operation operation = hop.operation;
+        if (hop.othersUnits > 0) {
+            spend(operation.volume, seat, hop.othersUnits, now);
+        }
+        switch (hop.outcome) {
+            case SATISFIED, FAULT, FULL -> {
+                seat.heardAt = now;
+                seat.distrusted = false;
+            }
+            case TIMED_OUT, NO_CONNECTION, RESET -> seat.distrusted = seat.heardAt < hop.sentAt;
+            default -> { }
+        }
+        if (hop.outcome == Outcome.FULL) {
+            cut(seat, hop, now);
+        }
+        if (hop.outcome != Outcome.SATISFIED) {
+            return;
+        }
+        BandRow row = rows[operation.band.index()];
+        double pace = hop.took / operation.units;
+        if (row.basePace == 0) {
+            row.basePace = pace / 2;
+            row.meanPace = pace;
+        }
+        row.basePace *= pace < row.basePace ? 1 - PACE_STEP * (1 - PACE_QUANTILE) : 1 + PACE_STEP * PACE_QUANTILE;
+        row.meanPace += PACE_STEP * (Math.min(pace, 4 * row.meanPace) - row.meanPace);
+        int way = operation.band.writes() ? 1 : 0;
+        seat.took[way] += hop.took;
+        seat.units[way] += operation.units;
+        double queued = hop.took - operation.units * row.basePace;
+        if (queued > QUEUE_SHARE * shortestTarget) {
+            cut(seat, hop, now);
+        } else if (seat.bound < MOST_BOUND) {
+            seat.bound = Math.min(MOST_BOUND, seat.bound + BOUND_STEP / seat.bound);
+        }
+    }
+
+    private void cut(Seat seat, Hop hop, double now) {
+        if (hop.sentAt >= seat.cutAt) {
+            seat.bound = Math.max(LEAST_BOUND, seat.bound * BOUND_CUT);
+            seat.cutAt = now;
+        }
+    }
+
+    /** From when on an operation, if sent, would miss its target time. */
+    private double lateAt(Operation operation) {
+        double usual = rows[operation.band.index()].meanPace * operation.units;
+        return ((Ticket) operation.kept).targetEnds - LATE_FACTOR * usual;
+    }
+
+    // ---- books ----
+
+    private Ticket ticket(Operation operation, double now) {
+        if (operation.kept != null) {
+            return (Ticket) operation.kept;
+        }
+        Ticket ticket = new Ticket();
+        operation.kept = ticket;
+        arrivals.add(now, 1);
+        taken.add(now, 1);
+        BandRow row = rows[operation.band.index()];
+        // What is gone of the longest patience seen in the band is the age of a client's repeat.
+        double left = operation.patienceEnds - now;
+        row.patienceSeen = Math.max(row.patienceSeen, left);
+        ticket.targetEnds = now + operation.band.targetTime() - (row.patienceSeen - left);
+        if (operation.band.inOrder() && operation.extent != 0) {
+            ticket.line = lines.computeIfAbsent(operation.extent, any -> new KeyLine());
+            ticket.line.operations.add(operation);
+        }
+        return ticket;
+    }
+
+    private Account account(Volume volume, double now) {
+        Account account = (Account) volume.kept;
+        double reserve = volume.plan.reserve();
+        if (account == null) {
+            account = new Account();
+            account.reserve = reserve > 0 ? reserve + site.mostUnits() : 0;
+            account.limitAt = now;
+            account.reserveAt = now;
+            volume.kept = account;
+        }
+        if (now > account.reserveAt) {
+            account.reserve = Math.min(reserve > 0 ? reserve + site.mostUnits() : 0,
+                    account.reserve + reserve * (now - account.reserveAt) / 1000);
+            account.reserveAt = now;
+        }
+        return account;
+    }
+
+    private void enqueue(Operation operation) {
+        Ticket ticket = (Ticket) operation.kept;
+        ticket.waits = true;
+        waiting++;
+        ticket.seat = null;
+        if (operation.shard < 0) {
+            fresh.add(operation);
+            return;
+        }
+        for (Seat seat : seats) {
+            if (seat.node.cell == operation.shard && (ticket.seat == null
+                    || ticket.seat.node.standing != Node.Standing.READY
+                    && seat.node.standing == Node.Standing.READY)) {
+                ticket.seat = seat;
+            }
+        }
+        // A shard that no listed node holds: it waits with the new objects until its node turns up.
+        if (ticket.seat != null) {
+            ticket.seat.waiting.add(operation);
+        } else {
+            homeless.add(operation);
+        }
+    }
+
+    private void dequeue(Operation operation) {
+        Ticket ticket = (Ticket) operation.kept;
+        if (!ticket.waits) {
+            return;
+        }
+        ticket.waits = false;
+        waiting--;
+        if (operation.shard < 0) {
+            fresh.remove(operation);
+        } else if (ticket.seat != null) {
+            ticket.seat.waiting.remove(operation);
+        } else {
+            homeless.remove(operation);
+        }
+    }
+
+    /** Takes an operation that is over out of every queue; its key moves on once no hop of it is out. */
+    private void drop(Operation operation) {
+        Ticket ticket = (Ticket) operation.kept;
+        dequeue(operation);
+        if (ticket.line != null && hopsOut(operation) == 0) {
+            ticket.line.operations.remove(operation);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/model/Band.java
@@ -0,0 +1,23 @@
+package sagepulley.model;
+
+/** A kind of operation: what it is worth, by when, and whether it may run again. Times are milliseconds. */
+public record Band(
+        int index,
+        String name,
+        Repeat repeat,
+        Group group,
+        double groupMemory,
+        boolean inOrder,
+        boolean writes,
+        double targetTime,
+        double targetStretch,
+        double patience,
+        double utility,
+        double lateShare) {
+
+    /** Whether an operation of the band may run a second time. */
+    public enum Repeat { IDEMPOTENT, DEDUPLICATED, UNREPEATABLE }
+
+    /** The nodes that drop each other's repeats of a deduplicated operation. */
+    public enum Group { ALL, ZONE, CELL }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/model/Hop.java
@@ -0,0 +1,28 @@
+package sagepulley.model;
+
+/** One sending of an operation to a node. */
+public final class Hop {
+    public final Operation operation;
+    public final Node node;
+    public final int number;
+    public final double sentAt;
+    /** Null while the hop is out. */
+    public Outcome outcome;
+    /** How long it took, once it has an outcome. */
+    public double took;
+    /** Percent of the plan's rate that the volume was served everywhere in a finished period; NaN if not told. */
+    public double usedPercent = Double.NaN;
+    /** Units that the node served the volume through other gateways since its last answer to this one. */
+    public double othersUnits;
+    /** The node's load report, in the order of the deployment's report fields; null if none came. */
+    public double[] report;
+    /** Whatever the decision module keeps with the hop; nobody else reads it. */
+    public Object kept;
+
+    public Hop(Operation operation, Node node, int number, double sentAt) {
+        this.operation = operation;
+        this.node = node;
+        this.number = number;
+        this.sentAt = sentAt;
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/model/Node.java
@@ -0,0 +1,22 @@
+package sagepulley.model;
+
+/** A storage node as this gateway's list has it. */
+public final class Node {
+    /** What the list says of the node. */
+    public enum Standing { READY, DRAINING, GONE }
+
+    public final int id;
+    public int zone;
+    public int cell;
+    public int kind;
+    public double weight = 1;
+    public Standing standing = Standing.READY;
+    /** When it last started, on the common clock; negative infinity for long ago. */
+    public double startedAt = Double.NEGATIVE_INFINITY;
+    /** Whatever the decision module keeps with the node; nobody else reads it. */
+    public Object kept;
+
+    public Node(int id) {
+        this.id = id;
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/model/Operation.java
@@ -0,0 +1,38 @@
+package sagepulley.model;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A client's read or write that this gateway has taken and owes one final answer. */
+public final class Operation {
+    public final long id;
+    public final Band band;
+    public final Volume volume;
+    /** The piece of data; 0 for none. */
+    public final long extent;
+    public final double units;
+    /** The cell whose node holds the data, or -1 for a new object. */
+    public final int shard;
+    public final double arrivedAt;
+    /** When the client gives up on this try. */
+    public final double patienceEnds;
+    public final boolean clientRepeat;
+    public final List<Hop> hops = new ArrayList<>(2);
+    /** Set once its one final answer is out, or the client has left. */
+    public boolean over;
+    /** Whatever the decision module keeps with the operation; nobody else reads it. */
+    public Object kept;
+
+    public Operation(long id, Band band, Volume volume, long extent, double units, int shard,
+                     double arrivedAt, double patienceEnds, boolean clientRepeat) {
+        this.id = id;
+        this.band = band;
+        this.volume = volume;
+        this.extent = extent;
+        this.units = units;
+        this.shard = shard;
+        this.arrivedAt = arrivedAt;
+        this.patienceEnds = patienceEnds;
+        this.clientRepeat = clientRepeat;
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/model/Plan.java
@@ -0,0 +1,14 @@
+package sagepulley.model;
+
+/** What a volume of the plan is owed, across all gateways and nodes; rates are units a second. */
+public record Plan(
+        int index,
+        String name,
+        double rate,
+        double reserve,
+        double weight,
+        double price,
+        double limit,
+        double limitBurst,
+        double limitSlack) {
+}
--- /dev/null
+++ b/src/main/java/sagepulley/model/Rulebook.java
@@ -0,0 +1,23 @@
+package sagepulley.model;
+
+/** The figures of the seven rules. A rule that the deployment leaves out has an infinite or NaN figure. */
+public record Rulebook(
+        double answerGrace,
+        double drainGrace,
+        double coldShare,
+        double coldTime,
+        double fallMultiple,
+        double fallTime,
+        double coldUnits,
+        double keyRest,
+        double budgetFree,
+        double budgetShare,
+        double budgetWindow,
+        int mostHops,
+        boolean secondCopies) {
+
+    /** Whether further hops are rationed here. */
+    public boolean hasBudget() {
+        return !Double.isNaN(budgetWindow);
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/model/Volume.java
@@ -0,0 +1,16 @@
+package sagepulley.model;
+
+/** A volume as this gateway sees it. */
+public final class Volume {
+    public final long id;
+    public final Plan plan;
+    /** Through how many gateways its operations come, as the latest operation told. */
+    public int gateways = 1;
+    /** Whatever the decision module keeps with the volume; nobody else reads it. */
+    public Object kept;
+
+    public Volume(long id, Plan plan) {
+        this.id = id;
+        this.plan = plan;
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/simhost/Batch.java
@@ -0,0 +1,131 @@
+package sagepulley.simhost;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** One batch of events, read in place: records of a fixed size and the tail behind them. */
+final class Batch {
+    static final int RECORD = 56;
+    static final int ENTRY = 22;
+    private static final int HEADER = 12;
+    private static final int CLOCK = 8;
+    private static final int CHUNK = 1 << 16;
+
+    private final InputStream in;
+    private final byte[] header = new byte[HEADER];
+    private byte[] bytes = new byte[CHUNK];
+    private ByteBuffer body = ByteBuffer.wrap(bytes);
+    private int number;
+    private int records;
+    private int length;
+    private long frames;
+
+    Batch(InputStream in) {
+        this.in = in;
+    }
+
+    /** Reads the next batch; false at the end of the input, if that is a frame's edge. */
+    boolean read() throws IOException {
+        int got = in.readNBytes(header, 0, HEADER);
+        if (got == 0) {
+            return false;
+        }
+        frames++;
+        if (got < HEADER) {
+            throw bad("the header ends after " + got + " of " + HEADER + " bytes");
+        }
+        ByteBuffer head = ByteBuffer.wrap(header);
+        number = head.getInt();
+        long count = Integer.toUnsignedLong(head.getInt());
+        long size = Integer.toUnsignedLong(head.getInt());
+        if (size < CLOCK + count * RECORD || size > Integer.MAX_VALUE - CHUNK) {
+            throw bad("a length of " + size + " bytes does not fit " + count + " records");
+        }
+        records = (int) count;
+        length = (int) size;
+        fill();
+        return true;
+    }
+
+    /** Grows the buffer as bytes come, so that a wrong length cannot claim memory that no input backs. */
+    private void fill() throws IOException {
+        int have = 0;
+        while (have < length) {
+            if (have == bytes.length) {
+                bytes = Arrays.copyOf(bytes, (int) Math.min((long) bytes.length * 2, Math.max(length, CHUNK)));
+            }
+            int got = in.readNBytes(bytes, have, Math.min(length, bytes.length) - have);
+            if (got == 0) {
+                throw bad("the input ends after " + have + " of " + length + " bytes");
+            }
+            have += got;
+        }
+        if (body.array() != bytes) {
+            body = ByteBuffer.wrap(bytes);
+        }
+    }
+
+    MalformedFrame bad(String what) {
+        return new MalformedFrame("frame " + frames + ": " + what);
+    }
+
+    MalformedFrame badRecord(int record, String what) {
+        return bad("record " + record + ": " + what);
+    }
+
+    int number() {
+        return number;
+    }
+
+    int records() {
+        return records;
+    }
+
+    long clock() {
+        return body.getLong(0);
+    }
+
+    int u8(int record, int at) {
+        return body.get(CLOCK + record * RECORD + at) & 0xff;
+    }
+
+    int u16(int record, int at) {
+        return body.getShort(CLOCK + record * RECORD + at) & 0xffff;
+    }
+
+    int u32(int record, int at) {
+        return body.getInt(CLOCK + record * RECORD + at);
+    }
+
+    long u64(int record, int at) {
+        return body.getLong(CLOCK + record * RECORD + at);
+    }
+
+    float f32(int record, int at) {
+        return body.getFloat(CLOCK + record * RECORD + at);
+    }
+
+    /** Where a tail's piece starts in the body, after checking that it lies inside the tail. */
+    int tail(int record, int at, int each) throws MalformedFrame {
+        long offset = Integer.toUnsignedLong(u32(record, at));
+        long count = Integer.toUnsignedLong(u32(record, at + 4));
+        int start = CLOCK + records * RECORD;
+        if (offset + count * each > length - start) {
+            throw badRecord(record, "position " + offset + " with " + count + " is out of the tail's "
+                    + (length - start) + " bytes");
+        }
+        return start + (int) offset;
+    }
+
+    String text(int record, int at) throws MalformedFrame {
+        int start = tail(record, at, 1);
+        return new String(bytes, start, u32(record, at + 4), StandardCharsets.UTF_8);
+    }
+
+    byte[] copy(int from, int count) {
+        return Arrays.copyOfRange(bytes, from, from + count);
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/simhost/FirstMessage.java
@@ -0,0 +1,169 @@
+package sagepulley.simhost;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import sagepulley.model.Band;
+import sagepulley.model.Deployment;
+import sagepulley.model.Plan;
+import sagepulley.model.Rulebook;
+
+/** Reads the settings of an `Up` into a deployment. Unknown keys are skipped. */
+final class FirstMessage {
+    private static final double NS = 1e6;
+
+    private final Map<String, String> pairs = new HashMap<>();
+
+    private FirstMessage(String text) {
+        for (String line : text.split("\n")) {
+            int sign = line.indexOf('=');
+            if (sign > 0) {
+                pairs.put(line.substring(0, sign).trim(), line.substring(sign + 1).trim());
+            }
+        }
+    }
+
+    static Deployment read(String text) {
+        return new FirstMessage(text).deployment();
+    }
+
+    private Deployment deployment() {
+        List<Band> bands = new ArrayList<>();
+        String[] writes = optional("domain.changesData", "").split(",");
+        boolean ordered = false;
+        for (int i = 0; i < whole("classes.count"); i++) {
+            Band band = band(i, i < writes.length && writes[i].equals("true"));
+            ordered |= band.inOrder();
+            bands.add(band);
+        }
+        List<Plan> plans = new ArrayList<>();
+        for (int i = 0; i < whole("plans.count"); i++) {
+            plans.add(plan(i));
+        }
+        String how = optional("report.how", "silent");
+        String fields = optional("report.fields", "");
+        double gateways = whole("balancers");
+        double me = whole("me");
+        if (me < 0 || me >= gateways) {
+            throw new MissingFigure("me=" + (int) me + " does not lie below balancers=" + (int) gateways);
+        }
+        boolean mustAsk = optional("discovery", "automatic").equals("subscribe");
+        return new Deployment(
+                (int) me, (int) gateways, (int) optionalNumber("az", 0), bands, plans, rules(ordered),
+                time("tickNs", 0), (int) optionalNumber("domain.shards", 0),
+                optionalNumber("domain.usualUnits", 1), optionalNumber("domain.maxUnits", 1),
+                optionalNumber("domain.shareWorth", 1), optionalNumber("domain.beyondShare", 0),
+                time("domain.usePeriodNs", 0), flag("domain.saysOthers"),
+                mustAsk, mustAsk ? number("contract.askEveryNs") / NS : Double.POSITIVE_INFINITY,
+                flag("limits.mayProbe"), flag("limits.cancel"), flag("limits.retryAfter"),
+                time("limits.maxRetryAfterNs", 0), optionalNumber("charges.crossZone", 0),
+                optionalNumber("charges.probe", 0), optionalNumber("charges.waste", 0),
+                !optional("weights", "silent").equals("silent"),
+                how.equals("silent") || fields.isEmpty() ? List.of() : List.of(fields.split(",")));
+    }
+
+    private Rulebook rules(boolean ordered) {
+        boolean rationed = pairs.containsKey("contract.extraWindowNs")
+                || pairs.containsKey("contract.extraFloor") || pairs.containsKey("contract.extraRatio");
+        return new Rulebook(
+                time("contract.graceToAnswerNs", 0), number("contract.drainGraceNs") / NS,
+                number("contract.coldFrom"), number("contract.coldNs") / NS, number("contract.fallMultiple"),
+                number("contract.overloadForNs") / NS, number("domain.coldBears"),
+                ordered ? number("contract.keyRestNs") / NS : 0,
+                rationed ? number("contract.extraFloor") : Double.NaN,
+                rationed ? number("contract.extraRatio") : Double.NaN,
+                rationed ? number("contract.extraWindowNs") / NS : Double.NaN,
+                (int) number("limits.mostTries"), truth("limits.mayDuplicate"));
+    }
+
+    private Band band(int index, boolean writes) {
+        String path = "classes." + index + ".";
+        Band.Repeat repeat = switch (text(path + "effect")) {
+            case "retryable" -> Band.Repeat.IDEMPOTENT;
+            case "dedup" -> Band.Repeat.DEDUPLICATED;
+            case "fragile" -> Band.Repeat.UNREPEATABLE;
+            default -> throw unreadable(path + "effect");
+        };
+        Band.Group group = Band.Group.ALL;
+        double memory = 0;
+        if (repeat == Band.Repeat.DEDUPLICATED) {
+            group = switch (text(path + "dedupScope")) {
+                case "all" -> Band.Group.ALL;
+                case "zone" -> Band.Group.ZONE;
+                case "cell" -> Band.Group.CELL;
+                default -> throw unreadable(path + "dedupScope");
+            };
+            memory = number(path + "keyTtlNs") / NS;
+        }
+        return new Band(index, optional(path + "name", "band " + index), repeat, group, memory,
+                flag(path + "fifoByKey"), writes, number(path + "sloNs") / NS,
+                optionalNumber(path + "aimStretch", 0), number(path + "hardLimitNs") / NS,
+                optionalNumber(path + "worth", 1), optionalNumber(path + "lateShare", 0));
+    }
+
+    private Plan plan(int index) {
+        String path = "plans." + index + ".";
+        double limit = optionalNumber(path + "cap", 0);
+        return new Plan(index, optional(path + "name", "plan " + index), optionalNumber(path + "rate", 0),
+                optionalNumber(path + "guaranteed", 0), optionalNumber(path + "weight", 1),
+                optionalNumber(path + "price", 1), limit, limit > 0 ? number(path + "limitBurst") : 0,
+                limit > 0 ? number(path + "slack") : 0);
+    }
+
+    private String optional(String path, String without) {
+        return pairs.getOrDefault(path, without);
+    }
+
+    private String text(String path) {
+        String value = pairs.get(path);
+        if (value == null) {
+            throw new MissingFigure(path + " is missing");
+        }
+        return value;
+    }
+
+    private double number(String path) {
+        try {
+            double value = Double.parseDouble(text(path));
+            if (Double.isFinite(value)) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            throw unreadable(path);
+        }
+        throw unreadable(path);
+    }
+
+    private int whole(String path) {
+        double value = number(path);
+        if (value != Math.rint(value) || value < 0 || value > 1e6) {
+            throw unreadable(path);
+        }
+        return (int) value;
+    }
+
+    private double optionalNumber(String path, double without) {
+        return pairs.containsKey(path) ? number(path) : without;
+    }
+
+    private double time(String path, double without) {
+        return pairs.containsKey(path) ? number(path) / NS : without;
+    }
+
+    private boolean flag(String path) {
+        return pairs.containsKey(path) && truth(path);
+    }
+
+    private boolean truth(String path) {
+        return switch (text(path)) {
+            case "true" -> true;
+            case "false" -> false;
+            default -> throw unreadable(path);
+        };
+    }
+
+    private MissingFigure unreadable(String path) {
+        return new MissingFigure(path + "=" + pairs.get(path) + " cannot be read");
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/simhost/SimHost.java
@@ -0,0 +1,264 @@
+package sagepulley.simhost;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import sagepulley.model.Band;
+import sagepulley.model.Deployment;
+import sagepulley.model.Hop;
+import sagepulley.model.Operation;
+import sagepulley.model.Outcome;
+import sagepulley.model.Volume;
+
+/** Speaks the simulator's wire: hands each event to its instance and writes the actions of each batch. */
+public final class SimHost {
+    private static final double NS = 1e6;
+    private static final int POOLS = 16;
+    private static final int BUFFER = 1 << 16;
+
+    private final Batch batch;
+    private final OutputStream out;
+    private final Map<Integer, Gateway> gateways = new HashMap<>();
+    private final List<List<ListEntry>> pools = new ArrayList<>();
+    /** The replies of the instances with an event in this batch, in the order of their first. */
+    private final List<Reply> replies = new ArrayList<>();
+    private final Map<Integer, Reply> replyOf = new HashMap<>();
+
+    public SimHost(InputStream in, OutputStream out) {
+        this.batch = new Batch(new BufferedInputStream(in, BUFFER));
+        this.out = new BufferedOutputStream(out, BUFFER);
+        for (int i = 0; i < POOLS; i++) {
+            pools.add(null);
+        }
+    }
+
+    /** Answers batch after batch until the input ends. */
+    public void run() throws IOException {
+        while (batch.read()) {
+            long nowNs = batch.clock();
+            double now = nowNs / NS;
+            for (int record = 0; record < batch.records(); record++) {
+                event(record, now);
+            }
+            for (Gateway gateway : called) {
+                if (gateway.called) {
+                    gateway.called = false;
+                    gateway.settle(now, nowNs);
+                }
+            }
+            called.clear();
+            write();
+        }
+        out.flush();
+    }
+
+    private final List<Gateway> called = new ArrayList<>();
+
+    private void event(int record, double now) throws MalformedFrame {
+        int code = batch.u8(record, 0);
+        switch (code) {
+            case 5 -> up(record);
+            case 8 -> pool(record);
+            case 9 -> stop(record);
+            case 1, 2, 3, 4, 6, 7, 10, 11 -> {
+                Gateway gateway = gateways.get(batch.u32(record, 1));
+                if (gateway != null) {
+                    call(gateway);
+                    told(gateway, code, record, now);
+                }
+            }
+            default -> throw batch.badRecord(record, "unknown event code " + code);
+        }
+    }
+
+    private void told(Gateway gateway, int code, int record, double now) throws MalformedFrame {
+        switch (code) {
+            case 1 -> gateway.probed(batch.u32(record, 5), outcome(record, 9),
+                    batch.u64(record, 11) / NS, report(record, 19), now);
+            case 4 -> topology(gateway, record, now);
+            case 6 -> gateway.arrived(operation(gateway, record, now), now);
+            case 7 -> gateway.left(batch.u64(record, 5), now);
+            case 10 -> gateway.timer(batch.u64(record, 5));
+            case 11 -> completed(gateway, record, now);
+            default -> { } // streams and messages of peers: nothing is decided by them
+        }
+    }
+
+    private void up(int record) throws MalformedFrame {
+        int who = batch.u32(record, 1);
+        Reply reply = replyOf.computeIfAbsent(who, Reply::new);
+        noteReply(reply);
+        try {
+            Deployment deployment = FirstMessage.read(batch.text(record, 13));
+            Gateway gateway = new Gateway(reply, deployment, batch.u64(record, 5));
+            gateways.put(who, gateway);
+            call(gateway);
+        } catch (MissingFigure missing) {
+            gateways.remove(who);
+            reply.fatal("first message: " + missing.getMessage());
+        }
+    }
+
+    /** A stopped instance acts no more, not even by what it answered earlier in this batch. */
+    private void stop(int record) {
+        Gateway gateway = gateways.remove(batch.u32(record, 1));
+        if (gateway != null) {
+            gateway.called = false;
+            called.remove(gateway);
+            gateway.reply.clear();
+        }
+    }
+
+    private void call(Gateway gateway) {
+        if (!gateway.called) {
+            gateway.called = true;
+            called.add(gateway);
+            noteReply(gateway.reply);
+        }
+    }
+
+    private void noteReply(Reply reply) {
+        if (!replies.contains(reply)) {
+            replies.add(reply);
+        }
+    }
+
+    private void pool(int record) throws MalformedFrame {
+        int table = batch.u8(record, 1);
+        if (table >= POOLS) {
+            throw batch.badRecord(record, "list number " + table + " is out of range");
+        }
+        int start = batch.tail(record, 2, Batch.ENTRY);
+        int count = batch.u32(record, 6);
+        ByteBuffer from = ByteBuffer.wrap(batch.copy(start, count * Batch.ENTRY));
+        List<ListEntry> entries = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            ListEntry entry = ListEntry.read(from);
+            if (entry == null) {
+                throw batch.badRecord(record, "entry " + i + " has an unknown phase");
+            }
+            entries.add(entry);
+        }
+        pools.set(table, entries);
+    }
+
+    private void topology(Gateway gateway, int record, double now) throws MalformedFrame {
+        int scope = batch.u8(record, 5);
+        switch (scope) {
+            case 0 -> gateway.listFailed(now);
+            case 1, 3, 4 -> {
+                int table = batch.u8(record, 6);
+                if (table >= POOLS || pools.get(table) == null) {
+                    throw batch.badRecord(record, "list number " + table + " was never set up");
+                }
+                List<ListEntry> entries = pools.get(table);
+                for (ListEntry entry : entries) {
+                    if (entry.zone() < 0) {
+                        throw batch.badRecord(record, "zone out of range");
+                    }
+                }
+                gateway.list(entries, scope != 3, now);
+            }
+            default -> throw batch.badRecord(record, "unknown list scope " + scope);
+        }
+    }
+
+    private Operation operation(Gateway gateway, int record, double now) throws MalformedFrame {
+        int grade = batch.u8(record, 13);
+        List<Band> bands = gateway.deployment.bands();
+        if (grade >= bands.size()) {
+            throw batch.badRecord(record, "class " + grade + " of " + bands.size() + " is out of range");
+        }
+        long plan = Integer.toUnsignedLong(batch.u32(record, 14));
+        if (plan >= gateway.deployment.plans().size()) {
+            throw batch.badRecord(record, "plan " + plan + " of " + gateway.deployment.plans().size()
+                    + " is out of range");
+        }
+        Volume volume = gateway.volume(batch.u64(record, 34), (int) plan);
+        volume.gateways = Math.max(1, (int) batch.f32(record, 50));
+        return new Operation(batch.u64(record, 5), bands.get(grade), volume, batch.u64(record, 18),
+                batch.f32(record, 42), (int) batch.f32(record, 46), now, batch.u64(record, 26) / NS,
+                (batch.u8(record, 54) & 2) != 0);
+    }
+
+    private void completed(Gateway gateway, int record, double now) throws MalformedFrame {
+        Outcome outcome = outcome(record, 18);
+        Hop hop = gateway.hop(batch.u64(record, 5), batch.u8(record, 13));
+        if (hop == null || hop.outcome != null) {
+            return;
+        }
+        hop.outcome = outcome;
+        hop.took = batch.u64(record, 20) / NS;
+        int used = batch.u16(record, 29);
+        hop.usedPercent = used == 0 ? Double.NaN : used - 1;
+        hop.othersUnits = batch.u16(record, 31);
+        hop.report = report(record, 33);
+        gateway.ended(hop, batch.u8(record, 28) != 0, now);
+    }
+
+    private Outcome outcome(int record, int at) throws MalformedFrame {
+        int code = batch.u16(record, at);
+        return switch (code) {
+            case 200 -> Outcome.SATISFIED;
+            case 500 -> Outcome.FAULT;
+            case 503 -> Outcome.FULL;
+            case 504 -> Outcome.TIMED_OUT;
+            case 502 -> Outcome.NO_CONNECTION;
+            case 598 -> Outcome.RESET;
+            case 499 -> Outcome.CALLED_OFF;
+            case 410 -> Outcome.MOOT;
+            default -> throw batch.badRecord(record, "unknown outcome " + code);
+        };
+    }
+
+    private double[] report(int record, int at) throws MalformedFrame {
+        int count = batch.u8(record, at);
+        if (count == 0) {
+            return null;
+        }
+        if (count > 4) {
+            throw batch.badRecord(record, "a load report of " + count + " values");
+        }
+        double[] values = new double[count];
+        for (int i = 0; i < count; i++) {
+            values[i] = batch.f32(record, at + 1 + 4 * i);
+        }
+        return values;
+    }
+
+    private void write() throws IOException {
+        int records = 0;
+        int tail = 0;
+        for (Reply reply : replies) {
+            records += reply.records().position() / Reply.RECORD;
+            if (reply.fatalText() != null) {
+                ByteBuffer last = reply.records();
+                byte[] text = reply.fatalBytes();
+                last.putInt(last.position() - Reply.RECORD + 5, tail);
+                last.putInt(last.position() - Reply.RECORD + 9, text.length);
+                tail += text.length;
+            }
+        }
+        ByteBuffer head = ByteBuffer.allocate(12);
+        head.putInt(batch.number()).putInt(4 + records * Reply.RECORD + tail).putInt(records);
+        out.write(head.array());
+        for (Reply reply : replies) {
+            out.write(reply.records().array(), 0, reply.records().position());
+        }
+        for (Reply reply : replies) {
+            if (reply.fatalText() != null) {
+                out.write(reply.fatalBytes());
+            }
+            reply.clear();
+        }
+        replies.clear();
+        out.flush();
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/FakeHost.java
@@ -0,0 +1,152 @@
+package sagepulley;
+
+import java.util.ArrayList;
+import java.util.List;
+import sagepulley.model.Band;
+import sagepulley.model.Deployment;
+import sagepulley.model.Hop;
+import sagepulley.model.Node;
+import sagepulley.model.Operation;
+import sagepulley.model.Outcome;
+import sagepulley.model.Pause;
+import sagepulley.model.Placement;
+import sagepulley.model.Plan;
+import sagepulley.model.Rulebook;
+import sagepulley.model.Sequel;
+import sagepulley.model.Volume;
+
+/** The smallest host of one gateway: a clock moved by hand, nodes without behaviour, and a log of what was sent. */
+final class FakeHost {
+    /** Bands by place: read, write, bulk read, deduplicated within a cell, unrepeatable, in order. */
+    static final int READ = 0;
+    static final int WRITE = 1;
+    static final int BULK = 2;
+    static final int DEDUPLICATED = 3;
+    static final int UNREPEATABLE = 4;
+    static final int ORDERED = 5;
+
+    final List<Node> nodes = new ArrayList<>();
+    final List<Hop> sent = new ArrayList<>();
+    final List<Operation> declined = new ArrayList<>();
+    final List<Operation> scrapped = new ArrayList<>();
+    final List<Operation> held = new ArrayList<>();
+    final Control control;
+    final Deployment site;
+    int listCalls;
+    int probes;
+    double now = 100_000;
+    private long ids;
+
+    FakeHost(int nodeCount) {
+        this(nodeCount, 0, 1, false, Double.NaN);
+    }
+
+    FakeHost(int nodeCount, int me, int gateways, boolean mustAsk, double budgetFree) {
+        List<Band> bands = List.of(
+                band(READ, Band.Repeat.IDEMPOTENT, false, 250, 2000, 3),
+                band(WRITE, Band.Repeat.IDEMPOTENT, false, 300, 2000, 3),
+                band(BULK, Band.Repeat.IDEMPOTENT, false, 1500, 5000, 1),
+                band(DEDUPLICATED, Band.Repeat.DEDUPLICATED, false, 300, 2000, 3),
+                band(UNREPEATABLE, Band.Repeat.UNREPEATABLE, false, 300, 2000, 3),
+                band(ORDERED, Band.Repeat.IDEMPOTENT, true, 300, 2000, 3));
+        List<Plan> plans = List.of(
+                new Plan(0, "plain", 10, 0, 1, 1, 0, 0, 0),
+                new Plan(1, "reserved", 10, 10, 3, 1, 0, 0, 0),
+                new Plan(2, "limited", 10, 0, 1, 1, 10, 24, 2));
+        Rulebook rules = new Rulebook(8, 1000, 0.25, 10_000, 2, 2000, 6, 200,
+                budgetFree, 0.1, Double.isNaN(budgetFree) ? Double.NaN : 1000, 4, false);
+        site = new Deployment(me, gateways, 0, bands, plans, rules, 2, 99, 2, 6, 0.35, 0.05, 1000, true,
+                mustAsk, 10_000, true, true, true, 1000, 0, 0, 0.05, false, List.of());
+        control = new Control(site, 7);
+        for (int i = 0; i < nodeCount; i++) {
+            nodes.add(node(i));
+        }
+        control.listed(nodes, now);
+        settle();
+    }
+
+    private static Band band(int index, Band.Repeat repeat, boolean inOrder, double target, double patience,
+                             double utility) {
+        return new Band(index, "band " + index, repeat, Band.Group.CELL, 1000, inOrder, index == WRITE, target, 0,
+                patience, utility, 0.2);
+    }
+
+    Node node(int cell) {
+        Node node = new Node(100 + cell);
+        node.cell = cell;
+        return node;
+    }
+
+    Volume volume(int plan) {
+        return new Volume(++ids, site.plans().get(plan));
+    }
+
+    /** An operation of two units on a shard, of a volume and an extent of its own. */
+    Operation take(int band, int shard) {
+        return take(band, volume(0), ++ids, 2, shard);
+    }
+
+    Operation take(int band, Volume volume, long extent, double units, int shard) {
+        Band its = site.bands().get(band);
+        Operation operation = new Operation(++ids, its, volume, extent, units, shard, now,
+                now + its.patience(), false);
+        held.add(operation);
+        answer(operation, control.place(operation, now));
+        settle();
+        return operation;
+    }
+
+    /** Ends a hop and carries out what follows. */
+    void end(Hop hop, Outcome outcome) {
+        hop.outcome = outcome;
+        hop.took = now - hop.sentAt;
+        hop.operation.over |= outcome == Outcome.SATISFIED;
+        if (control.after(hop, now) == Sequel.PLACE_AGAIN) {
+            answer(hop.operation, control.place(hop.operation, now));
+        }
+        settle();
+    }
+
+    /** Moves the clock, asking whenever the module wants to be asked. */
+    void passTime(double length) {
+        double until = now + length;
+        while (now < until) {
+            now = Math.min(until, now + 2);
+            settle();
+        }
+    }
+
+    void relist() {
+        control.listed(nodes, now);
+        settle();
+    }
+
+    void settle() {
+        while (true) {
+            Pause pause = control.pause(now);
+            probes += pause.probes().size();
+            if (pause.call() != Pause.ListCall.NONE) {
+                listCalls++;
+            }
+            if (pause.due().isEmpty()) {
+                return;
+            }
+            for (Operation operation : pause.due()) {
+                answer(operation, control.place(operation, now));
+            }
+        }
+    }
+
+    Hop lastHop(Operation operation) {
+        return operation.hops.get(operation.hops.size() - 1);
+    }
+
+    private void answer(Operation operation, Placement placement) {
+        switch (placement.kind()) {
+            case SEND -> sent.add(lastHop(operation));
+            case DECLINE -> declined.add(operation);
+            case SCRAP -> scrapped.add(operation);
+            case WAIT -> { }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/RulesTest.java
@@ -0,0 +1,92 @@
+package sagepulley;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import sagepulley.model.Node;
+import sagepulley.model.Operation;
+import sagepulley.model.Outcome;
+import sagepulley.model.Volume;
+
+/** A story for each of the seven rules. */
+class RulesTest {
+    @ParameterizedTest
+    @CsvSource({"0", "1", "2", "3", "4", "5"})
+    void everyOperationIsAnsweredBeforeItsPatienceEnds(int band) {
+        FakeHost host = new FakeHost(1);
+        Operation sent = host.take(band, 0);
+        Operation homeless = host.take(band, 7);
+        host.passTime(sent.band.patience() - 2);
+        assertTrue(homeless.over, "an operation whose shard no node holds");
+        host.end(host.lastHop(sent), Outcome.TIMED_OUT);
+        assertTrue(sent.over, "an operation whose only hop was never answered");
+        assertEquals(2, host.declined.size() + host.scrapped.size());
+    }
+
+    @ParameterizedTest
+    @EnumSource(Outcome.class)
+    void anUnrepeatableOperationRunsAgainOnlyAfterProof(Outcome outcome) {
+        FakeHost host = new FakeHost(2);
+        Operation operation = host.take(FakeHost.UNREPEATABLE, -1);
+        host.end(host.lastHop(operation), outcome);
+        host.passTime(100);
+        if (!outcome.provesNotRun) {
+            assertEquals(1, operation.hops.size());
+            assertTrue(host.declined.isEmpty());
+        } else {
+            assertTrue(operation.hops.size() > 1);
+        }
+    }
+
+    @Test
+    void aDrainingNodeGetsNothingNew() {
+        FakeHost host = new FakeHost(2);
+        host.nodes.get(0).standing = Node.Standing.DRAINING;
+        host.relist();
+        for (int i = 0; i < 4; i++) {
+            host.take(FakeHost.WRITE, -1);
+            host.take(FakeHost.READ, 0);
+        }
+        assertEquals(4, host.sent.size());
+        assertTrue(host.sent.stream().allMatch(hop -> hop.node == host.nodes.get(1)));
+    }
+
+    @Test
+    void orderedOperationsOfAKeyRunOneByOneAndRestAfterATimeOut() {
+        FakeHost host = new FakeHost(1);
+        Volume volume = host.volume(0);
+        Operation first = host.take(FakeHost.ORDERED, volume, 77, 2, 0);
+        Operation second = host.take(FakeHost.ORDERED, volume, 77, 2, 0);
+        Operation other = host.take(FakeHost.READ, 0);
+        assertEquals(2, host.sent.size());
+        first.over = true;
+        host.control.left(first, host.now);
+        host.end(host.lastHop(first), Outcome.TIMED_OUT);
+        host.end(host.lastHop(other), Outcome.SATISFIED);
+        host.passTime(150);
+        assertTrue(second.hops.isEmpty(), "the key rests");
+        host.passTime(60);
+        assertEquals(1, second.hops.size());
+    }
+
+    @Test
+    void aVolumeKeepsToItsPartOfTheLimit() {
+        FakeHost host = new FakeHost(4);
+        Volume volume = host.volume(2);
+        volume.gateways = 2;
+        double units = 0;
+        for (int i = 0; i < 100; i++) {
+            host.take(FakeHost.WRITE, volume, 1000 + i, 2, -1);
+            host.passTime(20);
+            while (!host.sent.isEmpty()) {
+                units += host.sent.get(0).operation.units;
+                host.end(host.sent.remove(0), Outcome.SATISFIED);
+            }
+        }
+        assertTrue(units > 4 && units <= 10 / 2.0 * 2 + 0.1, "sent " + units);
+    }
+}
