Hop time-outs end half a target time after the target time

Cause: hops that are never answered held slots of the bound until the client's patience ended, and late work crowded out the rest. Also covers hung nodes and cut halls. May harm where late answers are worth much.

--- a/src/main/java/sagepulley/Control.java
+++ b/src/main/java/sagepulley/Control.java
@@ -55,6 +55,7 @@
     private static final double TRIAL_EVERY = 400;
     // An operation that would need more than this part of its usual time beyond its target time is late.
     private static final double LATE_FACTOR = 0.7;
+    private static final double LATE_GRACE = 0.5;
     private static final double SHARE_WINDOW = 1_000;
     private static final int MOST_FURTHER_HOPS = 2;
     private static final double OVERLOAD_WINDOW = 1_000;
@@ -486,7 +487,17 @@
         } else {
             further.add(now, 1);
         }
-        return Placement.send(seat.node, operation.patienceEnds - lastCall - now);
+        return Placement.send(seat.node, timeout(operation, now));
+    }
+
+    /**
+     * A hop ends soon after the target time: what is never answered (by a node that loses answers, hangs or is cut
+     * off) must not hold a slot of the bound until the client's patience ends, and late work crowds out the rest.
+     */
+    private double timeout(Operation operation, double now) {
+        double grace = LATE_GRACE * operation.band.targetTime();
+        double end = Math.max(((Ticket) operation.kept).targetEnds, now) + grace;
+        return Math.min(end, operation.patienceEnds - lastCall) - now;
     }
 
     private Placement giveUp(Operation operation, double now) {
