--- a/src/main/java/sagepulley/Control.java
+++ b/src/main/java/sagepulley/Control.java
@@ -64,10 +64,8 @@
     private static final double ASK_AGAIN = 1_000;
     private static final double ASK_STAGGER = 250;
 
-    private static final int RESERVED = 0;
-    private static final int IN_SHARE = 1;
-    private static final int BEYOND = 2;
-    private static final int LATE = 3;
+    private static final double TIER_STEP = 2;
+    private static final int LATE = 1000;
 
     private final Deployment site;
     private final Rulebook rules;
@@ -621,17 +619,24 @@
         return a != b ? a < b : one.patienceEnds < other.patienceEnds;
     }
 
+    /** Steps that the utility still due, for the node's time that it takes, lies under the best there is. */
     private int tier(Operation operation, Seat seat, double now) {
         if (lateAt(operation) <= now) {
             return LATE;
         }
-        Volume volume = operation.volume;
+        Band band = operation.band;
+        double part = due(operation.volume, operation.units, seat, now);
+        double value = part * operation.volume.plan.price() * band.utility() / (rows[band.index()].meanPace + 1e-9);
+        return (int) (Math.log(1000 / value) / Math.log(TIER_STEP));
+    }
+
+    private double due(Volume volume, double units, Seat seat, double now) {
         Account account = account(volume, now);
-        if (account.reserve >= operation.units) {
-            return RESERVED;
+        if (account.reserve >= units) {
+            return 1;
         }
         if (seat == null) {
-            return IN_SHARE;
+            return site.shareWorth();
         }
         double sum = 0;
         double weights = 0;
@@ -639,7 +644,7 @@
             sum += level(rival.volume, seat, now) * rival.volume.plan.weight();
             weights += rival.volume.plan.weight();
         }
-        return level(volume, seat, now) * weights <= sum * 1.05 + 1e-9 ? IN_SHARE : BEYOND;
+        return level(volume, seat, now) * weights <= sum * 1.05 + 1e-9 ? site.shareWorth() : site.beyondWorth();
     }
 
     /** Units lately served for the volume at the node, through all gateways, for each unit of weight. */
