Tell share from beyond by dealing out what a node served among its volumes

Cause: the level was averaged over waiting operations, so that a surging volume's own queue raised it.

--- a/src/main/java/sagepulley/Control.java
+++ b/src/main/java/sagepulley/Control.java
@@ -57,6 +57,7 @@
     private static final double LATE_FACTOR = 0.7;
     private static final double LATE_GRACE = 0.5;
     private static final double SHARE_WINDOW = 1_000;
+    private static final double FAIR_REFRESH = 50;
     private static final int MOST_FURTHER_HOPS = 2;
     private static final double OVERLOAD_WINDOW = 1_000;
     private static final double OVERLOAD_SHARE = 0.03;
@@ -110,7 +111,23 @@
         double reserveAt;
         double limit;
         double limitAt;
-        Ring[] served = new Ring[0];
+        double weight;
+        Use[] uses = new Use[0];
+    }
+
+    /** What a volume lately asked of a node and was served there, in units, through all gateways as far as told. */
+    private static final class Use {
+        final double weight;
+        final Ring asked = new Ring(SHARE_WINDOW, 5);
+        final Ring reserved = new Ring(SHARE_WINDOW, 5);
+        final Ring beyond = new Ring(SHARE_WINDOW, 5);
+        double served;
+        double wants;
+        boolean open;
+
+        Use(double weight) {
+            this.weight = weight;
+        }
     }
 
     /** Operations of one key, in the order taken, where a band asks for order. */
@@ -131,6 +148,9 @@
         double cutAt = Double.NEGATIVE_INFINITY;
         long lastExtent;
         int runLeft;
+        final List<Use> uses = new ArrayList<>();
+        double fair = Double.POSITIVE_INFINITY;
+        double fairUntil = Double.NEGATIVE_INFINITY;
         double startedAt;
         boolean startKnown = true;
         double turnStart = Double.NaN;
@@ -244,6 +264,9 @@
         }
         if (!ticket.waits) {
             enqueue(operation);
+            if (operation.hops.isEmpty() && ticket.seat != null) {
+                use(account(operation.volume, now), ticket.seat).asked.add(now, operation.units);
+            }
         }
         boolean mayHop = operation.hops.isEmpty() || mayHopAgain(operation, now);
         Seat seat = mayHop ? turn(operation, now) : null;
@@ -480,6 +503,9 @@
         }
         Account account = account(operation.volume, now);
         if (first) {
+            if (operation.shard < 0) {
+                use(account, seat).asked.add(now, operation.units);
+            }
             account.limit -= operation.units;
             spend(operation.volume, seat, operation.units, now);
         } else {
@@ -638,34 +664,71 @@
         if (seat == null) {
             return site.shareWorth();
         }
-        double sum = 0;
-        double weights = 0;
-        for (Operation rival : seat.waiting) {
-            sum += level(rival.volume, seat, now) * rival.volume.plan.weight();
-            weights += rival.volume.plan.weight();
-        }
-        return level(volume, seat, now) * weights <= sum * 1.05 + 1e-9 ? site.shareWorth() : site.beyondWorth();
+        return use(account, seat).beyond.sumOver(now) + units / 2 <= volume.plan.weight() * fair(seat, now)
+                ? site.shareWorth() : site.beyondWorth();
     }
 
-    /** Units lately served for the volume at the node, through all gateways, for each unit of weight. */
-    private double level(Volume volume, Seat seat, double now) {
-        Account account = (Account) volume.kept;
-        if (account == null || seat.index >= account.served.length || account.served[seat.index] == null) {
-            return 0;
+    /**
+     * The fair level of a node: units a unit of weight that fills what the node lately served beyond the reserves,
+     * dealt out by weight among the volumes that asked for more. No volume's demand counts above what it asked.
+     */
+    private double fair(Seat seat, double now) {
+        if (now < seat.fairUntil) {
+            return seat.fair;
         }
-        return account.served[seat.index].sumOver(now) / volume.plan.weight();
+        seat.fairUntil = now + FAIR_REFRESH;
+        double left = 0;
+        double weights = 0;
+        int open = 0;
+        for (Use use : seat.uses) {
+            use.served = use.beyond.sumOver(now);
+            use.wants = Math.max(use.served, use.asked.sumOver(now) - use.reserved.sumOver(now));
+            left += use.served;
+            use.open = use.wants > 0;
+            if (use.open) {
+                weights += use.weight;
+                open++;
+            }
+        }
+        // Whoever wants less than an even level is content with it; the rest is dealt out anew.
+        for (boolean again = true; again && open > 0;) {
+            again = false;
+            for (Use use : seat.uses) {
+                if (use.open && use.wants <= use.weight * left / weights) {
+                    use.open = false;
+                    open--;
+                    left -= use.wants;
+                    weights -= use.weight;
+                    again = true;
+                }
+            }
+        }
+        seat.fair = open == 0 ? Double.POSITIVE_INFINITY : left / weights;
+        return seat.fair;
     }
 
     private void spend(Volume volume, Seat seat, double units, double now) {
         Account account = account(volume, now);
-        if (seat.index >= account.served.length) {
-            account.served = Arrays.copyOf(account.served, seats.size());
+        Use use = use(account, seat);
+        if (account.reserve >= units) {
+            account.reserve -= units;
+            use.reserved.add(now, units);
+        } else {
+            use.beyond.add(now, units);
+        }
+    }
+
+    private Use use(Account account, Seat seat) {
+        if (seat.index >= account.uses.length) {
+            account.uses = Arrays.copyOf(account.uses, seats.size());
         }
-        if (account.served[seat.index] == null) {
-            account.served[seat.index] = new Ring(SHARE_WINDOW, 5);
+        Use use = account.uses[seat.index];
+        if (use == null) {
+            use = new Use(account.weight);
+            account.uses[seat.index] = use;
+            seat.uses.add(use);
         }
-        account.served[seat.index].add(now, units);
-        account.reserve -= units;
+        return use;
     }
 
     // ---- the score ----
@@ -754,6 +817,7 @@
         Operation operation = hop.operation;
         if (hop.othersUnits > 0) {
             spend(operation.volume, seat, hop.othersUnits, now);
+            use(account(operation.volume, now), seat).asked.add(now, hop.othersUnits);
         }
         switch (hop.outcome) {
             case SATISFIED, FAULT, FULL -> {
@@ -828,6 +892,7 @@
         double reserve = volume.plan.reserve();
         if (account == null) {
             account = new Account();
+            account.weight = volume.plan.weight();
             account.reserve = reserve > 0 ? reserve + site.mostUnits() : 0;
             account.limitAt = now;
             account.reserveAt = now;
