What earns least gets only half of a node's bound

Cause: beyond-share operations took the slots of quiet moments and the in-share ones behind them came late (non preemptive nodes, other gateways' operations unseen).

--- a/src/main/java/sagepulley/Control.java
+++ b/src/main/java/sagepulley/Control.java
@@ -48,6 +48,8 @@
     private static final double QUEUE_SHARE = 0.25;
     private static final double BOUND_CUT = 0.7;
     private static final double BOUND_STEP = 0.25;
+    private static final double BEYOND_PART = 0.5;
+    private static final double BOUND_REST = 1;
     private static final double PACE_STEP = 0.05;
     private static final double PACE_QUANTILE = 0.2;
     // Silence of a node, as a share of the shortest target time, and how often it is tried then.
@@ -615,7 +617,7 @@
             return null;
         }
         for (Operation operation : seat.waiting) {
-            if (!lawful(operation, seat, now)) {
+            if (!lawful(operation, seat, now) || holdsBack(operation, seat, now)) {
                 continue;
             }
             if (seat.runLeft > 0 && operation.extent == seat.lastExtent && operation.extent != 0) {
@@ -628,6 +630,12 @@
         return best;
     }
 
+    /** What earns little gets the slots that a busy node's bound leaves over: elsewhere others may wait for it. */
+    private boolean holdsBack(Operation operation, Seat seat, double now) {
+        return due(operation.volume, operation.units, seat, now) <= site.beyondWorth()
+                && seat.out.size() >= (int) (seat.bound * BEYOND_PART);
+    }
+
     private Operation pickFresh(double now) {
         Operation best = null;
         for (Operation operation : fresh) {
@@ -750,7 +758,7 @@
         for (Seat seat : seats) {
             // A cold node shows no placements and no latency: new objects would pour onto it.
             if (!hasRoom(seat, now) || silent(seat, now) || now - seat.startedAt < rules.coldTime()
-                    || !lawful(operation, seat, now)) {
+                    || !lawful(operation, seat, now) || holdsBack(operation, seat, now)) {
                 continue;
             }
             Operation rival = pick(seat, now);
@@ -776,6 +784,11 @@
             return;
         }
         refreshAt = now + BUSY_REFRESH;
+        for (Seat seat : seats) {
+            if (now - seat.cutAt > BUSY_REFRESH && seat.bound < FIRST_BOUND) {
+                seat.bound = Math.min(FIRST_BOUND, seat.bound + BOUND_REST);
+            }
+        }
         double busySum = 0;
         double fragmentSum = 0;
         int busyCount = 0;
