--- a/src/main/java/sagepulley/Control.java
+++ b/src/main/java/sagepulley/Control.java
@@ -48,7 +48,10 @@
     private static final double QUEUE_SHARE = 0.25;
     private static final double BOUND_CUT = 0.7;
     private static final double BOUND_STEP = 0.25;
+    private static final double CROWD_STEP = 0.2;
+    private static final double CROWDED = 0.5;
     private static final double BEYOND_PART = 0.5;
+    private static final double CROWD_KEEP = 0.8;
     private static final double BOUND_REST = 1;
     private static final double PACE_STEP = 0.05;
     private static final double PACE_QUANTILE = 0.2;
@@ -60,6 +63,7 @@
     private static final double LATE_GRACE = 0.5;
     private static final double SHARE_WINDOW = 1_000;
     private static final double FAIR_REFRESH = 50;
+    private static final double LOST_MEMORY = 5_000;
     private static final int MOST_FURTHER_HOPS = 2;
     private static final double OVERLOAD_WINDOW = 1_000;
     private static final double OVERLOAD_SHARE = 0.03;
@@ -111,6 +115,7 @@
     private static final class Account {
         double reserve;
         double reserveAt;
+        double lost;
         double limit;
         double limitAt;
         double weight;
@@ -123,6 +128,7 @@
         final Ring asked = new Ring(SHARE_WINDOW, 5);
         final Ring reserved = new Ring(SHARE_WINDOW, 5);
         final Ring beyond = new Ring(SHARE_WINDOW, 5);
+        double toldAt = Double.NEGATIVE_INFINITY;
         double served;
         double wants;
         boolean open;
@@ -148,6 +154,7 @@
         final Ring coldSpent;
         double bound = FIRST_BOUND;
         double cutAt = Double.NEGATIVE_INFINITY;
+        double crowd;
         long lastExtent;
         int runLeft;
         final List<Use> uses = new ArrayList<>();
@@ -632,8 +639,8 @@
 
     /** What earns little gets the slots that a busy node's bound leaves over: elsewhere others may wait for it. */
     private boolean holdsBack(Operation operation, Seat seat, double now) {
-        return due(operation.volume, operation.units, seat, now) <= site.beyondWorth()
-                && seat.out.size() >= (int) (seat.bound * BEYOND_PART);
+        return seat.crowd > CROWDED && seat.out.size() >= (int) (seat.bound * BEYOND_PART)
+                && due(operation.volume, operation.units, seat, now) <= site.beyondWorth();
     }
 
     private Operation pickFresh(double now) {
@@ -726,6 +733,23 @@
         }
     }
 
+    /**
+     * Units that others are said to have used since the last answer. A sum over many seconds must not look like a
+     * surge: of the reserve it costs what our own reckoning did not lose while full, and of the last second its part.
+     */
+    private void hear(Volume volume, Seat seat, double units, double now) {
+        Account account = account(volume, now);
+        Use use = use(account, seat);
+        double unspent = Math.min(account.lost, units);
+        account.lost -= unspent;
+        double reserved = Math.min(Math.max(0, account.reserve), units - unspent);
+        account.reserve -= reserved;
+        double lately = Math.min(1, SHARE_WINDOW / Math.max(1, now - use.toldAt));
+        use.reserved.add(now, (unspent + reserved) * lately);
+        use.beyond.add(now, (units - unspent - reserved) * lately);
+        use.asked.add(now, units * lately);
+    }
+
     private Use use(Account account, Seat seat) {
         if (seat.index >= account.uses.length) {
             account.uses = Arrays.copyOf(account.uses, seats.size());
@@ -785,6 +809,7 @@
         }
         refreshAt = now + BUSY_REFRESH;
         for (Seat seat : seats) {
+            seat.crowd *= CROWD_KEEP;
             if (now - seat.cutAt > BUSY_REFRESH && seat.bound < FIRST_BOUND) {
                 seat.bound = Math.min(FIRST_BOUND, seat.bound + BOUND_REST);
             }
@@ -829,8 +854,10 @@
     private void learn(Hop hop, Seat seat, double now) {
         Operation operation = hop.operation;
         if (hop.othersUnits > 0) {
-            spend(operation.volume, seat, hop.othersUnits, now);
-            use(account(operation.volume, now), seat).asked.add(now, hop.othersUnits);
+            hear(operation.volume, seat, hop.othersUnits, now);
+        }
+        if (hop.outcome == Outcome.SATISFIED) {
+            use(account(operation.volume, now), seat).toldAt = now;
         }
         switch (hop.outcome) {
             case SATISFIED, FAULT, FULL -> {
@@ -858,6 +885,7 @@
         seat.took[way] += hop.took;
         seat.units[way] += operation.units;
         double queued = hop.took - operation.units * row.basePace;
+        seat.crowd += CROWD_STEP * (Math.min(3, queued / (QUEUE_SHARE * shortestTarget)) - seat.crowd);
         if (queued > QUEUE_SHARE * shortestTarget) {
             cut(seat, hop, now);
         } else if (seat.bound < MOST_BOUND) {
@@ -912,8 +940,10 @@
             volume.kept = account;
         }
         if (now > account.reserveAt) {
-            account.reserve = Math.min(reserve > 0 ? reserve + site.mostUnits() : 0,
-                    account.reserve + reserve * (now - account.reserveAt) / 1000);
+            double full = reserve > 0 ? reserve + site.mostUnits() : 0;
+            double filled = account.reserve + reserve * (now - account.reserveAt) / 1000;
+            account.reserve = Math.min(full, filled);
+            account.lost = Math.min(account.lost + filled - account.reserve, reserve * LOST_MEMORY / 1000);
             account.reserveAt = now;
         }
         return account;
