--- a/src/main/java/sagepulley/Control.java
+++ b/src/main/java/sagepulley/Control.java
@@ -41,6 +41,7 @@
     private static final double GAMMA = 2;
     private static final double DELTA = 0.2;
     private static final double ETA = 0.2;
+    private static final double OUT_PART = 0.5;
     private static final double BUSY_KEEP = 0.5;
     // The bound moves between these by what is seen of the queue at the node.
     private static final double LEAST_BOUND = 1;
@@ -793,7 +794,10 @@
             if (site.crossZonePrice() > 0 && seat.node.zone != site.zone()) {
                 preference += 1;
             }
-            double score = ALPHA * (seat.placements.sumOver(now) + 1) / (mean / ready + 1) + GAMMA * seat.busy
+            // A busy degree a second old sends a second's new objects one way: what is out there now, and the
+            // queue that the latest answers showed, count with it.
+            double busy = seat.busy * (1 + OUT_PART * seat.out.size()) + seat.crowd;
+            double score = ALPHA * (seat.placements.sumOver(now) + 1) / (mean / ready + 1) + GAMMA * busy
                     + DELTA * seat.fragment + ETA * preference;
             if (score < least) {
                 least = score;
