--- a/src/main/java/sagepulley/Control.java
+++ b/src/main/java/sagepulley/Control.java
@@ -104,85 +104,6 @@
         double meanPace;
     }
 
-    /** What is kept of an operation in hand. */
-    private static final class Ticket {
-        double targetEnds;
-        boolean waits;
-        Seat seat;
-        KeyLine line;
-    }
-
-    /** What is kept of a volume. */
-    private static final class Account {
-        double reserve;
-        double reserveAt;
-        double lost;
-        double limit;
-        double limitAt;
-        double weight;
-        Use[] uses = new Use[0];
-    }
-
-    /** What a volume lately asked of a node and was served there, in units, through all gateways as far as told. */
-    private static final class Use {
-        final double weight;
-        final Ring asked = new Ring(SHARE_WINDOW, 5);
-        final Ring reserved = new Ring(SHARE_WINDOW, 5);
-        final Ring beyond = new Ring(SHARE_WINDOW, 5);
-        double toldAt = Double.NEGATIVE_INFINITY;
-        double served;
-        double wants;
-        boolean open;
-
-        Use(double weight) {
-            this.weight = weight;
-        }
-    }
-
-    /** Operations of one key, in the order taken, where a band asks for order. */
-    private static final class KeyLine {
-        final List<Operation> operations = new ArrayList<>(2);
-        double restsUntil = Double.NEGATIVE_INFINITY;
-    }
-
-    /** What is kept of a node. */
-    private static final class Seat {
-        final int index;
-        final Node node;
-        final List<Operation> waiting = new ArrayList<>();
-        final List<Hop> out = new ArrayList<>();
-        final Ring placements = new Ring(PLACEMENTS_WINDOW, 10);
-        final Ring coldSpent;
-        double bound = FIRST_BOUND;
-        double cutAt = Double.NEGATIVE_INFINITY;
-        double crowd;
-        long lastExtent;
-        int runLeft;
-        final List<Use> uses = new ArrayList<>();
-        double fair = Double.POSITIVE_INFINITY;
-        double fairUntil = Double.NEGATIVE_INFINITY;
-        double startedAt;
-        boolean startKnown = true;
-        double turnStart = Double.NaN;
-        double turnSpent;
-        double heardAt = Double.NEGATIVE_INFINITY;
-        double sentAt = Double.NEGATIVE_INFINITY;
-        boolean distrusted;
-        final double[] took = new double[2];
-        final double[] units = new double[2];
-        final double[] pace = {Double.NaN, Double.NaN};
-        double rawBusy = Double.NaN;
-        double busy = 1;
-        double fragment = 1;
-
-        Seat(int index, Node node, double fallTime) {
-            this.index = index;
-            this.node = node;
-            this.startedAt = node.startedAt;
-            this.coldSpent = new Ring(fallTime, 10);
-        }
-    }
-
     public Control(Deployment site, long seed) {
         this.site = site;
         this.rules = site.rules();
@@ -207,7 +128,8 @@
         for (Node node : nodes) {
             Seat seat = (Seat) node.kept;
             if (seat == null) {
-                seat = new Seat(seats.size(), node, rules.fallTime());
+                seat = new Seat(seats.size(), node, FIRST_BOUND, new Ring(PLACEMENTS_WINDOW, 10),
+                        new Ring(rules.fallTime(), 10));
                 node.kept = seat;
                 seats.add(seat);
                 // A node that turns up later has just started, whatever its line says of its start.
@@ -223,9 +145,7 @@
         }
         if (!knowsList) {
             knowsList = true;
-            if (site.mustAsk()) {
-                askAt = now + site.me() * ASK_STAGGER;
-            }
+            if (site.mustAsk()) { askAt = now + site.me() * ASK_STAGGER; }
         } else if (asked) {
             askGap = ASK_AGAIN;
             askAt = Double.POSITIVE_INFINITY;
@@ -280,9 +200,7 @@
         }
         boolean mayHop = operation.hops.isEmpty() || mayHopAgain(operation, now);
         Seat seat = mayHop ? turn(operation, now) : null;
-        if (seat != null && lawful(operation, seat, now)) {
-            return send(operation, seat, now);
-        }
+        if (seat != null && lawful(operation, seat, now)) { return send(operation, seat, now); }
         if (!mayHop || now >= operation.patienceEnds - lastCall || lateAt(operation) <= now) {
             return giveUp(operation, now);
         }
@@ -316,15 +234,11 @@
         List<Operation> due = new ArrayList<>(4);
         for (Seat seat : seats) {
             Operation next = pick(seat, now);
-            if (next != null && turn(next, now) != null) {
-                due.add(next);
-            }
+            if (next != null && turn(next, now) != null) { due.add(next); }
             overdue(seat.waiting, due, now);
         }
         Operation next = pickFresh(now);
-        if (next != null && turn(next, now) != null) {
-            due.add(next);
-        }
+        if (next != null && turn(next, now) != null) { due.add(next); }
         overdue(fresh, due, now);
         overdue(homeless, due, now);
         Pause.ListCall call = Pause.ListCall.NONE;
@@ -341,9 +255,7 @@
         for (Operation operation : queue) {
             double end = Math.min(lateAt(operation), operation.patienceEnds - lastCall);
             if (end <= now) {
-                if (!due.contains(operation)) {
-                    due.add(operation);
-                }
+                if (!due.contains(operation)) { due.add(operation); }
             } else {
                 lookAt(end);
             }
@@ -358,16 +270,10 @@
 
     private boolean lawful(Operation operation, Seat seat, double now) {
         // 1: one final answer, in time, and nothing after it.
-        if (operation.over || now >= operation.patienceEnds - lastCall) {
-            return false;
-        }
+        if (operation.over || now >= operation.patienceEnds - lastCall) { return false; }
         // 3: nothing new to a node that drains or is gone.
-        if (seat.node.standing != Node.Standing.READY) {
-            return false;
-        }
-        if (operation.shard >= 0 && operation.shard != seat.node.cell) {
-            return false;
-        }
+        if (seat.node.standing != Node.Standing.READY) { return false; }
+        if (operation.shard >= 0 && operation.shard != seat.node.cell) { return false; }
         int hops = operation.hops.size();
         if (hops > 0) {
             // 2: no effect twice.
@@ -382,37 +288,25 @@
             }
         }
         // 4: a cold node is not pushed over.
-        if (operation.units > coldRoom(seat, now)) {
-            return false;
-        }
+        if (operation.units > coldRoom(seat, now)) { return false; }
         // 5: order by key.
-        if (!isFirstOfKey(operation, now)) {
-            return false;
-        }
+        if (!isFirstOfKey(operation, now)) { return false; }
         // 7: the volume's limit, of which this gateway spends its own part.
         return hops > 0 || operation.units <= limitRoom(operation.volume, now);
     }
 
     private boolean mayRepeat(Operation operation, Seat seat, double now) {
         Band band = operation.band;
-        if (band.repeat() == Band.Repeat.IDEMPOTENT) {
-            return true;
-        }
+        if (band.repeat() == Band.Repeat.IDEMPOTENT) { return true; }
         for (Hop hop : operation.hops) {
-            if (hop.outcome != null && hop.outcome.provesNotRun) {
-                continue;
-            }
-            if (band.repeat() == Band.Repeat.UNREPEATABLE) {
-                return false;
-            }
+            if (hop.outcome != null && hop.outcome.provesNotRun) { continue; }
+            if (band.repeat() == Band.Repeat.UNREPEATABLE) { return false; }
             boolean same = switch (band.group()) {
                 case ALL -> true;
                 case ZONE -> hop.node.zone == seat.node.zone;
                 case CELL -> hop.node.cell == seat.node.cell;
             };
-            if (!same || now > hop.sentAt + band.groupMemory() - lastCall) {
-                return false;
-            }
+            if (!same || now > hop.sentAt + band.groupMemory() - lastCall) { return false; }
         }
         return true;
     }
@@ -425,9 +319,7 @@
             return true;
         }
         for (Hop hop : operation.hops) {
-            if (hop.outcome == null || !hop.outcome.provesNotRun) {
-                return false;
-            }
+            if (hop.outcome == null || !hop.outcome.provesNotRun) { return false; }
         }
         return true;
     }
@@ -435,20 +327,14 @@
     /** Units that may go to a node now: without end when it is warm. */
     private double coldRoom(Seat seat, double now) {
         double age = now - seat.startedAt;
-        if (!(age < rules.coldTime())) {
-            return Double.POSITIVE_INFINITY;
-        }
+        if (!(age < rules.coldTime())) { return Double.POSITIVE_INFINITY; }
         lookAt(now + 20);
         // What all gateways may send within the rule's time, judged at that time's start.
         double grown = Math.max(0, age - rules.fallTime()) / rules.coldTime();
         double bears = rules.coldUnits() * (rules.coldShare() + (1 - rules.coldShare()) * grown) / rules.coldShare();
         double part = bears / site.gateways();
-        if (part >= site.mostUnits()) {
-            return part - seat.coldSpent.sumOver(now);
-        }
-        if (!seat.startKnown) {
-            return 0;
-        }
+        if (part >= site.mostUnits()) { return part - seat.coldSpent.sumOver(now); }
+        if (!seat.startKnown) { return 0; }
         // A part smaller than one operation is no use: gateways take turns, further apart than the rule's time.
         double period = rules.fallTime() * (1 + TURN_SHARE);
         double turn = Math.floor(age / period);
@@ -464,12 +350,8 @@
 
     private boolean isFirstOfKey(Operation operation, double now) {
         KeyLine line = ((Ticket) operation.kept).line;
-        if (line == null) {
-            return true;
-        }
-        if (line.operations.get(0) != operation) {
-            return false;
-        }
+        if (line == null) { return true; }
+        if (line.operations.get(0) != operation) { return false; }
         if (operation.hops.isEmpty() && now <= line.restsUntil) {
             lookAt(line.restsUntil + site.tick());
             return false;
@@ -479,9 +361,7 @@
 
     private double limitRoom(Volume volume, double now) {
         double rate = volume.plan.limit();
-        if (!(rate > 0)) {
-            return Double.POSITIVE_INFINITY;
-        }
+        if (!(rate > 0)) { return Double.POSITIVE_INFINITY; }
         Account account = account(volume, now);
         double parts = volume.gateways;
         account.limit = Math.min(volume.plan.limitBurst() / parts,
@@ -508,14 +388,10 @@
             seat.lastExtent = operation.extent;
             seat.runLeft = RUN - 1;
         }
-        if (operation.shard < 0) {
-            seat.placements.add(now, 1);
-        }
+        if (operation.shard < 0) { seat.placements.add(now, 1); }
         Account account = account(operation.volume, now);
         if (first) {
-            if (operation.shard < 0) {
-                use(account, seat).asked.add(now, operation.units);
-            }
+            if (operation.shard < 0) { use(account, seat).asked.add(now, operation.units); }
             account.limit -= operation.units;
             spend(operation.volume, seat, operation.units, now);
         } else {
@@ -535,15 +411,11 @@
     }
 
     private Placement giveUp(Operation operation, double now) {
-        if (hopsOut(operation) > 0) {
-            return Placement.NOT_YET;
-        }
+        if (hopsOut(operation) > 0) { return Placement.NOT_YET; }
         drop(operation);
         operation.over = true;
         declines.add(now, 1);
-        if (!mayDecline(operation)) {
-            return Placement.SCRAPPED;
-        }
+        if (!mayDecline(operation)) { return Placement.SCRAPPED; }
         return Placement.decline(0);
     }
 
@@ -561,9 +433,7 @@
     private static int hopsOut(Operation operation) {
         int out = 0;
         for (Hop hop : operation.hops) {
-            if (hop.outcome == null) {
-                out++;
-            }
+            if (hop.outcome == null) { out++; }
         }
         return out;
     }
@@ -577,9 +447,7 @@
             return pickFresh(now) == operation ? lowestScore(operation, now) : null;
         }
         Seat seat = ticket.seat;
-        if (seat == null || !hasRoom(seat, now) || pick(seat, now) != operation) {
-            return null;
-        }
+        if (seat == null || !hasRoom(seat, now) || pick(seat, now) != operation) { return null; }
         Operation other = pickFresh(now);
         if (other != null && outranks(other, operation, seat, now) && lowestScore(other, now) == seat) {
             return null;
@@ -588,9 +456,7 @@
     }
 
     private boolean hasRoom(Seat seat, double now) {
-        if (seat.node.standing != Node.Standing.READY) {
-            return false;
-        }
+        if (seat.node.standing != Node.Standing.READY) { return false; }
         if (silent(seat, now)) {
             // One operation at a time tries a node that takes work and answers none.
             if (now - seat.sentAt < TRIAL_EVERY) {
@@ -603,17 +469,11 @@
     }
 
     private boolean silent(Seat seat, double now) {
-        if (seat.distrusted) {
-            return true;
-        }
-        if (seat.out.isEmpty()) {
-            return false;
-        }
+        if (seat.distrusted) { return true; }
+        if (seat.out.isEmpty()) { return false; }
         double since = Math.max(seat.out.get(0).sentAt, seat.heardAt);
         double limit = shortestTarget * SILENCE_SHARE;
-        if (now - since > limit) {
-            return true;
-        }
+        if (now - since > limit) { return true; }
         lookAt(since + limit);
         return false;
     }
@@ -621,19 +481,13 @@
     /** The page's order: the extent last sent there, a few in a row, then the earliest deadline. */
     private Operation pick(Seat seat, double now) {
         Operation best = null;
-        if (seat.waiting.isEmpty() || !hasRoom(seat, now)) {
-            return null;
-        }
+        if (seat.waiting.isEmpty() || !hasRoom(seat, now)) { return null; }
         for (Operation operation : seat.waiting) {
-            if (!lawful(operation, seat, now) || holdsBack(operation, seat, now)) {
-                continue;
-            }
+            if (!lawful(operation, seat, now) || holdsBack(operation, seat, now)) { continue; }
             if (seat.runLeft > 0 && operation.extent == seat.lastExtent && operation.extent != 0) {
                 return operation;
             }
-            if (best == null || outranks(operation, best, seat, now)) {
-                best = operation;
-            }
+            if (best == null || outranks(operation, best, seat, now)) { best = operation; }
         }
         return best;
     }
@@ -647,9 +501,7 @@
     private Operation pickFresh(double now) {
         Operation best = null;
         for (Operation operation : fresh) {
-            if (best == null || outranks(operation, best, null, now)) {
-                best = operation;
-            }
+            if (best == null || outranks(operation, best, null, now)) { best = operation; }
         }
         return best;
     }
@@ -663,9 +515,7 @@
 
     /** Steps that the utility still due, for the node's time that it takes, lies under the best there is. */
     private int tier(Operation operation, Seat seat, double now) {
-        if (lateAt(operation) <= now) {
-            return LATE;
-        }
+        if (lateAt(operation) <= now) { return LATE; }
         Band band = operation.band;
         double part = due(operation.volume, operation.units, seat, now);
         double value = part * operation.volume.plan.price() * band.utility() / (rows[band.index()].meanPace + 1e-9);
@@ -674,12 +524,8 @@
 
     private double due(Volume volume, double units, Seat seat, double now) {
         Account account = account(volume, now);
-        if (account.reserve >= units) {
-            return 1;
-        }
-        if (seat == null) {
-            return site.shareWorth();
-        }
+        if (account.reserve >= units) { return 1; }
+        if (seat == null) { return site.shareWorth(); }
         return use(account, seat).beyond.sumOver(now) + units / 2 <= volume.plan.weight() * fair(seat, now)
                 ? site.shareWorth() : site.beyondWorth();
     }
@@ -689,9 +535,7 @@
      * dealt out by weight among the volumes that asked for more. No volume's demand counts above what it asked.
      */
     private double fair(Seat seat, double now) {
-        if (now < seat.fairUntil) {
-            return seat.fair;
-        }
+        if (now < seat.fairUntil) { return seat.fair; }
         seat.fairUntil = now + FAIR_REFRESH;
         double left = 0;
         double weights = 0;
@@ -757,7 +601,8 @@
         }
         Use use = account.uses[seat.index];
         if (use == null) {
-            use = new Use(account.weight);
+            use = new Use(account.weight, new Ring(SHARE_WINDOW, 5), new Ring(SHARE_WINDOW, 5),
+                    new Ring(SHARE_WINDOW, 5));
             account.uses[seat.index] = use;
             seat.uses.add(use);
         }
@@ -787,13 +632,9 @@
                 continue;
             }
             Operation rival = pick(seat, now);
-            if (rival != null && !outranks(operation, rival, seat, now)) {
-                continue;
-            }
+            if (rival != null && !outranks(operation, rival, seat, now)) { continue; }
             double preference = site.weighsNodes() && seat.node.weight > 0 ? weight / ready / seat.node.weight : 1;
-            if (site.crossZonePrice() > 0 && seat.node.zone != site.zone()) {
-                preference += 1;
-            }
+            if (site.crossZonePrice() > 0 && seat.node.zone != site.zone()) { preference += 1; }
             // A busy degree a second old sends a second's new objects one way: what is out there now, and the
             // queue that the latest answers showed, count with it.
             double busy = seat.busy * (1 + OUT_PART * seat.out.size()) + seat.crowd;
@@ -808,9 +649,7 @@
     }
 
     private void refresh(double now) {
-        if (now < refreshAt) {
-            return;
-        }
+        if (now < refreshAt) { return; }
         refreshAt = now + BUSY_REFRESH;
         for (Seat seat : seats) {
             seat.crowd *= CROWD_KEEP;
@@ -857,9 +696,7 @@
 
     private void learn(Hop hop, Seat seat, double now) {
         Operation operation = hop.operation;
-        if (hop.othersUnits > 0) {
-            hear(operation.volume, seat, hop.othersUnits, now);
-        }
+        if (hop.othersUnits > 0) { hear(operation.volume, seat, hop.othersUnits, now); }
         if (hop.outcome == Outcome.SATISFIED) {
             use(account(operation.volume, now), seat).toldAt = now;
         }
@@ -871,12 +708,8 @@
             case TIMED_OUT, NO_CONNECTION, RESET -> seat.distrusted = seat.heardAt < hop.sentAt;
             default -> { }
         }
-        if (hop.outcome == Outcome.FULL) {
-            cut(seat, hop, now);
-        }
-        if (hop.outcome != Outcome.SATISFIED) {
-            return;
-        }
+        if (hop.outcome == Outcome.FULL) { cut(seat, hop, now); }
+        if (hop.outcome != Outcome.SATISFIED) { return; }
         BandRow row = rows[operation.band.index()];
         double pace = hop.took / operation.units;
         if (row.basePace == 0) {
@@ -913,9 +746,7 @@
     // ---- books ----
 
     private Ticket ticket(Operation operation, double now) {
-        if (operation.kept != null) {
-            return (Ticket) operation.kept;
-        }
+        if (operation.kept != null) { return (Ticket) operation.kept; }
         Ticket ticket = new Ticket();
         operation.kept = ticket;
         arrivals.add(now, 1);
@@ -936,11 +767,8 @@
         Account account = (Account) volume.kept;
         double reserve = volume.plan.reserve();
         if (account == null) {
-            account = new Account();
-            account.weight = volume.plan.weight();
+            account = new Account(volume.plan.weight(), now);
             account.reserve = reserve > 0 ? reserve + site.mostUnits() : 0;
-            account.limitAt = now;
-            account.reserveAt = now;
             volume.kept = account;
         }
         if (now > account.reserveAt) {
@@ -979,9 +807,7 @@
 
     private void dequeue(Operation operation) {
         Ticket ticket = (Ticket) operation.kept;
-        if (!ticket.waits) {
-            return;
-        }
+        if (!ticket.waits) { return; }
         ticket.waits = false;
         waiting--;
         if (operation.shard < 0) {
--- /dev/null
+++ b/src/main/java/sagepulley/Seat.java
@@ -0,0 +1,62 @@
+package sagepulley;
+
+import java.util.ArrayList;
+import java.util.List;
+import sagepulley.model.Hop;
+import sagepulley.model.Node;
+import sagepulley.model.Operation;
+import sagepulley.model.Ring;
+
+/** What is kept of a node. */
+final class Seat {
+    final int index;
+    final Node node;
+    /** Operations whose data lies here, waiting for their turn. */
+    final List<Operation> waiting = new ArrayList<>();
+    final List<Hop> out = new ArrayList<>();
+
+    /** How many hops may be out, and when that was last cut. */
+    double bound;
+    double cutAt = Double.NEGATIVE_INFINITY;
+    /** The queue that the latest answers showed, against the longest that is wanted. */
+    double crowd;
+
+    /** The run of one extent: which, and how many more of it go first. */
+    long lastExtent;
+    int runLeft;
+
+    /** The fair level of the volumes that use the node, and until when it stands. */
+    final List<Use> uses = new ArrayList<>();
+    double fair = Double.POSITIVE_INFINITY;
+    double fairUntil = Double.NEGATIVE_INFINITY;
+
+    /** When it started, whether all gateways know that time alike, and what it got since. */
+    double startedAt;
+    boolean startKnown = true;
+    final Ring coldSpent;
+    double turnStart = Double.NaN;
+    double turnSpent;
+
+    /** Health: when it last served, when it was last sent to, whether it must prove itself by a trial. */
+    double heardAt = Double.NEGATIVE_INFINITY;
+    double sentAt = Double.NEGATIVE_INFINITY;
+    boolean distrusted;
+
+    /** The score's terms; reads at 0, writes at 1. */
+    final Ring placements;
+    final double[] took = new double[2];
+    final double[] units = new double[2];
+    final double[] pace = {Double.NaN, Double.NaN};
+    double rawBusy = Double.NaN;
+    double busy = 1;
+    double fragment = 1;
+
+    Seat(int index, Node node, double bound, Ring placements, Ring coldSpent) {
+        this.index = index;
+        this.node = node;
+        this.bound = bound;
+        this.placements = placements;
+        this.coldSpent = coldSpent;
+        this.startedAt = node.startedAt;
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/Ticket.java
@@ -0,0 +1,13 @@
+package sagepulley;
+
+/** What is kept of an operation in hand. */
+final class Ticket {
+    /** When the target time ends, counted from the client's first try. */
+    double targetEnds;
+    /** Whether it stands in a queue. */
+    boolean waits;
+    /** The seat in whose queue it stands; null for a new object or a shard without a node. */
+    Seat seat;
+    /** Where its band asks for order. */
+    KeyLine line;
+}
--- /dev/null
+++ b/src/main/java/sagepulley/Use.java
@@ -0,0 +1,24 @@
+package sagepulley;
+
+import sagepulley.model.Ring;
+
+/** What a volume lately asked of a node and was served there, in units, through all gateways as far as told. */
+final class Use {
+    final double weight;
+    final Ring asked;
+    final Ring reserved;
+    final Ring beyond;
+    /** When the node last answered for the volume. */
+    double toldAt = Double.NEGATIVE_INFINITY;
+    /** Working values of the latest dealing out. */
+    double served;
+    double wants;
+    boolean open;
+
+    Use(double weight, Ring asked, Ring reserved, Ring beyond) {
+        this.weight = weight;
+        this.asked = asked;
+        this.reserved = reserved;
+        this.beyond = beyond;
+    }
+}
