A full answer restores no trust in a node

Cause: a hung node fills up and turns work away; that counted as an answer and ended its distrust. Also covers a node whose queue never drains.

--- a/src/main/java/sagepulley/Control.java
+++ b/src/main/java/sagepulley/Control.java
@@ -701,11 +701,12 @@
             use(account(operation.volume, now), seat).toldAt = now;
         }
         switch (hop.outcome) {
-            case SATISFIED, FAULT, FULL -> {
+            case SATISFIED, FAULT -> {
                 seat.heardAt = now;
                 seat.distrusted = false;
             }
-            case TIMED_OUT, NO_CONNECTION, RESET -> seat.distrusted = seat.heardAt < hop.sentAt;
+            // A full node is up, but one that hangs turns work away as well: only an answer restores trust.
+            case TIMED_OUT, NO_CONNECTION, RESET, FULL -> seat.distrusted |= seat.heardAt < hop.sentAt;
             default -> { }
         }
         if (hop.outcome == Outcome.FULL) { cut(seat, hop, now); }
