A cold node's even parts serve from the usual operation's size on

The rule's time is left empty between turns and parts and after a gateway's own start, for neither side may count on the other.

--- a/src/main/java/sagepulley/Control.java
+++ b/src/main/java/sagepulley/Control.java
@@ -69,6 +69,8 @@
     private static final double OVERLOAD_WINDOW = 1_000;
     private static final double OVERLOAD_SHARE = 0.03;
     private static final double TURN_SHARE = 0.35;
+    private static final double TURN_USED = 0.7;
+    private static final double COLD_LOOK = 20;
     private static final double ASK_AGAIN = 1_000;
     private static final double ASK_STAGGER = 250;
 
@@ -93,6 +95,7 @@
     private double nextLook;
     private double refreshAt = Double.NEGATIVE_INFINITY;
     private boolean knowsList;
+    private double bornAt;
     private double askAt = Double.POSITIVE_INFINITY;
     private double askGap = ASK_AGAIN;
     private boolean asked;
@@ -145,6 +148,7 @@
         }
         if (!knowsList) {
             knowsList = true;
+            bornAt = now;
             if (site.mustAsk()) { askAt = now + site.me() * ASK_STAGGER; }
         } else if (asked) {
             askGap = ASK_AGAIN;
@@ -324,28 +328,34 @@
         return true;
     }
 
-    /** Units that may go to a node now: without end when it is warm. */
+    /**
+     * Units that may go to a node now: without end when it is warm, else out of what a cold one always bears, grown
+     * by the even ramp that is the slowest allowed. No gateway sees the others, so each keeps to an even part; while
+     * that is smaller than a usual operation they take turns instead, counted from the node's start and further
+     * apart than the rule's time. Between the two ways, and after our own start, that time is left empty.
+     */
     private double coldRoom(Seat seat, double now) {
         double age = now - seat.startedAt;
         if (!(age < rules.coldTime())) { return Double.POSITIVE_INFINITY; }
-        lookAt(now + 20);
-        // What all gateways may send within the rule's time, judged at that time's start.
-        double grown = Math.max(0, age - rules.fallTime()) / rules.coldTime();
-        double bears = rules.coldUnits() * (rules.coldShare() + (1 - rules.coldShare()) * grown) / rules.coldShare();
+        lookAt(now + COLD_LOOK);
+        double bears = bears(age);
         double part = bears / site.gateways();
-        if (part >= site.mostUnits()) { return part - seat.coldSpent.sumOver(now); }
-        if (!seat.startKnown) { return 0; }
-        // A part smaller than one operation is no use: gateways take turns, further apart than the rule's time.
+        if (now - bornAt < rules.fallTime()) { return 0; }
+        if (bears(age - rules.fallTime()) / site.gateways() >= site.usualUnits()) {
+            return part - seat.coldSpent.sumOver(now);
+        }
         double period = rules.fallTime() * (1 + TURN_SHARE);
         double turn = Math.floor(age / period);
-        if (turn % site.gateways() != site.me() || age - turn * period > rules.fallTime() * TURN_SHARE * 0.7) {
+        if (part >= site.usualUnits() || !seat.startKnown || turn % site.gateways() != site.me()
+                || age - turn * period > rules.fallTime() * TURN_SHARE * TURN_USED) {
             return 0;
         }
-        if (seat.turnStart != turn) {
-            seat.turnStart = turn;
-            seat.turnSpent = 0;
-        }
-        return bears - Math.max(seat.turnSpent, seat.coldSpent.sumOver(now));
+        return bears - seat.coldSpent.sumOver(now);
+    }
+
+    private double bears(double age) {
+        double ramp = rules.coldShare() + (1 - rules.coldShare()) * Math.max(0, age) / rules.coldTime();
+        return rules.coldUnits() * ramp / rules.coldShare();
     }
 
     private boolean isFirstOfKey(Operation operation, double now) {
@@ -367,7 +377,7 @@
         account.limit = Math.min(volume.plan.limitBurst() / parts,
                 account.limit + rate / parts * (now - account.limitAt) / 1000);
         account.limitAt = now;
-        lookAt(now + 20);
+        lookAt(now + COLD_LOOK);
         return account.limit;
     }
 
@@ -381,7 +391,6 @@
         seat.out.add(hop);
         seat.sentAt = now;
         seat.coldSpent.add(now, operation.units);
-        seat.turnSpent += operation.units;
         if (operation.extent != 0 && operation.extent == seat.lastExtent) {
             seat.runLeft--;
         } else {
--- a/src/main/java/sagepulley/Seat.java
+++ b/src/main/java/sagepulley/Seat.java
@@ -34,8 +34,6 @@
     double startedAt;
     boolean startKnown = true;
     final Ring coldSpent;
-    double turnStart = Double.NaN;
-    double turnSpent;
 
     /** Health: when it last served, when it was last sent to, whether it must prove itself by a trial. */
     double heardAt = Double.NEGATIVE_INFINITY;
--- a/src/test/java/sagepulley/RulesTest.java
+++ b/src/test/java/sagepulley/RulesTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -55,6 +57,39 @@
         assertTrue(host.sent.stream().allMatch(hop -> hop.node == host.nodes.get(1)));
     }
 
+    @ParameterizedTest
+    @CsvSource({"1", "3", "6"})
+    void allGatewaysTogetherNeverSendAColdNodeMoreThanItBears(int gateways) {
+        List<FakeHost> hosts = new ArrayList<>();
+        for (int me = 0; me < gateways; me++) {
+            FakeHost host = new FakeHost(1, me, gateways, false, Double.NaN);
+            host.passTime(5000);
+            host.nodes.get(0).startedAt = host.now;
+            host.relist();
+            hosts.add(host);
+        }
+        List<double[]> sends = new ArrayList<>();
+        for (double age = 0; age < 12_000; age += 10) {
+            for (FakeHost host : hosts) {
+                host.take(FakeHost.READ, 0);
+                while (!host.sent.isEmpty()) {
+                    sends.add(new double[] {age, host.sent.get(0).operation.units});
+                    host.end(host.sent.remove(0), Outcome.SATISFIED);
+                }
+                host.passTime(10);
+            }
+        }
+        double most = 0;
+        for (double[] last : sends) {
+            double bears = 6 * (0.25 + 0.75 * last[0] / 10_000) / 0.25;
+            double sum = sends.stream().filter(one -> one[0] <= last[0] && one[0] > last[0] - 2000)
+                    .mapToDouble(one -> one[1]).sum();
+            assertTrue(sum <= bears || last[0] >= 10_000, sum + " units at " + last[0]);
+            most = Math.max(most, sum);
+        }
+        assertTrue(most > 12, "a warm node is no longer held");
+    }
+
     @Test
     void orderedOperationsOfAKeyRunOneByOneAndRestAfterATimeOut() {
         FakeHost host = new FakeHost(1);
