Waiting operations of the extent just sent go along at once, up to three over the bound

Cause: other gateways' operations came between those of a run, and the node no longer remembered the extent.

--- a/src/main/java/sagepulley/Control.java
+++ b/src/main/java/sagepulley/Control.java
@@ -36,6 +36,7 @@
     private static final double BUSY_REFRESH = 1_000;
     private static final double FIRST_BOUND = 4;
     private static final int RUN = 4;
+    private static final int RUN_OVER = 3;
     // Weights of the score: placements, busy, fragment, preference; each term is 1 on average.
     private static final double ALPHA = 1;
     private static final double GAMMA = 2;
@@ -474,7 +475,8 @@
             }
             return seat.out.size() < MOST_BOUND;
         }
-        return seat.out.size() < (int) seat.bound;
+        int over = seat.runLeft > 0 && seat.sentAt == now ? RUN_OVER : 0;
+        return seat.out.size() < (int) seat.bound + over;
     }
 
     private boolean silent(Seat seat, double now) {
@@ -498,7 +500,7 @@
             }
             if (best == null || outranks(operation, best, seat, now)) { best = operation; }
         }
-        return best;
+        return seat.out.size() < (int) seat.bound || silent(seat, now) ? best : null;
     }
 
     /** What earns little gets the slots that a busy node's bound leaves over: elsewhere others may wait for it. */
@@ -636,7 +638,7 @@
         double least = Double.POSITIVE_INFINITY;
         for (Seat seat : seats) {
             // A cold node shows no placements and no latency: new objects would pour onto it.
-            if (!hasRoom(seat, now) || silent(seat, now) || now - seat.startedAt < rules.coldTime()
+            if (!hasRoom(seat, now) || seat.out.size() >= (int) seat.bound || silent(seat, now) || now - seat.startedAt < rules.coldTime()
                     || !lawful(operation, seat, now) || holdsBack(operation, seat, now)) {
                 continue;
             }
--- /dev/null
+++ b/src/test/java/sagepulley/PlacementTest.java
@@ -0,0 +1,70 @@
+package sagepulley;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import sagepulley.model.Hop;
+import sagepulley.model.Node;
+import sagepulley.model.Operation;
+import sagepulley.model.Outcome;
+import sagepulley.model.Volume;
+
+/** The page's path: the score, the bound, the run of an extent, the earliest deadline. */
+class PlacementTest {
+    @Test
+    void theBoundStartsAtFourAndARunGoesTogetherBeforeTheEarliestDeadline() {
+        FakeHost host = new FakeHost(1);
+        for (int i = 0; i < 4; i++) {
+            host.take(FakeHost.READ, 0);
+        }
+        Volume volume = host.volume(1);
+        Operation early = host.take(FakeHost.READ, 0);
+        host.passTime(4);
+        Operation run1 = host.take(FakeHost.READ, volume, 5, 1, 0);
+        Operation run2 = host.take(FakeHost.READ, volume, 5, 1, 0);
+        assertEquals(4, host.sent.size());
+        host.end(host.sent.get(0), Outcome.SATISFIED);
+        assertEquals(1, early.hops.size(), "the earliest deadline");
+        host.end(host.sent.get(1), Outcome.SATISFIED);
+        assertEquals(1, run1.hops.size());
+        assertEquals(1, run2.hops.size(), "the rest of the run goes along, a few over the bound");
+    }
+
+    @Test
+    void newObjectsLeaveABusyNode() {
+        FakeHost host = new FakeHost(2);
+        for (int i = 0; i < 60; i++) {
+            Operation read = host.take(FakeHost.READ, i % 2);
+            host.passTime(10);
+            Hop slow = i % 2 == 0 ? host.lastHop(read) : null;
+            if (slow == null) {
+                host.end(host.lastHop(read), Outcome.SATISFIED);
+            } else {
+                host.passTime(50);
+                host.end(slow, Outcome.SATISFIED);
+            }
+        }
+        host.sent.clear();
+        for (int i = 0; i < 10; i++) {
+            Operation write = host.take(FakeHost.WRITE, -1);
+            host.passTime(10);
+            host.end(host.lastHop(write), Outcome.SATISFIED);
+        }
+        Node quick = host.nodes.get(1);
+        assertTrue(host.sent.stream().filter(hop -> hop.node == quick).count() >= 7);
+    }
+
+    @Test
+    void newObjectsDoNotPourOntoANodeThatTurnsUp() {
+        FakeHost host = new FakeHost(2);
+        host.passTime(3000);
+        host.nodes.add(host.node(2));
+        host.relist();
+        for (int i = 0; i < 8; i++) {
+            host.take(FakeHost.WRITE, -1);
+        }
+        assertEquals(8, host.sent.size());
+        assertTrue(host.sent.stream().noneMatch(hop -> hop.node == host.nodes.get(2)));
+    }
+}
