--- a/src/main/java/sagepulley/Control.java
+++ b/src/main/java/sagepulley/Control.java
@@ -85,6 +85,7 @@
     private final List<Seat> seats = new ArrayList<>();
     private final List<Operation> fresh = new ArrayList<>();
     private final List<Operation> homeless = new ArrayList<>();
+    private final List<Hop> unwanted = new ArrayList<>();
     private final Map<Long, KeyLine> lines = new HashMap<>();
     private final Ring taken;
     private final Ring further;
@@ -183,9 +184,13 @@
         // No probe is asked for yet.
     }
 
-    /** The client has left; nothing more is owed or sent. */
+    /** The client has left: nothing more is owed or sent, and work for nobody is called off. */
     public void left(Operation operation, double now) {
         drop(operation);
+        if (!site.mayCallOff()) { return; }
+        for (Hop hop : operation.hops) {
+            if (hop.outcome == null) { unwanted.add(hop); }
+        }
     }
 
     // ---- the three calls ----
@@ -253,7 +258,9 @@
             askAt = now + site.askWithin() / 2;
         }
         lookAt(askAt);
-        return new Pause(Math.max(0, nextLook - now), due, List.of(), List.of(), call);
+        List<Hop> callOff = List.copyOf(unwanted);
+        unwanted.clear();
+        return new Pause(Math.max(0, nextLook - now), due, List.of(), callOff, call);
     }
 
     private void overdue(List<Operation> queue, List<Operation> due, double now) {
