Where clients leave before the target time, the age at which they leave is the target

The age counts for what is late and for how long a queue may be. Covers any cause of early leaving; it may harm if a few clients leave at once by habit, hence only from one in twenty on.

--- a/src/main/java/sagepulley/Control.java
+++ b/src/main/java/sagepulley/Control.java
@@ -69,6 +69,8 @@
     private static final int MOST_FURTHER_HOPS = 2;
     private static final double OVERLOAD_WINDOW = 1_000;
     private static final double OVERLOAD_SHARE = 0.03;
+    private static final double LEFT_STEP = 0.02;
+    private static final double LEFT_SHARE = 0.05;
     private static final double TURN_SHARE = 0.35;
     private static final double TURN_USED = 0.7;
     private static final double COLD_LOOK = 20;
@@ -91,7 +93,7 @@
     private final Ring further;
     private final Ring arrivals = new Ring(OVERLOAD_WINDOW, 10);
     private final Ring declines = new Ring(OVERLOAD_WINDOW, 10);
-    private final double shortestTarget;
+    private double shortestTarget;
     private final double lastCall;
     private int waiting;
     private double nextLook;
@@ -107,6 +109,8 @@
         double patienceSeen;
         double basePace;
         double meanPace;
+        double leftAge;
+        double leftShare;
     }
 
     public Control(Deployment site, long seed) {
@@ -114,12 +118,7 @@
         this.rules = site.rules();
         this.chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         this.rows = new BandRow[site.bands().size()];
-        double shortest = Double.POSITIVE_INFINITY;
-        for (Band band : site.bands()) {
-            rows[band.index()] = new BandRow();
-            shortest = Math.min(shortest, band.targetTime());
-        }
-        this.shortestTarget = shortest;
+        for (Band band : site.bands()) { rows[band.index()] = new BandRow(); }
         this.lastCall = 1.5 * site.tick();
         double window = rules.hasBudget() ? rules.budgetWindow() : 1;
         this.taken = new Ring(window, 50);
@@ -187,6 +186,11 @@
     /** The client has left: nothing more is owed or sent, and work for nobody is called off. */
     public void left(Operation operation, double now) {
         drop(operation);
+        // Clients that leave before the target time set a shorter one: for what is late, and for the queues.
+        BandRow row = rows[operation.band.index()];
+        double age = now - operation.arrivedAt;
+        row.leftAge = row.leftShare == 0 ? age : row.leftAge + LEFT_STEP * (age - row.leftAge);
+        row.leftShare += LEFT_STEP * (1 - row.leftShare);
         if (!site.mayCallOff()) { return; }
         for (Hop hop : operation.hops) {
             if (hop.outcome == null) { unwanted.add(hop); }
@@ -669,6 +673,8 @@
     private void refresh(double now) {
         if (now < refreshAt) { return; }
         refreshAt = now + BUSY_REFRESH;
+        shortestTarget = Double.POSITIVE_INFINITY;
+        for (Band band : site.bands()) { shortestTarget = Math.min(shortestTarget, target(band)); }
         for (Seat seat : seats) {
             seat.crowd *= CROWD_KEEP;
             if (now - seat.cutAt > BUSY_REFRESH && seat.bound < FIRST_BOUND) {
@@ -730,6 +736,7 @@
         if (hop.outcome == Outcome.FULL) { cut(seat, hop, now); }
         if (hop.outcome != Outcome.SATISFIED) { return; }
         BandRow row = rows[operation.band.index()];
+        row.leftShare -= LEFT_STEP * row.leftShare;
         double pace = hop.took / operation.units;
         if (row.basePace == 0) {
             row.basePace = pace / 2;
@@ -759,7 +766,14 @@
     /** From when on an operation, if sent, would miss its target time. */
     private double lateAt(Operation operation) {
         double usual = rows[operation.band.index()].meanPace * operation.units;
-        return ((Ticket) operation.kept).targetEnds - LATE_FACTOR * usual;
+        double ends = Math.min(((Ticket) operation.kept).targetEnds, operation.arrivedAt + target(operation.band));
+        return ends - LATE_FACTOR * usual;
+    }
+
+    /** The target time, or the age at which clients leave, where many leave before it. */
+    private double target(Band band) {
+        BandRow row = rows[band.index()];
+        return row.leftShare > LEFT_SHARE ? Math.min(row.leftAge, band.targetTime()) : band.targetTime();
     }
 
     // ---- books ----
--- a/src/test/java/sagepulley/FakeHost.java
+++ b/src/test/java/sagepulley/FakeHost.java
@@ -29,6 +29,7 @@
     final List<Hop> sent = new ArrayList<>();
     final List<Operation> declined = new ArrayList<>();
     final List<Operation> scrapped = new ArrayList<>();
+    final List<Hop> calledOff = new ArrayList<>();
     final List<Operation> held = new ArrayList<>();
     final Control control;
     final Deployment site;
@@ -107,6 +108,12 @@
         settle();
     }
 
+    void leave(Operation operation) {
+        operation.over = true;
+        control.left(operation, now);
+        settle();
+    }
+
     /** Moves the clock, asking whenever the module wants to be asked. */
     void passTime(double length) {
         double until = now + length;
@@ -125,6 +132,7 @@
         while (true) {
             Pause pause = control.pause(now);
             probes += pause.probes().size();
+            calledOff.addAll(pause.callOff());
             if (pause.call() != Pause.ListCall.NONE) {
                 listCalls++;
             }
--- a/src/test/java/sagepulley/HealthTest.java
+++ b/src/test/java/sagepulley/HealthTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
 
@@ -39,6 +40,25 @@
         assertEquals(2, sentTo(host, 0), "the next trial waits for its time");
     }
 
+    @Test
+    void clientsThatLeaveEarlySetAShorterTargetAndTheirWorkIsCalledOff() {
+        FakeHost host = new FakeHost(1);
+        for (int i = 0; i < 8; i++) {
+            Operation operation = host.take(FakeHost.BULK, 0);
+            host.passTime(60);
+            host.leave(operation);
+            host.end(host.lastHop(operation), Outcome.CALLED_OFF);
+        }
+        assertEquals(8, host.calledOff.size());
+        host.passTime(2000);
+        host.declined.clear();
+        host.nodes.get(0).standing = Node.Standing.DRAINING;
+        host.relist();
+        host.take(FakeHost.BULK, 0);
+        host.passTime(70);
+        assertEquals(1, host.declined.size(), "long before its target time of 1.5 s");
+    }
+
     private static long sentTo(FakeHost host, int node) {
         return host.sent.stream().filter(hop -> hop.node == host.nodes.get(node)).count();
     }
