--- a/src/main/java/sagepulley/Control.java
+++ b/src/main/java/sagepulley/Control.java
@@ -69,6 +69,9 @@
     private static final int MOST_FURTHER_HOPS = 2;
     private static final double OVERLOAD_WINDOW = 1_000;
     private static final double OVERLOAD_SHARE = 0.03;
+    private static final double FAULT_STEP = 0.2;
+    private static final double FAULT_KEEP = 0.9;
+    private static final double MOST_FAULTS = 0.3;
     private static final double LEFT_STEP = 0.02;
     private static final double LEFT_SHARE = 0.05;
     private static final double TURN_SHARE = 0.35;
@@ -133,7 +136,7 @@
             Seat seat = (Seat) node.kept;
             if (seat == null) {
                 seat = new Seat(seats.size(), node, FIRST_BOUND, new Ring(PLACEMENTS_WINDOW, 10),
-                        new Ring(rules.fallTime(), 10));
+                        new Ring(rules.fallTime(), 40));
                 node.kept = seat;
                 seats.add(seat);
                 // A node that turns up later has just started, whatever its line says of its start.
@@ -343,26 +346,33 @@
     /**
      * Units that may go to a node now: without end when it is warm, else out of what a cold one always bears, grown
      * by the even ramp that is the slowest allowed. No gateway sees the others, so each keeps to an even part; while
-     * that is smaller than a usual operation they take turns instead, counted from the node's start and further
+     * that is smaller than a usual operation they take turns in groups, counted from the node's start and further
      * apart than the rule's time. Between the two ways, and after our own start, that time is left empty.
      */
     private double coldRoom(Seat seat, double now) {
         double age = now - seat.startedAt;
         if (!(age < rules.coldTime())) { return Double.POSITIVE_INFINITY; }
         lookAt(now + COLD_LOOK);
-        double bears = bears(age);
-        double part = bears / site.gateways();
         if (now - bornAt < rules.fallTime()) { return 0; }
-        if (bears(age - rules.fallTime()) / site.gateways() >= site.usualUnits()) {
-            return part - seat.coldSpent.sumOver(now);
+        if (groups(bears(age - rules.fallTime())) == 1) {
+            return bears(age) / site.gateways() - seat.coldSpent.sumOver(now);
         }
         double period = rules.fallTime() * (1 + TURN_SHARE);
         double turn = Math.floor(age / period);
-        if (part >= site.usualUnits() || !seat.startKnown || turn % site.gateways() != site.me()
+        double bears = bears(turn * period);
+        int groups = groups(bears);
+        if (groups == 1 || !seat.startKnown || (turn - site.me()) % groups != 0
                 || age - turn * period > rules.fallTime() * TURN_SHARE * TURN_USED) {
             return 0;
         }
-        return bears - seat.coldSpent.sumOver(now);
+        int members = (site.gateways() + groups - 1) / groups;
+        return bears / members - seat.coldSpent.sumOver(now);
+    }
+
+    /** In how many turns all gateways come once, each with room for a usual operation. */
+    private int groups(double bears) {
+        double together = Math.max(1, Math.floor(bears / site.usualUnits()));
+        return (int) Math.ceil(site.gateways() / together);
     }
 
     private double bears(double age) {
@@ -435,7 +445,9 @@
         if (hopsOut(operation) > 0) { return Placement.NOT_YET; }
         drop(operation);
         operation.over = true;
-        declines.add(now, 1);
+        // Overload is what is declined though its node serves; an outage must not forbid further hops elsewhere.
+        Seat seat = ((Ticket) operation.kept).seat;
+        if (seat == null || sound(seat, now)) { declines.add(now, 1); }
         if (!mayDecline(operation)) { return Placement.SCRAPPED; }
         return Placement.decline(0);
     }
@@ -490,6 +502,12 @@
         return seat.out.size() < (int) seat.bound + over;
     }
 
+    /** Whether a node serves as it should: not cold, not silent, and not failing. */
+    private boolean sound(Seat seat, double now) {
+        return seat.node.standing == Node.Standing.READY && !silent(seat, now)
+                && now - seat.startedAt >= rules.coldTime() && seat.faults <= MOST_FAULTS;
+    }
+
     private boolean silent(Seat seat, double now) {
         if (seat.distrusted) { return true; }
         if (seat.out.isEmpty()) { return false; }
@@ -648,9 +666,9 @@
         Seat best = null;
         double least = Double.POSITIVE_INFINITY;
         for (Seat seat : seats) {
+            // A node that fails at once looks idle: without this it draws every new object.
             // A cold node shows no placements and no latency: new objects would pour onto it.
-            if (!hasRoom(seat, now) || seat.out.size() >= (int) seat.bound || silent(seat, now) || now - seat.startedAt < rules.coldTime()
-                    || !lawful(operation, seat, now) || holdsBack(operation, seat, now)) {
+            if (!hasRoom(seat, now) || seat.out.size() >= (int) seat.bound || !sound(seat, now) || !lawful(operation, seat, now) || holdsBack(operation, seat, now)) {
                 continue;
             }
             Operation rival = pick(seat, now);
@@ -677,6 +695,7 @@
         for (Band band : site.bands()) { shortestTarget = Math.min(shortestTarget, target(band)); }
         for (Seat seat : seats) {
             seat.crowd *= CROWD_KEEP;
+            seat.faults *= FAULT_KEEP;
             if (now - seat.cutAt > BUSY_REFRESH && seat.bound < FIRST_BOUND) {
                 seat.bound = Math.min(FIRST_BOUND, seat.bound + BOUND_REST);
             }
@@ -725,9 +744,14 @@
             use(account(operation.volume, now), seat).toldAt = now;
         }
         switch (hop.outcome) {
-            case SATISFIED, FAULT -> {
+            case SATISFIED -> {
                 seat.heardAt = now;
                 seat.distrusted = false;
+                seat.faults -= FAULT_STEP * seat.faults;
+            }
+            case FAULT -> {
+                seat.heardAt = now;
+                seat.faults += FAULT_STEP * (1 - seat.faults);
             }
             // A full node is up, but one that hangs turns work away as well: only an answer restores trust.
             case TIMED_OUT, NO_CONNECTION, RESET, FULL -> seat.distrusted |= seat.heardAt < hop.sentAt;
--- a/src/main/java/sagepulley/Seat.java
+++ b/src/main/java/sagepulley/Seat.java
@@ -39,6 +39,8 @@
     double heardAt = Double.NEGATIVE_INFINITY;
     double sentAt = Double.NEGATIVE_INFINITY;
     boolean distrusted;
+    /** The share of its latest answers that were errors. */
+    double faults;
 
     /** The score's terms; reads at 0, writes at 1. */
     final Ring placements;
