--- a/src/main/java/sagepulley/simhost/Gateway.java
+++ b/src/main/java/sagepulley/simhost/Gateway.java
@@ -124,10 +124,16 @@
             if (pause.due().isEmpty()) {
                 break;
             }
+            boolean moved = false;
             for (Operation operation : pause.due()) {
-                answer(operation, control.place(operation, now));
+                Placement placement = control.place(operation, now);
+                moved |= placement.kind() != Placement.Kind.WAIT;
+                answer(operation, placement);
             }
             pause = control.pause(now);
+            if (!moved) {
+                break; // asking again at the same moment would change nothing
+            }
         }
         if (pause.length() < Double.POSITIVE_INFINITY) {
             long offset = Math.min(LONGEST_WAKE_NS, Math.max(1, (long) Math.ceil(pause.length() * NS)));
