--- a/src/main/java/sagepulley/Control.java
+++ b/src/main/java/sagepulley/Control.java
@@ -21,14 +21,14 @@
 import sagepulley.model.Volume;
 
 /**
- * Every decision of one gateway: the Flint placement score, the bound of each node, and the guards round them.
+ * Every decision of one gateway: the Flint placement score, each node's bound, and the guards round them.
  *
  * How it is called (the types are those of sagepulley.model; times are milliseconds on one clock):
- *   place(operation)  where to send it, or not yet, or never; a SEND has already added the hop to the operation
+ *   place(operation)  where to send it, or not yet, or never; a SEND has already added the operation's hop
  *   after(hop)        what to do for its operation after this outcome
  *   pause()           how long to wait, and what is due now: operations to place, probes, list calls;
  *                     asked again until no operation is due
- * and told, with no answer: listed, listFailed, probed, left. A caller keeps timers and operations in hand.
+ * and told, with no answer: listed, listFailed, probed, left. The caller keeps timers and operations.
  */
 public final class Control {
     // The page's figures.
@@ -36,6 +36,7 @@
     private static final double BUSY_REFRESH = 1_000;
     private static final double FIRST_BOUND = 4;
     private static final int RUN = 4;
+    // How far the rest of a run may go over the bound, for the node remembers an extent only for a while.
     private static final int RUN_OVER = 3;
     // Weights of the score: placements, busy, fragment, preference; each term is 1 on average.
     private static final double ALPHA = 1;
@@ -144,7 +145,7 @@
                     seat.startedAt = now;
                     seat.startKnown = false;
                 }
-            } else if (node.startedAt > seat.startedAt && node.startedAt != seat.startedAt) {
+            } else if (node.startedAt > seat.startedAt) {
                 seat.startedAt = node.startedAt;
                 seat.startKnown = true;
                 seat.bound = LEAST_BOUND;
@@ -159,18 +160,17 @@
             askAt = Double.POSITIVE_INFINITY;
         }
         // Whoever waits for a node that drains, or for a shard that moved, is looked at anew.
-        for (Operation operation : List.copyOf(homeless)) {
+        queueAnew(homeless);
+        for (Seat seat : seats) {
+            if (seat.node.standing != Node.Standing.READY) { queueAnew(seat.waiting); }
+        }
+    }
+
+    private void queueAnew(List<Operation> queue) {
+        for (Operation operation : List.copyOf(queue)) {
             dequeue(operation);
             enqueue(operation);
         }
-        for (Seat seat : seats) {
-            if (seat.node.standing != Node.Standing.READY) {
-                for (Operation operation : List.copyOf(seat.waiting)) {
-                    dequeue(operation);
-                    enqueue(operation);
-                }
-            }
-        }
     }
 
     /** A list call failed, or the subscription dropped. */
@@ -231,11 +231,9 @@
         seat.out.remove(hop);
         learn(hop, seat, now);
         Ticket ticket = (Ticket) operation.kept;
-        if (ticket.line != null) {
-            if (hop.outcome == Outcome.TIMED_OUT || hop.outcome == Outcome.RESET
-                    || hop.outcome == Outcome.CALLED_OFF) {
-                ticket.line.restsUntil = now + rules.keyRest();
-            }
+        if (ticket.line != null && (hop.outcome == Outcome.TIMED_OUT || hop.outcome == Outcome.RESET
+                || hop.outcome == Outcome.CALLED_OFF)) {
+            ticket.line.restsUntil = now + rules.keyRest();
         }
         if (operation.over) {
             drop(operation);
@@ -344,10 +342,11 @@
     }
 
     /**
-     * Units that may go to a node now: without end when it is warm, else out of what a cold one always bears, grown
-     * by the even ramp that is the slowest allowed. No gateway sees the others, so each keeps to an even part; while
-     * that is smaller than a usual operation they take turns in groups, counted from the node's start and further
-     * apart than the rule's time. Between the two ways, and after our own start, that time is left empty.
+     * Units that may go to a node now: without end when it is warm, else out of what a cold one always bears,
+     * grown by the even ramp that is the slowest allowed. No gateway sees the others, so each keeps to an
+     * even part; while that is smaller than a usual operation they take turns in groups, counted from the
+     * node's start and further apart than the rule's time. Between the two ways, and after our own start, that time
+     * is left empty.
      */
     private double coldRoom(Seat seat, double now) {
         double age = now - seat.startedAt;
@@ -432,8 +431,9 @@
     }
 
     /**
-     * A hop ends soon after the target time: what is never answered (by a node that loses answers, hangs or is cut
-     * off) must not hold a slot of the bound until the client's patience ends, and late work crowds out the rest.
+     * A hop ends soon after the target time: what is never answered (by a node that loses answers, hangs or
+     * is cut off) must not hold a slot of the bound until the client's patience ends, and late work crowds
+     * out the rest.
      */
     private double timeout(Operation operation, double now) {
         double grace = LATE_GRACE * operation.band.targetTime();
@@ -445,7 +445,7 @@
         if (hopsOut(operation) > 0) { return Placement.NOT_YET; }
         drop(operation);
         operation.over = true;
-        // Overload is what is declined though its node serves; an outage must not forbid further hops elsewhere.
+        // Overload is what is declined though its node serves; an outage must not forbid hops elsewhere.
         Seat seat = ((Ticket) operation.kept).seat;
         if (seat == null || sound(seat, now)) { declines.add(now, 1); }
         if (!mayDecline(operation)) { return Placement.SCRAPPED; }
@@ -480,7 +480,7 @@
             return pickFresh(now) == operation ? lowestScore(operation, now) : null;
         }
         Seat seat = ticket.seat;
-        if (seat == null || !hasRoom(seat, now) || pick(seat, now) != operation) { return null; }
+        if (seat == null || pick(seat, now) != operation) { return null; }
         Operation other = pickFresh(now);
         if (other != null && outranks(other, operation, seat, now) && lowestScore(other, now) == seat) {
             return null;
@@ -532,7 +532,7 @@
         return seat.out.size() < (int) seat.bound || silent(seat, now) ? best : null;
     }
 
-    /** What earns little gets the slots that a busy node's bound leaves over: elsewhere others may wait for it. */
+    /** What earns least gets only part of a busy node's bound: at other gateways others may wait for it. */
     private boolean holdsBack(Operation operation, Seat seat, double now) {
         return seat.crowd > CROWDED && seat.out.size() >= (int) (seat.bound * BEYOND_PART)
                 && due(operation.volume, operation.units, seat, now) <= site.beyondWorth();
@@ -558,7 +558,8 @@
         if (lateAt(operation) <= now) { return LATE; }
         Band band = operation.band;
         double part = due(operation.volume, operation.units, seat, now);
-        double value = part * operation.volume.plan.price() * band.utility() / (rows[band.index()].meanPace + 1e-9);
+        double pace = rows[band.index()].meanPace + 1e-9;
+        double value = part * operation.volume.plan.price() * band.utility() / pace;
         return (int) (Math.log(1000 / value) / Math.log(TIER_STEP));
     }
 
@@ -571,8 +572,9 @@
     }
 
     /**
-     * The fair level of a node: units a unit of weight that fills what the node lately served beyond the reserves,
-     * dealt out by weight among the volumes that asked for more. No volume's demand counts above what it asked.
+     * The fair level of a node: units a unit of weight that fills what the node lately served beyond the
+     * reserves, dealt out by weight among the volumes that asked for more. No volume's demand counts above
+     * what it asked.
      */
     private double fair(Seat seat, double now) {
         if (now < seat.fairUntil) { return seat.fair; }
@@ -619,8 +621,9 @@
     }
 
     /**
-     * Units that others are said to have used since the last answer. A sum over many seconds must not look like a
-     * surge: of the reserve it costs what our own reckoning did not lose while full, and of the last second its part.
+     * Units that others are said to have used since the last answer. A sum over many seconds must not look
+     * like a surge: of the reserve it costs what our own reckoning did not lose while full, and of the last
+     * second its part.
      */
     private void hear(Volume volume, Seat seat, double units, double now) {
         Account account = account(volume, now);
@@ -668,12 +671,14 @@
         for (Seat seat : seats) {
             // A node that fails at once looks idle: without this it draws every new object.
             // A cold node shows no placements and no latency: new objects would pour onto it.
-            if (!hasRoom(seat, now) || seat.out.size() >= (int) seat.bound || !sound(seat, now) || !lawful(operation, seat, now) || holdsBack(operation, seat, now)) {
+            if (!hasRoom(seat, now) || seat.out.size() >= (int) seat.bound || !sound(seat, now)
+                    || !lawful(operation, seat, now) || holdsBack(operation, seat, now)) {
                 continue;
             }
             Operation rival = pick(seat, now);
             if (rival != null && !outranks(operation, rival, seat, now)) { continue; }
-            double preference = site.weighsNodes() && seat.node.weight > 0 ? weight / ready / seat.node.weight : 1;
+            double preference = site.weighsNodes() && seat.node.weight > 0
+                    ? weight / ready / seat.node.weight : 1;
             if (site.crossZonePrice() > 0 && seat.node.zone != site.zone()) { preference += 1; }
             // A busy degree a second old sends a second's new objects one way: what is out there now, and the
             // queue that the latest answers showed, count with it.
@@ -707,15 +712,10 @@
         for (Seat seat : seats) {
             double units = seat.units[0] + seat.units[1];
             if (units > 0) {
-                double now1 = (seat.took[0] + seat.took[1]) / units;
-                seat.rawBusy = Double.isNaN(seat.rawBusy) ? now1 : BUSY_KEEP * seat.rawBusy + (1 - BUSY_KEEP) * now1;
+                seat.rawBusy = smooth(seat.rawBusy, (seat.took[0] + seat.took[1]) / units);
             }
             for (int i = 0; i < 2; i++) {
-                if (seat.units[i] > 0) {
-                    double pace = seat.took[i] / seat.units[i];
-                    seat.pace[i] = Double.isNaN(seat.pace[i]) ? pace
-                            : BUSY_KEEP * seat.pace[i] + (1 - BUSY_KEEP) * pace;
-                }
+                if (seat.units[i] > 0) { seat.pace[i] = smooth(seat.pace[i], seat.took[i] / seat.units[i]); }
                 seat.took[i] = 0;
                 seat.units[i] = 0;
             }
@@ -729,12 +729,17 @@
             }
         }
         for (Seat seat : seats) {
-            seat.busy = Double.isNaN(seat.rawBusy) || !(busySum > 0) ? 1 : seat.rawBusy / (busySum / busyCount);
+            seat.busy = Double.isNaN(seat.rawBusy) || !(busySum > 0) ? 1
+                    : seat.rawBusy / (busySum / busyCount);
             seat.fragment = Double.isNaN(seat.pace[0]) || Double.isNaN(seat.pace[1]) || !(fragmentSum > 0) ? 1
                     : seat.pace[1] / seat.pace[0] / (fragmentSum / fragmentCount);
         }
     }
 
+    private static double smooth(double old, double latest) {
+        return Double.isNaN(old) ? latest : BUSY_KEEP * old + (1 - BUSY_KEEP) * latest;
+    }
+
     // ---- what is learned from an outcome ----
 
     private void learn(Hop hop, Seat seat, double now) {
@@ -766,7 +771,8 @@
             row.basePace = pace / 2;
             row.meanPace = pace;
         }
-        row.basePace *= pace < row.basePace ? 1 - PACE_STEP * (1 - PACE_QUANTILE) : 1 + PACE_STEP * PACE_QUANTILE;
+        row.basePace *= pace < row.basePace ? 1 - PACE_STEP * (1 - PACE_QUANTILE)
+                : 1 + PACE_STEP * PACE_QUANTILE;
         row.meanPace += PACE_STEP * (Math.min(pace, 4 * row.meanPace) - row.meanPace);
         int way = operation.band.writes() ? 1 : 0;
         seat.took[way] += hop.took;
@@ -790,7 +796,8 @@
     /** From when on an operation, if sent, would miss its target time. */
     private double lateAt(Operation operation) {
         double usual = rows[operation.band.index()].meanPace * operation.units;
-        double ends = Math.min(((Ticket) operation.kept).targetEnds, operation.arrivedAt + target(operation.band));
+        double ends = Math.min(((Ticket) operation.kept).targetEnds,
+                operation.arrivedAt + target(operation.band));
         return ends - LATE_FACTOR * usual;
     }
 
@@ -823,13 +830,13 @@
     private Account account(Volume volume, double now) {
         Account account = (Account) volume.kept;
         double reserve = volume.plan.reserve();
+        double full = reserve > 0 ? reserve + site.mostUnits() : 0;
         if (account == null) {
             account = new Account(volume.plan.weight(), now);
-            account.reserve = reserve > 0 ? reserve + site.mostUnits() : 0;
+            account.reserve = full;
             volume.kept = account;
         }
         if (now > account.reserveAt) {
-            double full = reserve > 0 ? reserve + site.mostUnits() : 0;
             double filled = account.reserve + reserve * (now - account.reserveAt) / 1000;
             account.reserve = Math.min(full, filled);
             account.lost = Math.min(account.lost + filled - account.reserve, reserve * LOST_MEMORY / 1000);
@@ -854,7 +861,7 @@
                 ticket.seat = seat;
             }
         }
-        // A shard that no listed node holds: it waits with the new objects until its node turns up.
+        // A shard that no listed node holds waits apart until its node turns up.
         if (ticket.seat != null) {
             ticket.seat.waiting.add(operation);
         } else {
--- a/src/main/java/sagepulley/Main.java
+++ b/src/main/java/sagepulley/Main.java
@@ -18,7 +18,8 @@
             System.exit(2);
         }
         try {
-            new SimHost(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out)).run();
+            new SimHost(new FileInputStream(FileDescriptor.in),
+                    new FileOutputStream(FileDescriptor.out)).run();
         } catch (MalformedFrame e) {
             System.err.println("sagepulley: malformed frame: " + e.getMessage());
             System.exit(1);
--- a/src/main/java/sagepulley/Use.java
+++ b/src/main/java/sagepulley/Use.java
@@ -2,7 +2,7 @@
 
 import sagepulley.model.Ring;
 
-/** What a volume lately asked of a node and was served there, in units, through all gateways as far as told. */
+/** What a volume lately asked of a node and was served there, in units, through all gateways if told. */
 final class Use {
     final double weight;
     final Ring asked;
--- a/src/main/java/sagepulley/model/Hop.java
+++ b/src/main/java/sagepulley/model/Hop.java
@@ -10,7 +10,7 @@
     public Outcome outcome;
     /** How long it took, once it has an outcome. */
     public double took;
-    /** Percent of the plan's rate that the volume was served everywhere in a finished period; NaN if not told. */
+    /** Percent of its plan's rate that the volume got everywhere in a finished period; NaN if not told. */
     public double usedPercent = Double.NaN;
     /** Units that the node served the volume through other gateways since its last answer to this one. */
     public double othersUnits;
--- a/src/main/java/sagepulley/simhost/Batch.java
+++ b/src/main/java/sagepulley/simhost/Batch.java
@@ -55,7 +55,8 @@
         int have = 0;
         while (have < length) {
             if (have == bytes.length) {
-                bytes = Arrays.copyOf(bytes, (int) Math.min((long) bytes.length * 2, Math.max(length, CHUNK)));
+                bytes = Arrays.copyOf(bytes,
+                        (int) Math.min((long) bytes.length * 2, Math.max(length, CHUNK)));
             }
             int got = in.readNBytes(bytes, have, Math.min(length, bytes.length) - have);
             if (got == 0) {
--- a/src/main/java/sagepulley/simhost/Gateway.java
+++ b/src/main/java/sagepulley/simhost/Gateway.java
@@ -130,10 +130,10 @@
                 moved |= placement.kind() != Placement.Kind.WAIT;
                 answer(operation, placement);
             }
-            pause = control.pause(now);
             if (!moved) {
                 break; // asking again at the same moment would change nothing
             }
+            pause = control.pause(now);
         }
         if (pause.length() < Double.POSITIVE_INFINITY) {
             long offset = Math.min(LONGEST_WAKE_NS, Math.max(1, (long) Math.ceil(pause.length() * NS)));
--- a/src/main/java/sagepulley/simhost/ListEntry.java
+++ b/src/main/java/sagepulley/simhost/ListEntry.java
@@ -4,7 +4,8 @@
 import sagepulley.model.Node;
 
 /** One line of a list of nodes, as the wire has it. */
-record ListEntry(int zone, int cell, int store, Node.Standing standing, double startedAt, int kind, double weight) {
+record ListEntry(int zone, int cell, int store, Node.Standing standing, double startedAt, int kind,
+                 double weight) {
 
     /** Reads an entry; null if its phase is unknown. */
     static ListEntry read(ByteBuffer from) {
--- a/src/main/java/sagepulley/simhost/SimHost.java
+++ b/src/main/java/sagepulley/simhost/SimHost.java
@@ -26,6 +26,8 @@
     private final Batch batch;
     private final OutputStream out;
     private final Map<Integer, Gateway> gateways = new HashMap<>();
+    /** The instances with an event in this batch. */
+    private final List<Gateway> called = new ArrayList<>();
     private final List<List<ListEntry>> pools = new ArrayList<>();
     /** The replies of the instances with an event in this batch, in the order of their first. */
     private final List<Reply> replies = new ArrayList<>();
@@ -59,8 +61,6 @@
         out.flush();
     }
 
-    private final List<Gateway> called = new ArrayList<>();
-
     private void event(int record, double now) throws MalformedFrame {
         int code = batch.u8(record, 0);
         switch (code) {
@@ -158,13 +158,7 @@
                 if (table >= POOLS || pools.get(table) == null) {
                     throw batch.badRecord(record, "list number " + table + " was never set up");
                 }
-                List<ListEntry> entries = pools.get(table);
-                for (ListEntry entry : entries) {
-                    if (entry.zone() < 0) {
-                        throw batch.badRecord(record, "zone out of range");
-                    }
-                }
-                gateway.list(entries, scope != 3, now);
+                gateway.list(pools.get(table), scope != 3, now);
             }
             default -> throw batch.badRecord(record, "unknown list scope " + scope);
         }
--- a/src/test/java/sagepulley/FakeHost.java
+++ b/src/test/java/sagepulley/FakeHost.java
@@ -15,7 +15,7 @@
 import sagepulley.model.Sequel;
 import sagepulley.model.Volume;
 
-/** The smallest host of one gateway: a clock moved by hand, nodes without behaviour, and a log of what was sent. */
+/** The smallest host of one gateway: a clock moved by hand, idle nodes, and a log of what was sent. */
 final class FakeHost {
     /** Bands by place: read, write, bulk read, deduplicated within a cell, unrepeatable, in order. */
     static final int READ = 0;
@@ -68,8 +68,8 @@
 
     private static Band band(int index, Band.Repeat repeat, boolean inOrder, double target, double patience,
                              double utility) {
-        return new Band(index, "band " + index, repeat, Band.Group.CELL, 1000, inOrder, index == WRITE, target, 0,
-                patience, utility, 0.2);
+        return new Band(index, "band " + index, repeat, Band.Group.CELL, 1000, inOrder, index == WRITE,
+                target, 0, patience, utility, 0.2);
     }
 
     Node node(int cell) {
--- a/src/test/java/sagepulley/WireTest.java
+++ b/src/test/java/sagepulley/WireTest.java
@@ -36,7 +36,8 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"63, unknown event code 99", "0800 00000000 00000001, out of the tail", "0810, list number 16"})
+    @CsvSource({"63, unknown event code 99",
+        "0800 00000000 00000001, out of the tail", "0810, list number 16"})
     void aMalformedRecordIsNamed(String record, String what) {
         byte[] bytes = new byte[56];
         byte[] start = unhex(record.replace(" ", ""));
