--- a/src/main/java/sagepulley/Control.java
+++ b/src/main/java/sagepulley/Control.java
@@ -345,8 +345,8 @@
      * Units that may go to a node now: without end when it is warm, else out of what a cold one always bears,
      * grown by the even ramp that is the slowest allowed. No gateway sees the others, so each keeps to an
      * even part; while that is smaller than a usual operation they take turns in groups, counted from the
-     * node's start and further apart than the rule's time. Between the two ways, and after our own start, that time
-     * is left empty.
+     * node's start and further apart than the rule's time. Between the two ways, and after our own start, that
+     * time is left empty.
      */
     private double coldRoom(Seat seat, double now) {
         double age = now - seat.startedAt;
