--- a/src/main/java/sagepulley/Ticket.java
+++ b/src/main/java/sagepulley/control/Ticket.java
@@ -1,4 +1,4 @@
-package sagepulley;
+package sagepulley.control;
 
 /** What is kept of an operation in hand. */
 final class Ticket {
--- a/src/main/java/sagepulley/Use.java
+++ b/src/main/java/sagepulley/control/Use.java
@@ -1,4 +1,4 @@
-package sagepulley;
+package sagepulley.control;
 
 import sagepulley.model.Ring;
 
--- a/src/main/java/sagepulley/simhost/Gateway.java
+++ b/src/main/java/sagepulley/simhost/Gateway.java
@@ -5,7 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import sagepulley.Control;
+import sagepulley.control.Control;
 import sagepulley.model.Deployment;
 import sagepulley.model.Hop;
 import sagepulley.model.Node;
--- a/src/test/java/sagepulley/FakeHost.java
+++ b/src/test/java/sagepulley/control/FakeHost.java
@@ -1,4 +1,4 @@
-package sagepulley;
+package sagepulley.control;
 
 import java.util.ArrayList;
 import java.util.IdentityHashMap;
--- a/src/test/java/sagepulley/PlacementTest.java
+++ b/src/test/java/sagepulley/control/PlacementTest.java
@@ -1,4 +1,4 @@
-package sagepulley;
+package sagepulley.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/sagepulley/WireTest.java
+++ b/src/test/java/sagepulley/simhost/WireTest.java
@@ -1,4 +1,4 @@
-package sagepulley;
+package sagepulley.simhost;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -13,8 +13,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import sagepulley.simhost.MalformedFrame;
-import sagepulley.simhost.SimHost;
 
 /** What the adapter says to frames, good and bad. */
 class WireTest {
