--- a/src/main/java/sagepulley/Main.java
+++ b/src/main/java/sagepulley/Main.java
@@ -4,18 +4,18 @@
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import sagepulley.cli.Commands;
 import sagepulley.simhost.MalformedFrame;
 import sagepulley.simhost.SimHost;
 
-/** Picks the command. */
+/** Picks the command; simhost starts without anything of the others. */
 public final class Main {
     private Main() {
     }
 
     public static void main(String[] words) {
         if (words.length != 1 || !words[0].equals("simhost")) {
-            System.err.println("usage: java -jar sagepulley.jar simhost");
-            System.exit(2);
+            System.exit(Commands.run(words));
         }
         try {
             new SimHost(new FileInputStream(FileDescriptor.in),
--- /dev/null
+++ b/src/main/java/sagepulley/cli/CheckSiteCommand.java
@@ -0,0 +1,44 @@
+package sagepulley.cli;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import sagepulley.site.Site;
+import sagepulley.site.SiteError;
+
+/** Checks a site file without starting anything. */
+@Command(name = "check-site", mixinStandardHelpOptions = true,
+        description = "Checks a site file; exits with 0 if it can be used, with 3 and every mistake if not.")
+final class CheckSiteCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "SITE", description = "the site file (INI)")
+    private Path file;
+
+    @Option(names = "--json", description = "prints the result as JSON")
+    private boolean json;
+
+    @Override
+    public Integer call() throws Exception {
+        List<String> mistakes = List.of();
+        Site site = null;
+        try {
+            site = Site.read(file);
+        } catch (SiteError error) {
+            mistakes = List.of(error.getMessage().split("\n"));
+        }
+        if (json) {
+            System.out.println(new JsonMapper().writeValueAsString(
+                    Map.of("file", file.toString(), "usable", site != null, "mistakes", mistakes)));
+        } else if (site != null) {
+            System.out.println(file + ": can be used: " + site.volumes().size() + " volumes, "
+                    + site.deployment().bands().size() + " bands, " + site.deployment().plans().size() + " plans");
+        } else {
+            mistakes.forEach(System.err::println);
+        }
+        return site != null ? Commands.OK : Commands.UNUSABLE_FILE;
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/cli/DemoCommand.java
@@ -0,0 +1,43 @@
+package sagepulley.cli;
+
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import sagepulley.drill.Town;
+import sagepulley.gateway.Gateway;
+import sagepulley.standin.NodeTraits;
+import sagepulley.standin.Witness;
+
+/** Runs the whole on loopback, with nothing to set up. */
+@Command(name = "demo", mixinStandardHelpOptions = true, sortOptions = false,
+        description = "Runs a gateway, stand-in nodes and a directory on loopback until a signal; exports the "
+                + "volume 'demo' of 64 MiB over NBD.")
+final class DemoCommand implements Callable<Integer> {
+    @Option(names = "--nbd-port", defaultValue = "10809", paramLabel = "PORT",
+            description = "where NBD clients connect; 0 takes a free one (default: ${DEFAULT-VALUE})")
+    private int port;
+
+    @Option(names = "--nodes", defaultValue = "6", description = "stand-in nodes (default: ${DEFAULT-VALUE})")
+    private int nodes;
+
+    @Option(names = "--cost", defaultValue = "0.5", paramLabel = "MS",
+            description = "what a unit of 128 KiB takes at a node (default: ${DEFAULT-VALUE})")
+    private double cost;
+
+    @Override
+    public Integer call() throws Exception {
+        List<NodeTraits> traits = new ArrayList<>();
+        for (int i = 1; i <= nodes; i++) {
+            traits.add(NodeTraits.quick(i, 1 << 20).withCost(cost, cost).withZone(i % 2));
+        }
+        Town town = Town.start(traits, Witness.NOBODY, 2);
+        Gateway gateway = town.open(Town.demoSite("demo", 0, 1, port, town.directory().address()),
+                new SecureRandom().nextLong());
+        System.out.println("ready: nbd://127.0.0.1:" + gateway.address().getPort() + "/demo (64 MiB) over "
+                + nodes + " stand-in nodes");
+        return Running.untilSignal(town::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/cli/GatewayCommand.java
@@ -0,0 +1,39 @@
+package sagepulley.cli;
+
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletionException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+import sagepulley.gateway.Gateway;
+import sagepulley.site.Site;
+
+/** Runs one gateway by its site file. */
+@Command(name = "gateway", mixinStandardHelpOptions = true,
+        description = "Runs one gateway until a signal, then answers what it holds and exits with 0.")
+final class GatewayCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "SITE", description = "the site file (INI), see docs/operate/site-file.md")
+    private Path file;
+
+    @Override
+    public Integer call() throws Exception {
+        Site site = Site.read(file);
+        Gateway gateway = new Gateway(site, new SecureRandom().nextLong());
+        gateway.start().whenComplete((ready, failure) -> {
+            if (failure != null) {
+                System.err.println("sagepulley: cannot listen on " + site.nbd() + ": " + failure.getMessage());
+                Runtime.getRuntime().halt(Commands.FAILED);
+            }
+            System.out.println("ready: " + site.name() + " on " + site.nbd().host() + ":"
+                    + ready.address().getPort());
+        });
+        return Running.untilSignal(() -> {
+            try {
+                gateway.stop().join();
+            } catch (CompletionException e) {
+                throw new IllegalStateException("did not stop well: " + e.getCause(), e);
+            }
+        });
+    }
+}
--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -29,7 +29,8 @@
  *   after(hop)        what to do for its operation after this outcome
  *   pause()           how long to wait, and what is due now: operations to place, probes, list calls;
  *                     asked again until no operation is due
- * and told, with no answer: listed, listFailed, probed, left. The caller keeps timers and operations.
+ * and told, with no answer: listed, listFailed, probed, left, found, needless. The caller keeps timers and
+ * operations.
  */
 public final class Control {
     // The page's figures.
@@ -245,6 +246,19 @@
         }
     }
 
+    /** The cell of an operation's extent became known (-1: it is a new object) while it waits or is out. */
+    public void found(Operation operation, int cell) {
+        boolean waits = ((Ticket) operation.kept).waits;
+        dequeue(operation);
+        operation.shard = cell;
+        if (waits) { enqueue(operation); }
+    }
+
+    /** The operation has ended without a node: there is nothing to read or to do. */
+    public void needless(Operation operation) {
+        drop(operation);
+    }
+
     // ---- the three calls ----
 
     /** Where to send this operation, or not yet, or never. */
--- /dev/null
+++ b/src/main/java/sagepulley/directory/DirectoryWire.java
@@ -0,0 +1,146 @@
+package sagepulley.directory;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.util.ArrayList;
+import java.util.List;
+import sagepulley.wire.BadBytes;
+import sagepulley.wire.Fields;
+import sagepulley.wire.Frame;
+
+/** The messages to and from the directory, as frames (docs/protocols.md, Directory protocol). */
+public final class DirectoryWire {
+    /** From a gateway or node. */
+    public static final int HELLO = 1;
+    public static final int SUBSCRIBE = 2;
+    public static final int FETCH = 3;
+    public static final int LOOKUP = 4;
+    public static final int CLAIM = 5;
+    public static final int REGISTER = 6;
+    /** From the directory. */
+    public static final int LIST = 17;
+    public static final int HOLDERS = 18;
+    public static final int HOLDER = 19;
+    public static final int FAILED = 20;
+
+    /** Extents of one look-up at most. */
+    public static final int MOST_LOOKED_UP = 1 << 16;
+    private static final int MOST_LINES = 1 << 14;
+
+    /** What the list says of a node. */
+    public enum Standing { GONE, READY, DRAINING }
+
+    /** A line of the list. The start is wall-clock milliseconds, 0 for long ago. */
+    public record Line(int node, int cell, int zone, int kind, Standing standing, long startedAt, float weight,
+                       String host, int port) {
+    }
+
+    /** The list, whole or what changed; it answers a call or is pushed (call 0). */
+    public record Listing(long call, long version, boolean whole, List<Line> lines) {
+    }
+
+    private DirectoryWire() {
+    }
+
+    public static Frame hello(long gateway, String name) {
+        ByteBuf head = Unpooled.buffer(64).writeShort(1).writeLong(gateway);
+        Fields.string(head, name);
+        return new Frame(HELLO, 0, head);
+    }
+
+    public static Frame list(Listing it) {
+        ByteBuf head = Unpooled.buffer(64).writeLong(it.version()).writeBoolean(it.whole())
+                .writeInt(it.lines().size());
+        for (Line line : it.lines()) {
+            line(head, line);
+        }
+        return new Frame(LIST, it.call(), head);
+    }
+
+    public static Listing list(Frame frame) throws BadBytes {
+        ByteBuf head = Fields.need(frame, 13);
+        long version = head.readLong();
+        boolean whole = head.readBoolean();
+        int count = head.readInt();
+        if (count < 0 || count > MOST_LINES) {
+            throw new BadBytes("a list of " + Integer.toUnsignedString(count) + " lines");
+        }
+        List<Line> lines = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            lines.add(line(head));
+        }
+        return new Listing(frame.id(), version, whole, lines);
+    }
+
+    public static Frame register(Line line) {
+        ByteBuf head = Unpooled.buffer(64);
+        line(head, line);
+        return new Frame(REGISTER, 0, head);
+    }
+
+    public static Line line(ByteBuf from) throws BadBytes {
+        if (from.readableBytes() < 27) {
+            throw new BadBytes("a line is cut off");
+        }
+        int node = from.readInt();
+        int cell = from.readInt();
+        int zone = from.readUnsignedShort();
+        int kind = from.readUnsignedShort();
+        int standing = from.readUnsignedByte();
+        long startedAt = from.readLong();
+        float weight = from.readFloat();
+        int port = from.readUnsignedShort();
+        if (standing >= Standing.values().length || cell < 0) {
+            throw new BadBytes("a line that cannot be read");
+        }
+        return new Line(node, cell, zone, kind, Standing.values()[standing], startedAt, weight,
+                Fields.string(from), port);
+    }
+
+    private static void line(ByteBuf to, Line line) {
+        to.writeInt(line.node()).writeInt(line.cell()).writeShort(line.zone()).writeShort(line.kind())
+                .writeByte(line.standing().ordinal()).writeLong(line.startedAt()).writeFloat(line.weight())
+                .writeShort(line.port());
+        Fields.string(to, line.host());
+    }
+
+    public static Frame lookup(long call, int volume, long first, int count) {
+        return new Frame(LOOKUP, call, Unpooled.buffer(16).writeInt(volume).writeLong(first).writeInt(count));
+    }
+
+    /** The cells that hold extents in a row; -1 for none. */
+    public static Frame holders(long call, int[] cells) {
+        ByteBuf head = Unpooled.buffer(4 + 4 * cells.length).writeInt(cells.length);
+        for (int cell : cells) {
+            head.writeInt(cell);
+        }
+        return new Frame(HOLDERS, call, head);
+    }
+
+    public static int[] holders(Frame frame) throws BadBytes {
+        ByteBuf head = Fields.need(frame, 4);
+        int count = head.readInt();
+        if (count < 0 || count > MOST_LOOKED_UP || head.readableBytes() < 4L * count) {
+            throw new BadBytes("holders of " + Integer.toUnsignedString(count) + " extents");
+        }
+        int[] cells = new int[count];
+        for (int i = 0; i < count; i++) {
+            cells[i] = head.readInt();
+        }
+        return cells;
+    }
+
+    public static Frame claim(long call, int volume, long extent, int cell) {
+        return new Frame(CLAIM, call, Unpooled.buffer(16).writeInt(volume).writeLong(extent).writeInt(cell));
+    }
+
+    public static Frame holder(long call, int cell) {
+        return new Frame(HOLDER, call, Unpooled.buffer(4).writeInt(cell));
+    }
+
+    public static Frame failed(long call, String why) {
+        ByteBuf head = Unpooled.buffer(32);
+        Fields.string(head, why);
+        return new Frame(FAILED, call, head);
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/drill/Town.java
@@ -0,0 +1,140 @@
+package sagepulley.drill;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import sagepulley.directory.DirectoryWire;
+import sagepulley.gateway.Gateway;
+import sagepulley.site.Site;
+import sagepulley.site.SiteError;
+import sagepulley.standin.NodeTraits;
+import sagepulley.standin.StandInDirectory;
+import sagepulley.standin.StandInNode;
+import sagepulley.standin.Witness;
+import sagepulley.wire.Loops;
+
+/** A directory, some nodes and some gateways in one program, on loopback. */
+public final class Town implements AutoCloseable {
+    private static final long WAIT_SECONDS = 20;
+
+    private final EventLoopGroup loops;
+    private final StandInDirectory directory;
+    private final List<StandInNode> nodes = new ArrayList<>();
+    private final List<Gateway> gateways = new ArrayList<>();
+
+    private Town(EventLoopGroup loops, StandInDirectory directory) {
+        this.loops = loops;
+        this.directory = directory;
+    }
+
+    /** Starts directory and nodes; gateways are opened one by one. */
+    public static Town start(List<NodeTraits> traits, Witness witness, int loopCount) {
+        EventLoopGroup loops = Loops.group(loopCount, "stand-in");
+        StandInDirectory directory = new StandInDirectory(loops, witness);
+        await(directory.start(loopback(0)));
+        Town town = new Town(loops, directory);
+        for (NodeTraits one : traits) {
+            StandInNode node = new StandInNode(one, loops, witness, one.id());
+            await(node.start(loopback(0)));
+            town.nodes.add(node);
+            town.list(node, DirectoryWire.Standing.READY);
+        }
+        return town;
+    }
+
+    /** The site file of the demo with its blanks filled in. */
+    public static String demoSite(String name, int number, int gateways, int nbdPort,
+                                  InetSocketAddress directory) {
+        String text;
+        try (InputStream from = Town.class.getResourceAsStream("/demo-site.ini")) {
+            text = new String(from.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new IllegalStateException("the demo's site file is not in the program", e);
+        }
+        Map<String, String> blanks = Map.of("name", name, "number", String.valueOf(number), "gateways",
+                String.valueOf(gateways), "nbd", "127.0.0.1:" + nbdPort, "directory",
+                "127.0.0.1:" + directory.getPort());
+        for (Map.Entry<String, String> blank : blanks.entrySet()) {
+            text = text.replace("${" + blank.getKey() + "}", blank.getValue());
+        }
+        return text;
+    }
+
+    /** Opens a gateway by the text of a site file. */
+    public Gateway open(String siteText, long seed) throws SiteError {
+        Gateway gateway = new Gateway(Site.read("site", siteText), seed);
+        await(gateway.start());
+        gateways.add(gateway);
+        return gateway;
+    }
+
+    /** Writes a node's line into the directory's list. */
+    public void list(StandInNode node, DirectoryWire.Standing standing) {
+        directory.put(new DirectoryWire.Line(node.traits().id(), node.traits().cell(), node.traits().zone(),
+                node.traits().kind(), standing, node.startedAt(), 1, "127.0.0.1", node.address().getPort()));
+    }
+
+    /** A node crashes and comes back cold, and the directory hears of it. */
+    public void restartCold(StandInNode node) {
+        await(node.restartCold());
+        list(node, DirectoryWire.Standing.READY);
+    }
+
+    /** A node takes nothing new, and the directory hears of it. */
+    public void drain(StandInNode node) {
+        node.drain();
+        list(node, DirectoryWire.Standing.DRAINING);
+    }
+
+    public StandInDirectory directory() {
+        return directory;
+    }
+
+    public List<StandInNode> nodes() {
+        return nodes;
+    }
+
+    public List<Gateway> gateways() {
+        return gateways;
+    }
+
+    public EventLoopGroup loops() {
+        return loops;
+    }
+
+    @Override
+    public void close() {
+        for (Gateway gateway : gateways) {
+            await(gateway.stop());
+        }
+        for (StandInNode node : nodes) {
+            await(node.stop());
+        }
+        await(directory.stop());
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    static InetSocketAddress loopback(int port) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    /** Waits for what must come soon; fails if it does not. */
+    public static <T> T await(CompletableFuture<T> future) {
+        try {
+            return future.get(WAIT_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/gateway/Gateway.java
@@ -0,0 +1,174 @@
+package sagepulley.gateway;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sagepulley.control.Control;
+import sagepulley.nbd.Export;
+import sagepulley.nbd.Exports;
+import sagepulley.nbd.NbdServer;
+import sagepulley.site.Site;
+import sagepulley.wire.Loops;
+
+/** One gateway in service: listens for NBD clients, and serves them by what Control decides. */
+public final class Gateway {
+    /** A client that stops inside a message, or reads no replies, for so long is ended. */
+    private static final int STUCK_SECONDS = 30;
+    private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+
+    private final Site site;
+    private final EventLoopGroup houseGroup = Loops.group(1, "gateway");
+    private final EventLoopGroup clientGroup;
+    private final House house;
+    private final Room room;
+    private final ChannelGroup clients = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private Channel listener;
+
+    /** The seed starts the module's chance and must differ at each start, for it names this life of the gateway. */
+    public Gateway(Site site, long seed) {
+        this(site, seed, new Control(site.deployment(), seed));
+    }
+
+    Gateway(Site site, long seed, Control control) {
+        this.site = site;
+        this.clientGroup = site.loops() > 1 ? Loops.group(site.loops() - 1, "client") : houseGroup;
+        this.room = new Room(site.allBytes());
+        this.house = new House(site, houseGroup.next(), Loops.socket(), new Clock(), seed, control);
+    }
+
+    /** Begins to listen once the list of nodes has come; then it is ready. Fails if it cannot listen. */
+    public CompletableFuture<Gateway> start() {
+        CompletableFuture<Gateway> ready = new CompletableFuture<>();
+        houseGroup.next().execute(() -> house.start(() -> listen(ready)));
+        return ready;
+    }
+
+    private void listen(CompletableFuture<Gateway> ready) {
+        new ServerBootstrap().group(clientGroup).channel(Loops.server())
+                .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel client) {
+                        accept(client);
+                    }
+                })
+                .bind(site.nbd().socket()).addListener((io.netty.channel.ChannelFuture bound) -> {
+                    if (!bound.isSuccess()) {
+                        ready.completeExceptionally(bound.cause());
+                        return;
+                    }
+                    listener = bound.channel();
+                    LOG.atInfo().addKeyValue("gateway", site.name()).addKeyValue("nbd", listener.localAddress())
+                            .addKeyValue("volumes", site.volumes().size()).log("ready");
+                    ready.complete(this);
+                });
+    }
+
+    private void accept(Channel client) {
+        if (clients.size() >= site.mostClients()) {
+            LOG.atWarn().addKeyValue("client", client.remoteAddress()).log("too many clients, turned away");
+            client.close();
+            return;
+        }
+        clients.add(client);
+        house.tally().clients.increment();
+        client.closeFuture().addListener(done -> house.tally().clientsEnded.increment());
+        Room.Client part = room.client(site.clientBytes());
+        client.pipeline().addLast(new IdleStateHandler(STUCK_SECONDS, STUCK_SECONDS, 0));
+        NbdServer.onto(client.pipeline(), new Offered(), part, new Session(house, part));
+    }
+
+    /** The volumes as exports; the first is the default. */
+    private final class Offered implements Exports {
+        @Override
+        public List<Export> all() {
+            return house.disks().values().stream().map(disk -> disk.export).toList();
+        }
+
+        @Override
+        public Export named(String name) {
+            if (name.isEmpty() && !house.disks().isEmpty()) {
+                return all().get(0);
+            }
+            Disk disk = house.disk(name);
+            return disk == null ? null : disk.export;
+        }
+    }
+
+    /** Where NBD clients connect, once ready. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    public Tally tally() {
+        return house.tally();
+    }
+
+    /** Bytes of requests in hand now, and the most there ever were. */
+    public long bytesInHand() {
+        return room.used();
+    }
+
+    public long mostBytesInHand() {
+        return room.highest();
+    }
+
+    /**
+     * Takes nothing more, answers what it holds, at the latest within the site's time for it, then ends every
+     * connection.
+     */
+    public CompletableFuture<Void> stop() {
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        CompletableFuture<Void> empty = new CompletableFuture<>();
+        if (listener != null) {
+            listener.close();
+        }
+        house.stop(() -> empty.complete(null));
+        empty.orTimeout((long) site.stopWithin() + 1, TimeUnit.MILLISECONDS).whenComplete((done, late) -> {
+            if (late != null) {
+                LOG.atWarn().addKeyValue("open", tally().open()).log("stopped with operations in hand");
+            }
+            // What was answered last still has to leave the sockets.
+            clients.flush();
+            clientGroup.next().schedule(() -> clients.close().addListener(closed -> end(stopped)), 20,
+                    TimeUnit.MILLISECONDS);
+        });
+        return stopped;
+    }
+
+    /** Ends at once, as a kill would: nothing is answered any more. */
+    public CompletableFuture<Void> kill() {
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        if (listener != null) {
+            listener.close();
+        }
+        clients.close().addListener(closed -> end(stopped));
+        return stopped;
+    }
+
+    private void end(CompletableFuture<Void> stopped) {
+        houseGroup.next().execute(() -> {
+            house.close();
+            LOG.atInfo().addKeyValue("gateway", site.name()).addKeyValue("taken", tally().taken.sum())
+                    .addKeyValue("satisfied", tally().satisfied.sum())
+                    .addKeyValue("declined", tally().declined.sum())
+                    .addKeyValue("scrapped", tally().scrapped.sum()).log("stopped");
+            clientGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            houseGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+                    .addListener(done -> stopped.complete(null));
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/gateway/House.java
@@ -0,0 +1,791 @@
+package sagepulley.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sagepulley.control.Control;
+import sagepulley.directory.DirectoryLink;
+import sagepulley.directory.DirectoryWire;
+import sagepulley.extents.Holders;
+import sagepulley.model.Hop;
+import sagepulley.model.Node;
+import sagepulley.model.Operation;
+import sagepulley.model.Outcome;
+import sagepulley.model.Pause;
+import sagepulley.model.Placement;
+import sagepulley.model.Sequel;
+import sagepulley.model.Volume;
+import sagepulley.nbd.Export;
+import sagepulley.nbd.Nbd;
+import sagepulley.nbd.NbdRequest;
+import sagepulley.nbd.NbdServer;
+import sagepulley.site.Site;
+import sagepulley.site.VolumeLine;
+import sagepulley.store.NodeLink;
+import sagepulley.store.StoreWire;
+
+/**
+ * Hosts Control in service: tells it what happens and carries out what it answers. Everything here but the
+ * methods said otherwise runs on one loop, which also owns the links to nodes and directory.
+ */
+final class House implements DirectoryLink.Owner {
+    /** A shard that no node has: Control keeps such an operation until its holder is found. */
+    private static final int NOT_FOUND_YET = Integer.MAX_VALUE;
+    private static final int LEAST_BLOCK = 512;
+    private static final int PREFERRED_BLOCK = 4096;
+    /** A first list, and the holders at start, are asked for this often until they come. */
+    private static final long START_AGAIN_MS = 250;
+    private static final int HOLDERS_AT_ONCE = 1 << 14;
+    private static final double NS = 1e6;
+    private static final Logger LOG = LoggerFactory.getLogger(House.class);
+
+    private final Site site;
+    private final EventLoop loop;
+    private final Class<? extends Channel> kind;
+    private final Clock clock;
+    private final Control control;
+    private final Splitter splitter;
+    private final StoreWire.Hello hello;
+    private final DirectoryLink directory;
+    private final Tally tally = new Tally();
+    private final Map<String, Disk> disks = new LinkedHashMap<>();
+    private final Map<Integer, Place> places = new LinkedHashMap<>();
+    private final Holders<Part> holders = new Holders<>();
+    /** Parts whose hop is out, by the hop's number on the wire. */
+    private final Map<Long, Part> out = new HashMap<>();
+    private final Map<Session, Set<Request>> requests = new HashMap<>();
+    /** Parts in hand whose holder is not known, by extent. */
+    private final Map<Long, Set<Part>> seeking = new HashMap<>();
+    private long hopIds;
+    private boolean settleDue;
+    private ScheduledFuture<?> wake;
+    private double wakeAt = Double.POSITIVE_INFINITY;
+    private boolean listed;
+    private boolean stopping;
+    private Runnable whenReady = () -> { };
+    private Runnable whenEmpty;
+
+    /** A node of the list with its link, which is opened when a hop needs it. */
+    private final class Place implements NodeLink.Owner {
+        final Node node;
+        NodeLink link;
+        long startedAt;
+
+        Place(int id) {
+            node = new Node(id);
+        }
+
+        @Override
+        public void answered(long hop, StoreWire.Answer answer, ByteBuf payload) {
+            House.this.answered(hop, answer, payload);
+        }
+
+        @Override
+        public void broken(long hop, NodeLink.Broken how) {
+            Part part = out.remove(hop);
+            if (part != null) {
+                ended(part, how == NodeLink.Broken.RESET ? Outcome.RESET : Outcome.NO_CONNECTION);
+            }
+        }
+
+        @Override
+        public void probed(long id, float[] report) {
+            control.probed(node, Outcome.SATISFIED, 0, widened(report), clock.now());
+            settle();
+        }
+
+        @Override
+        public void welcomed(StoreWire.Welcome welcome) {
+            startedAt = welcome.startedAt();
+            LOG.atInfo().addKeyValue("node", node.id).addKeyValue("started", startedAt).log("node connected");
+        }
+    }
+
+    House(Site site, EventLoop loop, Class<? extends Channel> kind, Clock clock, long seed, Control control) {
+        this.site = site;
+        this.loop = loop;
+        this.kind = kind;
+        this.clock = clock;
+        this.control = control;
+        this.splitter = new Splitter(site);
+        this.hello = new StoreWire.Hello(seed, site.name());
+        this.directory = new DirectoryLink(loop, kind, site.directory().socket(), seed, site.name(), this);
+        for (VolumeLine line : site.volumes()) {
+            Volume volume = new Volume(line.id(), site.deployment().plans().get(line.plan()));
+            volume.gateways = line.gateways();
+            // A flush reaches every write acknowledged by this gateway, whatever connection it came by.
+            disks.put(line.name(), new Disk(line, volume, new Export(line.name(), line.description(),
+                    line.size(), line.readOnly(), true, LEAST_BLOCK, PREFERRED_BLOCK, site.mostRequest())));
+        }
+    }
+
+    /** Asks for the list and the holders; runs the callback once both came. */
+    void start(Runnable ready) {
+        whenReady = ready;
+        directory.fetch();
+    }
+
+    /** From any thread. */
+    Tally tally() {
+        return tally;
+    }
+
+    /** From any thread: the volumes do not change in service. */
+    Disk disk(String name) {
+        return disks.get(name);
+    }
+
+    Map<String, Disk> disks() {
+        return disks;
+    }
+
+    /** On the client's loop. */
+    boolean waitsForRest(Channel client) {
+        return NbdServer.waitsForRest(client.pipeline());
+    }
+
+    // ---- requests ----
+
+    /** Takes a request that was found to be well-formed. From the client's loop. */
+    void take(Session session, NbdRequest asked, Disk disk) {
+        if (loop.inEventLoop()) {
+            taken(session, asked, disk);
+        } else {
+            loop.execute(() -> taken(session, asked, disk));
+        }
+    }
+
+    private void taken(Session session, NbdRequest asked, Disk disk) {
+        Request request = new Request(session, asked, disk, clock.now());
+        if (stopping) {
+            asked.payload().release();
+            request.fail(-1, Nbd.ESHUTDOWN, "the gateway is stopping; nothing was done");
+            session.answer(request);
+            return;
+        }
+        requests.computeIfAbsent(session, any -> new HashSet<>()).add(request);
+        switch (asked.command()) {
+            case Nbd.CMD_FLUSH -> flush(request);
+            case Nbd.CMD_BLOCK_STATUS -> {
+                blockStatus(request);
+                return;
+            }
+            default -> {
+                splitter.split(request);
+                asked.payload().release();
+            }
+        }
+        request.open = request.parts.size();
+        tally.taken.add(request.open);
+        if (request.open == 0) {
+            close(request);
+        }
+        for (Part part : List.copyOf(request.parts)) {
+            if (part.kind == StoreWire.Kind.FLUSH) {
+                show(part);
+            } else {
+                seek(part);
+            }
+        }
+        settle();
+    }
+
+    private void flush(Request request) {
+        request.disk.unflushed.forEach((cell, at) -> {
+            Part part = splitter.flush(request, cell);
+            part.writesBefore = at.writes;
+            part.since = at.since;
+            request.parts.add(part);
+        });
+    }
+
+    /** Extents without a holder are holes; the directory alone knows, for another gateway may have written. */
+    private void blockStatus(Request request) {
+        long offset = request.asked.offset();
+        long end = offset + Integer.toUnsignedLong(request.asked.length());
+        long first = offset / site.extentBytes();
+        int count = (int) Math.min(HOLDERS_AT_ONCE, (end - 1) / site.extentBytes() - first + 1);
+        directory.lookup(request.disk.line.id(), first, count, (cells, failure) -> {
+            if (!inHand(request)) {
+                return;
+            }
+            if (cells == null) {
+                request.fail(-1, Nbd.EIO, "the directory did not answer: " + failure);
+            } else {
+                List<Integer> blocks = new ArrayList<>();
+                long at = offset;
+                for (int i = 0; i < cells.length; i++) {
+                    long until = Math.min(end, (first + i + 1) * site.extentBytes());
+                    int state = cells[i] < 0 ? Nbd.STATE_HOLE | Nbd.STATE_ZERO : 0;
+                    int last = blocks.size() - 1;
+                    if (last > 0 && blocks.get(last) == state) {
+                        blocks.set(last - 1, blocks.get(last - 1) + (int) (until - at));
+                    } else {
+                        blocks.add((int) (until - at));
+                        blocks.add(state);
+                    }
+                    at = until;
+                }
+                boolean one = (request.asked.flags() & Nbd.CMD_FLAG_REQ_ONE) != 0;
+                request.blocks = blocks.stream().limit(one ? 2 : Long.MAX_VALUE)
+                        .mapToInt(Integer::intValue).toArray();
+            }
+            close(request);
+        });
+    }
+
+    private boolean inHand(Request request) {
+        Set<Request> all = requests.get(request.session);
+        return all != null && all.contains(request);
+    }
+
+    /** The client's connection has ended: nothing is owed to it. From the client's loop. */
+    void left(Session session) {
+        loop.execute(() -> {
+            Set<Request> gone = requests.remove(session);
+            if (gone != null) {
+                for (Request request : gone) {
+                    for (Part part : List.copyOf(request.parts)) {
+                        if (!part.operation.over) {
+                            leave(part);
+                        }
+                    }
+                    request.release();
+                    request.session.answer(request);
+                }
+                settle();
+            }
+            emptied();
+        });
+    }
+
+    private void leave(Part part) {
+        part.operation.over = true;
+        tally.left.increment();
+        unseek(part);
+        if (part.shown) {
+            control.left(part.operation, clock.now());
+        }
+        part.payload.release();
+    }
+
+    // ---- the holder of an extent ----
+
+    private void seek(Part part) {
+        long key = part.operation.extent;
+        int cell = holders.cell(key);
+        if (cell >= 0) {
+            part.operation.shard = cell;
+            show(part);
+            return;
+        }
+        seeking.computeIfAbsent(key, any -> new HashSet<>()).add(part);
+        if (holders.claiming(key)) {
+            holders.park(key, part, clock.now());
+        } else if (creates(part)) {
+            show(part);
+        } else {
+            holders.park(key, part, clock.now());
+            lookUp(part);
+        }
+    }
+
+    /** Whether the extent must have a holder afterwards. */
+    private static boolean creates(Part part) {
+        return part.kind == StoreWire.Kind.WRITE || part.kind == StoreWire.Kind.ZERO
+                && (part.request.asked.flags() & Nbd.CMD_FLAG_NO_HOLE) != 0;
+    }
+
+    /** Asked after the operation came: an older answer could not know of a write acknowledged since. */
+    private void lookUp(Part part) {
+        directory.lookup(part.request.disk.line.id(), part.extent, 1, (cells, failure) -> {
+            if (part.operation.over) {
+                return;
+            }
+            if (cells == null) {
+                if (holders.unpark(part.operation.extent, part)) {
+                    handOn(part);
+                }
+            } else if (cells[0] >= 0) {
+                found(part.operation.extent, cells[0]);
+            } else {
+                holders.unpark(part.operation.extent, part);
+                unseek(part);
+                if (part.shown) {
+                    part.operation.over = true;
+                    control.needless(part.operation);
+                }
+                tally.holes.increment();
+                if (part.kind == StoreWire.Kind.READ) {
+                    part.request.found.add(new Request.Found(part.at, part.length, null));
+                }
+                satisfied(part);
+            }
+            settle();
+        });
+    }
+
+    /** A holder became known: whoever waited for it, here or at Control, goes there. */
+    private void found(long key, int cell) {
+        Set<Part> all = seeking.remove(key);
+        List<Part> parked = holders.learned(key, cell);
+        int holder = holders.cell(key);
+        if (all != null) {
+            for (Part part : all) {
+                if (part.shown) {
+                    control.found(part.operation, holder);
+                }
+            }
+        }
+        for (Part part : parked) {
+            if (!part.operation.over) {
+                part.operation.shard = holder;
+                show(part);
+            }
+        }
+    }
+
+    /** Who waited long enough for the directory is Control's to decide about. */
+    private void handOn(Part part) {
+        if (part.operation.over) {
+            return;
+        }
+        part.operation.shard = creates(part) ? -1 : NOT_FOUND_YET;
+        show(part);
+    }
+
+    /** Tells Control anew where the first writes to an extent go that wait with it. */
+    private void refile(long key, int shard) {
+        for (Part part : seeking.getOrDefault(key, Set.of())) {
+            if (part.shown && part.hop == 0 && part.operation.shard != shard && creates(part)) {
+                control.found(part.operation, shard);
+            }
+        }
+    }
+
+    private void unseek(Part part) {
+        long key = part.operation.extent;
+        Set<Part> all = seeking.get(key);
+        if (all != null && all.remove(part) && all.isEmpty()) {
+            seeking.remove(key);
+        }
+        holders.unpark(key, part);
+    }
+
+    private void claim(Part part, Hop hop) {
+        long key = part.operation.extent;
+        holders.claims(key);
+        // Other first writes to the extent wait for this claim, or they would lose theirs against it.
+        refile(key, NOT_FOUND_YET);
+        directory.claim(part.request.disk.line.id(), part.extent, hop.node.cell, (cell, failure) -> {
+            if (cell != null) {
+                found(key, cell);
+            }
+            if (cell == null) {
+                refile(key, -1);
+            }
+            for (Part waiting : holders.claimed(key)) {
+                handOn(waiting);
+            }
+            if (hop.outcome != null) {
+                settle();
+                return;
+            }
+            if (cell != null && cell == hop.node.cell) {
+                hand(part, hop);
+            } else {
+                // Another node holds it, or nobody can say: the hop never went out.
+                out.remove(part.hop);
+                ended(part, Outcome.MOOT);
+            }
+        });
+    }
+
+    // ---- Control's answers ----
+
+    private void show(Part part) {
+        part.shown = true;
+        carryOut(part, control.place(part.operation, clock.now()));
+    }
+
+    private void carryOut(Part part, Placement placement) {
+        Operation operation = part.operation;
+        switch (placement.kind()) {
+            case SEND -> {
+                Hop hop = operation.hops.get(operation.hops.size() - 1);
+                part.hop = ++hopIds;
+                part.handed = false;
+                out.put(part.hop, part);
+                long number = part.hop;
+                part.timer = loop.schedule(() -> timedOut(number),
+                        Math.max(1, (long) (placement.timeout() * NS)), TimeUnit.NANOSECONDS);
+                if (operation.shard < 0) {
+                    claim(part, hop);
+                } else {
+                    hand(part, hop);
+                }
+            }
+            case DECLINE -> {
+                tally.declined.increment();
+                String when = placement.advice() > 0
+                        ? "; come back in " + (long) Math.ceil(placement.advice()) + " ms" : "";
+                finish(part, Nbd.ENOMEM, "declined: asking again does no harm" + when);
+            }
+            case SCRAP -> {
+                tally.scrapped.increment();
+                finish(part, Nbd.EIO, "scrapped: it may have taken effect or not");
+            }
+            case WAIT -> { }
+        }
+    }
+
+    private void hand(Part part, Hop hop) {
+        part.handed = true;
+        tally.hops.increment();
+        Place place = places.get(hop.node.id);
+        boolean durable = (part.request.asked.flags() & Nbd.CMD_FLAG_FUA) != 0;
+        StoreWire.Send send = new StoreWire.Send(part.kind, part.operation.band.index(), durable,
+                part.operation.band.repeat().ordinal(), part.operation.id, hop.number,
+                part.request.disk.line.id(), part.extent, part.offset, part.length,
+                (float) part.operation.units, part.since);
+        place.link.send(part.hop, send, part.payload.retainedDuplicate());
+    }
+
+    // ---- ends of hops ----
+
+    private void answered(long hopId, StoreWire.Answer answer, ByteBuf payload) {
+        Part part = out.remove(hopId);
+        if (part == null) {
+            payload.release();
+            return;
+        }
+        Outcome outcome = switch (answer.code()) {
+            case SATISFIED -> Outcome.SATISFIED;
+            case FAULT -> Outcome.FAULT;
+            case FULL, DRAINING -> Outcome.FULL;
+            // Whose pen was taken by another gateway never ran, and the node is not to blame.
+            case MOOT, STALE_PEN -> Outcome.MOOT;
+            case CALLED_OFF -> Outcome.CALLED_OFF;
+        };
+        Hop hop = lastHop(part);
+        hop.usedPercent = answer.used() == 0 ? Double.NaN : answer.used() - 1;
+        hop.othersUnits = answer.others();
+        hop.report = widened(answer.report());
+        int due = part.kind == StoreWire.Kind.READ ? part.length : 0;
+        if (outcome == Outcome.SATISFIED && payload.readableBytes() != due) {
+            outcome = Outcome.FAULT;
+        }
+        if (outcome != Outcome.SATISFIED || part.operation.over) {
+            payload.release();
+        } else if (due > 0) {
+            part.request.found.add(new Request.Found(part.at, part.length, payload));
+        } else {
+            payload.release();
+        }
+        ended(part, outcome);
+    }
+
+    private void timedOut(long hopId) {
+        Part part = out.remove(hopId);
+        if (part == null) {
+            return;
+        }
+        if (!part.handed) {
+            ended(part, Outcome.MOOT);
+            return;
+        }
+        boolean went = places.get(lastHop(part).node.id).link.giveUp(hopId);
+        ended(part, went ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION);
+    }
+
+    private static Hop lastHop(Part part) {
+        return part.operation.hops.get(part.operation.hops.size() - 1);
+    }
+
+    private void ended(Part part, Outcome outcome) {
+        double now = clock.now();
+        Operation operation = part.operation;
+        Hop hop = lastHop(part);
+        hop.outcome = outcome;
+        hop.took = now - hop.sentAt;
+        part.hop = 0;
+        if (part.timer != null) {
+            part.timer.cancel(false);
+            part.timer = null;
+        }
+        boolean first = !operation.over && outcome == Outcome.SATISFIED;
+        operation.over |= first;
+        if (outcome == Outcome.MOOT) {
+            tally.moot.increment();
+        }
+        Sequel sequel = control.after(hop, now);
+        if (first) {
+            note(part, hop);
+            satisfied(part);
+        } else if (sequel == Sequel.PLACE_AGAIN) {
+            carryOut(part, control.place(operation, now));
+        }
+        settle();
+    }
+
+    /** What an acknowledged write or flush means for the next flush. */
+    private void note(Part part, Hop hop) {
+        Disk disk = part.request.disk;
+        if (part.kind == StoreWire.Kind.FLUSH) {
+            disk.flushed(hop.node.cell, part.writesBefore);
+        } else if (part.kind.changes() && (part.request.asked.flags() & Nbd.CMD_FLAG_FUA) == 0) {
+            disk.wrote(hop.node.cell, places.get(hop.node.id).startedAt);
+        }
+    }
+
+    private void satisfied(Part part) {
+        part.operation.over = true;
+        tally.satisfied.increment();
+        over(part);
+    }
+
+    private void finish(Part part, int error, String why) {
+        part.operation.over = true;
+        part.request.fail(part.at, error, why);
+        over(part);
+    }
+
+    private void over(Part part) {
+        unseek(part);
+        part.payload.release();
+        if (--part.request.open == 0) {
+            close(part.request);
+        }
+    }
+
+    private void close(Request request) {
+        Set<Request> all = requests.get(request.session);
+        if (all != null) {
+            all.remove(request);
+            if (all.isEmpty()) {
+                requests.remove(request.session);
+            }
+        }
+        request.session.answer(request);
+        emptied();
+    }
+
+    // ---- what is due ----
+
+    /** Asks Control what is due, once for all that one turn of the loop brought. */
+    private void settle() {
+        if (!settleDue) {
+            settleDue = true;
+            loop.execute(this::settleNow);
+        }
+    }
+
+    private void settleNow() {
+        settleDue = false;
+        double now = clock.now();
+        for (Part part : holders.overdue(now)) {
+            handOn(part);
+        }
+        Pause pause = control.pause(now);
+        while (true) {
+            for (Hop hop : pause.callOff()) {
+                callOff(hop);
+            }
+            for (Node node : pause.probes()) {
+                places.get(node.id).link.probe(++hopIds);
+            }
+            switch (pause.call()) {
+                case SUBSCRIBE -> directory.subscribe();
+                case FETCH -> directory.fetch();
+                case NONE -> { }
+            }
+            boolean moved = false;
+            for (Operation operation : pause.due()) {
+                Placement placement = control.place(operation, now);
+                moved |= placement.kind() != Placement.Kind.WAIT;
+                carryOut(partOf(operation), placement);
+            }
+            if (!moved) {
+                break; // asking again at the same moment would change nothing
+            }
+            pause = control.pause(now);
+        }
+        wakeBy(Math.min(now + pause.length(), holders.nextOverdue()));
+    }
+
+    private static Part partOf(Operation operation) {
+        return (Part) operation.held;
+    }
+
+    /** Work for nobody is given up; whether it ran, nobody will know. */
+    private void callOff(Hop hop) {
+        Part part = partOf(hop.operation);
+        if (hop.outcome != null || part.hop == 0) {
+            return;
+        }
+        out.remove(part.hop);
+        if (part.handed) {
+            places.get(hop.node.id).link.giveUp(part.hop);
+        }
+        ended(part, Outcome.CALLED_OFF);
+    }
+
+    private void wakeBy(double time) {
+        if (time >= wakeAt && wake != null) {
+            return;
+        }
+        if (wake != null) {
+            wake.cancel(false);
+            wake = null;
+        }
+        wakeAt = time;
+        if (time < Double.POSITIVE_INFINITY) {
+            long wait = Math.max(1000, (long) Math.ceil((time - clock.now()) * NS));
+            wake = loop.schedule(() -> {
+                wake = null;
+                wakeAt = Double.POSITIVE_INFINITY;
+                settleNow();
+            }, wait, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    // ---- the directory ----
+
+    @Override
+    public void listed(DirectoryWire.Listing listing) {
+        if (listing.whole()) {
+            for (Place place : places.values()) {
+                place.node.standing = Node.Standing.GONE;
+            }
+        }
+        for (DirectoryWire.Line line : listing.lines()) {
+            place(line);
+        }
+        List<Node> nodes = new ArrayList<>(places.size());
+        for (Place place : places.values()) {
+            nodes.add(place.node);
+        }
+        control.listed(nodes, clock.now());
+        LOG.atInfo().addKeyValue("version", listing.version()).addKeyValue("whole", listing.whole())
+                .addKeyValue("lines", listing.lines().size()).log("list of nodes");
+        if (!listed) {
+            listed = true;
+            preload(new ArrayList<>(disks.values()), 0);
+        }
+        settle();
+    }
+
+    private void place(DirectoryWire.Line line) {
+        Place place = places.computeIfAbsent(line.node(), Place::new);
+        Node node = place.node;
+        node.cell = line.cell();
+        node.zone = line.zone();
+        node.kind = line.kind();
+        node.weight = line.weight();
+        node.startedAt = clock.atWall(line.startedAt());
+        node.standing = switch (line.standing()) {
+            case READY -> Node.Standing.READY;
+            case DRAINING -> Node.Standing.DRAINING;
+            case GONE -> Node.Standing.GONE;
+        };
+        SocketAddress address = new InetSocketAddress(line.host(), line.port());
+        if (place.link == null || !place.link.address().equals(address)) {
+            if (place.link != null) {
+                place.link.close();
+            }
+            place.link = new NodeLink(loop, kind, site.extentBytes(), node.id, address, hello, place);
+        }
+    }
+
+    @Override
+    public void listFailed(String why) {
+        LOG.atWarn().addKeyValue("why", why).log("the directory's list failed");
+        if (listed) {
+            control.listFailed(clock.now());
+            settle();
+        } else if (!stopping) {
+            loop.schedule(directory::fetch, START_AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Learns the holders of all extents of the volumes; what cannot be learned now is asked when needed. */
+    private void preload(List<Disk> left, long first) {
+        if (left.isEmpty()) {
+            whenReady.run();
+            return;
+        }
+        Disk disk = left.get(0);
+        long extents = (disk.line.size() - 1) / site.extentBytes() + 1;
+        int count = (int) Math.min(HOLDERS_AT_ONCE, extents - first);
+        directory.lookup(disk.line.id(), first, count, (cells, failure) -> {
+            if (cells == null) {
+                LOG.atWarn().addKeyValue("why", failure).log("holders not told at start");
+                whenReady.run();
+                return;
+            }
+            for (int i = 0; i < cells.length; i++) {
+                if (cells[i] >= 0) {
+                    found(Holders.key(disk.line.id(), first + i), cells[i]);
+                }
+            }
+            boolean more = first + count < extents;
+            preload(more ? left : left.subList(1, left.size()), more ? first + count : 0);
+        });
+    }
+
+    // ---- the end ----
+
+    /** Takes nothing more, and runs the callback once all that is in hand has its final answer. */
+    void stop(Runnable empty) {
+        loop.execute(() -> {
+            stopping = true;
+            whenEmpty = empty;
+            emptied();
+        });
+    }
+
+    private void emptied() {
+        if (stopping && whenEmpty != null && requests.isEmpty()) {
+            Runnable empty = whenEmpty;
+            whenEmpty = null;
+            empty.run();
+        }
+    }
+
+    /** Ends all links. On the loop, once nothing is in hand or wanted. */
+    void close() {
+        if (wake != null) {
+            wake.cancel(false);
+        }
+        for (Place place : places.values()) {
+            if (place.link != null) {
+                place.link.close();
+            }
+        }
+        directory.close();
+    }
+
+    private static double[] widened(float[] values) {
+        if (values.length == 0) {
+            return null;
+        }
+        double[] wide = new double[values.length];
+        for (int i = 0; i < values.length; i++) {
+            wide[i] = values[i];
+        }
+        return wide;
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/gateway/Session.java
@@ -0,0 +1,219 @@
+package sagepulley.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import java.util.Comparator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sagepulley.nbd.Attached;
+import sagepulley.nbd.Nbd;
+import sagepulley.nbd.NbdRequest;
+import sagepulley.nbd.Replies;
+import sagepulley.wire.BadBytes;
+
+/** One client's connection: requests to the house, and each one's reply back. Lives on the client's loop. */
+final class Session extends ChannelInboundHandlerAdapter {
+    private static final Logger LOG = LoggerFactory.getLogger(Session.class);
+    private static final int ZEROES_AT_ONCE = 1 << 16;
+    private static final ByteBuf ZEROES = Unpooled.unreleasableBuffer(
+            Unpooled.directBuffer(ZEROES_AT_ONCE).writeZero(ZEROES_AT_ONCE).asReadOnly());
+
+    private final House house;
+    private final Room.Client room;
+    private Channel channel;
+    private Disk disk;
+    private boolean structured;
+    private boolean baseAllocation;
+    private boolean flushDue;
+    private int inHand;
+    private boolean leaving;
+
+    Session(House house, Room.Client room) {
+        this.house = house;
+        this.room = room;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof Attached attached) {
+            disk = house.disk(attached.export().name());
+            structured = attached.structured();
+            baseAllocation = attached.baseAllocation();
+            LOG.atInfo().addKeyValue("volume", disk.line.name()).addKeyValue("client", channel.remoteAddress())
+                    .addKeyValue("structured", structured).log("client attached");
+        } else if (event instanceof IdleStateEvent idle) {
+            idle(idle.state());
+        }
+    }
+
+    /** A client that stops in the middle of a message, or reads no replies, holds what others could use. */
+    private void idle(IdleState state) {
+        boolean stuckReading = state == IdleState.READER_IDLE && house.waitsForRest(channel)
+                && channel.config().isAutoRead();
+        boolean stuckWriting = state == IdleState.WRITER_IDLE && !channel.isWritable();
+        if (stuckReading || stuckWriting) {
+            LOG.atInfo().addKeyValue("client", channel.remoteAddress())
+                    .log(stuckReading ? "client stopped inside a message" : "client reads no replies");
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        NbdRequest asked = (NbdRequest) message;
+        if (asked.command() == Nbd.CMD_DISC) {
+            // 'Terminating the transmission phase': what is in hand may be answered first.
+            room.give(asked.admitted());
+            leaving = true;
+            channel.config().setAutoRead(false);
+            if (inHand == 0) {
+                channel.close();
+            }
+            return;
+        }
+        if (leaving) {
+            asked.payload().release();
+            room.give(asked.admitted());
+            return;
+        }
+        Request.Failed wrong = Splitter.wrong(asked.command(), asked.flags(), asked.offset(),
+                Integer.toUnsignedLong(asked.length()), disk, structured, baseAllocation);
+        if (wrong == null && asked.admitted() == 0) {
+            wrong = new Request.Failed(-1, Nbd.EINVAL, "longer than " + disk.export.mostBlock() + " bytes");
+        }
+        inHand++;
+        if (wrong != null) {
+            asked.payload().release();
+            Request request = new Request(this, asked, disk, 0);
+            request.failed.add(wrong);
+            reply(request);
+            return;
+        }
+        house.take(this, asked, disk);
+    }
+
+    /** Writes the one reply of a request. From any loop. */
+    void answer(Request request) {
+        if (channel.eventLoop().inEventLoop()) {
+            reply(request);
+        } else {
+            channel.eventLoop().execute(() -> reply(request));
+        }
+    }
+
+    private void reply(Request request) {
+        if (!channel.isActive()) {
+            request.release();
+            gone(request);
+            return;
+        }
+        ChannelFuture written = structured ? structured(request) : simple(request);
+        written.addListener(done -> gone(request));
+        if (!flushDue) {
+            flushDue = true;
+            channel.eventLoop().execute(() -> {
+                flushDue = false;
+                channel.flush();
+            });
+        }
+    }
+
+    private void gone(Request request) {
+        room.give(request.asked.admitted());
+        if (--inHand == 0 && leaving) {
+            channel.close();
+        }
+    }
+
+    private ChannelFuture simple(Request request) {
+        int error = request.error();
+        if (error != 0) {
+            request.release();
+        }
+        return Replies.simple(channel, request.asked.cookie(), error, joined(request));
+    }
+
+    private ChannelFuture structured(Request request) {
+        long cookie = request.asked.cookie();
+        boolean whole = (request.asked.flags() & Nbd.CMD_FLAG_DF) != 0;
+        if (request.blocks != null && request.failed.isEmpty()) {
+            return Replies.blockStatus(channel, cookie, request.blocks, request.blocks.length);
+        }
+        if (whole && !request.failed.isEmpty()) {
+            request.release();
+        }
+        if (whole && request.failed.isEmpty()) {
+            return Replies.data(channel, cookie, request.asked.offset(), joined(request), true);
+        }
+        int left = request.found.size() + request.failed.size();
+        if (left == 0) {
+            return Replies.done(channel, cookie);
+        }
+        ChannelFuture last = null;
+        for (Request.Found found : request.found) {
+            boolean end = --left == 0;
+            last = found.data() == null ? Replies.hole(channel, cookie, found.at(), found.length(), end)
+                    : Replies.data(channel, cookie, found.at(), found.data(), end);
+        }
+        request.found.clear();
+        // The gravest first: clients take the first error for the request's.
+        request.failed.sort(Comparator.comparing(failed -> failed.error() == Nbd.ENOMEM));
+        for (Request.Failed failed : request.failed) {
+            last = Replies.error(channel, cookie, failed.error(), failed.why(), failed.at(), --left == 0);
+        }
+        return last;
+    }
+
+    /** All that a read found, in order and in one piece. */
+    private ByteBuf joined(Request request) {
+        if (request.found.size() == 1 && request.found.get(0).data() != null) {
+            return request.found.remove(0).data();
+        }
+        if (request.found.isEmpty()) {
+            return Unpooled.EMPTY_BUFFER;
+        }
+        request.found.sort(Comparator.comparingLong(Request.Found::at));
+        CompositeByteBuf all = channel.alloc().compositeBuffer(Integer.MAX_VALUE);
+        for (Request.Found found : request.found) {
+            if (found.data() != null) {
+                all.addComponent(true, found.data());
+                continue;
+            }
+            for (int left = found.length(); left > 0; left -= ZEROES_AT_ONCE) {
+                all.addComponent(true, ZEROES.duplicate().slice(0, Math.min(left, ZEROES_AT_ONCE)));
+            }
+        }
+        request.found.clear();
+        return all;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        room.close();
+        house.left(this);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (cause instanceof BadBytes) {
+            house.tally().badClients.increment();
+            LOG.atInfo().addKeyValue("client", channel.remoteAddress()).addKeyValue("why", cause.getMessage())
+                    .log("client ended for what it sent");
+        } else if (!(cause instanceof java.io.IOException)) {
+            LOG.atError().setCause(cause).addKeyValue("client", channel.remoteAddress()).log("session failed");
+        }
+        ctx.close();
+    }
+}
--- a/src/main/java/sagepulley/model/Operation.java
+++ b/src/main/java/sagepulley/model/Operation.java
@@ -11,8 +11,8 @@
     /** The piece of data; 0 for none. */
     public final long extent;
     public final double units;
-    /** The cell whose node holds the data, or -1 for a new object. */
-    public final int shard;
+    /** The cell whose node holds the data, or -1 for a new object; what waits is told by Control.found. */
+    public int shard;
     public final double arrivedAt;
     /** When the client gives up on this try. */
     public final double patienceEnds;
@@ -22,6 +22,8 @@
     public boolean over;
     /** Whatever the decision module keeps with the operation; nobody else reads it. */
     public Object kept;
+    /** Whatever the host keeps with the operation; the decision module does not read it. */
+    public Object held;
 
     public Operation(long id, Band band, Volume volume, long extent, double units, int shard,
                      double arrivedAt, double patienceEnds, boolean clientRepeat) {
--- /dev/null
+++ b/src/main/java/sagepulley/nbd/Handshake.java
@@ -0,0 +1,243 @@
+package sagepulley.nbd;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import sagepulley.wire.BadBytes;
+
+/** The server's side of fixed newstyle negotiation ('Negotiation' of the protocol text). */
+final class Handshake extends ChannelInboundHandlerAdapter {
+    /** A client may ask so many things before it must come to an end. */
+    private static final int MOST_OPTIONS = 256;
+    private static final int ZEROES = 124;
+
+    private final Exports exports;
+    private final NbdServerDecoder decoder;
+    private int clientFlags;
+    private int options;
+    private boolean structured;
+    /** The export for which base:allocation was chosen; null for none. */
+    private String metaExport;
+    private boolean over;
+
+    Handshake(Exports exports, NbdServerDecoder decoder) {
+        this.exports = exports;
+        this.decoder = decoder;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        ctx.writeAndFlush(ctx.alloc().ioBuffer(18).writeLong(Nbd.NBDMAGIC).writeLong(Nbd.IHAVEOPT)
+                .writeShort(Nbd.FLAG_FIXED_NEWSTYLE | Nbd.FLAG_NO_ZEROES));
+        ctx.fireChannelActive();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (over) {
+            ctx.fireChannelRead(message);
+        } else if (message instanceof Integer flags) {
+            clientFlags = flags;
+            // 'Client flags': an unknown flag ends the session.
+            if ((flags & ~(Nbd.FLAG_FIXED_NEWSTYLE | Nbd.FLAG_NO_ZEROES)) != 0) {
+                ctx.fireExceptionCaught(new BadBytes("client flags 0x" + Integer.toHexString(flags)));
+            }
+        } else {
+            NbdOption option = (NbdOption) message;
+            try {
+                answer(ctx, option);
+            } finally {
+                if (option.data() != null) {
+                    option.data().release();
+                }
+            }
+        }
+    }
+
+    private void answer(ChannelHandlerContext ctx, NbdOption option) {
+        int code = option.code();
+        if (++options > MOST_OPTIONS) {
+            ctx.fireExceptionCaught(new BadBytes("more than " + MOST_OPTIONS + " options"));
+            return;
+        }
+        if (option.data() == null) {
+            refuse(ctx, code, Nbd.REP_ERR_TOO_BIG, "the option's data is too long");
+            return;
+        }
+        switch (code) {
+            case Nbd.OPT_EXPORT_NAME -> exportName(ctx, option.data());
+            case Nbd.OPT_ABORT -> {
+                over = true;
+                reply(ctx, code, Nbd.REP_ACK, Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            }
+            case Nbd.OPT_LIST -> list(ctx, option.data());
+            case Nbd.OPT_INFO, Nbd.OPT_GO -> info(ctx, code, option.data());
+            case Nbd.OPT_STRUCTURED_REPLY -> {
+                if (option.data().isReadable()) {
+                    refuse(ctx, code, Nbd.REP_ERR_INVALID, "this option has no data");
+                } else {
+                    structured = true;
+                    reply(ctx, code, Nbd.REP_ACK, Unpooled.EMPTY_BUFFER);
+                }
+            }
+            case Nbd.OPT_LIST_META_CONTEXT, Nbd.OPT_SET_META_CONTEXT -> meta(ctx, code, option.data());
+            default -> refuse(ctx, code, Nbd.REP_ERR_UNSUP, "option " + Integer.toUnsignedString(code)
+                    + " is not known here");
+        }
+    }
+
+    /** 'NBD_OPT_EXPORT_NAME': there is no way to answer an error but to end the session. */
+    private void exportName(ChannelHandlerContext ctx, ByteBuf data) {
+        Export export = exports.named(data.toString(StandardCharsets.UTF_8));
+        if (export == null) {
+            ctx.fireExceptionCaught(new BadBytes("no such export"));
+            return;
+        }
+        ByteBuf reply = ctx.alloc().ioBuffer(10 + ZEROES).writeLong(export.size())
+                .writeShort(export.flags(structured));
+        if ((clientFlags & Nbd.FLAG_NO_ZEROES) == 0) {
+            reply.writeZero(ZEROES);
+        }
+        ctx.writeAndFlush(reply);
+        attach(ctx, export);
+    }
+
+    private void list(ChannelHandlerContext ctx, ByteBuf data) {
+        if (data.isReadable()) {
+            refuse(ctx, Nbd.OPT_LIST, Nbd.REP_ERR_INVALID, "this option has no data");
+            return;
+        }
+        for (Export export : exports.all()) {
+            byte[] name = export.name().getBytes(StandardCharsets.UTF_8);
+            byte[] text = export.description().getBytes(StandardCharsets.UTF_8);
+            reply(ctx, Nbd.OPT_LIST, Nbd.REP_SERVER, ctx.alloc().ioBuffer()
+                    .writeInt(name.length).writeBytes(name).writeBytes(text));
+        }
+        reply(ctx, Nbd.OPT_LIST, Nbd.REP_ACK, Unpooled.EMPTY_BUFFER);
+    }
+
+    private void info(ChannelHandlerContext ctx, int code, ByteBuf data) {
+        String name = string(data);
+        if (name == null || data.readableBytes() < 2) {
+            refuse(ctx, code, Nbd.REP_ERR_INVALID, "the option's data is cut off");
+            return;
+        }
+        int wanted = data.readUnsignedShort();
+        if (data.readableBytes() != 2 * wanted) {
+            refuse(ctx, code, Nbd.REP_ERR_INVALID, "the number of information requests is wrong");
+            return;
+        }
+        Export export = exports.named(name);
+        if (export == null) {
+            refuse(ctx, code, Nbd.REP_ERR_UNKNOWN, "no such export");
+            return;
+        }
+        boolean wantsName = false;
+        boolean wantsText = false;
+        while (data.isReadable()) {
+            int kind = data.readUnsignedShort();
+            wantsName |= kind == Nbd.INFO_NAME;
+            wantsText |= kind == Nbd.INFO_DESCRIPTION;
+        }
+        reply(ctx, code, Nbd.REP_INFO, ctx.alloc().ioBuffer().writeShort(Nbd.INFO_EXPORT)
+                .writeLong(export.size()).writeShort(export.flags(structured)));
+        // A server with limits should tell them even when not asked; it then serves any client.
+        reply(ctx, code, Nbd.REP_INFO, ctx.alloc().ioBuffer().writeShort(Nbd.INFO_BLOCK_SIZE)
+                .writeInt(export.leastBlock()).writeInt(export.preferredBlock()).writeInt(export.mostBlock()));
+        if (wantsName) {
+            reply(ctx, code, Nbd.REP_INFO, text(ctx, Nbd.INFO_NAME, export.name()));
+        }
+        if (wantsText) {
+            reply(ctx, code, Nbd.REP_INFO, text(ctx, Nbd.INFO_DESCRIPTION, export.description()));
+        }
+        reply(ctx, code, Nbd.REP_ACK, Unpooled.EMPTY_BUFFER);
+        if (code == Nbd.OPT_GO) {
+            attach(ctx, export);
+        }
+    }
+
+    private static ByteBuf text(ChannelHandlerContext ctx, int kind, String text) {
+        ByteBuf reply = ctx.alloc().ioBuffer().writeShort(kind);
+        ByteBufUtil.writeUtf8(reply, text);
+        return reply;
+    }
+
+    private void meta(ChannelHandlerContext ctx, int code, ByteBuf data) {
+        boolean set = code == Nbd.OPT_SET_META_CONTEXT;
+        if (set) {
+            metaExport = null; // whatever the answer, an earlier choice is gone
+        }
+        String name = string(data);
+        List<String> queries = new ArrayList<>();
+        boolean whole = name != null && data.readableBytes() >= 4;
+        if (whole) {
+            long count = data.readUnsignedInt();
+            for (long i = 0; i < count && whole; i++) {
+                String query = string(data);
+                whole = query != null;
+                queries.add(query);
+            }
+            whole &= !data.isReadable();
+        }
+        if (!whole) {
+            refuse(ctx, code, Nbd.REP_ERR_INVALID, "the option's data is cut off or too long");
+            return;
+        }
+        if (!structured) {
+            refuse(ctx, code, Nbd.REP_ERR_INVALID, "structured replies must be chosen first");
+            return;
+        }
+        Export export = exports.named(name);
+        if (export == null) {
+            refuse(ctx, code, Nbd.REP_ERR_UNKNOWN, "no such export");
+            return;
+        }
+        boolean chosen = queries.contains(Nbd.BASE_ALLOCATION)
+                || !set && (queries.isEmpty() || queries.contains("base:"));
+        if (chosen) {
+            ByteBuf reply = ctx.alloc().ioBuffer().writeInt(set ? Nbd.BASE_ALLOCATION_ID : 0);
+            ByteBufUtil.writeUtf8(reply, Nbd.BASE_ALLOCATION);
+            reply(ctx, code, Nbd.REP_META_CONTEXT, reply);
+            if (set) {
+                metaExport = export.name();
+            }
+        }
+        reply(ctx, code, Nbd.REP_ACK, Unpooled.EMPTY_BUFFER);
+    }
+
+    private void attach(ChannelHandlerContext ctx, Export export) {
+        over = true;
+        decoder.startTransmission(export.mostBlock());
+        ctx.fireUserEventTriggered(new Attached(export, structured, export.name().equals(metaExport)));
+    }
+
+    /** A string with its length before it; null where it is cut off or longer than the text allows. */
+    private static String string(ByteBuf data) {
+        if (data.readableBytes() < 4) {
+            return null;
+        }
+        long length = data.readUnsignedInt();
+        if (length > Nbd.LONGEST_STRING || length > data.readableBytes()) {
+            return null;
+        }
+        return data.readCharSequence((int) length, StandardCharsets.UTF_8).toString();
+    }
+
+    private static void refuse(ChannelHandlerContext ctx, int option, int error, String why) {
+        reply(ctx, option, error, ByteBufUtil.writeUtf8(ctx.alloc(), why));
+    }
+
+    private static ChannelFuture reply(ChannelHandlerContext ctx, int option, int type,
+                                                        ByteBuf data) {
+        ctx.write(ctx.alloc().ioBuffer(20).writeLong(Nbd.OPTION_REPLY_MAGIC).writeInt(option).writeInt(type)
+                .writeInt(data.readableBytes()));
+        return ctx.writeAndFlush(data);
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/nbd/NbdClient.java
@@ -0,0 +1,346 @@
+package sagepulley.nbd;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import sagepulley.wire.BadBytes;
+
+/**
+ * A client's connection to one export: fixed newstyle, structured replies and base:allocation where the server
+ * has them. Requests may be asked from any thread; their ends are told on the connection's loop.
+ */
+public final class NbdClient {
+    /** How an attempt to open an export goes about it. */
+    public enum Style { GO, GO_SIMPLE, EXPORT_NAME }
+
+    /** Told the reply, which it must release, or why there will be none. */
+    public interface Ended extends BiConsumer<NbdReply, Throwable> {
+    }
+
+    private record Asked(int dataLength, NbdReply reply, Ended ended) {
+    }
+
+    private final Channel channel;
+    private final Map<Long, Asked> asked = new HashMap<>();
+    private long lastCookie;
+    private long size;
+    private int flags;
+    private int leastBlock = 1;
+    private int mostBlock = 32 << 20;
+    private boolean baseAllocation;
+    private final CompletableFuture<Void> closed = new CompletableFuture<>();
+
+    private NbdClient(Channel channel) {
+        this.channel = channel;
+    }
+
+    /** Opens an export; fails with what the server answered, or with the connection. */
+    public static CompletableFuture<NbdClient> open(EventLoopGroup loops,
+            Class<? extends Channel> kind, SocketAddress server, String export, Style style) {
+        CompletableFuture<NbdClient> opened = new CompletableFuture<>();
+        new Bootstrap().group(loops).channel(kind).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 5000)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        NbdClient client = new NbdClient(channel);
+                        NbdClientDecoder decoder = new NbdClientDecoder(client::dataLength);
+                        channel.pipeline().addLast(decoder, client.new Talk(decoder, export, style, opened));
+                    }
+                }).connect(server).addListener(done -> {
+                    if (!done.isSuccess()) {
+                        opened.completeExceptionally(done.cause());
+                    }
+                });
+        return opened;
+    }
+
+    public long size() {
+        return size;
+    }
+
+    /** The transmission flags. */
+    public int flags() {
+        return flags;
+    }
+
+    public int leastBlock() {
+        return leastBlock;
+    }
+
+    public int mostBlock() {
+        return mostBlock;
+    }
+
+    public boolean hasBaseAllocation() {
+        return baseAllocation;
+    }
+
+    public Channel channel() {
+        return channel;
+    }
+
+    /** Done once the connection has ended, for whatever reason. */
+    public CompletableFuture<Void> closed() {
+        return closed;
+    }
+
+    /** Sends a request; the payload (for writes) changes hands. */
+    public void ask(int command, int commandFlags, long offset, int length, ByteBuf payload, Ended ended) {
+        if (channel.eventLoop().inEventLoop()) {
+            askNow(command, commandFlags, offset, length, payload, ended);
+        } else {
+            channel.eventLoop().execute(() -> askNow(command, commandFlags, offset, length, payload, ended));
+        }
+    }
+
+    /** The same, with the end as a future. */
+    public CompletableFuture<NbdReply> ask(int command, int commandFlags, long offset, int length,
+                                           ByteBuf payload) {
+        CompletableFuture<NbdReply> future = new CompletableFuture<>();
+        ask(command, commandFlags, offset, length, payload, (reply, failure) -> {
+            if (failure != null) {
+                future.completeExceptionally(failure);
+            } else {
+                future.complete(reply);
+            }
+        });
+        return future;
+    }
+
+    public CompletableFuture<NbdReply> read(long offset, int length) {
+        return ask(Nbd.CMD_READ, 0, offset, length, Unpooled.EMPTY_BUFFER);
+    }
+
+    public CompletableFuture<NbdReply> write(long offset, byte[] data) {
+        return ask(Nbd.CMD_WRITE, 0, offset, data.length, Unpooled.wrappedBuffer(data));
+    }
+
+    /** Says goodbye (NBD_CMD_DISC) and closes; what is still out gets no reply. */
+    public CompletableFuture<Void> disconnect() {
+        channel.eventLoop().execute(() -> {
+            channel.writeAndFlush(request(Nbd.CMD_DISC, 0, 0, 0, 0))
+                    .addListener(done -> channel.close());
+        });
+        return closed;
+    }
+
+    private void askNow(int command, int commandFlags, long offset, int length, ByteBuf payload, Ended ended) {
+        if (!channel.isActive()) {
+            payload.release();
+            ended.accept(null, new IOException("the connection has ended"));
+            return;
+        }
+        long cookie = ++lastCookie;
+        asked.put(cookie, new Asked(command == Nbd.CMD_READ ? length : 0, new NbdReply(), ended));
+        channel.write(request(command, commandFlags, cookie, offset, length));
+        channel.writeAndFlush(payload);
+    }
+
+    private ByteBuf request(int command, int commandFlags, long cookie, long offset, int length) {
+        return channel.alloc().ioBuffer(28).writeInt(Nbd.REQUEST_MAGIC).writeShort(commandFlags)
+                .writeShort(command).writeLong(cookie).writeLong(offset).writeInt(length);
+    }
+
+    private int dataLength(long cookie) {
+        Asked request = asked.get(cookie);
+        return request == null ? -1 : request.dataLength();
+    }
+
+    /** The connection's side: negotiates, then matches replies to what was asked. */
+    private final class Talk extends ChannelInboundHandlerAdapter {
+        private final NbdClientDecoder decoder;
+        private final String export;
+        private final Style style;
+        private final CompletableFuture<NbdClient> opened;
+        private boolean structured;
+
+        Talk(NbdClientDecoder decoder, String export, Style style, CompletableFuture<NbdClient> opened) {
+            this.decoder = decoder;
+            this.export = export;
+            this.style = style;
+            this.opened = opened;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+            if (message instanceof NbdClientDecoder.Chunk chunk) {
+                chunk(chunk);
+            } else if (message instanceof NbdClientDecoder.Simple simple) {
+                Asked request = asked.remove(simple.cookie());
+                request.reply().error = simple.error();
+                if (simple.data().isReadable()) {
+                    request.reply().pieces.add(new NbdReply.Piece(0, simple.data().readableBytes(),
+                            simple.data()));
+                } else {
+                    simple.data().release();
+                }
+                request.ended().accept(request.reply(), null);
+            } else if (message instanceof NbdClientDecoder.OptionReply reply) {
+                try {
+                    optionReply(ctx, reply);
+                } finally {
+                    reply.data().release();
+                }
+            } else {
+                ctx.write(ctx.alloc().ioBuffer(4).writeInt((Integer) message
+                        & (Nbd.FLAG_FIXED_NEWSTYLE | Nbd.FLAG_NO_ZEROES)));
+                if (style == Style.EXPORT_NAME) {
+                    decoder.expectExport(((Integer) message & Nbd.FLAG_NO_ZEROES) == 0);
+                    option(ctx, Nbd.OPT_EXPORT_NAME, ByteBufUtil.writeUtf8(ctx.alloc(), export));
+                } else if (style == Style.GO_SIMPLE) {
+                    go(ctx);
+                } else {
+                    option(ctx, Nbd.OPT_STRUCTURED_REPLY, Unpooled.EMPTY_BUFFER);
+                }
+            }
+        }
+
+        private void optionReply(ChannelHandlerContext ctx, NbdClientDecoder.OptionReply reply)
+                throws BadBytes {
+            boolean failed = reply.type() < 0;
+            switch (reply.option()) {
+                case Nbd.OPT_EXPORT_NAME -> {
+                    size = reply.data().readLong();
+                    flags = reply.data().readUnsignedShort();
+                    opened.complete(NbdClient.this);
+                }
+                case Nbd.OPT_STRUCTURED_REPLY -> {
+                    structured = !failed;
+                    if (structured) {
+                        ByteBuf data = ctx.alloc().ioBuffer();
+                        string(data, export);
+                        string(data.writeInt(1), Nbd.BASE_ALLOCATION);
+                        option(ctx, Nbd.OPT_SET_META_CONTEXT, data);
+                    } else {
+                        go(ctx);
+                    }
+                }
+                case Nbd.OPT_SET_META_CONTEXT -> {
+                    if (reply.type() == Nbd.REP_META_CONTEXT) {
+                        baseAllocation = true;
+                    } else {
+                        go(ctx);
+                    }
+                }
+                case Nbd.OPT_GO -> {
+                    if (failed) {
+                        opened.completeExceptionally(new IOException("the server refuses: "
+                                + reply.data().toString(StandardCharsets.UTF_8)));
+                        ctx.close();
+                    } else if (reply.type() == Nbd.REP_INFO) {
+                        info(reply.data());
+                    } else {
+                        decoder.startTransmission();
+                        opened.complete(NbdClient.this);
+                    }
+                }
+                default -> throw new BadBytes("reply to option " + reply.option());
+            }
+        }
+
+        private void info(ByteBuf data) throws BadBytes {
+            int kind = data.readableBytes() < 2 ? -1 : data.readUnsignedShort();
+            if (kind == Nbd.INFO_EXPORT && data.readableBytes() == 10) {
+                size = data.readLong();
+                flags = data.readUnsignedShort();
+            } else if (kind == Nbd.INFO_BLOCK_SIZE && data.readableBytes() == 12) {
+                leastBlock = data.readInt();
+                data.readInt();
+                mostBlock = data.readInt();
+            } else if (kind == -1 || kind == Nbd.INFO_EXPORT || kind == Nbd.INFO_BLOCK_SIZE) {
+                throw new BadBytes("malformed information");
+            }
+        }
+
+        private void go(ChannelHandlerContext ctx) {
+            ByteBuf data = ctx.alloc().ioBuffer();
+            string(data, export);
+            option(ctx, Nbd.OPT_GO, data.writeShort(1).writeShort(Nbd.INFO_BLOCK_SIZE));
+        }
+
+        private void string(ByteBuf to, String text) {
+            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+            to.writeInt(bytes.length).writeBytes(bytes);
+        }
+
+        private void option(ChannelHandlerContext ctx, int code, ByteBuf data) {
+            ctx.write(ctx.alloc().ioBuffer(16).writeLong(Nbd.IHAVEOPT).writeInt(code)
+                    .writeInt(data.readableBytes()));
+            ctx.writeAndFlush(data);
+        }
+
+        private void chunk(NbdClientDecoder.Chunk chunk) {
+            Asked request = asked.get(chunk.cookie());
+            NbdReply reply = request.reply();
+            switch (chunk.type()) {
+                case Nbd.CHUNK_OFFSET_DATA -> reply.pieces.add(new NbdReply.Piece(chunk.offset(),
+                        chunk.data().readableBytes(), chunk.data()));
+                case Nbd.CHUNK_OFFSET_HOLE -> {
+                    reply.pieces.add(new NbdReply.Piece(chunk.offset(), chunk.data().readInt(), null));
+                    chunk.data().release();
+                }
+                case Nbd.CHUNK_BLOCK_STATUS -> {
+                    chunk.data().readInt();
+                    List<Integer> blocks = new ArrayList<>();
+                    while (chunk.data().readableBytes() >= 4) {
+                        blocks.add(chunk.data().readInt());
+                    }
+                    reply.blocks = blocks.stream().mapToInt(Integer::intValue).toArray();
+                    chunk.data().release();
+                }
+                case Nbd.CHUNK_NONE -> chunk.data().release();
+                default -> {
+                    if (reply.error == 0) {
+                        reply.error = chunk.error();
+                        reply.message = chunk.message();
+                        reply.errorOffset = chunk.offset();
+                    }
+                    reply.errorOffsets.add(chunk.offset());
+                }
+            }
+            if (chunk.done()) {
+                asked.remove(chunk.cookie());
+                request.ended().accept(reply, null);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            fail(new IOException("the connection has ended"));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            fail(cause);
+            ctx.close();
+        }
+
+        private void fail(Throwable cause) {
+            opened.completeExceptionally(cause);
+            List<Asked> lost = new ArrayList<>(asked.values());
+            asked.clear();
+            for (Asked request : lost) {
+                request.reply().release();
+                request.ended().accept(null, cause);
+            }
+            closed.complete(null);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/site/HostPort.java
@@ -0,0 +1,36 @@
+package sagepulley.site;
+
+import java.net.InetSocketAddress;
+
+/** An address as operators write it: host:port, an IPv6 host in brackets. */
+public record HostPort(String host, int port) {
+
+    /** Reads an address; null where the text is none. Port 0 asks for any free one. */
+    public static HostPort read(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            return null;
+        }
+        String host = text.substring(0, colon);
+        if (host.startsWith("[") && host.endsWith("]")) {
+            host = host.substring(1, host.length() - 1);
+        } else if (host.contains(":")) {
+            return null;
+        }
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return port < 0 || port > 65535 || host.isEmpty() ? null : new HostPort(host, port);
+        } catch (NumberFormatException e) {
+            return null;
+        }
+    }
+
+    public InetSocketAddress socket() {
+        return new InetSocketAddress(host, port);
+    }
+
+    @Override
+    public String toString() {
+        return (host.contains(":") ? "[" + host + "]" : host) + ":" + port;
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/standin/Registration.java
@@ -0,0 +1,86 @@
+package sagepulley.standin;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import sagepulley.directory.DirectoryWire;
+import sagepulley.wire.FrameDecoder;
+import sagepulley.wire.FrameEncoder;
+import sagepulley.wire.Loops;
+
+/** Keeps a stand-in node registered at a directory: connects, says its line, connects anew when cut off. */
+public final class Registration {
+    private static final long AGAIN_MS = 500;
+
+    private final EventLoop loop;
+    private final InetSocketAddress directory;
+    private final Supplier<DirectoryWire.Line> line;
+    private Channel channel;
+    private volatile boolean closed;
+
+    public Registration(EventLoop loop, InetSocketAddress directory, Supplier<DirectoryWire.Line> line) {
+        this.loop = loop;
+        this.directory = directory;
+        this.line = line;
+        loop.execute(this::connect);
+    }
+
+    /** Says the line again, as it is now. */
+    public void again() {
+        loop.execute(() -> {
+            if (channel != null && channel.isActive()) {
+                channel.writeAndFlush(DirectoryWire.register(line.get()));
+            }
+        });
+    }
+
+    public void close() {
+        closed = true;
+        loop.execute(() -> {
+            if (channel != null) {
+                channel.close();
+            }
+        });
+    }
+
+    private void connect() {
+        if (closed) {
+            return;
+        }
+        new Bootstrap().group(loop).channel(Loops.socket()).handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel fresh) {
+                fresh.pipeline().addLast(new FrameDecoder(0), new FrameEncoder(), new Talk());
+            }
+        }).connect(directory).addListener((ChannelFuture done) -> {
+            channel = done.channel();
+            if (!done.isSuccess()) {
+                loop.schedule(this::connect, AGAIN_MS, TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    private final class Talk extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            ctx.writeAndFlush(DirectoryWire.register(line.get()));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            loop.schedule(Registration.this::connect, AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/standin/StandInNode.java
@@ -0,0 +1,558 @@
+package sagepulley.standin;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.DuplexChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import sagepulley.model.Band;
+import sagepulley.model.Ring;
+import sagepulley.store.StoreWire;
+import sagepulley.wire.BadBytes;
+import sagepulley.wire.Fields;
+import sagepulley.wire.Frame;
+import sagepulley.wire.FrameDecoder;
+import sagepulley.wire.FrameEncoder;
+import sagepulley.wire.Loops;
+
+/**
+ * A small storage node: slots, a queue, a cold ramp on which it can be pushed over, writes of which a part is
+ * put off, and faults on demand. All of it on one loop. It keeps the node's duties of docs/protocols.md: one
+ * answer for each hop, pens, one link for each gateway, repeats dropped where a band asks for it.
+ */
+public final class StandInNode {
+    private static final int MARKS_KEPT = 100_000;
+    private static final int RING_PARTS = 20;
+
+    private record PenKey(int volume, long extent) {
+    }
+
+    private record Mark(long gateway, long number) {
+    }
+
+    /** A hop that waits, or is worked on. */
+    private static final class Work {
+        final Link link;
+        final long hop;
+        final StoreWire.Send send;
+        final ByteBuf payload;
+        boolean calledOff;
+
+        Work(Link link, long hop, StoreWire.Send send, ByteBuf payload) {
+            this.link = link;
+            this.hop = hop;
+            this.send = send;
+            this.payload = payload;
+        }
+    }
+
+    private final NodeTraits traits;
+    private final Witness witness;
+    private final EventLoop loop;
+    private final Random chance;
+    private final Shelf shelf;
+    private final Faults faults = new Faults();
+    private final List<Link> links = new ArrayList<>();
+    private final ArrayDeque<Work> queue = new ArrayDeque<>();
+    private final Map<PenKey, Link> pens = new HashMap<>();
+    /** Marks of deduplicated operations that ran. */
+    private final Map<Mark, Boolean> marks = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Mark, Boolean> eldest) {
+            return size() > MARKS_KEPT;
+        }
+    };
+    /** Units served, by volume; and by gateway and volume. */
+    private final Map<Integer, Double> served = new HashMap<>();
+    private Channel listener;
+    private InetSocketAddress address;
+    private int busy;
+    private double deferred;
+    private boolean draining;
+    private boolean fallen;
+    private boolean lostData;
+    private long startedWall;
+    private long startedNanos;
+    private Ring pressure;
+    private int life;
+
+    /** A node on a loop of the group; chance (for shares of faults) comes from the seed. */
+    public StandInNode(NodeTraits traits, EventLoopGroup group, Witness witness, long seed) {
+        this.traits = traits;
+        this.witness = witness;
+        this.loop = group.next();
+        this.chance = new Random(seed);
+        this.shelf = new Shelf(traits.extentBytes(), traits.data());
+    }
+
+    public NodeTraits traits() {
+        return traits;
+    }
+
+    public Faults faults() {
+        return faults;
+    }
+
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** When it last started, wall-clock milliseconds; 0 where it counts as started long ago. */
+    public long startedAt() {
+        return startedWall;
+    }
+
+    public boolean isDraining() {
+        return draining;
+    }
+
+    /** Whether it was pushed over. */
+    public boolean hasFallen() {
+        return fallen;
+    }
+
+    /** Starts to listen, warm. */
+    public CompletableFuture<StandInNode> start(InetSocketAddress at) {
+        return listen(at, true);
+    }
+
+    private CompletableFuture<StandInNode> listen(InetSocketAddress at, boolean warm) {
+        CompletableFuture<StandInNode> ready = new CompletableFuture<>();
+        loop.execute(() -> {
+            life++;
+            fallen = false;
+            startedWall = warm ? 0 : System.currentTimeMillis();
+            startedNanos = System.nanoTime() - (warm ? (long) (traits.coldTime() * 2e6) : 0);
+            pressure = new Ring(traits.fallTime(), RING_PARTS);
+            new ServerBootstrap().group(loop).channel(Loops.server())
+                    .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
+                    .childHandler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            if (faults.unreachable) {
+                                channel.close();
+                                return;
+                            }
+                            channel.pipeline().addLast(new FrameDecoder(traits.extentBytes()),
+                                    new FrameEncoder(), new Link(channel));
+                        }
+                    })
+                    .bind(at).addListener((ChannelFuture bound) -> {
+                        if (!bound.isSuccess()) {
+                            ready.completeExceptionally(bound.cause());
+                            return;
+                        }
+                        listener = bound.channel();
+                        address = (InetSocketAddress) listener.localAddress();
+                        witness.started(traits.id(), warm ? Double.NaN : traits.unitsPerSecond(),
+                                System.nanoTime());
+                        ready.complete(this);
+                    });
+        });
+        return ready;
+    }
+
+    /** Ends every connection and all work, as a crash does; then it is gone until started again. */
+    public CompletableFuture<Void> stop() {
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        loop.execute(() -> {
+            goDown();
+            shelf.close();
+            stopped.complete(null);
+        });
+        return stopped;
+    }
+
+    private void goDown() {
+        life++;
+        if (listener != null) {
+            listener.close();
+            listener = null;
+        }
+        List.copyOf(links).forEach(link -> link.channel.close());
+        queue.forEach(work -> work.payload.release());
+        queue.clear();
+        pens.clear();
+        busy = 0;
+        deferred = 0;
+    }
+
+    /** Comes back at the same address, cold. */
+    public CompletableFuture<StandInNode> restartCold() {
+        InetSocketAddress at = address;
+        return stop().thenCompose(done -> listen(at, false));
+    }
+
+    /** Loses what was not durable, and comes back cold. */
+    public CompletableFuture<StandInNode> powerFails() {
+        InetSocketAddress at = address;
+        CompletableFuture<Void> lost = new CompletableFuture<>();
+        loop.execute(() -> {
+            goDown();
+            lostData |= shelf.powerFails();
+            lost.complete(null);
+        });
+        return lost.thenCompose(done -> listen(at, false));
+    }
+
+    /** Takes nothing new from now on. */
+    public void drain() {
+        loop.execute(() -> draining = true);
+    }
+
+    /** Cuts every connection. */
+    public void cut() {
+        loop.execute(() -> List.copyOf(links).forEach(link -> link.channel.close()));
+    }
+
+    /** Stands still: reads nothing and serves nothing, until it goes on. */
+    public void pause(boolean still) {
+        faults.paused = still;
+        loop.execute(() -> {
+            links.forEach(link -> link.channel.config().setAutoRead(!still));
+            serve();
+        });
+    }
+
+    // ---- work ----
+
+    private void take(Work work) {
+        witness.hopCame(traits.id(), work.link.gateway, work.send, System.nanoTime());
+        double now = nowMs();
+        pressure.add(now, work.send.units());
+        if (overPressed(now)) {
+            fallen = true;
+            work.payload.release();
+            witness.fell(traits.id(), System.nanoTime());
+            goDown();
+            return;
+        }
+        StoreWire.Code refusal = null;
+        if (draining) {
+            refusal = StoreWire.Code.DRAINING;
+        } else if (faults.refusing || queue.size() >= traits.queue()) {
+            refusal = StoreWire.Code.FULL;
+        } else if (work.send.kind().changes()
+                && pens.get(new PenKey(work.send.volume(), work.send.extent())) != work.link) {
+            refusal = StoreWire.Code.STALE_PEN;
+        }
+        if (refusal != null) {
+            work.payload.release();
+            answer(work, refusal, Unpooled.EMPTY_BUFFER);
+            return;
+        }
+        queue.add(work);
+        serve();
+    }
+
+    private double nowMs() {
+        return System.nanoTime() / 1e6;
+    }
+
+    /** What it can do now, as a part of what it can do when warm. */
+    private double warmth() {
+        double age = (System.nanoTime() - startedNanos) / 1e6;
+        return Math.min(1, traits.coldShare() + (1 - traits.coldShare()) * age / traits.coldTime());
+    }
+
+    private boolean overPressed(double now) {
+        double warm = warmth();
+        double span = traits.fallTime() / 1000;
+        return warm < 1 && pressure.sumWithin(now) > Math.max(traits.coldUnits(),
+                traits.fallMultiple() * warm * traits.unitsPerSecond() * span);
+    }
+
+    private void serve() {
+        while (busy < traits.slots() && !queue.isEmpty() && !faults.paused) {
+            Work work = queue.poll();
+            if (work.calledOff || !work.link.channel.isActive()) {
+                work.payload.release();
+                answer(work, StoreWire.Code.CALLED_OFF, Unpooled.EMPTY_BUFFER);
+                continue;
+            }
+            // Work is begun in the order it came, and has its effect when it begins: no later write of an
+            // extent can be undone by an earlier one.
+            begin(work);
+        }
+    }
+
+    private void begin(Work work) {
+        StoreWire.Send send = work.send;
+        StoreWire.Code code = StoreWire.Code.SATISFIED;
+        ByteBuf result = Unpooled.EMPTY_BUFFER;
+        if (send.kind().changes()
+                && pens.get(new PenKey(send.volume(), send.extent())) != work.link) {
+            work.payload.release();
+            answer(work, StoreWire.Code.STALE_PEN, result);
+            return;
+        }
+        try {
+            result = run(work);
+        } catch (IOException e) {
+            code = StoreWire.Code.FAULT;
+        } finally {
+            work.payload.release();
+        }
+        if (faults.erring > 0 && chance.nextDouble() < faults.erring) {
+            code = StoreWire.Code.FAULT;
+        }
+        if (code == StoreWire.Code.FAULT) {
+            result.release();
+            result = Unpooled.EMPTY_BUFFER;
+        } else {
+            served.merge(send.volume(), (double) send.units(), Double::sum);
+            work.link.own.merge(send.volume(), (double) send.units(), Double::sum);
+        }
+        double cost = cost(send);
+        if (cost <= 0) {
+            answer(work, code, result);
+            return;
+        }
+        busy++;
+        int then = life;
+        StoreWire.Code end = code;
+        ByteBuf data = result;
+        loop.schedule(() -> {
+            if (life != then) {
+                data.release();
+                return;
+            }
+            busy--;
+            answer(work, end, data);
+            serve();
+        }, (long) (cost * 1e6), TimeUnit.NANOSECONDS);
+    }
+
+    private double cost(StoreWire.Send send) {
+        boolean writes = send.kind().changes();
+        double cost = send.units() * (writes ? traits.writeCost() : traits.readCost());
+        if (writes && traits.deferredShare() > 0) {
+            // A part of each write is put off, and falls to whoever comes when its time is up.
+            double late = cost * traits.deferredShare();
+            cost -= late;
+            deferred += late;
+            if (Math.floorMod((long) nowMs(), (long) traits.deferEvery()) < 10) {
+                cost += deferred;
+                deferred = 0;
+            }
+        }
+        return cost * faults.slow / warmth();
+    }
+
+    private ByteBuf run(Work work) throws IOException {
+        StoreWire.Send send = work.send;
+        if (send.offset() + send.length() > traits.extentBytes()) {
+            throw new IOException("past the extent's end");
+        }
+        if (send.repeat() == Band.Repeat.DEDUPLICATED.ordinal()
+                && marks.put(new Mark(work.link.gateway, send.mark()), true) != null) {
+            return Unpooled.EMPTY_BUFFER;
+        }
+        witness.ran(traits.id(), work.link.gateway, send, System.nanoTime());
+        switch (send.kind()) {
+            case READ -> {
+                ByteBuf into = work.link.channel.alloc().ioBuffer(Math.max(1, send.length()));
+                return shelf.read(send.volume(), send.extent(), send.offset(), send.length(), into);
+            }
+            case WRITE -> shelf.write(send.volume(), send.extent(), send.offset(), work.payload, send.durable());
+            case ZERO, TRIM -> shelf.zero(send.volume(), send.extent(), send.offset(), send.length(),
+                    send.durable());
+            case FLUSH -> {
+                // Writes acknowledged by an earlier life are gone if the power failed since.
+                if (lostData && send.since() != startedWall) {
+                    throw new IOException("writes before the start were lost");
+                }
+                shelf.flush(send.volume());
+            }
+        }
+        return Unpooled.EMPTY_BUFFER;
+    }
+
+    private void answer(Work work, StoreWire.Code code, ByteBuf payload) {
+        Link link = work.link;
+        boolean lost = faults.silent || faults.losing > 0 && chance.nextDouble() < faults.losing;
+        witness.answered(traits.id(), link.gateway, work.send.mark(), work.send.number(), code, lost,
+                System.nanoTime());
+        if (lost || !link.channel.isActive()) {
+            payload.release();
+            return;
+        }
+        float[] report = {queue.size()};
+        link.write(work.hop, new StoreWire.Answer(code, 0, link.others(work.send.volume()), report), payload);
+    }
+
+    /** One gateway's connection. */
+    private final class Link extends ChannelInboundHandlerAdapter {
+        final Channel channel;
+        long gateway;
+        boolean greeted;
+        /** Units served through this link, and those of all at the last answer, by volume. */
+        final Map<Integer, Double> own = new HashMap<>();
+        final Map<Integer, Double> told = new HashMap<>();
+        private boolean flushDue;
+
+        Link(Channel channel) {
+            this.channel = channel;
+        }
+
+        float others(int volume) {
+            double all = served.getOrDefault(volume, 0.0);
+            double mine = own.getOrDefault(volume, 0.0);
+            double before = told.getOrDefault(volume, all - mine);
+            told.put(volume, all - mine);
+            return (float) Math.max(0, all - mine - before);
+        }
+
+        void write(long hop, StoreWire.Answer answer, ByteBuf payload) {
+            if (faults.garble) {
+                faults.garble = false;
+                payload.release();
+                channel.pipeline().firstContext().writeAndFlush(
+                        Unpooled.wrappedBuffer(new byte[] {9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9,
+                            9, 9, 9, 9, 9, 9, 9, 9, 9, 9}));
+                return;
+            }
+            if (faults.halfClose && payload.isReadable()) {
+                faults.halfClose = false;
+                halfClose(hop, answer, payload);
+                return;
+            }
+            if (faults.twice) {
+                faults.twice = false;
+                channel.write(StoreWire.answer(hop, answer, payload.copy()));
+            }
+            if (faults.invent) {
+                faults.invent = false;
+                channel.write(StoreWire.answer(hop + 1_000_000, answer, Unpooled.EMPTY_BUFFER));
+            }
+            channel.write(StoreWire.answer(hop, answer, payload));
+            if (!flushDue) {
+                flushDue = true;
+                loop.execute(() -> {
+                    flushDue = false;
+                    channel.flush();
+                });
+            }
+        }
+
+        /** Half of the frame leaves, then the sending side is closed. */
+        private void halfClose(long hop, StoreWire.Answer answer, ByteBuf payload) {
+            EmbeddedChannel encoder =
+                    new EmbeddedChannel(new FrameEncoder());
+            encoder.writeOutbound(StoreWire.answer(hop, answer, payload));
+            ByteBuf all = Unpooled.buffer();
+            for (ByteBuf part = encoder.readOutbound(); part != null; part = encoder.readOutbound()) {
+                all.writeBytes(part);
+                part.release();
+            }
+            channel.pipeline().firstContext().writeAndFlush(all.readSlice(all.readableBytes() / 2))
+                    .addListener(done -> ((DuplexChannel) channel).shutdownOutput());
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            links.add(this);
+            if (faults.paused) {
+                channel.config().setAutoRead(false);
+            }
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) throws BadBytes {
+            Frame frame = (Frame) message;
+            try {
+                if (channel.isActive()) {
+                    told(frame);
+                }
+            } finally {
+                frame.release();
+            }
+        }
+
+        private void told(Frame frame) throws BadBytes {
+            if (!greeted && frame.type() != StoreWire.HELLO) {
+                throw new BadBytes("message " + frame.type() + " before the hello");
+            }
+            switch (frame.type()) {
+                case StoreWire.HELLO -> hello(StoreWire.hello(frame));
+                case StoreWire.SEND -> {
+                    StoreWire.Send send = StoreWire.send(frame);
+                    take(new Work(this, frame.id(), send, frame.payload().retain()));
+                }
+                case StoreWire.CALL_OFF -> callOff(frame.id());
+                case StoreWire.PROBE -> {
+                    if (!faults.silent) {
+                        channel.writeAndFlush(StoreWire.probed(frame.id(), new float[] {queue.size()}));
+                    }
+                }
+                case StoreWire.TAKE_PEN -> {
+                    ByteBuf head = Fields.need(frame, 12);
+                    pens.put(new PenKey(head.readInt(), head.readLong()), this);
+                    channel.writeAndFlush(new Frame(StoreWire.PEN, frame.id()));
+                }
+                default -> throw new BadBytes("message " + frame.type() + " from a gateway");
+            }
+        }
+
+        /** An older link of the same gateway ends first: nothing that it still holds can come late. */
+        private void hello(StoreWire.Hello hello) {
+            gateway = hello.gateway();
+            greeted = true;
+            for (Link older : List.copyOf(links)) {
+                if (older != this && older.gateway == gateway) {
+                    older.channel.close();
+                }
+            }
+            channel.writeAndFlush(StoreWire.welcome(new StoreWire.Welcome(traits.id(), traits.cell(),
+                    traits.zone(), traits.kind(), draining, startedWall)));
+        }
+
+        private void callOff(long hop) {
+            for (Iterator<Work> at = queue.iterator(); at.hasNext();) {
+                Work work = at.next();
+                if (work.link == this && work.hop == hop) {
+                    at.remove();
+                    work.calledOff = true;
+                    work.payload.release();
+                    witness.calledOff(traits.id(), gateway, work.send.mark(), work.send.number(),
+                            System.nanoTime());
+                    answer(work, StoreWire.Code.CALLED_OFF, Unpooled.EMPTY_BUFFER);
+                    return;
+                }
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            links.remove(this);
+            pens.values().removeIf(holder -> holder == this);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/standin/Witness.java
@@ -0,0 +1,41 @@
+package sagepulley.standin;
+
+import java.util.List;
+import sagepulley.directory.DirectoryWire;
+import sagepulley.store.StoreWire;
+
+/** Notes what passes on the stand-ins' sockets. Called on their loops; times are nanoseconds of one clock. */
+public interface Witness {
+    /** Notes nothing. */
+    Witness NOBODY = new Witness() {
+    };
+
+    /** A hop was read from a gateway's link. */
+    default void hopCame(int node, long gateway, StoreWire.Send send, long nanos) {
+    }
+
+    /** An operation's work was begun; its effect is there from now on. */
+    default void ran(int node, long gateway, StoreWire.Send send, long nanos) {
+    }
+
+    /** An answer was handed to the socket, or kept back by a fault. */
+    default void answered(int node, long gateway, long mark, int number, StoreWire.Code code, boolean lost,
+                          long nanos) {
+    }
+
+    /** A hop was called off by its gateway. */
+    default void calledOff(int node, long gateway, long mark, int number, long nanos) {
+    }
+
+    /** A node began to serve after a start, with what it can do when warm in units a second. */
+    default void started(int node, double unitsPerSecond, long nanos) {
+    }
+
+    /** A cold node was sent too much and fell over. */
+    default void fell(int node, long nanos) {
+    }
+
+    /** A gateway was told lines of the list. */
+    default void told(long gateway, boolean whole, List<DirectoryWire.Line> lines, long nanos) {
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/store/NodeLink.java
@@ -0,0 +1,316 @@
+package sagepulley.store;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sagepulley.wire.BadBytes;
+import sagepulley.wire.Frame;
+import sagepulley.wire.FrameDecoder;
+import sagepulley.wire.FrameEncoder;
+
+/**
+ * The link of a gateway to one node: a connection that is opened when a hop needs it. It carries out and
+ * decides nothing: it never sends a hop twice, nor opens a connection but for a hop. All on one loop.
+ *
+ * Before a write goes out, the link takes the extent's pen at the node (docs/protocols.md, Pens): a write of
+ * another link that comes late is then refused there.
+ */
+public final class NodeLink {
+    /** Hops that were given up but never answered; with more the connection is taken for dead. */
+    static final int MOST_UNANSWERED = 10_000;
+    private static final int MOST_PENS = 1 << 16;
+    private static final int CONNECT_MS = 3_000;
+    private static final Logger LOG = LoggerFactory.getLogger(NodeLink.class);
+
+    /** How a hop ended that got no answer. */
+    public enum Broken { NEVER_SENT, RESET }
+
+    /** Told the ends of hops, each once, on the loop. */
+    public interface Owner {
+        /** The payload changes hands. */
+        void answered(long hop, StoreWire.Answer answer, ByteBuf payload);
+
+        void broken(long hop, Broken how);
+
+        void probed(long id, float[] report);
+
+        /** A connection stands. */
+        void welcomed(StoreWire.Welcome welcome);
+    }
+
+    private record PenKey(int volume, long extent) {
+    }
+
+    private record Parcel(long hop, StoreWire.Send send, ByteBuf payload) {
+    }
+
+    private static final class Pen {
+        boolean granted;
+        final ArrayDeque<Long> waiting = new ArrayDeque<>(2);
+    }
+
+    private final EventLoop loop;
+    private final Class<? extends Channel> kind;
+    private final int longestPayload;
+    private final int node;
+    private final SocketAddress address;
+    private final StoreWire.Hello hello;
+    private final Owner owner;
+    /** Hops not yet written, in order: for the connection, or for a pen. */
+    private final Map<Long, Parcel> unsent = new LinkedHashMap<>();
+    /** Hops written and not answered; false once given up here. */
+    private final Map<Long, Boolean> out = new HashMap<>();
+    private final Map<PenKey, Pen> pens = new HashMap<>();
+    private final Map<Long, PenKey> pensAsked = new HashMap<>();
+    private Channel channel;
+    private boolean welcomed;
+    private boolean flushDue;
+    private long penIds;
+
+    public NodeLink(EventLoop loop, Class<? extends Channel> kind, int longestPayload, int node,
+                    SocketAddress address, StoreWire.Hello hello, Owner owner) {
+        this.loop = loop;
+        this.kind = kind;
+        this.longestPayload = longestPayload;
+        this.node = node;
+        this.address = address;
+        this.hello = hello;
+        this.owner = owner;
+    }
+
+    public SocketAddress address() {
+        return address;
+    }
+
+    /** Sends a hop, once a connection stands; its number must be new. The payload changes hands. */
+    public void send(long hop, StoreWire.Send send, ByteBuf payload) {
+        unsent.put(hop, new Parcel(hop, send, payload));
+        if (channel == null) {
+            connect();
+        } else if (welcomed) {
+            forward(hop);
+        }
+    }
+
+    /** Gives a hop up: it will not be told of any more. Tells whether it may have gone out. */
+    public boolean giveUp(long hop) {
+        Parcel parcel = unsent.remove(hop);
+        if (parcel != null) {
+            parcel.payload().release();
+            return false;
+        }
+        if (Boolean.TRUE.equals(out.get(hop))) {
+            out.put(hop, false);
+            write(new Frame(StoreWire.CALL_OFF, hop));
+            if (out.size() > MOST_UNANSWERED) {
+                LOG.atWarn().addKeyValue("node", node).log("too many hops without answer, link closed");
+                close();
+            }
+        }
+        return true;
+    }
+
+    public void probe(long id) {
+        if (welcomed) {
+            write(new Frame(StoreWire.PROBE, id));
+        }
+    }
+
+    /** Ends the connection; hops that are out are told as broken. */
+    public void close() {
+        if (channel != null) {
+            Channel old = channel;
+            lost(old);
+            old.close();
+        }
+    }
+
+    private void connect() {
+        Bootstrap bootstrap = new Bootstrap().group(loop).channel(kind).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel fresh) {
+                        fresh.pipeline().addLast(new FrameDecoder(longestPayload), new FrameEncoder(),
+                                new Talk());
+                    }
+                });
+        var connecting = bootstrap.connect(address);
+        channel = connecting.channel();
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                LOG.atInfo().addKeyValue("node", node).addKeyValue("why", done.cause().getMessage())
+                        .log("no connection to node");
+                lost(connecting.channel());
+            }
+        });
+    }
+
+    private void forward(long hop) {
+        Parcel parcel = unsent.get(hop);
+        if (parcel.send().kind().changes()) {
+            PenKey key = new PenKey(parcel.send().volume(), parcel.send().extent());
+            Pen pen = pens.get(key);
+            if (pen == null) {
+                if (pens.size() >= MOST_PENS) {
+                    pens.values().removeIf(any -> any.granted);
+                }
+                pen = new Pen();
+                pens.put(key, pen);
+                pensAsked.put(++penIds, key);
+                write(StoreWire.takePen(penIds, key.volume(), key.extent()));
+            }
+            if (!pen.granted) {
+                pen.waiting.add(hop);
+                return;
+            }
+        }
+        unsent.remove(hop);
+        out.put(hop, true);
+        write(StoreWire.send(hop, parcel.send(), parcel.payload()));
+    }
+
+    private void write(Frame frame) {
+        if (channel == null) {
+            frame.release();
+            return;
+        }
+        channel.write(frame);
+        // All that one turn of the loop sends goes to the socket together.
+        if (!flushDue) {
+            flushDue = true;
+            loop.execute(() -> {
+                flushDue = false;
+                if (channel != null) {
+                    channel.flush();
+                }
+            });
+        }
+    }
+
+    /** The connection is gone, or there was none: what was out may have run, the rest did not. */
+    private void lost(Channel which) {
+        if (channel != which) {
+            return;
+        }
+        channel = null;
+        welcomed = false;
+        pens.clear();
+        pensAsked.clear();
+        List<Parcel> never = new ArrayList<>(unsent.values());
+        unsent.clear();
+        List<Long> reset = new ArrayList<>();
+        out.forEach((hop, wanted) -> {
+            if (wanted) {
+                reset.add(hop);
+            }
+        });
+        out.clear();
+        for (Parcel parcel : never) {
+            parcel.payload().release();
+            owner.broken(parcel.hop(), Broken.NEVER_SENT);
+        }
+        for (long hop : reset) {
+            owner.broken(hop, Broken.RESET);
+        }
+    }
+
+    private final class Talk extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            ctx.writeAndFlush(StoreWire.hello(hello));
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) throws BadBytes {
+            Frame frame = (Frame) message;
+            if (ctx.channel() != channel) {
+                frame.release();
+                return;
+            }
+            try {
+                told(frame);
+            } finally {
+                frame.release();
+            }
+        }
+
+        private void told(Frame frame) throws BadBytes {
+            switch (frame.type()) {
+                case StoreWire.WELCOME -> welcome(StoreWire.welcome(frame));
+                case StoreWire.ANSWER -> answer(frame);
+                case StoreWire.PROBED -> owner.probed(frame.id(), StoreWire.report(frame.head()));
+                case StoreWire.PEN -> pen(frame);
+                default -> throw new BadBytes("message " + frame.type() + " from a node");
+            }
+        }
+
+        private void welcome(StoreWire.Welcome welcome) throws BadBytes {
+            if (welcome.node() != node) {
+                throw new BadBytes("node " + welcome.node() + " answers where " + node + " is listed");
+            }
+            if (welcomed) {
+                throw new BadBytes("a second welcome");
+            }
+            welcomed = true;
+            owner.welcomed(welcome);
+            for (long hop : List.copyOf(unsent.keySet())) {
+                forward(hop);
+            }
+        }
+
+        private void answer(Frame frame) throws BadBytes {
+            Boolean wanted = out.remove(frame.id());
+            if (wanted == null) {
+                throw new BadBytes("an answer to hop " + frame.id() + ", which is not out");
+            }
+            StoreWire.Answer answer = StoreWire.answer(frame);
+            if (answer.code() == StoreWire.Code.STALE_PEN) {
+                pens.values().removeIf(any -> any.granted);
+            }
+            if (wanted) {
+                owner.answered(frame.id(), answer, frame.payload().retain());
+            }
+        }
+
+        private void pen(Frame frame) throws BadBytes {
+            PenKey key = pensAsked.remove(frame.id());
+            Pen pen = key == null ? null : pens.get(key);
+            if (pen == null) {
+                throw new BadBytes("a pen that was not asked for");
+            }
+            pen.granted = true;
+            for (Long hop = pen.waiting.poll(); hop != null; hop = pen.waiting.poll()) {
+                if (unsent.containsKey(hop)) {
+                    forward(hop);
+                }
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            lost(ctx.channel());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            LOG.atWarn().addKeyValue("node", node).addKeyValue("why", cause.getMessage()).log("link ends");
+            lost(ctx.channel());
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/store/StoreWire.java
@@ -0,0 +1,159 @@
+package sagepulley.store;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import sagepulley.wire.BadBytes;
+import sagepulley.wire.Fields;
+import sagepulley.wire.Frame;
+
+/** The messages between a gateway and a node, as frames (docs/protocols.md, Store protocol). */
+public final class StoreWire {
+    /** From the gateway. */
+    public static final int HELLO = 1;
+    public static final int SEND = 2;
+    public static final int CALL_OFF = 3;
+    public static final int PROBE = 4;
+    public static final int TAKE_PEN = 5;
+    /** From the node. */
+    public static final int WELCOME = 17;
+    public static final int ANSWER = 18;
+    public static final int PROBED = 19;
+    public static final int PEN = 20;
+
+    public static final int VERSION = 1;
+    private static final int SEND_HEAD = 55;
+    private static final int MOST_REPORT = 4;
+
+    /** Who calls: the number differs at every start of a gateway. */
+    public record Hello(long gateway, String name) {
+    }
+
+    /** Who answers; the start is wall-clock milliseconds. */
+    public record Welcome(int node, int cell, int zone, int kind, boolean draining, long startedAt) {
+    }
+
+    /** What an operation does at its extent. */
+    public enum Kind {
+        READ, WRITE, ZERO, TRIM, FLUSH;
+
+        public boolean changes() {
+            return this == WRITE || this == ZERO || this == TRIM;
+        }
+    }
+
+    /**
+     * One hop. The mark names the operation, unique with the gateway's number; offset and length are bytes in
+     * the extent. Since is 0, or for a flush the node's start that it must still have.
+     */
+    public record Send(Kind kind, int band, boolean durable, int repeat, long mark, int number, int volume,
+                       long extent, int offset, int length, float units, long since) {
+    }
+
+    /** How a node answers. */
+    public enum Code { SATISFIED, FAULT, FULL, DRAINING, MOOT, STALE_PEN, CALLED_OFF }
+
+    /** A hop's end at the node, as WIRE has its figures: used percent is 0 for none, else 1 more. */
+    public record Answer(Code code, int used, float others, float[] report) {
+        public static final float[] NO_REPORT = {};
+    }
+
+    private StoreWire() {
+    }
+
+    public static Frame hello(Hello hello) {
+        ByteBuf head = Unpooled.buffer(64).writeShort(VERSION).writeLong(hello.gateway());
+        return new Frame(HELLO, 0, Fields.string(head, hello.name()));
+    }
+
+    public static Hello hello(Frame frame) throws BadBytes {
+        ByteBuf head = Fields.need(frame, 11);
+        int version = head.readUnsignedShort();
+        if (version != VERSION) {
+            throw new BadBytes("store protocol of version " + version + ", known is " + VERSION);
+        }
+        return new Hello(head.readLong(), Fields.string(head));
+    }
+
+    public static Frame welcome(Welcome it) {
+        return new Frame(WELCOME, 0, Unpooled.buffer(32).writeInt(it.node()).writeInt(it.cell())
+                .writeShort(it.zone()).writeShort(it.kind()).writeBoolean(it.draining())
+                .writeLong(it.startedAt()));
+    }
+
+    public static Welcome welcome(Frame frame) throws BadBytes {
+        ByteBuf head = Fields.need(frame, 21);
+        return new Welcome(head.readInt(), head.readInt(), head.readUnsignedShort(), head.readUnsignedShort(),
+                head.readBoolean(), head.readLong());
+    }
+
+    public static Frame send(long hop, Send it, ByteBuf payload) {
+        ByteBuf head = Unpooled.buffer(SEND_HEAD).writeByte(it.kind().ordinal()).writeByte(it.band())
+                .writeBoolean(it.durable()).writeByte(it.repeat()).writeLong(it.mark()).writeByte(it.number())
+                .writeInt(it.volume()).writeLong(it.extent()).writeInt(it.offset()).writeInt(it.length())
+                .writeFloat(it.units()).writeLong(it.since());
+        return new Frame(SEND, hop, head, payload);
+    }
+
+    public static Send send(Frame frame) throws BadBytes {
+        ByteBuf head = Fields.need(frame, 45);
+        int kind = head.readUnsignedByte();
+        if (kind >= Kind.values().length) {
+            throw new BadBytes("operation of kind " + kind);
+        }
+        Send send = new Send(Kind.values()[kind], head.readUnsignedByte(), head.readBoolean(),
+                head.readUnsignedByte(), head.readLong(), head.readUnsignedByte(), head.readInt(),
+                head.readLong(), head.readInt(), head.readInt(), head.readFloat(), head.readLong());
+        int carried = frame.payload().readableBytes();
+        if (send.offset() < 0 || send.length() < 0 || send.offset() + send.length() < 0
+                || carried != (send.kind() == Kind.WRITE ? send.length() : 0)
+                || !(send.units() >= 0 && send.units() < 1e9)) {
+            throw new BadBytes("operation with figures that do not fit: " + send);
+        }
+        return send;
+    }
+
+    public static Frame answer(long hop, Answer it, ByteBuf payload) {
+        ByteBuf head = Unpooled.buffer(24).writeByte(it.code().ordinal()).writeShort(it.used())
+                .writeFloat(it.others()).writeByte(it.report().length);
+        for (float value : it.report()) {
+            head.writeFloat(value);
+        }
+        return new Frame(ANSWER, hop, head, payload);
+    }
+
+    public static Answer answer(Frame frame) throws BadBytes {
+        ByteBuf head = Fields.need(frame, 8);
+        int code = head.readUnsignedByte();
+        int used = head.readUnsignedShort();
+        float others = head.readFloat();
+        if (code >= Code.values().length || !(others >= 0 && others < 1e9)) {
+            throw new BadBytes("answer with code " + code + " and " + others + " units of others");
+        }
+        return new Answer(Code.values()[code], used, others, report(head));
+    }
+
+    public static Frame probed(long id, float[] report) {
+        ByteBuf head = Unpooled.buffer(20).writeByte(report.length);
+        for (float value : report) {
+            head.writeFloat(value);
+        }
+        return new Frame(PROBED, id, head);
+    }
+
+    public static Frame takePen(long id, int volume, long extent) {
+        return new Frame(TAKE_PEN, id, Unpooled.buffer(12).writeInt(volume).writeLong(extent));
+    }
+
+    /** A report of up to four values, as answers and probes carry it. */
+    public static float[] report(ByteBuf head) throws BadBytes {
+        int count = head.isReadable() ? head.readUnsignedByte() : -1;
+        if (count < 0 || count > MOST_REPORT || head.readableBytes() < 4 * count) {
+            throw new BadBytes("a load report of " + count + " values");
+        }
+        float[] report = count == 0 ? Answer.NO_REPORT : new float[count];
+        for (int i = 0; i < count; i++) {
+            report[i] = head.readFloat();
+        }
+        return report;
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/wire/Fields.java
@@ -0,0 +1,36 @@
+package sagepulley.wire;
+
+import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
+
+/** Reads and writes the fields of a frame's head that several protocols share. */
+public final class Fields {
+    private static final int LONGEST_NAME = 255;
+
+    private Fields() {
+    }
+
+    /** The frame's head, of which at least so many bytes must be there. */
+    public static ByteBuf need(Frame frame, int bytes) throws BadBytes {
+        if (frame.head().readableBytes() < bytes) {
+            throw new BadBytes("message " + frame.type() + " has " + frame.head().readableBytes()
+                    + " bytes of fields, needs " + bytes);
+        }
+        return frame.head();
+    }
+
+    /** A name of up to 255 bytes of UTF-8, its length before it; the rest of a longer one is cut. */
+    public static ByteBuf string(ByteBuf to, String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        int length = Math.min(bytes.length, LONGEST_NAME);
+        return to.writeByte(length).writeBytes(bytes, 0, length);
+    }
+
+    public static String string(ByteBuf from) throws BadBytes {
+        int length = from.isReadable() ? from.readUnsignedByte() : -1;
+        if (length < 0 || from.readableBytes() < length) {
+            throw new BadBytes("a name is cut off");
+        }
+        return from.readCharSequence(length, StandardCharsets.UTF_8).toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/wire/FrameEncoder.java
@@ -0,0 +1,35 @@
+package sagepulley.wire;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+
+/** Writes frames; the payload goes out as it is. */
+public final class FrameEncoder extends ChannelOutboundHandlerAdapter {
+    private final Crc crc = new Crc();
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+        Frame frame = (Frame) message;
+        int headLength = frame.head().readableBytes();
+        int payloadLength = frame.payload().readableBytes();
+        boolean apart = payloadLength > 0;
+        ByteBuf start = ctx.alloc().ioBuffer(Frame.PREFIX + headLength + (apart ? 0 : Frame.SUFFIX));
+        start.writeShort(Frame.MAGIC).writeByte(Frame.VERSION).writeByte(frame.type())
+                .writeInt(headLength).writeInt(payloadLength).writeLong(frame.id());
+        start.writeInt(crc.start().add(start, 0, Frame.PREFIX - 4).value());
+        crc.start().add(frame.head(), frame.head().readerIndex(), headLength)
+                .add(frame.payload(), frame.payload().readerIndex(), payloadLength);
+        start.writeBytes(frame.head());
+        frame.head().release();
+        if (!apart) {
+            frame.payload().release();
+            ctx.write(start.writeInt(crc.value()), promise);
+            return;
+        }
+        ctx.write(start);
+        ctx.write(frame.payload());
+        ctx.write(ctx.alloc().ioBuffer(Frame.SUFFIX).writeInt(crc.value()), promise);
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/wire/Loops.java
@@ -0,0 +1,36 @@
+package sagepulley.wire;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollIoHandler;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+/** Event loops and channels of the best kind that this machine has: epoll, else NIO. */
+public final class Loops {
+    private static final boolean EPOLL = Epoll.isAvailable();
+
+    private Loops() {
+    }
+
+    /** Loops whose threads bear the name and do not keep the program running. */
+    public static EventLoopGroup group(int loops, String name) {
+        return new MultiThreadIoEventLoopGroup(loops, new DefaultThreadFactory(name, true),
+                EPOLL ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
+    }
+
+    public static Class<? extends Channel> socket() {
+        return EPOLL ? EpollSocketChannel.class : NioSocketChannel.class;
+    }
+
+    public static Class<? extends ServerChannel> server() {
+        return EPOLL ? EpollServerSocketChannel.class : NioServerSocketChannel.class;
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/gateway/Rig.java
@@ -0,0 +1,86 @@
+package sagepulley.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import sagepulley.drill.Town;
+import sagepulley.nbd.NbdClient;
+import sagepulley.nbd.NbdReply;
+import sagepulley.standin.NodeTraits;
+import sagepulley.standin.Witness;
+import sagepulley.wire.Loops;
+
+/** A small town with a gateway, and clients of it. */
+final class Rig implements AutoCloseable {
+    static final int MIB = 1 << 20;
+    final Town town;
+    final Gateway gateway;
+    private final List<NbdClient> clients = new ArrayList<>();
+
+    Rig(int nodes) throws Exception {
+        this(nodes, Witness.NOBODY, "", "");
+    }
+
+    /** With one piece of the demo's site file put in place of another. */
+    Rig(int nodes, Witness witness, String piece, String other) throws Exception {
+        List<NodeTraits> traits = new ArrayList<>();
+        for (int i = 1; i <= nodes; i++) {
+            traits.add(NodeTraits.quick(i, MIB));
+        }
+        town = Town.start(traits, witness, 2);
+        gateway = town.open(site(0, 1).replace(piece, other), 1);
+    }
+
+    String site(int number, int gateways) {
+        return Town.demoSite("gw-" + number, number, gateways, 0, town.directory().address());
+    }
+
+    NbdClient client() {
+        return client(gateway, NbdClient.Style.GO);
+    }
+
+    NbdClient client(Gateway of, NbdClient.Style style) {
+        NbdClient client = await(NbdClient.open(town.loops(), Loops.socket(), of.address(), "demo", style));
+        clients.add(client);
+        return client;
+    }
+
+    static byte[] noise(int seed, int length) {
+        byte[] data = new byte[length];
+        new Random(seed).nextBytes(data);
+        return data;
+    }
+
+    /** The reply's data as an array. */
+    static byte[] data(NbdReply reply) {
+        ByteBuf data = reply.data();
+        try {
+            return ByteBufUtil.getBytes(data);
+        } finally {
+            data.release();
+        }
+    }
+
+    static <T> T await(CompletableFuture<T> future) {
+        return Town.await(future);
+    }
+
+    static <T> boolean endsWithin(CompletableFuture<T> future, double milliseconds) throws Exception {
+        try {
+            future.get((long) milliseconds, TimeUnit.MILLISECONDS);
+            return true;
+        } catch (java.util.concurrent.TimeoutException e) {
+            return false;
+        }
+    }
+
+    @Override
+    public void close() {
+        clients.forEach(client -> client.channel().close().awaitUninterruptibly());
+        town.close();
+    }
+}
