--- a/src/main/java/sagepulley/cli/Commands.java
+++ b/src/main/java/sagepulley/cli/Commands.java
@@ -4,6 +4,8 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ScopeType;
+import sagepulley.drill.DayError;
+import sagepulley.site.SiteError;
 
 /**
  * The command line. Exit codes: 0 all went well, 1 it failed, 2 the words were wrong, 3 a site file or script
@@ -13,7 +15,7 @@
         description = "A storage gateway that keeps volumes to their reservations, shares and limits.",
         synopsisSubcommandLabel = "COMMAND", sortOptions = false,
         subcommands = {GatewayCommand.class, NodeCommand.class, DirectoryCommand.class, DemoCommand.class,
-            CheckSiteCommand.class},
+            DrillCommand.class, CheckSiteCommand.class},
         footer = {"", "  simhost      the decisions on the bench's wire, on standard input and output"})
 public final class Commands implements Runnable {
     public static final int OK = 0;
@@ -52,7 +54,7 @@
     public static int run(String... words) {
         return new CommandLine(new Commands()).setExecutionExceptionHandler((failure, line, parsed) -> {
             line.getErr().println("sagepulley: " + failure.getMessage());
-            return failure instanceof sagepulley.site.SiteError ? UNUSABLE_FILE : FAILED;
+            return failure instanceof SiteError || failure instanceof DayError ? UNUSABLE_FILE : FAILED;
         }).execute(words);
     }
 }
--- /dev/null
+++ b/src/main/java/sagepulley/drill/Day.java
@@ -0,0 +1,33 @@
+package sagepulley.drill;
+
+import java.util.List;
+
+/** A scripted day as plain values. Times are milliseconds from the day's start, shares 0 to 1. */
+public record Day(String name, long seed, int gateways, Nodes nodes, String site, List<Load> loads,
+                  List<Event> events, double end, List<Expectation> expectations) {
+
+    /** The nodes, numbered from 1, by turns in the halls. */
+    public record Nodes(int count, int slots, int queue, double readCost, double writeCost, int halls,
+                        double deferredShare, double deferEvery) {
+    }
+
+    /** Requests that come by chance at a rate, whether or not answers keep up. */
+    public record Load(String name, String volume, double perSecond, double reads, int bytes, double from,
+                       double to, int extents, int connections) {
+    }
+
+    /** What can go wrong. */
+    public enum Fault {
+        SILENT, PAUSED, REFUSING, UNREACHABLE, CUT, DRAINS, GARBLES, RESTARTS_COLD, LOSES_POWER, GONE, SLOW,
+        LOSING, ERRING, DIRECTORY_SILENT, DIRECTORY_DOWN, DIRECTORY_FAILING, DIRECTORY_LAGGING, GATEWAY_KILLED,
+        SURGE
+    }
+
+    /** One fault: whom it meets (node numbers, or the gateway's), how much, and until when; NaN for good. */
+    public record Event(double at, Fault fault, List<Integer> whom, double much, String load, double until) {
+    }
+
+    /** A volume's service must be over a share. */
+    public record Expectation(String volume, double over) {
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/drill/DayReader.java
@@ -0,0 +1,320 @@
+package sagepulley.drill;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.antlr.v4.runtime.BaseErrorListener;
+import org.antlr.v4.runtime.CharStreams;
+import org.antlr.v4.runtime.CommonTokenStream;
+import org.antlr.v4.runtime.Lexer;
+import org.antlr.v4.runtime.ParserRuleContext;
+import org.antlr.v4.runtime.RecognitionException;
+import org.antlr.v4.runtime.Recognizer;
+import org.antlr.v4.runtime.Token;
+import sagepulley.drill.grammar.DayBaseVisitor;
+import sagepulley.drill.grammar.DayLexer;
+import sagepulley.drill.grammar.DayParser;
+
+/** Reads scripts of days; every mistake is told with line and column. */
+public final class DayReader {
+    private static final double LONGEST = 3_600_000;
+    private static final int MOST_NODES = 64;
+    private static final int MOST_GATEWAYS = 64;
+    private static final double MOST_PER_SECOND = 100_000;
+
+    private DayReader() {
+    }
+
+    public static Day read(Path file) throws DayError {
+        try {
+            return read(file.toString(), Files.readString(file));
+        } catch (IOException e) {
+            throw new DayError(file + ": cannot be read: " + e);
+        }
+    }
+
+    /** Reads a script; the name stands in errors. */
+    public static Day read(String name, String text) throws DayError {
+        List<String> mistakes = new ArrayList<>();
+        BaseErrorListener listener = new BaseErrorListener() {
+            @Override
+            public void syntaxError(Recognizer<?, ?> recognizer, Object symbol, int line, int column,
+                                    String message, RecognitionException cause) {
+                mistakes.add(name + ":" + line + ":" + (column + 1) + ": " + message);
+            }
+        };
+        Lexer lexer = new DayLexer(CharStreams.fromString(text, name));
+        DayParser parser = new DayParser(new CommonTokenStream(lexer));
+        lexer.removeErrorListeners();
+        lexer.addErrorListener(listener);
+        parser.removeErrorListeners();
+        parser.addErrorListener(listener);
+        DayParser.DayContext tree = parser.day();
+        if (mistakes.isEmpty()) {
+            Builder builder = new Builder(name, mistakes);
+            builder.visit(tree);
+            Day day = builder.day();
+            if (mistakes.isEmpty()) {
+                return day;
+            }
+        }
+        throw new DayError(String.join("\n", mistakes));
+    }
+
+    private static final class Builder extends DayBaseVisitor<Void> {
+        private final String file;
+        private final List<String> mistakes;
+        private String name = "a day";
+        private long seed = 1;
+        private int gateways = 1;
+        private int nodes = 6;
+        private int slots = 4;
+        private int queue = 64;
+        private double readCost = 2;
+        private double writeCost = 3;
+        private int halls = 2;
+        private double deferredShare;
+        private double deferEvery = 1000;
+        private String site = "";
+        private double end = 10_000;
+        private final List<Day.Load> loads = new ArrayList<>();
+        private final List<Day.Event> events = new ArrayList<>();
+        private final List<Day.Expectation> expectations = new ArrayList<>();
+        private double from;
+        private double to;
+        private double reads;
+        private int bytes;
+        private int extents;
+        private int connections;
+
+        Builder(String file, List<String> mistakes) {
+            this.file = file;
+            this.mistakes = mistakes;
+        }
+
+        Day day() {
+            List<Day.Load> ending = new ArrayList<>();
+            for (Day.Load load : loads) {
+                ending.add(Double.isNaN(load.to()) ? new Day.Load(load.name(), load.volume(), load.perSecond(),
+                        load.reads(), load.bytes(), load.from(), end, load.extents(), load.connections()) : load);
+            }
+            return new Day(name, seed, gateways, new Day.Nodes(nodes, slots, queue, readCost, writeCost, halls,
+                    deferredShare, deferEvery), site, ending, events, end, expectations);
+        }
+
+        private double number(Token token, double least, double most, String what) {
+            double value = Double.parseDouble(token.getText());
+            if (value < least || value > most) {
+                mistakes.add(file + ":" + token.getLine() + ":" + (token.getCharPositionInLine() + 1) + ": "
+                        + what + " is " + token.getText() + ", allowed is " + least + " to " + most);
+                return least;
+            }
+            return value;
+        }
+
+        private double time(DayParser.DurationContext duration) {
+            String unit = duration.getChild(1).getText();
+            double factor = unit.equals("ms") ? 1 : unit.equals("s") ? 1000 : 60_000;
+            return Math.min(LONGEST, number(duration.NUMBER().getSymbol(), 0, LONGEST, "a time") * factor);
+        }
+
+        private void mistake(ParserRuleContext where, String what) {
+            mistakes.add(file + ":" + where.start.getLine() + ":" + (where.start.getCharPositionInLine() + 1)
+                    + ": " + what);
+        }
+
+        @Override
+        public Void visitNamed(DayParser.NamedContext it) {
+            name = it.TEXT().getText().replace("\"", "");
+            return null;
+        }
+
+        @Override
+        public Void visitSeed(DayParser.SeedContext it) {
+            seed = (long) number(it.NUMBER().getSymbol(), 0, 1e15, "the seed");
+            return null;
+        }
+
+        @Override
+        public Void visitGateways(DayParser.GatewaysContext it) {
+            gateways = (int) number(it.NUMBER().getSymbol(), 1, MOST_GATEWAYS, "the number of gateways");
+            return null;
+        }
+
+        @Override
+        public Void visitNodes(DayParser.NodesContext it) {
+            nodes = (int) number(it.NUMBER().getSymbol(), 1, MOST_NODES, "the number of nodes");
+            return visitChildren(it);
+        }
+
+        @Override
+        public Void visitSlots(DayParser.SlotsContext it) {
+            slots = (int) number(it.NUMBER().getSymbol(), 1, 1024, "slots");
+            return null;
+        }
+
+        @Override
+        public Void visitQueue(DayParser.QueueContext it) {
+            queue = (int) number(it.NUMBER().getSymbol(), 1, 100_000, "the queue");
+            return null;
+        }
+
+        @Override
+        public Void visitReadCost(DayParser.ReadCostContext it) {
+            readCost = time(it.duration());
+            return null;
+        }
+
+        @Override
+        public Void visitWriteCost(DayParser.WriteCostContext it) {
+            writeCost = time(it.duration());
+            return null;
+        }
+
+        @Override
+        public Void visitHalls(DayParser.HallsContext it) {
+            halls = (int) number(it.NUMBER().getSymbol(), 1, 16, "the number of halls");
+            return null;
+        }
+
+        @Override
+        public Void visitDefer(DayParser.DeferContext it) {
+            deferredShare = number(it.NUMBER().getSymbol(), 0, 100, "the share") / 100;
+            deferEvery = Math.max(1, time(it.duration()));
+            return null;
+        }
+
+        @Override
+        public Void visitSite(DayParser.SiteContext it) {
+            String text = it.BLOCK().getText();
+            site = text.substring(2, text.length() - 2);
+            return null;
+        }
+
+        @Override
+        public Void visitLoad(DayParser.LoadContext it) {
+            from = 0;
+            to = Double.NaN;
+            reads = 0.7;
+            bytes = 16 << 10;
+            extents = Integer.MAX_VALUE;
+            connections = 1;
+            visitChildren(it);
+            loads.add(new Day.Load(it.WORD(0).getText(), it.WORD(1).getText(),
+                    number(it.NUMBER().getSymbol(), 0.01, MOST_PER_SECOND, "the rate"), reads, bytes, from, to,
+                    extents, connections));
+            return null;
+        }
+
+        @Override
+        public Void visitReads(DayParser.ReadsContext it) {
+            reads = number(it.NUMBER().getSymbol(), 0, 100, "the share of reads") / 100;
+            return null;
+        }
+
+        @Override
+        public Void visitSize(DayParser.SizeContext it) {
+            double factor = it.UNIT().getText().equals("KiB") ? 1 << 10 : 1 << 20;
+            bytes = (int) (number(it.NUMBER().getSymbol(), 0, 32 << 10, "the size") * factor);
+            if (bytes < 4096 || bytes > 32 << 20 || bytes % 4096 != 0) {
+                mistake(it, "the size is " + bytes + " bytes, allowed are multiples of 4 KiB up to 32 MiB");
+                bytes = 4096;
+            }
+            return null;
+        }
+
+        @Override
+        public Void visitFrom(DayParser.FromContext it) {
+            from = time(it.duration());
+            return null;
+        }
+
+        @Override
+        public Void visitTo(DayParser.ToContext it) {
+            to = time(it.duration());
+            return null;
+        }
+
+        @Override
+        public Void visitExtents(DayParser.ExtentsContext it) {
+            extents = (int) number(it.NUMBER().getSymbol(), 1, 1e9, "the number of extents");
+            return null;
+        }
+
+        @Override
+        public Void visitConnections(DayParser.ConnectionsContext it) {
+            connections = (int) number(it.NUMBER().getSymbol(), 1, 256, "the number of connections");
+            return null;
+        }
+
+        @Override
+        public Void visitAt(DayParser.AtContext it) {
+            double at = time(it.duration(0));
+            double until = it.duration().size() > 1 ? at + time(it.duration(1)) : Double.NaN;
+            DayParser.EventContext what = it.event();
+            if (what instanceof DayParser.NodeEventContext node) {
+                events.add(nodeEvent(node, at, until));
+            } else if (what instanceof DayParser.DirectoryEventContext directory) {
+                DayParser.DirectoryFaultContext fault = directory.directoryFault();
+                Day.Fault kind = Day.Fault.valueOf("DIRECTORY_" + fault.getChild(0).getText().toUpperCase());
+                double much = fault.duration() == null ? 0 : time(fault.duration());
+                events.add(new Day.Event(at, kind, List.of(), much, "", until));
+            } else if (what instanceof DayParser.GatewayKilledContext killed) {
+                int which = (int) number(killed.NUMBER().getSymbol(), 1, gateways, "the gateway");
+                events.add(new Day.Event(at, Day.Fault.GATEWAY_KILLED, List.of(which), 0, "", until));
+            } else if (what instanceof DayParser.SurgeContext surge) {
+                String load = surge.WORD().getText();
+                if (loads.stream().noneMatch(known -> known.name().equals(load))) {
+                    mistake(surge, "no load is called " + load);
+                }
+                events.add(new Day.Event(at, Day.Fault.SURGE, List.of(),
+                        number(surge.NUMBER().getSymbol(), 0, 1000, "the factor"), load, until));
+            }
+            return null;
+        }
+
+        private Day.Event nodeEvent(DayParser.NodeEventContext it, double at, double until) {
+            String word = it.fault().getChild(0).getText();
+            Day.Fault fault = switch (word) {
+                case "restarts" -> Day.Fault.RESTARTS_COLD;
+                case "loses" -> Day.Fault.LOSES_POWER;
+                default -> Day.Fault.valueOf(word.toUpperCase());
+            };
+            double much = it.fault().NUMBER() == null ? 0
+                    : number(it.fault().NUMBER().getSymbol(), 0, 10_000, "how much");
+            if (fault == Day.Fault.LOSING || fault == Day.Fault.ERRING) {
+                much = Math.min(100, much) / 100;
+            }
+            return new Day.Event(at, fault, whom(it.target()), much, "", until);
+        }
+
+        private List<Integer> whom(DayParser.TargetContext target) {
+            if (target instanceof DayParser.NodeNumbersContext numbers) {
+                return numbers.NUMBER().stream()
+                        .map(one -> (int) number(one.getSymbol(), 1, nodes, "the node")).toList();
+            }
+            if (target instanceof DayParser.HallContext hall) {
+                int which = (int) number(hall.NUMBER().getSymbol(), 1, halls, "the hall");
+                return IntStream.rangeClosed(1, nodes).filter(node -> (node - 1) % halls == which - 1).boxed()
+                        .toList();
+            }
+            return IntStream.rangeClosed(1, nodes).boxed().toList();
+        }
+
+        @Override
+        public Void visitEnd(DayParser.EndContext it) {
+            end = Math.max(100, time(it.duration()));
+            return null;
+        }
+
+        @Override
+        public Void visitExpect(DayParser.ExpectContext it) {
+            expectations.add(new Day.Expectation(it.WORD().getText(),
+                    number(it.NUMBER().getSymbol(), 0, 100, "the service") / 100));
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/drill/Drill.java
@@ -0,0 +1,279 @@
+package sagepulley.drill;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sagepulley.directory.DirectoryWire;
+import sagepulley.gateway.Gateway;
+import sagepulley.site.Site;
+import sagepulley.site.SiteError;
+import sagepulley.site.VolumeLine;
+import sagepulley.standin.NodeTraits;
+import sagepulley.standin.StandInNode;
+
+/** Plays a scripted day through real gateways on loopback and judges it by what passed on the sockets. */
+public final class Drill {
+    private static final Logger LOG = LoggerFactory.getLogger(Drill.class);
+    private static final long END_WAIT_MS = 30_000;
+
+    /** What a day came to. */
+    public record Result(String day, List<Verdict> verdicts, Map<String, Double> service, List<String> unmet,
+                         long requests, long hops, double stoodStill) {
+        /** Whether every rule and promise was kept, and every expectation met. */
+        public boolean good() {
+            return unmet.isEmpty() && verdicts.stream().allMatch(Verdict::kept);
+        }
+    }
+
+    /** Opens a gateway; tests put a broken one in its place. */
+    public interface Opener {
+        /** A running gateway: where clients connect, and its end as by a kill. */
+        record Opened(InetSocketAddress address, Runnable kill) {
+        }
+
+        Opened open(Site site, long seed);
+    }
+
+    private final Day day;
+    private final Opener opener;
+    private final Notebook notes = new Notebook();
+    private final Ledger ledger = new Ledger();
+    private final List<Loader> loaders = new ArrayList<>();
+    private final List<Loader.Door> doors = new ArrayList<>();
+    private final List<Opener.Opened> gateways = new ArrayList<>();
+    private final List<Notebook.Life> lives = new ArrayList<>();
+    private final ScheduledExecutorService script = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "script");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private Town town;
+    private long seeds;
+
+    public Drill(Day day) {
+        this(day, (site, seed) -> {
+            Gateway gateway = Town.await(new Gateway(site, seed).start());
+            return new Opener.Opened(gateway.address(), () -> Town.await(gateway.kill()));
+        });
+    }
+
+    public Drill(Day day, Opener opener) {
+        this.day = day;
+        this.opener = opener;
+        this.seeds = day.seed() * 1000;
+    }
+
+    /** Plays the day to its end. */
+    public Result run() throws SiteError {
+        List<NodeTraits> traits = new ArrayList<>();
+        Site first = site(0, new InetSocketAddress("127.0.0.1", 1));
+        var rules = first.deployment().rules();
+        Day.Nodes nodes = day.nodes();
+        for (int i = 1; i <= nodes.count(); i++) {
+            traits.add(new NodeTraits(i, i, (i - 1) % nodes.halls(), 0, nodes.slots(), nodes.readCost(),
+                    nodes.writeCost(), nodes.queue(), first.extentBytes(), rules.coldShare(), rules.coldTime(),
+                    rules.fallMultiple(), rules.fallTime(), rules.coldUnits(), nodes.deferredShare(),
+                    nodes.deferEvery(), null));
+        }
+        try (Metronome machine = new Metronome(); Town all = Town.start(traits, notes, 3)) {
+            town = all;
+            machine.watch(all.loops());
+            for (int i = 0; i < day.gateways(); i++) {
+                doors.add(new Loader.Door());
+                gateways.add(null);
+                lives.add(null);
+                open(i);
+            }
+            for (Day.Load load : day.loads()) {
+                VolumeLine volume = first.volumes().stream().filter(one -> one.name().equals(load.volume()))
+                        .findFirst().orElseThrow(() -> new SiteError("load " + load.name() + ": no volume is called "
+                                + load.volume()));
+                loaders.add(new Loader(load, first, volume, doors, notes, ledger, all.loops(),
+                        day.seed() * 31 + loaders.size()));
+            }
+            play();
+            synchronized (notes) {
+                Judge judge = new Judge(notes, first, traits, machine.stoodStill());
+                List<Verdict> verdicts = new ArrayList<>(judge.verdicts());
+                verdicts.add(new Verdict("reads show the last acknowledged write", ledger.breaches().isEmpty(),
+                        ledger.checked() + " blocks read", "all of them", ledger.breaches()));
+                Map<String, Double> service = judge.service();
+                List<String> unmet = new ArrayList<>();
+                for (Day.Expectation wanted : day.expectations()) {
+                    double got = service.getOrDefault(wanted.volume(), 0.0);
+                    if (!(got > wanted.over())) {
+                        unmet.add("service of " + wanted.volume() + " is " + Math.round(100 * got) + " %, expected over "
+                                + Math.round(100 * wanted.over()) + " %");
+                    }
+                }
+                return new Result(day.name(), verdicts, service, unmet, notes.asked.size(), notes.came.size(),
+                        machine.stoodStill());
+            }
+        } finally {
+            script.shutdownNow();
+        }
+    }
+
+    private void play() {
+        long start = System.nanoTime();
+        for (Day.Event event : day.events()) {
+            script.schedule(() -> begin(event), (long) event.at(), TimeUnit.MILLISECONDS);
+            if (!Double.isNaN(event.until())) {
+                script.schedule(() -> finish(event), (long) event.until(), TimeUnit.MILLISECONDS);
+            }
+        }
+        loaders.forEach(loader -> loader.start(start));
+        CompletableFuture<Void> over = new CompletableFuture<>();
+        script.schedule(() -> over.complete(null), (long) day.end(), TimeUnit.MILLISECONDS);
+        over.join();
+        loaders.forEach(Loader::stop);
+        long until = System.nanoTime() + END_WAIT_MS * 1_000_000;
+        while (loaders.stream().anyMatch(loader -> loader.open() > 0) && System.nanoTime() < until) {
+            try {
+                Thread.sleep(10);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                break;
+            }
+        }
+        loaders.forEach(Loader::close);
+        for (Opener.Opened gateway : gateways) {
+            if (gateway != null) {
+                gateway.kill().run();
+            }
+        }
+    }
+
+    private void open(int index) throws SiteError {
+        long seed = ++seeds;
+        Notebook.Life life = notes.opened(index, seed, System.nanoTime());
+        Opener.Opened opened = opener.open(site(index, town.directory().address()), seed);
+        gateways.set(index, opened);
+        lives.set(index, life);
+        doors.get(index).gateway = seed;
+        doors.get(index).address = opened.address();
+    }
+
+    private Site site(int index, InetSocketAddress directory) throws SiteError {
+        String text = Town.demoSite("gw-" + index, index, day.gateways(), 0, directory);
+        if (!day.site().isBlank()) {
+            // The script's own sections stand in place of the demo's; who the gateway is stays.
+            text = text.substring(0, text.indexOf("[site]")).replace("zone = hall-a\n", "") + day.site();
+        }
+        return Site.read(day.name(), text);
+    }
+
+    private void begin(Day.Event event) {
+        LOG.atInfo().addKeyValue("fault", event.fault()).addKeyValue("whom", event.whom()).log("fault begins");
+        try {
+            switch (event.fault()) {
+                case DIRECTORY_SILENT -> town.directory().silent(true);
+                case DIRECTORY_FAILING -> town.directory().failing(true);
+                case DIRECTORY_LAGGING -> town.directory().lag(event.much());
+                case DIRECTORY_DOWN -> Town.await(town.directory().stop());
+                case GATEWAY_KILLED -> kill(event.whom().get(0) - 1);
+                case SURGE -> surge(event, event.much());
+                default -> nodes(event).forEach(node -> begin(event, node));
+            }
+        } catch (RuntimeException e) {
+            LOG.atError().setCause(e).log("fault failed");
+        }
+    }
+
+    private void finish(Day.Event event) {
+        LOG.atInfo().addKeyValue("fault", event.fault()).addKeyValue("whom", event.whom()).log("fault ends");
+        try {
+            switch (event.fault()) {
+                case DIRECTORY_SILENT -> town.directory().silent(false);
+                case DIRECTORY_FAILING -> town.directory().failing(false);
+                case DIRECTORY_LAGGING -> town.directory().lag(0);
+                case DIRECTORY_DOWN -> Town.await(town.directory().restart());
+                case GATEWAY_KILLED -> open(event.whom().get(0) - 1);
+                case SURGE -> surge(event, 1);
+                default -> nodes(event).forEach(node -> finish(event, node));
+            }
+        } catch (RuntimeException | SiteError e) {
+            LOG.atError().setCause(e).log("end of fault failed");
+        }
+    }
+
+    private List<StandInNode> nodes(Day.Event event) {
+        return event.whom().stream().map(number -> town.nodes().get(number - 1)).toList();
+    }
+
+    private void surge(Day.Event event, double times) {
+        loaders.stream().filter(loader -> loader.load().name().equals(event.load()))
+                .forEach(loader -> loader.surge(times));
+    }
+
+    private void kill(int index) {
+        doors.get(index).address = null;
+        lives.get(index).until = System.nanoTime();
+        gateways.get(index).kill().run();
+        gateways.set(index, null);
+    }
+
+    private void begin(Day.Event event, StandInNode node) {
+        switch (event.fault()) {
+            case SILENT -> node.faults().silent = true;
+            case PAUSED -> node.pause(true);
+            case REFUSING -> node.faults().refusing = true;
+            case UNREACHABLE -> {
+                node.faults().unreachable = true;
+                node.cut();
+            }
+            case CUT -> node.cut();
+            case GARBLES -> node.faults().garble = true;
+            case SLOW -> node.faults().slow = Math.max(1, event.much());
+            case LOSING -> node.faults().losing = event.much();
+            case ERRING -> node.faults().erring = event.much();
+            case DRAINS -> town.drain(node);
+            case RESTARTS_COLD -> town.restartCold(node);
+            case LOSES_POWER -> {
+                Town.await(node.powerFails());
+                town.list(node, DirectoryWire.Standing.READY);
+            }
+            case GONE -> {
+                Town.await(node.stop());
+                town.list(node, DirectoryWire.Standing.GONE);
+            }
+            default -> throw new IllegalStateException("not a node's fault: " + event.fault());
+        }
+    }
+
+    private void finish(Day.Event event, StandInNode node) {
+        switch (event.fault()) {
+            case SILENT -> node.faults().silent = false;
+            case PAUSED -> node.pause(false);
+            case REFUSING -> node.faults().refusing = false;
+            case UNREACHABLE -> node.faults().unreachable = false;
+            case SLOW -> node.faults().slow = 1;
+            case LOSING -> node.faults().losing = 0;
+            case ERRING -> node.faults().erring = 0;
+            case GONE -> town.restartCold(node);
+            default -> { } // over at once, or for good
+        }
+    }
+
+    /** A day that comes with the program. */
+    public static String builtIn(String name) throws DayError {
+        try (InputStream from = Drill.class.getResourceAsStream("/days/" + name + ".day")) {
+            if (from == null) {
+                throw new DayError(name + ": no such day comes with the program");
+            }
+            return new String(from.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new DayError(name + ": cannot be read: " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/drill/Judge.java
@@ -0,0 +1,422 @@
+package sagepulley.drill;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import sagepulley.directory.DirectoryWire;
+import sagepulley.model.Band;
+import sagepulley.model.Plan;
+import sagepulley.model.Rulebook;
+import sagepulley.site.Site;
+import sagepulley.site.VolumeLine;
+import sagepulley.standin.NodeTraits;
+import sagepulley.store.StoreWire;
+
+/**
+ * Works out how the seven rules were kept (WIRE 9) from what was noted at the sockets alone. Where a time is
+ * judged that was taken at another socket, the way between and what the machine stood still is allowed for.
+ */
+public final class Judge {
+    private static final double NS = 1e6;
+    private static final double WAY_MS = 60;
+    private static final int BREACHES = 5;
+
+    private record Op(long gateway, long mark) {
+    }
+
+    private final Notebook notes;
+    private final Site site;
+    private final List<NodeTraits> traits;
+    private final double allowance;
+    private final Map<Op, List<Notebook.Came>> hops = new HashMap<>();
+    private final Map<Op, List<Notebook.Answered>> answers = new HashMap<>();
+    private final Map<Op, List<Notebook.CalledOff>> callsOff = new HashMap<>();
+
+    /** Still is how many milliseconds the machine stood still in all. */
+    public Judge(Notebook notes, Site site, List<NodeTraits> traits, double still) {
+        this.notes = notes;
+        this.site = site;
+        this.traits = traits;
+        this.allowance = WAY_MS + still;
+        for (Notebook.Came came : notes.came) {
+            hops.computeIfAbsent(new Op(came.gateway(), came.send().mark()), any -> new ArrayList<>()).add(came);
+        }
+        for (Notebook.Answered answer : notes.answered) {
+            answers.computeIfAbsent(new Op(answer.gateway(), answer.mark()), any -> new ArrayList<>()).add(answer);
+        }
+        for (Notebook.CalledOff off : notes.calledOff) {
+            callsOff.computeIfAbsent(new Op(off.gateway(), off.mark()), any -> new ArrayList<>()).add(off);
+        }
+    }
+
+    /** All seven, in order. */
+    public List<Verdict> verdicts() {
+        return List.of(answered(), effects(), drains(), cold(), order(), budget(), limits());
+    }
+
+    private static final class Findings {
+        final List<String> breaches = new ArrayList<>();
+        int count;
+
+        void breach(String what) {
+            count++;
+            if (breaches.size() < BREACHES) {
+                breaches.add(what);
+            }
+        }
+
+        Verdict verdict(String rule, String figure, String bound) {
+            return new Verdict(rule, count == 0, figure, bound, breaches);
+        }
+    }
+
+    // ---- 1: one final answer in time, nothing after it ----
+
+    private Verdict answered() {
+        Findings findings = new Findings();
+        double least = Double.POSITIVE_INFINITY;
+        int owed = 0;
+        Map<String, List<Notebook.Asked>> byExtent = new HashMap<>();
+        for (Notebook.Asked asked : notes.asked) {
+            double patience = site.deployment().bands().get(asked.band).patience();
+            for (long extent = asked.offset / site.extentBytes();
+                    extent <= (asked.offset + asked.length - 1) / site.extentBytes(); extent++) {
+                byExtent.computeIfAbsent(key(asked.gateway, asked.volume, extent), any -> new ArrayList<>())
+                        .add(asked);
+            }
+            if (asked.cut) {
+                continue;
+            }
+            owed++;
+            double took = (asked.ended - asked.sent) / NS;
+            if (asked.replies != 1) {
+                findings.breach(asked.replies + " final answers to a " + asked.kind + " at " + asked.offset);
+            } else {
+                least = Math.min(least, patience - took);
+                if (took > patience + site.deployment().rules().answerGrace() + allowance) {
+                    findings.breach("answered after " + round(took) + " ms of " + round(patience));
+                }
+            }
+        }
+        for (Notebook.Came came : notes.came) {
+            StoreWire.Send send = came.send();
+            if (send.kind() == StoreWire.Kind.FLUSH) {
+                continue;
+            }
+            long at = send.extent() * site.extentBytes() + send.offset();
+            boolean open = byExtent.getOrDefault(key(came.gateway(), send.volume(), send.extent()), List.of())
+                    .stream().anyMatch(asked -> asked.kind == send.kind() && asked.offset < at + send.length()
+                            && at < asked.offset + asked.length && asked.sent <= came.at()
+                            && (asked.replies == 0 || came.at() <= asked.ended + allowance * NS));
+            if (!open) {
+                findings.breach("hop " + send.number() + " of operation " + send.mark() + " came to node "
+                        + came.node() + " with nobody waiting for it");
+            }
+        }
+        return findings.verdict("1 one final answer, in time", owed + " owed, at least " + round(least)
+                + " ms of patience left", "0 ms");
+    }
+
+    private static String key(long gateway, int volume, long extent) {
+        return gateway + "/" + volume + "/" + extent;
+    }
+
+    // ---- 2: no effect twice ----
+
+    private Verdict effects() {
+        Findings findings = new Findings();
+        Map<Op, Integer> runs = new HashMap<>();
+        for (Notebook.Ran ran : notes.ran) {
+            Op op = new Op(ran.gateway(), ran.send().mark());
+            int count = runs.merge(op, 1, Integer::sum);
+            if (count > 1 && band(ran.send()).repeat() != Band.Repeat.IDEMPOTENT) {
+                findings.breach("operation " + op.mark() + " of band " + band(ran.send()).name() + " ran "
+                        + count + " times");
+            }
+        }
+        int further = 0;
+        for (Map.Entry<Op, List<Notebook.Came>> entry : hops.entrySet()) {
+            List<Notebook.Came> sent = entry.getValue();
+            for (int i = 1; i < sent.size(); i++) {
+                further++;
+                again(findings, entry.getKey(), sent.get(i - 1), sent.get(i));
+            }
+        }
+        return findings.verdict("2 no effect twice", further + " further hops", "each allowed by its band");
+    }
+
+    private void again(Findings findings, Op op, Notebook.Came before, Notebook.Came came) {
+        Band band = band(came.send());
+        Notebook.Answered answer = answerTo(op, before.send().number());
+        boolean neverRan = answer != null && !answer.lost() && answer.at() <= came.at()
+                && answer.code() != StoreWire.Code.SATISFIED && answer.code() != StoreWire.Code.FAULT
+                && answer.code() != StoreWire.Code.CALLED_OFF;
+        if (neverRan) {
+            return;
+        }
+        if (band.repeat() == Band.Repeat.UNREPEATABLE) {
+            findings.breach("unrepeatable operation " + op.mark() + " was sent again though it may have run");
+        } else if (band.repeat() == Band.Repeat.DEDUPLICATED && band.group() == Band.Group.CELL
+                && before.node() != came.node()) {
+            findings.breach("deduplicated operation " + op.mark() + " was sent to another cell");
+        }
+        boolean over = answer != null && answer.at() <= came.at() + allowance * NS
+                || callsOff.getOrDefault(op, List.of()).stream().anyMatch(off ->
+                        off.number() == before.send().number() && off.at() <= came.at() + allowance * NS)
+                || linkEnded(before, came.at());
+        if (!over && !site.deployment().rules().secondCopies()) {
+            findings.breach("two hops of operation " + op.mark() + " were out at once");
+        }
+    }
+
+    /** Whether the node of a hop, before a time, started anew; a cut link shows as a hop never answered. */
+    private boolean linkEnded(Notebook.Came hop, long until) {
+        for (Notebook.Came other : notes.came) {
+            if (other.node() == hop.node() && other.gateway() == hop.gateway() && other.at() > until) {
+                // The node was still read from by this gateway later, and never heard of a calling off.
+                return notes.started.stream().anyMatch(start -> start.node() == hop.node()
+                        && start.at() > hop.at() && start.at() < other.at());
+            }
+        }
+        return true;
+    }
+
+    private Notebook.Answered answerTo(Op op, int number) {
+        for (Notebook.Answered answer : answers.getOrDefault(op, List.of())) {
+            if (answer.number() == number) {
+                return answer;
+            }
+        }
+        return null;
+    }
+
+    private Band band(StoreWire.Send send) {
+        return site.deployment().bands().get(send.band());
+    }
+
+    // ---- 3: drains ----
+
+    private Verdict drains() {
+        Findings findings = new Findings();
+        Map<Long, Map<Integer, Long>> toldAt = new HashMap<>();
+        Map<Long, Set<Integer>> known = new HashMap<>();
+        List<Object[]> all = new ArrayList<>();
+        notes.told.forEach(told -> all.add(new Object[] {told.at(), told}));
+        notes.came.forEach(came -> all.add(new Object[] {came.at(), came}));
+        all.sort(Comparator.comparingLong(one -> (long) one[0]));
+        double latest = Double.NEGATIVE_INFINITY;
+        double grace = site.deployment().rules().drainGrace();
+        for (Object[] one : all) {
+            if (one[1] instanceof Notebook.Told told) {
+                Map<Integer, Long> gone = toldAt.computeIfAbsent(told.gateway(), any -> new HashMap<>());
+                Set<Integer> nodes = known.computeIfAbsent(told.gateway(), any -> new HashSet<>());
+                Set<Integer> listed = new HashSet<>();
+                for (DirectoryWire.Line line : told.lines()) {
+                    nodes.add(line.node());
+                    listed.add(line.node());
+                    if (line.standing() == DirectoryWire.Standing.READY) {
+                        gone.remove(line.node());
+                    } else {
+                        gone.putIfAbsent(line.node(), told.at());
+                    }
+                }
+                if (told.whole()) {
+                    nodes.stream().filter(node -> !listed.contains(node))
+                            .forEach(node -> gone.putIfAbsent(node, told.at()));
+                }
+            } else if (one[1] instanceof Notebook.Came came) {
+                Long since = toldAt.getOrDefault(came.gateway(), Map.of()).get(came.node());
+                if (since != null) {
+                    double after = (came.at() - since) / NS;
+                    latest = Math.max(latest, after);
+                    if (after > grace + allowance) {
+                        findings.breach("node " + came.node() + " was sent to " + round(after)
+                                + " ms after its drain was told");
+                    }
+                }
+            }
+        }
+        return findings.verdict("3 drains kept", latest == Double.NEGATIVE_INFINITY ? "nothing sent after"
+                : "last " + round(latest) + " ms after", round(grace) + " ms");
+    }
+
+    // ---- 4: cold nodes ----
+
+    private Verdict cold() {
+        Findings findings = new Findings();
+        Rulebook rules = site.deployment().rules();
+        double most = 0;
+        for (Notebook.Started start : notes.started) {
+            if (Double.isNaN(start.unitsPerSecond()) || Double.isInfinite(start.unitsPerSecond())) {
+                continue;
+            }
+            NodeTraits node = traits.stream().filter(one -> one.id() == start.node()).findFirst().orElseThrow();
+            ArrayDeque<Notebook.Came> window = new ArrayDeque<>();
+            double units = 0;
+            for (Notebook.Came came : notes.came) {
+                double age = (came.at() - start.at()) / NS;
+                if (came.node() != start.node() || age < 0 || age > rules.coldTime()) {
+                    continue;
+                }
+                window.add(came);
+                units += came.send().units();
+                while ((came.at() - window.peek().at()) / NS > rules.fallTime()) {
+                    units -= window.poll().send().units();
+                }
+                double warm = Math.min(1, node.coldShare() + (1 - node.coldShare()) * age / node.coldTime());
+                double borne = Math.max(rules.coldUnits(),
+                        rules.fallMultiple() * warm * start.unitsPerSecond() * rules.fallTime() / 1000);
+                most = Math.max(most, units / borne);
+            }
+        }
+        for (Notebook.Fell fell : notes.fell) {
+            findings.breach("node " + fell.node() + " was pushed over");
+        }
+        return findings.verdict("4 no cold node pushed over", "at most " + round(100 * most) + " % of what it bears",
+                "100 %");
+    }
+
+    // ---- 5: order by key ----
+
+    private Verdict order() {
+        Findings findings = new Findings();
+        Map<String, List<Op>> byKey = new HashMap<>();
+        int ordered = 0;
+        for (Map.Entry<Op, List<Notebook.Came>> entry : hops.entrySet()) {
+            StoreWire.Send send = entry.getValue().get(0).send();
+            if (band(send).inOrder()) {
+                ordered++;
+                byKey.computeIfAbsent(key(entry.getKey().gateway(), send.volume(), send.extent()),
+                        any -> new ArrayList<>()).add(entry.getKey());
+            }
+        }
+        for (List<Op> ops : byKey.values()) {
+            ops.sort(Comparator.comparingLong(Op::mark));
+            for (int i = 1; i < ops.size(); i++) {
+                Notebook.Came first = hops.get(ops.get(i)).get(0);
+                for (Notebook.Came earlier : hops.get(ops.get(i - 1))) {
+                    Notebook.Answered answer = answerTo(ops.get(i - 1), earlier.send().number());
+                    boolean ended = answer != null && answer.at() <= first.at()
+                            || callsOff.getOrDefault(ops.get(i - 1), List.of()).stream()
+                                    .anyMatch(off -> off.at() <= first.at());
+                    if (earlier.at() > first.at() || !ended && !linkEnded(earlier, first.at())) {
+                        findings.breach("operation " + ops.get(i).mark() + " was sent before operation "
+                                + ops.get(i - 1).mark() + " of the same key was over");
+                    }
+                }
+            }
+        }
+        return findings.verdict("5 order kept", ordered == 0 ? "no band asks for it" : ordered + " in order",
+                "one at a time");
+    }
+
+    // ---- 6: budget of further hops ----
+
+    private Verdict budget() {
+        Findings findings = new Findings();
+        Rulebook rules = site.deployment().rules();
+        double most = 0;
+        if (rules.hasBudget()) {
+            for (Notebook.Life life : notes.lives) {
+                List<Long> taken = new ArrayList<>();
+                for (Notebook.Asked asked : notes.asked) {
+                    if (asked.gateway == life.gateway) {
+                        long parts = (asked.offset + asked.length - 1) / site.extentBytes()
+                                - asked.offset / site.extentBytes() + 1;
+                        for (long i = 0; i < parts; i++) {
+                            taken.add(asked.sent);
+                        }
+                    }
+                }
+                List<Long> further = notes.came.stream().filter(came -> came.gateway() == life.gateway
+                        && came.send().number() > 0).map(Notebook.Came::at).sorted().toList();
+                double window = (rules.budgetWindow() + allowance) * NS;
+                for (long at : further) {
+                    long hopsIn = further.stream().filter(one -> one <= at && one > at - rules.budgetWindow() * NS)
+                            .count();
+                    long takenIn = taken.stream().filter(one -> one <= at && one > at - window).count();
+                    double allowed = rules.budgetFree() + rules.budgetShare() * takenIn;
+                    most = Math.max(most, hopsIn / Math.max(1e-9, allowed));
+                    if (hopsIn > allowed) {
+                        findings.breach("gateway " + life.index + " sent " + hopsIn + " further hops, allowed "
+                                + round(allowed));
+                    }
+                }
+            }
+        }
+        return findings.verdict("6 budget kept", rules.hasBudget() ? "at most " + round(100 * most) + " % of it"
+                : "none is stated", "100 %");
+    }
+
+    // ---- 7: limits ----
+
+    private Verdict limits() {
+        Findings findings = new Findings();
+        double least = Double.POSITIVE_INFINITY;
+        for (VolumeLine volume : site.volumes()) {
+            Plan plan = site.deployment().plans().get(volume.plan());
+            if (!(plan.limit() > 0)) {
+                continue;
+            }
+            double level = plan.limitBurst();
+            long last = Long.MIN_VALUE;
+            for (Notebook.Came came : notes.came) {
+                if (came.send().volume() != volume.id() || came.send().number() > 0 || moot(came)) {
+                    continue;
+                }
+                if (last != Long.MIN_VALUE) {
+                    level = Math.min(plan.limitBurst(), level + plan.limit() * (came.at() - last) / NS / 1000);
+                }
+                last = came.at();
+                level -= came.send().units();
+                least = Math.min(least, level);
+                // Two hops that left apart may arrive together.
+                if (level < -plan.limitSlack() - plan.limit() * allowance / 1000) {
+                    findings.breach("volume " + volume.name() + " is " + round(-level) + " units past its limit");
+                }
+            }
+        }
+        return findings.verdict("7 limits kept", least == Double.POSITIVE_INFINITY ? "no volume has one"
+                : "never under " + round(least) + " units", "-slack");
+    }
+
+    private boolean moot(Notebook.Came came) {
+        Notebook.Answered answer = answerTo(new Op(came.gateway(), came.send().mark()), came.send().number());
+        return answer != null && (answer.code() == StoreWire.Code.MOOT
+                || answer.code() == StoreWire.Code.STALE_PEN);
+    }
+
+    // ---- service ----
+
+    /** For each volume, the share of its requests answered well within the target time. */
+    public Map<String, Double> service() {
+        Map<String, Double> shares = new TreeMap<>();
+        for (VolumeLine volume : site.volumes()) {
+            double due = 0;
+            double got = 0;
+            for (Notebook.Asked asked : notes.asked) {
+                if (asked.volume == volume.id()) {
+                    Band band = site.deployment().bands().get(asked.band);
+                    due += band.utility();
+                    boolean good = asked.replies == 1 && asked.error == 0;
+                    got += !good ? 0 : (asked.ended - asked.sent) / NS <= band.targetTime() ? band.utility()
+                            : band.utility() * band.lateShare();
+                }
+            }
+            if (due > 0) {
+                shares.put(volume.name(), got / due);
+            }
+        }
+        return shares;
+    }
+
+    private static String round(double value) {
+        return value == Double.POSITIVE_INFINITY ? "all" : String.valueOf(Math.round(value * 10) / 10.0);
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/drill/Ledger.java
@@ -0,0 +1,115 @@
+package sagepulley.drill;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Knows what each block may hold. Every write fills its blocks with a stamp of its own; a read may show a
+ * write only if no later one was acknowledged between that write's end and the read's begin. Used on any
+ * thread.
+ */
+public final class Ledger {
+    static final int BLOCK = 4096;
+
+    /** One write: its time from asking to its end, and whether it was acknowledged. */
+    public static final class Write {
+        final long stamp;
+        final long begin;
+        volatile long end = Long.MAX_VALUE;
+        volatile boolean acknowledged;
+
+        Write(long stamp, long begin) {
+            this.stamp = stamp;
+            this.begin = begin;
+        }
+
+        /** The write ended, with this gateway's last word on it or with the connection. */
+        public void ends(long nanos, boolean good) {
+            acknowledged = good;
+            end = nanos;
+        }
+    }
+
+    private record Place(int volume, long block) {
+    }
+
+    private final Map<Place, List<Write>> writes = new HashMap<>();
+    private final List<String> breaches = new ArrayList<>();
+    private long stamps;
+    private long checked;
+
+    /** A write of whole blocks is about to be asked. */
+    public synchronized Write begin(int volume, long offset, int length, long nanos) {
+        Write write = new Write(++stamps, nanos);
+        for (long block = offset / BLOCK; block < (offset + length) / BLOCK; block++) {
+            writes.computeIfAbsent(new Place(volume, block), any -> new ArrayList<>()).add(write);
+        }
+        return write;
+    }
+
+    /** The data of a write. */
+    public static ByteBuf payload(ByteBufAllocator alloc, Write write, int length) {
+        ByteBuf data = alloc.ioBuffer(length);
+        for (int i = 0; i < length; i += 8) {
+            data.writeLong(write.stamp);
+        }
+        return data;
+    }
+
+    /** Checks what a read showed that was asked at a time. */
+    public synchronized void check(int volume, long offset, ByteBuf data, long begin, long end) {
+        for (int at = 0; at + BLOCK <= data.readableBytes(); at += BLOCK) {
+            long stamp = data.getLong(data.readerIndex() + at);
+            long block = (offset + at) / BLOCK;
+            for (int i = 8; i < BLOCK; i += 8) {
+                if (data.getLong(data.readerIndex() + at + i) != stamp) {
+                    breach("block " + block + " of volume " + volume + " is torn");
+                    break;
+                }
+            }
+            checked++;
+            judge(volume, block, stamp, begin);
+        }
+    }
+
+    private void judge(int volume, long block, long stamp, long begin) {
+        List<Write> all = writes.getOrDefault(new Place(volume, block), List.of());
+        Write seen = null;
+        for (Write write : all) {
+            if (write.stamp == stamp) {
+                seen = write;
+            }
+        }
+        if (seen == null && stamp != 0) {
+            breach("block " + block + " of volume " + volume + " holds what was never written there");
+            return;
+        }
+        long seenEnd = seen == null ? Long.MIN_VALUE : seen.end;
+        for (Write later : all) {
+            if (later.acknowledged && later.begin > seenEnd && later.end < begin) {
+                breach("block " + block + " of volume " + volume + " shows "
+                        + (seen == null ? "nothing" : "write " + stamp) + " though write " + later.stamp
+                        + " was acknowledged after it, " + (begin - later.end) / 1_000_000 + " ms before the read");
+                return;
+            }
+        }
+    }
+
+    private void breach(String what) {
+        if (breaches.size() < 100) {
+            breaches.add(what);
+        }
+    }
+
+    public synchronized long checked() {
+        return checked;
+    }
+
+    public synchronized List<String> breaches() {
+        return List.copyOf(breaches);
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/drill/Loader.java
@@ -0,0 +1,188 @@
+package sagepulley.drill;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import sagepulley.nbd.Nbd;
+import sagepulley.nbd.NbdClient;
+import sagepulley.site.Site;
+import sagepulley.site.VolumeLine;
+import sagepulley.store.StoreWire;
+import sagepulley.wire.Loops;
+
+/** One load of a day: requests at times of their own, over connections that come back after a cut. */
+final class Loader {
+    private static final long AGAIN_MS = 50;
+
+    /** A gateway that may be reached, or not just now. */
+    static final class Door {
+        volatile InetSocketAddress address;
+        volatile long gateway;
+    }
+
+    private static final class Wire {
+        final Door door;
+        NbdClient client;
+        long gateway;
+
+        Wire(Door door) {
+            this.door = door;
+        }
+    }
+
+    private final Day.Load load;
+    private final Site site;
+    private final VolumeLine volume;
+    private final Notebook notes;
+    private final Ledger ledger;
+    private final EventLoopGroup group;
+    private final EventLoop loop;
+    private final Random chance;
+    private final List<Wire> wires = new ArrayList<>();
+    private final AtomicLong open = new AtomicLong();
+    private volatile double factor = 1;
+    private volatile boolean stopped;
+    private long nextAt;
+
+    Loader(Day.Load load, Site site, VolumeLine volume, List<Door> doors, Notebook notes, Ledger ledger,
+           EventLoopGroup group, long seed) {
+        this.load = load;
+        this.site = site;
+        this.volume = volume;
+        this.notes = notes;
+        this.ledger = ledger;
+        this.group = group;
+        this.loop = group.next();
+        this.chance = new Random(seed);
+        for (int i = 0; i < Math.min(volume.gateways(), doors.size()); i++) {
+            for (int k = 0; k < load.connections(); k++) {
+                wires.add(new Wire(doors.get(i)));
+            }
+        }
+    }
+
+    Day.Load load() {
+        return load;
+    }
+
+    void surge(double times) {
+        factor = times;
+    }
+
+    /** Requests without an end. */
+    long open() {
+        return open.get();
+    }
+
+    void start(long dayStart) {
+        loop.execute(() -> {
+            wires.forEach(this::connect);
+            nextAt = dayStart + (long) (load.from() * 1e6);
+            plan(dayStart + (long) (load.to() * 1e6));
+        });
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    void close() {
+        stopped = true;
+        loop.execute(() -> wires.forEach(wire -> {
+            if (wire.client != null) {
+                wire.client.channel().close();
+            }
+        }));
+    }
+
+    private void connect(Wire wire) {
+        InetSocketAddress address = wire.door.address;
+        long gateway = wire.door.gateway;
+        if (stopped) {
+            return;
+        }
+        if (address == null) {
+            loop.schedule(() -> connect(wire), AGAIN_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        NbdClient.open(group, Loops.socket(), address, volume.name(), NbdClient.Style.GO)
+                .whenComplete((client, failure) -> loop.execute(() -> {
+                    if (failure != null) {
+                        loop.schedule(() -> connect(wire), AGAIN_MS, TimeUnit.MILLISECONDS);
+                        return;
+                    }
+                    wire.client = client;
+                    wire.gateway = gateway;
+                    client.closed().thenRun(() -> loop.execute(() -> {
+                        wire.client = null;
+                        connect(wire);
+                    }));
+                }));
+    }
+
+    private void plan(long end) {
+        if (stopped || nextAt >= end) {
+            return;
+        }
+        long wait = Math.max(0, nextAt - System.nanoTime());
+        loop.schedule(() -> {
+            while (!stopped && nextAt <= System.nanoTime() && nextAt < end) {
+                if (factor > 0) {
+                    ask();
+                }
+                double gap = -Math.log(1 - chance.nextDouble()) / (load.perSecond() * Math.max(factor, 0.01));
+                nextAt += (long) (gap * 1e9);
+            }
+            plan(end);
+        }, wait, TimeUnit.NANOSECONDS);
+    }
+
+    private void ask() {
+        List<Wire> up = wires.stream().filter(wire -> wire.client != null).toList();
+        if (up.isEmpty()) {
+            return;
+        }
+        Wire wire = up.get(chance.nextInt(up.size()));
+        long extents = Math.min(load.extents(), volume.size() / site.extentBytes());
+        long places = Math.max(1, extents * site.extentBytes() / load.bytes());
+        long offset = chance.nextLong(places) * load.bytes();
+        boolean reads = chance.nextDouble() < load.reads();
+        StoreWire.Kind kind = reads ? StoreWire.Kind.READ : StoreWire.Kind.WRITE;
+        int band = !reads ? volume.writeBand() : load.bytes() >= volume.bulkFrom() ? volume.bulkBand()
+                : volume.readBand();
+        long now = System.nanoTime();
+        Notebook.Asked asked = notes.asks(wire.gateway, volume.id(), kind, band, offset, load.bytes(), now);
+        Ledger.Write write = reads ? null : ledger.begin(volume.id(), offset, load.bytes(), now);
+        ByteBuf payload = reads ? Unpooled.EMPTY_BUFFER
+                : Ledger.payload(wire.client.channel().alloc(), write, load.bytes());
+        open.incrementAndGet();
+        wire.client.ask(reads ? Nbd.CMD_READ : Nbd.CMD_WRITE, 0, offset, load.bytes(), payload,
+                (reply, failure) -> {
+                    long end = System.nanoTime();
+                    asked.ended = end;
+                    if (failure != null) {
+                        asked.cut = true;
+                    } else {
+                        asked.replies++;
+                        asked.error = reply.error;
+                        if (reads && reply.error == 0) {
+                            ByteBuf data = reply.data();
+                            ledger.check(volume.id(), offset, data, now, end);
+                            data.release();
+                        }
+                        reply.release();
+                    }
+                    if (write != null) {
+                        write.ends(end, failure == null && reply.error == 0);
+                    }
+                    open.decrementAndGet();
+                });
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/drill/JudgeTest.java
@@ -0,0 +1,120 @@
+package sagepulley.drill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The judge sees each rule broken, by a gateway made for it, and the real gateway keep them. */
+class JudgeTest {
+    /** A small day of 1.5 s with one load and whatever else is said. */
+    private static String day(String band, String plan, String rest) {
+        return """
+                day "small"
+                nodes 3 slots 2 queue 64 read 2 ms write 2 ms
+                site {{
+                [site]
+                extent = 256 KiB
+                unit = 16 KiB
+                ask-within = 1 s
+                [rules]
+                drain-grace = 200 ms
+                cold-time = 5 s
+                fall-time = 400 ms
+                cold-units = 8
+                %s
+                [band read]
+                target = 200 ms
+                patience = 500 ms
+                [band write]
+                writes = yes
+                target = 200 ms
+                patience = 500 ms
+                %s
+                [plan only]
+                rate = 100
+                %s
+                [volume vol]
+                id = 1
+                size = 8 MiB
+                plan = only
+                read-band = read
+                write-band = write
+                }}
+                load some on vol 150 a second reads 40 %% over 4 extents
+                %s
+                end at 1500 ms
+                """.formatted(band.equals("budget") ? "budget-window = 1 s\nbudget-free = 2\nbudget-share = 0.1" : "",
+                band.equals("budget") ? "" : band, plan, rest);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "0, LATE,          '',                        '',           ''",
+        "0, AFTERWARDS,    '',                        '',           ''",
+        "1, AT_ONCE_TWICE, 'repeats = unrepeatable',  '',           ''",
+        "2, PLAIN,         '',                        '',           'at 300 ms node 1 drains'",
+        "3, PLAIN, '', '', 'nodes 3 read 8 ms write 8 ms  at 300 ms all nodes restarts cold  load more on vol 800 a second'",
+        "4, PLAIN,         'in-order = yes',          '',           ''",
+        "5, THRICE,        'budget',                  '',           ''",
+        "6, PLAIN, '', 'limit = 20|limit-burst = 10|limit-slack = 4', ''",
+        "7, UNWRITTEN,     '',                        '',           ''",
+    })
+    void aGatewayThatBreaksARuleIsCaught(int rule, Rogue.Way way, String band, String plan, String rest)
+            throws Exception {
+        Day day = DayReader.read("small", day(band, plan.replace('|', '\n'), rest));
+        Drill.Result result = new Drill(day, new Rogue(way)).run();
+        assertFalse(result.verdicts().get(rule).kept(), result.verdicts().get(rule).toString());
+        assertFalse(result.good());
+        // The real one keeps the same rule on the same day.
+        Drill.Result real = new Drill(day).run();
+        real.verdicts().forEach(verdict -> assertTrue(verdict.kept(), verdict.toString()));
+        assertTrue(real.requests() > 50);
+    }
+
+    @Test
+    void theShortBadDayIsKept() throws Exception {
+        Day day = DayReader.read("bad-evening", Drill.builtIn("bad-evening"));
+        Drill.Result result = new Drill(day).run();
+        result.verdicts().forEach(verdict -> assertTrue(verdict.kept(), verdict.toString()));
+        assertEquals(java.util.List.of(), result.unmet());
+    }
+
+    @Test
+    void theLedgerKnowsWhatAReadMayShow() {
+        Ledger ledger = new Ledger();
+        Ledger.Write first = ledger.begin(1, 0, 4096, 10);
+        Ledger.Write second = ledger.begin(1, 0, 4096, 30);
+        ByteBuf old = Ledger.payload(UnpooledByteBufAllocator.DEFAULT, first, 4096);
+        first.ends(20, false);
+        ledger.check(1, 0, old, 35, 36); // the second is not acknowledged yet
+        second.ends(40, true);
+        ledger.check(1, 0, old, 38, 45); // asked before it was
+        assertEquals(0, ledger.breaches().size());
+        ledger.check(1, 0, old, 50, 55); // undone by a late hop
+        assertEquals(1, ledger.breaches().size());
+        ledger.check(1, 0, old.setLong(512, 99), 20, 25);
+        assertTrue(ledger.breaches().get(1).contains("torn"));
+        old.release();
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "nodes 3 slots|x:1:14: ",
+        "at 2 s node 9 silent|x:1:13: the node is 9, allowed is 1.0 to 6.0",
+        "load l on v 5 a second size 5 KiB|x:1:24: the size is 5120 bytes",
+        "at 1 s load nobody times 3|x:1:8: no load is called nobody",
+        "gateways 1000|x:1:10: the number of gateways is 1000",
+        "day 'single'|x:1:5: ",
+    })
+    void aMistakeInAScriptIsToldWithLineAndColumn(String text, String told) {
+        DayError error = org.junit.jupiter.api.Assertions.assertThrows(DayError.class,
+                () -> DayReader.read("x", text));
+        assertTrue(error.getMessage().startsWith(told), error.getMessage());
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/drill/Rogue.java
@@ -0,0 +1,241 @@
+package sagepulley.drill;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import sagepulley.directory.DirectoryLink;
+import sagepulley.directory.DirectoryWire;
+import sagepulley.nbd.Export;
+import sagepulley.nbd.Exports;
+import sagepulley.nbd.Gate;
+import sagepulley.nbd.Nbd;
+import sagepulley.nbd.NbdRequest;
+import sagepulley.nbd.NbdServer;
+import sagepulley.nbd.Replies;
+import sagepulley.site.Site;
+import sagepulley.site.VolumeLine;
+import sagepulley.store.NodeLink;
+import sagepulley.store.StoreWire;
+import sagepulley.wire.Loops;
+
+/** A gateway that heeds no rule: it sends everything on at once. The judge must see what it does. */
+final class Rogue implements Drill.Opener {
+    /** What it does besides. */
+    enum Way { PLAIN, LATE, AFTERWARDS, AT_ONCE_TWICE, THRICE, UNWRITTEN }
+
+    private final Way way;
+
+    Rogue(Way way) {
+        this.way = way;
+    }
+
+    @Override
+    public Opened open(Site site, long seed) {
+        Running running = new Running(site, seed);
+        return new Opened(running.address, running::kill);
+    }
+
+    private final class Running implements DirectoryLink.Owner, Exports, Gate {
+        final Site site;
+        final EventLoopGroup group = Loops.group(1, "rogue");
+        final long seed;
+        final Map<Integer, Peer> peers = new TreeMap<>();
+        final CompletableFuture<Void> listed = new CompletableFuture<>();
+        final DirectoryLink directory;
+        final Channel listener;
+        final InetSocketAddress address;
+        long ids;
+
+        Running(Site site, long seed) {
+            this.site = site;
+            this.seed = seed;
+            directory = new DirectoryLink(group.next(), Loops.socket(), site.directory().socket(), seed, "rogue",
+                    this);
+            group.next().execute(directory::subscribe);
+            Town.await(listed);
+            listener = new ServerBootstrap().group(group).channel(Loops.server())
+                    .childHandler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel client) {
+                            NbdServer.onto(client.pipeline(), Running.this, Running.this, new Client(Running.this));
+                        }
+                    }).bind(site.nbd().socket()).syncUninterruptibly().channel();
+            address = (InetSocketAddress) listener.localAddress();
+        }
+
+        void kill() {
+            listener.close();
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        }
+
+        @Override
+        public void listed(DirectoryWire.Listing listing) {
+            for (DirectoryWire.Line line : listing.lines()) {
+                peers.computeIfAbsent(line.node(), node -> new Peer(this, node,
+                        new InetSocketAddress(line.host(), line.port())));
+            }
+            listed.complete(null);
+        }
+
+        @Override
+        public void listFailed(String why) {
+        }
+
+        @Override
+        public List<Export> all() {
+            return site.volumes().stream().map(line -> named(line.name())).toList();
+        }
+
+        @Override
+        public Export named(String name) {
+            return site.volumes().stream().filter(line -> line.name().equals(name)).findFirst()
+                    .map(line -> new Export(name, "", line.size(), false, true, 512, 4096, 1 << 20)).orElse(null);
+        }
+
+        @Override
+        public boolean admit(long bytes, Runnable later) {
+            return true;
+        }
+
+        @Override
+        public void returned(long bytes) {
+        }
+
+        void later(double milliseconds, Runnable task) {
+            group.next().schedule(task, (long) milliseconds, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** A node's link; ends are told to whoever sent. */
+    private static final class Peer implements NodeLink.Owner {
+        final NodeLink link;
+        final Map<Long, java.util.function.Consumer<ByteBuf>> waiting = new HashMap<>();
+
+        Peer(Running of, int node, InetSocketAddress address) {
+            link = new NodeLink(of.group.next(), Loops.socket(), 1 << 20, node, address,
+                    new StoreWire.Hello(of.seed, "rogue"), this);
+        }
+
+        @Override
+        public void answered(long hop, StoreWire.Answer answer, ByteBuf payload) {
+            waiting.remove(hop).accept(answer.code() == StoreWire.Code.SATISFIED ? payload : null);
+        }
+
+        @Override
+        public void broken(long hop, NodeLink.Broken how) {
+            waiting.remove(hop).accept(null);
+        }
+
+        @Override
+        public void probed(long id, float[] report) {
+        }
+
+        @Override
+        public void welcomed(StoreWire.Welcome welcome) {
+        }
+    }
+
+    private final class Client extends ChannelInboundHandlerAdapter {
+        private final Running of;
+        private VolumeLine volume;
+
+        Client(Running of) {
+            this.of = of;
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof sagepulley.nbd.Attached attached) {
+                volume = of.site.volumes().stream().filter(line -> line.name().equals(attached.export().name()))
+                        .findFirst().orElseThrow();
+            }
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            NbdRequest asked = (NbdRequest) message;
+            boolean reads = asked.command() == Nbd.CMD_READ;
+            int extentBytes = of.site.extentBytes();
+            long extent = asked.offset() / extentBytes;
+            List<Peer> all = List.copyOf(of.peers.values());
+            Peer peer = all.get((int) (extent % all.size()));
+            long mark = ++of.ids;
+            StoreWire.Kind kind = reads ? StoreWire.Kind.READ : StoreWire.Kind.WRITE;
+            int band = reads ? volume.readBand() : volume.writeBand();
+            int repeat = of.site.deployment().bands().get(band).repeat().ordinal();
+            ByteBuf payload = Unpooled.wrappedBuffer(ByteBufUtil.getBytes(asked.payload()));
+            asked.payload().release();
+            java.util.function.IntConsumer send = number -> {
+                long hop = mark * 10 + number;
+                peer.waiting.put(hop, data -> {
+                    boolean last = way != Way.THRICE || number == 2;
+                    if (!last) {
+                        again(hop + 1, number + 1, peer, mark, kind, band, repeat, extent, asked, payload, ctx, data);
+                    } else if (number == (way == Way.THRICE ? 2 : 0)) {
+                        of.later(way == Way.LATE ? 900 : 0, () -> reply(ctx, asked, data));
+                    } else if (data != null) {
+                        data.release();
+                    }
+                });
+                if (way == Way.UNWRITTEN && !reads) {
+                    peer.waiting.remove(hop).accept(Unpooled.EMPTY_BUFFER);
+                } else {
+                    peer.link.send(hop, make(kind, band, repeat, mark, number, extent, asked, extentBytes),
+                            payload.retainedDuplicate());
+                }
+            };
+            send.accept(0);
+            if (way == Way.AT_ONCE_TWICE) {
+                send.accept(1);
+            } else if (way == Way.AFTERWARDS) {
+                of.later(700, () -> send.accept(1));
+            }
+        }
+
+        private StoreWire.Send make(StoreWire.Kind kind, int band, int repeat, long mark, int number, long extent,
+                                    NbdRequest asked, int extentBytes) {
+            return new StoreWire.Send(kind, band, false, repeat, mark, number, volume.id(), extent,
+                    (int) (asked.offset() % extentBytes), asked.length(), 1, 0);
+        }
+
+        private void again(long hop, int number, Peer peer, long mark, StoreWire.Kind kind, int band, int repeat,
+                           long extent, NbdRequest asked, ByteBuf payload, ChannelHandlerContext ctx, ByteBuf old) {
+            if (old != null) {
+                old.release();
+            }
+            peer.waiting.put(hop, data -> {
+                if (number < 2) {
+                    again(hop + 1, number + 1, peer, mark, kind, band, repeat, extent, asked, payload, ctx, data);
+                } else {
+                    reply(ctx, asked, data);
+                }
+            });
+            peer.link.send(hop, make(kind, band, repeat, mark, number, extent, asked, of.site.extentBytes()),
+                    payload.retainedDuplicate());
+        }
+
+        private void reply(ChannelHandlerContext ctx, NbdRequest asked, ByteBuf data) {
+            if (data == null) {
+                Replies.error(ctx.channel(), asked.cookie(), Nbd.EIO, "failed", -1, true);
+            } else if (asked.command() == Nbd.CMD_READ) {
+                Replies.data(ctx.channel(), asked.cookie(), asked.offset(), data, true);
+            } else {
+                Replies.done(ctx.channel(), asked.cookie());
+            }
+            ctx.flush();
+        }
+    }
+}
--- a/src/test/java/sagepulley/gateway/FaultsTest.java
+++ b/src/test/java/sagepulley/gateway/FaultsTest.java
@@ -78,6 +78,7 @@
     void eachOperationGetsOneAnswerInTime(Fault fault) throws Exception {
         // Patience is a second, so that each fault outlasts it.
         try (Metronome machine = new Metronome(); Rig rig = new Rig(3, Witness.NOBODY, "patience = 4 s", "patience = 1 s")) {
+            machine.watch(rig.town.loops());
             NbdClient client = rig.client();
             for (int i = 0; i < 32; i++) {
                 Rig.await(client.write(i * 2L * Rig.MIB, new byte[4096]));
