--- /dev/null
+++ b/src/jmh/java/sagepulley/bench/ControlBench.java
@@ -0,0 +1,165 @@
+package sagepulley.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OperationsPerInvocation;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import sagepulley.control.Control;
+import sagepulley.model.Band;
+import sagepulley.model.Deployment;
+import sagepulley.model.Hop;
+import sagepulley.model.Node;
+import sagepulley.model.Operation;
+import sagepulley.model.Outcome;
+import sagepulley.model.Pause;
+import sagepulley.model.Placement;
+import sagepulley.model.Plan;
+import sagepulley.model.Rulebook;
+import sagepulley.model.Sequel;
+import sagepulley.model.Volume;
+
+/**
+ * What Control costs for one operation, from arrival to end, on a bare host with modelled nodes: at a load
+ * under what the nodes do, and with so many operations waiting that more come than are served.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Fork(1)
+@Warmup(iterations = 4)
+@Measurement(iterations = 6)
+public class ControlBench {
+    private static final int OPERATIONS = 2_000;
+    private static final double SERVICE = 10;
+    private static final int SLOTS = 4;
+
+    @Param({"8", "48"})
+    int nodeCount;
+
+    /** What waits at the start; 0 stands for a load of 0.6. */
+    @Param({"0", "2000", "12000"})
+    int held;
+
+    private Control control;
+    private List<Volume> volumes;
+    private final List<Band> bands = new ArrayList<>();
+    private final PriorityQueue<double[]> ends = new PriorityQueue<>((a, b) -> Double.compare(a[0], b[0]));
+    private final List<Hop> out = new ArrayList<>();
+    private Random random;
+    private double now;
+    private double wake;
+    private long ids;
+
+    @Setup(Level.Iteration)
+    public void start() {
+        random = new Random(7);
+        now = 100_000;
+        bands.clear();
+        ends.clear();
+        out.clear();
+        // With a long target time nothing is given up, and what waits stays.
+        double target = held == 0 ? 500 : 1e7;
+        for (int i = 0; i < 3; i++) {
+            bands.add(new Band(i, "band " + i, Band.Repeat.IDEMPOTENT, Band.Group.ALL, 0, false, i == 1, target, 0,
+                    target * 4, 3 - i, 0.2));
+        }
+        List<Plan> plans = List.of(new Plan(0, "plain", 30, 0, 1, 1, 0, 0, 0),
+                new Plan(1, "reserved", 60, 30, 3, 1, 0, 0, 0));
+        Rulebook rules = new Rulebook(8, 1000, 0.25, 10_000, 2, 2000, 6, 200, Double.NaN, 0, Double.NaN, 3, false);
+        Deployment site = new Deployment(0, 1, 0, bands, plans, rules, 2, nodeCount, 2, 6, 0.35, 0.05, 1000, true,
+                false, Double.POSITIVE_INFINITY, false, true, true, 1000, 0, 0, 0.05, false, List.of());
+        control = new Control(site, 7);
+        List<Node> nodes = new ArrayList<>();
+        for (int i = 0; i < nodeCount; i++) {
+            Node node = new Node(i);
+            node.cell = i;
+            nodes.add(node);
+        }
+        control.listed(nodes, now);
+        volumes = new ArrayList<>();
+        for (int i = 0; i < nodeCount * 6; i++) {
+            volumes.add(new Volume(i, plans.get(i % 2)));
+        }
+        for (int i = 0; i < held; i++) {
+            arrive();
+        }
+    }
+
+    @Benchmark
+    @OperationsPerInvocation(OPERATIONS)
+    public long operations() {
+        double rate = nodeCount * SLOTS / SERVICE * (held == 0 ? 0.6 : 1.0);
+        for (int i = 0; i < OPERATIONS; i++) {
+            double next = now - Math.log(1 - random.nextDouble()) / rate;
+            while (!ends.isEmpty() && ends.peek()[0] <= next || wake <= next) {
+                if (!ends.isEmpty() && ends.peek()[0] <= wake) {
+                    double[] end = ends.poll();
+                    now = end[0];
+                    finish(out.get((int) end[1]));
+                } else {
+                    now = wake;
+                    settle();
+                }
+            }
+            now = next;
+            arrive();
+        }
+        return ids;
+    }
+
+    private void arrive() {
+        Operation operation = new Operation(++ids, bands.get(random.nextInt(3)),
+                volumes.get(random.nextInt(volumes.size())), ids, 1 + random.nextInt(4),
+                random.nextInt(nodeCount), now, now + bands.get(0).patience(), false);
+        answer(operation, control.place(operation, now));
+        settle();
+    }
+
+    private void finish(Hop hop) {
+        hop.outcome = Outcome.SATISFIED;
+        hop.took = now - hop.sentAt;
+        hop.operation.over = true;
+        if (control.after(hop, now) == Sequel.PLACE_AGAIN) {
+            answer(hop.operation, control.place(hop.operation, now));
+        }
+        settle();
+    }
+
+    private void settle() {
+        Pause pause = control.pause(now);
+        while (!pause.due().isEmpty()) {
+            boolean moved = false;
+            for (Operation operation : pause.due()) {
+                Placement placement = control.place(operation, now);
+                moved |= placement.kind() != Placement.Kind.WAIT;
+                answer(operation, placement);
+            }
+            if (!moved) {
+                break;
+            }
+            pause = control.pause(now);
+        }
+        wake = now + Math.max(0.01, pause.length());
+    }
+
+    private void answer(Operation operation, Placement placement) {
+        if (placement.kind() == Placement.Kind.SEND) {
+            out.add(operation.hops.get(operation.hops.size() - 1));
+            ends.add(new double[] {now + SERVICE * (0.5 + random.nextDouble()), out.size() - 1});
+        }
+    }
+}
--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -123,6 +123,7 @@
     private final List<Seat> seats = new ArrayList<>();
     private final List<Operation> fresh = new ArrayList<>();
     private final List<Operation> homeless = new ArrayList<>();
+    private final Waits waits = new Waits();
     private final List<Hop> unwanted = new ArrayList<>();
     private final Map<Long, KeyLine> lines = new HashMap<>();
     /** By extent, when the target time of a first try ends that was lately given up or left. */
@@ -306,15 +307,16 @@
         nextLook = Double.POSITIVE_INFINITY;
         refresh(now);
         List<Operation> due = new ArrayList<>(4);
+        List<Operation> late = overdue(now);
+        Operation newest = pickFresh(now);
+        int at = 0;
         for (Seat seat : seats) {
             Operation next = pick(seat, now);
-            if (next != null && turn(next, now) != null) { due.add(next); }
-            overdue(seat.waiting, due, now);
+            if (next != null && goesFirst(next, newest, seat, now)) { due.add(next); }
+            at = addLate(late, at, seat, due);
         }
-        Operation next = pickFresh(now);
-        if (next != null && turn(next, now) != null) { due.add(next); }
-        overdue(fresh, due, now);
-        overdue(homeless, due, now);
+        if (newest != null && lowestScore(newest, now) != null) { due.add(newest); }
+        addLate(late, at, null, due);
         Pause.ListCall call = Pause.ListCall.NONE;
         if (askAt <= now) {
             call = Pause.ListCall.SUBSCRIBE;
@@ -327,15 +329,31 @@
         return new Pause(Math.max(0, nextLook - now), due, List.of(), callOff, call);
     }
 
-    private void overdue(List<Operation> queue, List<Operation> due, double now) {
-        for (Operation operation : queue) {
-            double end = Math.min(lateAt(operation), operation.patienceEnds - lastCall);
-            if (end <= now) {
-                if (!due.contains(operation)) { due.add(operation); }
-            } else {
-                lookAt(end);
-            }
+    /** What waits and would be late, or whose patience ends, by queue: seats', new objects, homeless ones. */
+    private List<Operation> overdue(double now) {
+        List<Operation> late = new ArrayList<>(0);
+        for (Waits.Kind kind : waits.kinds()) {
+            double early = LATE_FACTOR * (rows[kind.band.index()].meanPace * kind.units);
+            double target = target(kind.band);
+            // Sorted by each of the three times that may end it: nobody is walked who is not overdue.
+            kind.first(kind.byTarget, ticket -> ticket.targetEnds - early, now, late, this::lookAt);
+            kind.first(kind.byArrival, ticket -> ticket.operation.arrivedAt + target - early, now, late,
+                    this::lookAt);
+            kind.first(kind.byPatience, ticket -> ticket.operation.patienceEnds - lastCall, now, late,
+                    this::lookAt);
+        }
+        late.sort(Waits.BY_QUEUE);
+        return late;
+    }
+
+    /** Adds those of a seat's queue, or of the queues behind all seats. */
+    private static int addLate(List<Operation> late, int at, Seat seat, List<Operation> due) {
+        int next = at;
+        while (next < late.size() && (seat == null || ((Ticket) late.get(next).kept).seat == seat)) {
+            Operation operation = late.get(next++);
+            if (!due.contains(operation)) { due.add(operation); }
         }
+        return next;
     }
 
     private void lookAt(double time) {
@@ -540,11 +558,12 @@
         }
         Seat seat = ticket.seat;
         if (seat == null || pick(seat, now) != operation) { return null; }
-        Operation other = pickFresh(now);
-        if (other != null && outranks(other, operation, seat, now) && lowestScore(other, now) == seat) {
-            return null;
-        }
-        return seat;
+        return goesFirst(operation, pickFresh(now), seat, now) ? seat : null;
+    }
+
+    /** Whether no new object that would come to the seat ranks before the one picked for it. */
+    private boolean goesFirst(Operation picked, Operation fresh, Seat seat, double now) {
+        return fresh == null || !outranks(fresh, picked, seat, now) || lowestScore(fresh, now) != seat;
     }
 
     private boolean hasRoom(Seat seat, double now) {
@@ -903,7 +922,7 @@
 
     private Ticket ticket(Operation operation, double now) {
         if (operation.kept != null) { return (Ticket) operation.kept; }
-        Ticket ticket = new Ticket(chance.nextDouble());
+        Ticket ticket = new Ticket(operation, chance.nextDouble());
         operation.kept = ticket;
         arrivals.add(now, 1);
         taken.add(now, 1);
@@ -950,6 +969,7 @@
         ticket.waits = true;
         waiting++;
         ticket.seat = null;
+        waits.add(ticket);
         if (operation.shard < 0) {
             fresh.add(operation);
             return;
@@ -974,6 +994,7 @@
         if (!ticket.waits) { return; }
         ticket.waits = false;
         waiting--;
+        waits.remove(ticket);
         if (operation.shard < 0) {
             fresh.remove(operation);
         } else if (ticket.seat != null) {
--- a/src/main/java/sagepulley/control/Ticket.java
+++ b/src/main/java/sagepulley/control/Ticket.java
@@ -1,7 +1,12 @@
 package sagepulley.control;
 
+import sagepulley.model.Operation;
+
 /** What is kept of an operation in hand. */
 final class Ticket {
+    final Operation operation;
+    /** Its place among all that ever stood in a queue. */
+    long turn;
     /** When the target time ends, counted from the client's first try. */
     double targetEnds;
     /** Whether it stands in a queue. */
@@ -13,7 +18,8 @@
     /** Drawn once: a cold node takes the lowest first. */
     final double lot;
 
-    Ticket(double lot) {
+    Ticket(Operation operation, double lot) {
+        this.operation = operation;
         this.lot = lot;
     }
 }
--- /dev/null
+++ b/src/main/java/sagepulley/drill/SideBySide.java
@@ -0,0 +1,242 @@
+package sagepulley.drill;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadInfo;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import sagepulley.gateway.Gateway;
+import sagepulley.nbd.Nbd;
+import sagepulley.nbd.NbdClient;
+import sagepulley.site.SiteError;
+import sagepulley.standin.NodeTraits;
+import sagepulley.standin.StandInNode;
+import sagepulley.standin.Witness;
+import sagepulley.store.NodeLink;
+import sagepulley.store.StoreWire;
+import sagepulley.wire.Loops;
+
+/**
+ * Measures the way through the gateway against the way from client to node directly, by turns in one run, at
+ * a fixed number of requests in flight. What counts is the ratio.
+ */
+public final class SideBySide {
+    private static final int EXTENT = 1 << 20;
+    private static final int EXTENTS = 48;
+
+    /** One way's figures: requests a second, and times in microseconds. */
+    public record Way(double perSecond, double p50, double p99, long failed) {
+    }
+
+    /** Both ways for one kind of request. */
+    public record Row(String kind, int bytes, int depth, Way direct, Way through, double heapBytes,
+                      double loopBusyMicros) {
+    }
+
+    private final double seconds;
+    private final int rounds;
+
+    /** Each way runs for so many seconds in all, in so many turns. */
+    public SideBySide(double seconds, int rounds) {
+        this.seconds = seconds;
+        this.rounds = rounds;
+    }
+
+    /** Asks one request; told whether it went well. */
+    private interface Asker {
+        void ask(int number, java.util.function.Consumer<Boolean> ended);
+    }
+
+    /** Runs all kinds, sizes and depths. */
+    public List<Row> run(int nodes, int[] sizes, int[] depths) throws SiteError {
+        List<NodeTraits> traits = new ArrayList<>();
+        for (int i = 1; i <= nodes; i++) {
+            NodeTraits quick = NodeTraits.quick(i, EXTENT);
+            traits.add(new NodeTraits(i, i, 0, 0, 64, 0, 0, 4096, EXTENT, quick.coldShare(), quick.coldTime(),
+                    quick.fallMultiple(), quick.fallTime(), quick.coldUnits(), 0, 1000, null));
+        }
+        EventLoopGroup clients = Loops.group(1, "client-side");
+        List<Row> rows = new ArrayList<>();
+        try (Town town = Town.start(traits, Witness.NOBODY, 2)) {
+            Gateway gateway = town.open(Town.demoSite("gw", 0, 1, 0, town.directory().address()), 1);
+            NbdClient client = Town.await(NbdClient.open(clients, Loops.socket(), gateway.address(), "demo",
+                    NbdClient.Style.GO));
+            for (int i = 0; i < EXTENTS; i++) {
+                Town.await(client.write(i * (long) EXTENT, new byte[EXTENT])).release();
+            }
+            Direct direct = new Direct(town.nodes(), clients.next());
+            for (boolean reads : new boolean[] {true, false}) {
+                for (int bytes : sizes) {
+                    for (int depth : depths) {
+                        rows.add(row(clients.next(), client, direct, reads, bytes, depth));
+                    }
+                }
+            }
+            client.channel().close().syncUninterruptibly();
+        } finally {
+            clients.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+        return rows;
+    }
+
+    private Row row(EventLoop loop, NbdClient client, Direct direct, boolean reads, int bytes, int depth) {
+        ByteBuf data = Unpooled.directBuffer(bytes).writeZero(bytes);
+        int places = EXTENT / bytes;
+        Asker through = (number, ended) -> {
+            long offset = (number % EXTENTS) * (long) EXTENT + number / EXTENTS % places * (long) bytes;
+            client.ask(reads ? Nbd.CMD_READ : Nbd.CMD_WRITE, 0, offset, bytes,
+                    reads ? Unpooled.EMPTY_BUFFER : data.retainedDuplicate(), (reply, failure) -> {
+                        boolean good = failure == null && reply.error == 0;
+                        if (reply != null) {
+                            reply.release();
+                        }
+                        ended.accept(good);
+                    });
+        };
+        Asker straight = (number, ended) -> direct.ask(reads, number % EXTENTS,
+                number / EXTENTS % places * bytes, bytes, data, ended);
+        Totals a = new Totals();
+        Totals b = new Totals();
+        phase(loop, straight, depth, seconds / 2, new Totals());
+        phase(loop, through, depth, seconds / 2, new Totals());
+        for (int i = 0; i < rounds; i++) {
+            phase(loop, straight, depth, seconds / rounds, a);
+            long[] before = gatewayThreads();
+            phase(loop, through, depth, seconds / rounds, b);
+            long[] after = gatewayThreads();
+            b.heap += after[0] - before[0];
+            b.cpu += after[1] - before[1];
+        }
+        data.release();
+        return new Row(reads ? "read" : "write", bytes, depth, a.way(), b.way(), (double) b.heap / b.ended,
+                b.cpu / 1e3 / b.ended);
+    }
+
+    private static final class Totals {
+        final Histogram times = new Histogram(60_000_000_000L, 3);
+        long ended;
+        long failed;
+        double took;
+        long heap;
+        long cpu;
+
+        Way way() {
+            return new Way(ended / took, times.getValueAtPercentile(50) / 1e3,
+                    times.getValueAtPercentile(99) / 1e3, failed);
+        }
+    }
+
+    /** Keeps so many requests in flight for a while. */
+    private void phase(EventLoop loop, Asker asker, int depth, double length, Totals totals) {
+        CompletableFuture<Void> over = new CompletableFuture<>();
+        loop.execute(new Runnable() {
+            private final long start = System.nanoTime();
+            private final long end = start + (long) (length * 1e9);
+            private int number;
+            private int open;
+
+            @Override
+            public void run() {
+                for (int i = 0; i < depth; i++) {
+                    next();
+                }
+            }
+
+            private void next() {
+                long begin = System.nanoTime();
+                if (begin >= end) {
+                    if (open == 0) {
+                        totals.took += (begin - start) / 1e9;
+                        over.complete(null);
+                    }
+                    return;
+                }
+                open++;
+                asker.ask(number++, good -> {
+                    totals.times.recordValue(System.nanoTime() - begin);
+                    totals.ended++;
+                    totals.failed += good ? 0 : 1;
+                    open--;
+                    next();
+                });
+            }
+        });
+        Town.await(over);
+    }
+
+    /** Heap bytes allocated, and nanoseconds of processor used, by the gateway's threads so far. */
+    private static long[] gatewayThreads() {
+        com.sun.management.ThreadMXBean threads =
+                (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long[] sums = new long[2];
+        for (ThreadInfo thread : threads.getThreadInfo(threads.getAllThreadIds())) {
+            if (thread != null && thread.getThreadName().startsWith("gateway")) {
+                sums[0] += threads.getThreadAllocatedBytes(thread.getThreadId());
+                sums[1] += threads.getThreadCpuTime(thread.getThreadId());
+            }
+        }
+        return sums;
+    }
+
+    /** The client's own links to the nodes. */
+    private static final class Direct {
+        private final List<Peer> peers = new ArrayList<>();
+        private long hops;
+
+        Direct(List<StandInNode> nodes, EventLoop loop) {
+            for (StandInNode node : nodes) {
+                peers.add(new Peer(node, loop));
+            }
+        }
+
+        void ask(boolean reads, int extent, int offset, int bytes, ByteBuf data,
+                 java.util.function.Consumer<Boolean> ended) {
+            Peer peer = peers.get(extent % peers.size());
+            long hop = ++hops;
+            peer.waiting.put(hop, ended);
+            // A volume of its own, so that its pens are not the gateway's.
+            peer.link.send(hop, new StoreWire.Send(reads ? StoreWire.Kind.READ : StoreWire.Kind.WRITE, 0, false, 0,
+                    hop, 0, 2, extent, offset, bytes, 1, 0),
+                    reads ? Unpooled.EMPTY_BUFFER : data.retainedDuplicate());
+        }
+    }
+
+    private static final class Peer implements NodeLink.Owner {
+        final NodeLink link;
+        final Map<Long, java.util.function.Consumer<Boolean>> waiting = new HashMap<>();
+
+        Peer(StandInNode node, EventLoop loop) {
+            link = new NodeLink(loop, Loops.socket(), EXTENT, node.traits().id(), node.address(),
+                    new StoreWire.Hello(99, "direct"), this);
+        }
+
+        @Override
+        public void answered(long hop, StoreWire.Answer answer, ByteBuf payload) {
+            payload.release();
+            waiting.remove(hop).accept(answer.code() == StoreWire.Code.SATISFIED);
+        }
+
+        @Override
+        public void broken(long hop, NodeLink.Broken how) {
+            waiting.remove(hop).accept(false);
+        }
+
+        @Override
+        public void probed(long id, float[] report) {
+            // none is asked for
+        }
+
+        @Override
+        public void welcomed(StoreWire.Welcome welcome) {
+            // nothing hangs on it
+        }
+    }
+}
