A pick no longer walks all that waits: operations alike stand for each other

With 2,000 held on 8 nodes each operation cost 367 us, for every pick walked the node's queue. Operations of one volume, band and size differ only by deadline and lateness, so one stands for the rest (but on cold nodes, where each has its lot), those of the run's extent are at hand, and a pick asked again with nothing changed is kept.

--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 import sagepulley.model.Band;
@@ -121,8 +122,8 @@
     private final RandomGenerator chance;
     private final BandRow[] rows;
     private final List<Seat> seats = new ArrayList<>();
-    private final List<Operation> fresh = new ArrayList<>();
-    private final List<Operation> homeless = new ArrayList<>();
+    private final Queue fresh = new Queue();
+    private final Queue homeless = new Queue();
     private final Waits waits = new Waits();
     private final List<Hop> unwanted = new ArrayList<>();
     private final Map<Long, KeyLine> lines = new HashMap<>();
@@ -140,6 +141,8 @@
     private double shortestTarget;
     private final double lastCall;
     private int waiting;
+    /** Counts what may change whose turn it is. */
+    private long state;
     private double bornAt;
     private double servedUnits;
     private double ease = 1;
@@ -194,6 +197,7 @@
                 seat.bound = LEAST_BOUND;
             }
         }
+        state++;
         if (!knowsList) {
             knowsList = true;
             bornAt = now;
@@ -213,8 +217,8 @@
         }
     }
 
-    private void queueAnew(List<Operation> queue) {
-        for (Operation operation : List.copyOf(queue)) {
+    private void queueAnew(Queue queue) {
+        for (Operation operation : queue.inOrder()) {
             dequeue(operation);
             enqueue(operation);
         }
@@ -289,6 +293,7 @@
         Operation operation = hop.operation;
         Seat seat = (Seat) hop.node.kept;
         seat.out.remove(hop);
+        state++;
         learn(hop, seat, now);
         Ticket ticket = (Ticket) operation.kept;
         if (ticket.line != null && (hop.outcome == Outcome.TIMED_OUT || hop.outcome == Outcome.RESET
@@ -305,10 +310,11 @@
     /** How long to wait before asking again, and what is due now. */
     public Pause pause(double now) {
         nextLook = Double.POSITIVE_INFINITY;
+        state++;
         refresh(now);
         List<Operation> due = new ArrayList<>(4);
         List<Operation> late = overdue(now);
-        Operation newest = pickFresh(now);
+        Operation newest = first(fresh, null, now);
         int at = 0;
         for (Seat seat : seats) {
             Operation next = pick(seat, now);
@@ -554,11 +560,11 @@
     private Seat turn(Operation operation, double now) {
         Ticket ticket = (Ticket) operation.kept;
         if (operation.shard < 0) {
-            return pickFresh(now) == operation ? lowestScore(operation, now) : null;
+            return first(fresh, null, now) == operation ? lowestScore(operation, now) : null;
         }
         Seat seat = ticket.seat;
         if (seat == null || pick(seat, now) != operation) { return null; }
-        return goesFirst(operation, pickFresh(now), seat, now) ? seat : null;
+        return goesFirst(operation, first(fresh, null, now), seat, now) ? seat : null;
     }
 
     /** Whether no new object that would come to the seat ranks before the one picked for it. */
@@ -598,18 +604,58 @@
 
     /** The page's order: the extent last sent there, a few in a row, then the earliest deadline. */
     private Operation pick(Seat seat, double now) {
-        Operation best = null;
         if (seat.waiting.isEmpty() || !hasRoom(seat, now)) { return null; }
-        for (Operation operation : seat.waiting) {
-            if (!lawful(operation, seat, now) || holdsBack(operation, seat, now)) { continue; }
-            if (seat.runLeft > 0 && operation.extent == seat.lastExtent && operation.extent != 0) {
-                return operation;
+        // Asked again with nothing changed, as pause and place do one after the other.
+        if (seat.pickedAt != now || seat.pickedState != state) {
+            seat.picked = pickAnew(seat, now);
+            seat.pickedAt = now;
+            seat.pickedState = state;
+        }
+        return seat.picked;
+    }
+
+    private Operation pickAnew(Seat seat, double now) {
+        if (seat.runLeft > 0) {
+            for (Operation operation : seat.waiting.of(seat.lastExtent)) {
+                if (lawful(operation, seat, now) && !holdsBack(operation, seat, now)) { return operation; }
             }
-            if (best == null || outranks(operation, best, seat, now)) { best = operation; }
         }
+        Operation best = first(seat.waiting, seat, now);
         return seat.out.size() < (int) seat.bound || silent(seat, now) ? best : null;
     }
 
+    /**
+     * Who ranks first of a queue and may go (no seat: of the new objects). Operations alike differ only in
+     * their deadline and in being late, so that one that is not late stands for the rest; a cold node's lot
+     * is each one's own.
+     */
+    private Operation first(Queue queue, Seat seat, double now) {
+        boolean each = seat != null && now - seat.startedAt < rules.coldTime();
+        Operation best = null;
+        int bestTier = -1;
+        for (TreeSet<Ticket> alike : queue.alike()) {
+            for (Ticket ticket : alike) {
+                Operation operation = ticket.operation;
+                boolean stands = !each && lateAt(operation) > now && now < operation.patienceEnds - lastCall;
+                if (seat == null || lawful(operation, seat, now) && !holdsBack(operation, seat, now)) {
+                    if (best != null && bestTier < 0) { bestTier = tier(best, seat, now); }
+                    int tier = best != null || alike.size() > 1 ? tier(operation, seat, now) : -1;
+                    if (best == null || tier < bestTier || tier == bestTier && earlier(ticket, best)) {
+                        best = operation;
+                        bestTier = tier;
+                    }
+                }
+                if (stands) { break; }
+            }
+        }
+        return best;
+    }
+
+    private static boolean earlier(Ticket one, Operation other) {
+        double apart = one.operation.patienceEnds - other.patienceEnds;
+        return apart < 0 || apart == 0 && one.turn < ((Ticket) other.kept).turn;
+    }
+
     /** A queue seen holds back what is late, and past part of the bound what is over its level. */
     private boolean holdsBack(Operation operation, Seat seat, double now) {
         if (seat.crowd <= CROWDED_LEAST) { return false; }
@@ -627,14 +673,6 @@
         return volume.plan.weight() * spare / weights * SHARE_WINDOW / 1000;
     }
 
-    private Operation pickFresh(double now) {
-        Operation best = null;
-        for (Operation operation : fresh) {
-            if (best == null || outranks(operation, best, null, now)) { best = operation; }
-        }
-        return best;
-    }
-
     /** Utility still due goes first; among equals the earliest deadline. */
     private boolean outranks(Operation one, Operation other, Seat seat, double now) {
         int a = tier(one, seat, now);
@@ -965,13 +1003,14 @@
     }
 
     private void enqueue(Operation operation) {
+        state++;
         Ticket ticket = (Ticket) operation.kept;
         ticket.waits = true;
         waiting++;
         ticket.seat = null;
         waits.add(ticket);
         if (operation.shard < 0) {
-            fresh.add(operation);
+            fresh.add(ticket);
             return;
         }
         for (Seat seat : seats) {
@@ -983,24 +1022,25 @@
         }
         // A shard that no listed node holds waits apart until its node turns up.
         if (ticket.seat != null) {
-            ticket.seat.waiting.add(operation);
+            ticket.seat.waiting.add(ticket);
         } else {
-            homeless.add(operation);
+            homeless.add(ticket);
         }
     }
 
     private void dequeue(Operation operation) {
         Ticket ticket = (Ticket) operation.kept;
         if (!ticket.waits) { return; }
+        state++;
         ticket.waits = false;
         waiting--;
         waits.remove(ticket);
         if (operation.shard < 0) {
-            fresh.remove(operation);
+            fresh.remove(ticket);
         } else if (ticket.seat != null) {
-            ticket.seat.waiting.remove(operation);
+            ticket.seat.waiting.remove(ticket);
         } else {
-            homeless.remove(operation);
+            homeless.remove(ticket);
         }
     }
 
--- /dev/null
+++ b/src/main/java/sagepulley/control/Queue.java
@@ -0,0 +1,73 @@
+package sagepulley.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import sagepulley.model.Operation;
+
+/** Operations that wait in one place, in the order they came; those alike and those of an extent at hand. */
+final class Queue {
+    private static final Comparator<Ticket> BY_PATIENCE = Comparator
+            .comparingDouble((Ticket ticket) -> ticket.operation.patienceEnds)
+            .thenComparingLong(ticket -> ticket.turn);
+
+    /** Whoever had a hop, or keeps an order, is like nobody else: its turn tells it apart; others have 0. */
+    private record Alike(long volume, int band, double units, long turn) {
+        static Alike of(Ticket ticket) {
+            Operation operation = ticket.operation;
+            boolean plain = operation.hops.isEmpty() && ticket.line == null;
+            return new Alike(operation.volume.id, operation.band.index(), operation.units,
+                    plain ? 0 : ticket.turn);
+        }
+    }
+
+    private final TreeMap<Long, Operation> all = new TreeMap<>();
+    private final Map<Alike, TreeSet<Ticket>> alike = new LinkedHashMap<>();
+    private final Map<Long, TreeMap<Long, Operation>> byExtent = new LinkedHashMap<>();
+
+    boolean isEmpty() {
+        return all.isEmpty();
+    }
+
+    void add(Ticket ticket) {
+        all.put(ticket.turn, ticket.operation);
+        ticket.alike = Alike.of(ticket);
+        alike.computeIfAbsent((Alike) ticket.alike, any -> new TreeSet<>(BY_PATIENCE)).add(ticket);
+        if (ticket.operation.extent != 0) {
+            byExtent.computeIfAbsent(ticket.operation.extent, any -> new TreeMap<>())
+                    .put(ticket.turn, ticket.operation);
+        }
+    }
+
+    void remove(Ticket ticket) {
+        all.remove(ticket.turn);
+        TreeSet<Ticket> like = alike.get((Alike) ticket.alike);
+        like.remove(ticket);
+        if (like.isEmpty()) { alike.remove((Alike) ticket.alike); }
+        TreeMap<Long, Operation> same = byExtent.get(ticket.operation.extent);
+        if (same != null) {
+            same.remove(ticket.turn);
+            if (same.isEmpty()) { byExtent.remove(ticket.operation.extent); }
+        }
+    }
+
+    /** Groups of those alike, each by deadline. */
+    Collection<TreeSet<Ticket>> alike() {
+        return alike.values();
+    }
+
+    /** Those of an extent, as they came; none for extent 0. */
+    Collection<Operation> of(long extent) {
+        TreeMap<Long, Operation> same = byExtent.get(extent);
+        return same == null ? List.of() : same.values();
+    }
+
+    List<Operation> inOrder() {
+        return new ArrayList<>(all.values());
+    }
+}
--- a/src/main/java/sagepulley/control/Seat.java
+++ b/src/main/java/sagepulley/control/Seat.java
@@ -12,7 +12,7 @@
     final int index;
     final Node node;
     /** Operations whose data lies here, waiting for their turn. */
-    final List<Operation> waiting = new ArrayList<>();
+    final Queue waiting = new Queue();
     final List<Hop> out = new ArrayList<>();
 
     /** How many hops may be out, and when that was last cut. */
@@ -26,6 +26,11 @@
     long lastExtent;
     int runLeft;
 
+    /** Whose turn it was found to be, and when, in which state. */
+    Operation picked;
+    double pickedAt = Double.NaN;
+    long pickedState;
+
     /** The fair level of the volumes that use the node, and until when it stands. */
     final List<Use> uses = new ArrayList<>();
     double fair = Double.POSITIVE_INFINITY;
--- a/src/main/java/sagepulley/control/Ticket.java
+++ b/src/main/java/sagepulley/control/Ticket.java
@@ -7,6 +7,8 @@
     final Operation operation;
     /** Its place among all that ever stood in a queue. */
     long turn;
+    /** Whom it is like in its queue; the queue's own. */
+    Object alike;
     /** When the target time ends, counted from the client's first try. */
     double targetEnds;
     /** Whether it stands in a queue. */
