--- /dev/null
+++ b/src/main/java/sagepulley/accounts/Window.java
@@ -0,0 +1,61 @@
+package sagepulley.accounts;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Sums of one volume over one stretch of time. What causes few waits is folded together. */
+final class Window {
+    private static final int MOST_CAUSES = 24;
+    private static final Cause REST = new Cause(Cause.Kind.NEIGHBOUR, 0, true);
+
+    long number = Long.MIN_VALUE;
+    final double[] parts = new double[Spent.values().length];
+    final Map<Cause, Double> causes = new HashMap<>();
+    long operations;
+    long met;
+    long late;
+    long declined;
+    long scrapped;
+    long left;
+    double units;
+    double utilityLost;
+
+    void clear(long fresh) {
+        number = fresh;
+        java.util.Arrays.fill(parts, 0);
+        causes.clear();
+        operations = 0;
+        met = 0;
+        late = 0;
+        declined = 0;
+        scrapped = 0;
+        left = 0;
+        units = 0;
+        utilityLost = 0;
+    }
+
+    void charge(Cause cause, double time) {
+        causes.merge(cause, time, Double::sum);
+        if (causes.size() > MOST_CAUSES) {
+            Cause least = causes.entrySet().stream().filter(entry -> !entry.getKey().equals(REST))
+                    .min(Comparator.comparingDouble(Map.Entry<Cause, Double>::getValue)).orElseThrow().getKey();
+            causes.merge(REST, causes.remove(least), Double::sum);
+        }
+    }
+
+    void add(Window other) {
+        for (int i = 0; i < parts.length; i++) {
+            parts[i] += other.parts[i];
+        }
+        other.causes.forEach(this::charge);
+        operations += other.operations;
+        met += other.met;
+        late += other.late;
+        declined += other.declined;
+        scrapped += other.scrapped;
+        left += other.left;
+        units += other.units;
+        utilityLost += other.utilityLost;
+    }
+}
--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -17,6 +17,7 @@
 import sagepulley.model.Outcome;
 import sagepulley.model.Pause;
 import sagepulley.model.Placement;
+import sagepulley.model.Reason;
 import sagepulley.model.Ring;
 import sagepulley.model.Rulebook;
 import sagepulley.model.Sequel;
@@ -524,7 +525,9 @@
         Seat seat = ((Ticket) operation.kept).seat;
         if (seat == null || sound(seat, now)) { declines.add(now, 1); }
         if (!mayDecline(operation)) { return Placement.SCRAPPED; }
-        return Placement.decline(comeBack(seat, now));
+        Reason reason = now >= operation.patienceEnds - lastCall ? Reason.PATIENCE
+                : lateAt(operation) <= now ? Reason.LATE : Reason.NO_FURTHER_HOP;
+        return Placement.decline(comeBack(seat, now), reason);
     }
 
     /** When to ask again: once the queue has drained, or as late as may be told of a failing node. */
@@ -875,6 +878,24 @@
         return Double.isNaN(old) ? latest : BUSY_KEEP * old + (1 - BUSY_KEEP) * latest;
     }
 
+    /** Why an operation that waits is not sent now; told to whoever accounts for it, and nothing follows. */
+    public Reason why(Operation operation, double now) {
+        Seat seat = ((Ticket) operation.kept).seat;
+        if (seat == null) { return operation.shard < 0 ? Reason.SHARE_FULL : Reason.NO_NODE; }
+        if (seat.node.standing != Node.Standing.READY) { return Reason.NOT_READY; }
+        if (silent(seat, now)) { return Reason.SILENT; }
+        if (!isFirstOfKey(operation, now)) { return Reason.ORDER; }
+        if (!borne(operation, seat, now)) { return Reason.COLD; }
+        boolean first = operation.hops.isEmpty();
+        if (first && operation.units > limitRoom(operation.volume, now)) { return Reason.LIMIT; }
+        if (!lawful(operation, seat, now)) { return Reason.BUDGET; }
+        if (holdsBack(operation, seat, now)) { return Reason.HELD_BACK; }
+        if (hasRoom(seat, now)) { return Reason.RANKS_LATER; }
+        double due = due(operation.volume, operation.units, seat, now);
+        if (due >= 1) { return Reason.RESERVE_FULL; }
+        return due >= site.shareWorth() ? Reason.SHARE_FULL : Reason.BEYOND_SHARE;
+    }
+
     // ---- what is learned from an outcome ----
 
     private void learn(Hop hop, Seat seat, double now) {
--- a/src/main/java/sagepulley/directory/DirectoryLink.java
+++ b/src/main/java/sagepulley/directory/DirectoryLink.java
@@ -9,9 +9,14 @@
 import io.netty.channel.EventLoop;
 import java.net.SocketAddress;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sagepulley.wire.BadBytes;
@@ -22,11 +27,12 @@
 
 /**
  * A gateway's link to the directory: a connection that is opened when a call needs it. Calls fail when the
- * connection ends or does not come; nothing is asked again here. All on one loop.
+ * connection ends or does not come, or no answer in two seconds; nothing is asked again here. All on one loop.
  */
 public final class DirectoryLink {
     private static final int CONNECT_MS = 2_000;
     private static final int MOST_CALLS = 100_000;
+    private static final long ANSWER_MS = 2_000;
     private static final Logger LOG = LoggerFactory.getLogger(DirectoryLink.class);
 
     /** Told what the directory says, on the loop. */
@@ -51,6 +57,15 @@
     private final Owner owner;
     private final Map<Long, Ended<Frame>> calls = new HashMap<>();
     private final List<Frame> unsent = new ArrayList<>();
+    /** Calls that were given up, whose answers may still come; the latest ones. */
+    private final Set<Long> abandoned = Collections.newSetFromMap(new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+            return size() > MOST_CALLS;
+        }
+    });
     private Channel channel;
     private boolean open;
     private boolean subscribed;
@@ -134,7 +149,16 @@
             fail((any, why) -> reading.accept(null, why), "too many calls are out");
             return;
         }
+        // A directory that takes a call and says nothing must not hold its asker for good.
+        Future<?> timer = loop.schedule(() -> {
+            Ended<Frame> late = calls.remove(id);
+            if (late != null) {
+                abandoned.add(id);
+                late.accept(null, "no answer in " + ANSWER_MS + " ms");
+            }
+        }, ANSWER_MS, TimeUnit.MILLISECONDS);
         calls.put(id, (answer, failure) -> {
+            timer.cancel(false);
             try {
                 reading.accept(answer, failure);
             } catch (BadBytes bad) {
@@ -194,6 +218,7 @@
         open = false;
         unsent.forEach(Frame::release);
         unsent.clear();
+        abandoned.clear();
         List<Ended<Frame>> ended = new ArrayList<>(calls.values());
         calls.clear();
         if (subscribed) {
@@ -233,6 +258,9 @@
                 return;
             }
             Ended<Frame> call = calls.remove(frame.id());
+            if (call == null && abandoned.remove(frame.id())) {
+                return;
+            }
             if (call == null) {
                 throw new BadBytes("an answer to call " + frame.id() + ", which is not out");
             }
--- a/src/main/java/sagepulley/drill/Drill.java
+++ b/src/main/java/sagepulley/drill/Drill.java
@@ -8,9 +8,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sagepulley.directory.DirectoryWire;
@@ -50,15 +52,15 @@
     private final Ledger ledger = new Ledger();
     private final List<Loader> loaders = new ArrayList<>();
     private final List<Loader.Door> doors = new ArrayList<>();
-    private final List<Opener.Opened> gateways = new ArrayList<>();
-    private final List<Notebook.Life> lives = new ArrayList<>();
+    private final List<Opener.Opened> gateways = new CopyOnWriteArrayList<>();
+    private final List<Notebook.Life> lives = new CopyOnWriteArrayList<>();
     private final ScheduledExecutorService script = Executors.newSingleThreadScheduledExecutor(task -> {
         Thread thread = new Thread(task, "script");
         thread.setDaemon(true);
         return thread;
     });
     private Town town;
-    private long seeds;
+    private final AtomicLong seeds;
 
     public Drill(Day day) {
         this(day, (site, seed) -> {
@@ -70,7 +72,7 @@
     public Drill(Day day, Opener opener) {
         this.day = day;
         this.opener = opener;
-        this.seeds = day.seed() * 1000;
+        this.seeds = new AtomicLong(day.seed() * 1000);
     }
 
     /** Plays the day to its end. */
@@ -155,7 +157,7 @@
     }
 
     private void open(int index) throws SiteError {
-        long seed = ++seeds;
+        long seed = seeds.incrementAndGet();
         Notebook.Life life = notes.opened(index, seed, System.nanoTime());
         Opener.Opened opened = opener.open(site(index, town.directory().address()), seed);
         gateways.set(index, opened);
@@ -198,15 +200,24 @@
                 case DIRECTORY_FAILING -> town.directory().failing(false);
                 case DIRECTORY_LAGGING -> town.directory().lag(0);
                 case DIRECTORY_DOWN -> Town.await(town.directory().restart());
-                case GATEWAY_KILLED -> open(event.whom().get(0) - 1);
+                // It may take until a directory is back: the script goes on meanwhile.
+                case GATEWAY_KILLED -> CompletableFuture.runAsync(() -> reopen(event.whom().get(0) - 1));
                 case SURGE -> surge(event, 1);
                 default -> nodes(event).forEach(node -> finish(event, node));
             }
-        } catch (RuntimeException | SiteError e) {
+        } catch (RuntimeException e) {
             LOG.atError().setCause(e).log("end of fault failed");
         }
     }
 
+    private void reopen(int index) {
+        try {
+            open(index);
+        } catch (SiteError | RuntimeException e) {
+            LOG.atError().setCause(e).log("gateway did not come back");
+        }
+    }
+
     private List<StandInNode> nodes(Day.Event event) {
         return event.whom().stream().map(number -> town.nodes().get(number - 1)).toList();
     }
@@ -219,8 +230,10 @@
     private void kill(int index) {
         doors.get(index).address = null;
         lives.get(index).until = System.nanoTime();
-        gateways.get(index).kill().run();
-        gateways.set(index, null);
+        Opener.Opened gateway = gateways.set(index, null);
+        if (gateway != null) {
+            gateway.kill().run();
+        }
     }
 
     private void begin(Day.Event event, StandInNode node) {
--- a/src/main/java/sagepulley/gateway/Gateway.java
+++ b/src/main/java/sagepulley/gateway/Gateway.java
@@ -11,11 +11,13 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sagepulley.accounts.Accounts;
 import sagepulley.control.Control;
 import sagepulley.nbd.Export;
 import sagepulley.nbd.Exports;
@@ -119,6 +121,11 @@
         return house.tally();
     }
 
+    /** Each volume's account of latency over the last so many milliseconds, by its name. */
+    public CompletableFuture<Map<String, Accounts.Report>> accounts(double lately) {
+        return house.accounts(lately);
+    }
+
     /** Bytes of requests in hand now, and the most there ever were. */
     public long bytesInHand() {
         return room.used();
--- a/src/main/java/sagepulley/gateway/House.java
+++ b/src/main/java/sagepulley/gateway/House.java
@@ -9,13 +9,20 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sagepulley.accounts.Accounts;
+import sagepulley.accounts.Ahead;
+import sagepulley.accounts.Spent;
 import sagepulley.control.Control;
 import sagepulley.directory.DirectoryLink;
 import sagepulley.directory.DirectoryWire;
@@ -26,6 +33,7 @@
 import sagepulley.model.Outcome;
 import sagepulley.model.Pause;
 import sagepulley.model.Placement;
+import sagepulley.model.Reason;
 import sagepulley.model.Sequel;
 import sagepulley.model.Volume;
 import sagepulley.nbd.Export;
@@ -49,6 +57,9 @@
     /** A first list, and the holders at start, are asked for this often until they come. */
     private static final long START_AGAIN_MS = 250;
     private static final int HOLDERS_AT_ONCE = 1 << 14;
+    private static final int MOST_ACCOUNTS = 1000;
+    private static final int ACCOUNTED_AT_ONCE = 256;
+    private static final long ACCOUNT_BEAT_MS = 20;
     private static final double NS = 1e6;
     private static final Logger LOG = LoggerFactory.getLogger(House.class);
 
@@ -69,9 +80,13 @@
     private final Map<Session, Set<Request>> requests = new HashMap<>();
     /** Parts in hand whose holder is not known, by extent. */
     private final Map<Long, Set<Part>> seeking = new HashMap<>();
+    private final Accounts accounts = new Accounts(MOST_ACCOUNTS);
+    /** Parts that wait at Control, in the order in which they are asked why. */
+    private final Set<Part> waiting = new LinkedHashSet<>();
     private long hopIds;
     private boolean settleDue;
     private ScheduledFuture<?> wake;
+    private ScheduledFuture<?> beat;
     private double wakeAt = Double.POSITIVE_INFINITY;
     private boolean listed;
     private boolean stopping;
@@ -83,6 +98,8 @@
         final Node node;
         NodeLink link;
         long startedAt;
+        /** Units of hops out there, by volume. */
+        final Map<Long, Double> outUnits = new LinkedHashMap<>();
 
         Place(int id) {
             node = new Node(id);
@@ -136,6 +153,20 @@
     void start(Runnable ready) {
         whenReady = ready;
         directory.fetch();
+        beat = loop.scheduleAtFixedRate(this::accountForWaiting, ACCOUNT_BEAT_MS, ACCOUNT_BEAT_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** Each volume's account of the last so many milliseconds, by name. From any thread. */
+    CompletableFuture<Map<String, Accounts.Report>> accounts(double lately) {
+        CompletableFuture<Map<String, Accounts.Report>> told = new CompletableFuture<>();
+        loop.execute(() -> {
+            double now = clock.now();
+            Map<String, Accounts.Report> reports = new LinkedHashMap<>();
+            disks.forEach((name, disk) -> reports.put(name, accounts.report(disk.line.id(), now - lately, now)));
+            told.complete(reports);
+        });
+        return told;
     }
 
     /** From any thread. */
@@ -193,6 +224,10 @@
         if (request.open == 0) {
             close(request);
         }
+        for (Part part : request.parts) {
+            part.meter = accounts.begin(request.disk.line.id(), part.operation.band, part.operation.units,
+                    request.arrivedAt);
+        }
         for (Part part : List.copyOf(request.parts)) {
             if (part.kind == StoreWire.Kind.FLUSH) {
                 show(part);
@@ -279,6 +314,8 @@
         if (part.shown) {
             control.left(part.operation, clock.now());
         }
+        accounts.end(part.meter, Accounts.End.LEFT, clock.now());
+        waiting.remove(part);
         part.payload.release();
     }
 
@@ -294,15 +331,21 @@
         }
         seeking.computeIfAbsent(key, any -> new HashSet<>()).add(part);
         if (holders.claiming(key)) {
-            holders.park(key, part, clock.now());
+            park(key, part);
         } else if (creates(part)) {
             show(part);
         } else {
-            holders.park(key, part, clock.now());
+            park(key, part);
             lookUp(part);
         }
     }
 
+    private void park(long key, Part part) {
+        double now = clock.now();
+        holders.park(key, part, now);
+        accounts.turn(part.meter, Spent.DIRECTORY, 0, Ahead.NOBODY, now);
+    }
+
     /** Whether the extent must have a holder afterwards. */
     private static boolean creates(Part part) {
         return part.kind == StoreWire.Kind.WRITE || part.kind == StoreWire.Kind.ZERO
@@ -423,6 +466,14 @@
 
     private void carryOut(Part part, Placement placement) {
         Operation operation = part.operation;
+        if (placement.kind() == Placement.Kind.WAIT) {
+            if (!operation.over) {
+                waiting.add(part);
+                account(part, clock.now());
+            }
+            return;
+        }
+        waiting.remove(part);
         switch (placement.kind()) {
             case SEND -> {
                 Hop hop = operation.hops.get(operation.hops.size() - 1);
@@ -433,6 +484,7 @@
                 part.timer = loop.schedule(() -> timedOut(number),
                         Math.max(1, (long) (placement.timeout() * NS)), TimeUnit.NANOSECONDS);
                 if (operation.shard < 0) {
+                    accounts.turn(part.meter, Spent.DIRECTORY, 0, Ahead.NOBODY, clock.now());
                     claim(part, hop);
                 } else {
                     hand(part, hop);
@@ -442,18 +494,69 @@
                 tally.declined.increment();
                 String when = placement.advice() > 0
                         ? "; come back in " + (long) Math.ceil(placement.advice()) + " ms" : "";
-                finish(part, Nbd.ENOMEM, "declined: asking again does no harm" + when);
+                finish(part, Accounts.End.DECLINED, Nbd.ENOMEM, "declined (" + word(placement.reason())
+                        + "): asking again does no harm" + when);
             }
             case SCRAP -> {
                 tally.scrapped.increment();
-                finish(part, Nbd.EIO, "scrapped: it may have taken effect or not");
+                finish(part, Accounts.End.SCRAPPED, Nbd.EIO, "scrapped: it may have taken effect or not");
             }
-            case WAIT -> { }
+            case WAIT -> throw new IllegalStateException("seen above");
         }
     }
 
+    private static String word(Reason reason) {
+        return reason.name().toLowerCase(Locale.ROOT).replace('_', ' ');
+    }
+
+    /** States anew why an operation waits, and behind whom. */
+    private void account(Part part, double now) {
+        Spent spent = Spent.of(control.why(part.operation, now));
+        Node node = nodeOf(part.operation.shard);
+        accounts.turn(part.meter, spent, node == null ? 0 : node.id, node == null ? Ahead.NOBODY : ahead(node), now);
+    }
+
+    /** Operations wait for reasons that change without anything happening to them: some are asked at each beat. */
+    private void accountForWaiting() {
+        double now = clock.now();
+        Iterator<Part> each = waiting.iterator();
+        List<Part> asked = new ArrayList<>();
+        while (each.hasNext() && asked.size() < ACCOUNTED_AT_ONCE) {
+            asked.add(each.next());
+            each.remove();
+        }
+        for (Part part : asked) {
+            account(part, now);
+            waiting.add(part);
+        }
+    }
+
+    private Node nodeOf(int cell) {
+        for (Place place : places.values()) {
+            if (place.node.cell == cell && place.node.standing == Node.Standing.READY) {
+                return place.node;
+            }
+        }
+        return null;
+    }
+
+    /** What this gateway has out at a node, by volume. */
+    private Ahead ahead(Node node) {
+        Map<Long, Double> units = places.get(node.id).outUnits;
+        long[] volumes = new long[units.size()];
+        double[] sums = new double[units.size()];
+        int at = 0;
+        for (Map.Entry<Long, Double> entry : units.entrySet()) {
+            volumes[at] = entry.getKey();
+            sums[at++] = entry.getValue();
+        }
+        return new Ahead(volumes, sums);
+    }
+
     private void hand(Part part, Hop hop) {
         part.handed = true;
+        accounts.turn(part.meter, Spent.ON_THE_WAY, hop.node.id, ahead(hop.node), clock.now());
+        places.get(hop.node.id).outUnits.merge(part.operation.volume.id, part.operation.units, Double::sum);
         tally.hops.increment();
         Place place = places.get(hop.node.id);
         boolean durable = (part.request.asked.flags() & Nbd.CMD_FLAG_FUA) != 0;
@@ -484,6 +587,9 @@
         hop.usedPercent = answer.used() == 0 ? Double.NaN : answer.used() - 1;
         hop.othersUnits = answer.others();
         hop.report = widened(answer.report());
+        if (answer.code() == StoreWire.Code.SATISFIED) {
+            accounts.answered(part.meter, answer.waited(), answer.worked(), clock.now());
+        }
         int due = part.kind == StoreWire.Kind.READ ? part.length : 0;
         if (outcome == Outcome.SATISFIED && payload.readableBytes() != due) {
             outcome = Outcome.FAULT;
@@ -526,6 +632,14 @@
             part.timer.cancel(false);
             part.timer = null;
         }
+        if (part.handed) {
+            part.handed = false;
+            places.get(hop.node.id).outUnits.computeIfPresent(operation.volume.id, (volume, units) ->
+                    units - operation.units < 1e-6 ? null : units - operation.units);
+        }
+        if (outcome != Outcome.SATISFIED) {
+            accounts.failed(part.meter, now);
+        }
         boolean first = !operation.over && outcome == Outcome.SATISFIED;
         operation.over |= first;
         if (outcome == Outcome.MOOT) {
@@ -554,16 +668,19 @@
     private void satisfied(Part part) {
         part.operation.over = true;
         tally.satisfied.increment();
+        accounts.end(part.meter, Accounts.End.SATISFIED, clock.now());
         over(part);
     }
 
-    private void finish(Part part, int error, String why) {
+    private void finish(Part part, Accounts.End how, int error, String why) {
         part.operation.over = true;
+        accounts.end(part.meter, how, clock.now());
         part.request.fail(part.at, error, why);
         over(part);
     }
 
     private void over(Part part) {
+        waiting.remove(part);
         unseek(part);
         part.payload.release();
         if (--part.request.open == 0) {
@@ -767,6 +884,9 @@
 
     /** Ends all links. On the loop, once nothing is in hand or wanted. */
     void close() {
+        if (beat != null) {
+            beat.cancel(false);
+        }
         if (wake != null) {
             wake.cancel(false);
         }
--- a/src/main/java/sagepulley/gateway/Part.java
+++ b/src/main/java/sagepulley/gateway/Part.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.util.concurrent.ScheduledFuture;
+import sagepulley.accounts.Meter;
 import sagepulley.model.Operation;
 import sagepulley.store.StoreWire;
 
@@ -24,6 +25,8 @@
     boolean handed;
     /** Whether it was shown to Control, or still waits for the directory. */
     boolean shown;
+    /** Its account of time. */
+    Meter meter;
     /** For a flush: how many writes stood when it began, and the node's start that must still hold. */
     long writesBefore;
     long since;
--- a/src/main/java/sagepulley/standin/StandInNode.java
+++ b/src/main/java/sagepulley/standin/StandInNode.java
@@ -68,6 +68,9 @@
         final long hop;
         final StoreWire.Send send;
         final ByteBuf payload;
+        final long came = System.nanoTime();
+        /** When work on it began; 0 before. */
+        long begun;
         boolean calledOff;
 
         Work(Link link, long hop, StoreWire.Send send, ByteBuf payload) {
@@ -343,6 +346,7 @@
     }
 
     private void begin(Work work) {
+        work.begun = System.nanoTime();
         StoreWire.Send send = work.send;
         StoreWire.Code code = StoreWire.Code.SATISFIED;
         ByteBuf result = Unpooled.EMPTY_BUFFER;
@@ -444,7 +448,10 @@
         }
         link.open.remove(work.hop);
         float[] report = {queue.size()};
-        link.write(work.hop, new StoreWire.Answer(code, 0, link.others(work.send.volume()), report), payload);
+        long now = System.nanoTime();
+        long begun = work.begun == 0 ? now : work.begun;
+        link.write(work.hop, new StoreWire.Answer(code, 0, link.others(work.send.volume()),
+                (begun - work.came) / 1e6f, (now - begun) / 1e6f, report), payload);
     }
 
     /** One gateway's connection. */
--- a/src/main/java/sagepulley/store/StoreWire.java
+++ b/src/main/java/sagepulley/store/StoreWire.java
@@ -53,8 +53,11 @@
     /** How a node answers. */
     public enum Code { SATISFIED, FAULT, FULL, DRAINING, MOOT, STALE_PEN, CALLED_OFF }
 
-    /** A hop's end at the node, as WIRE has its figures: used percent is 0 for none, else 1 more. */
-    public record Answer(Code code, int used, float others, float[] report) {
+    /**
+     * A hop's end at the node, as WIRE has its figures: used percent is 0 for none, else 1 more. Waited and
+     * worked are the milliseconds that it stood in the node's queue and was worked on.
+     */
+    public record Answer(Code code, int used, float others, float waited, float worked, float[] report) {
         public static final float[] NO_REPORT = {};
     }
 
@@ -114,8 +117,9 @@
     }
 
     public static Frame answer(long hop, Answer it, ByteBuf payload) {
-        ByteBuf head = Unpooled.buffer(24).writeByte(it.code().ordinal()).writeShort(it.used())
-                .writeFloat(it.others()).writeByte(it.report().length);
+        ByteBuf head = Unpooled.buffer(32).writeByte(it.code().ordinal()).writeShort(it.used())
+                .writeFloat(it.others()).writeFloat(it.waited()).writeFloat(it.worked())
+                .writeByte(it.report().length);
         for (float value : it.report()) {
             head.writeFloat(value);
         }
@@ -123,14 +127,16 @@
     }
 
     public static Answer answer(Frame frame) throws BadBytes {
-        ByteBuf head = Fields.need(frame, 8);
+        ByteBuf head = Fields.need(frame, 16);
         int code = head.readUnsignedByte();
         int used = head.readUnsignedShort();
         float others = head.readFloat();
-        if (code >= Code.values().length || !(others >= 0 && others < 1e9)) {
+        float waited = head.readFloat();
+        float worked = head.readFloat();
+        if (code >= Code.values().length || !(others >= 0 && others < 1e9) || !(waited >= 0 && worked >= 0)) {
             throw new BadBytes("answer with code " + code + " and " + others + " units of others");
         }
-        return new Answer(Code.values()[code], used, others, report(head));
+        return new Answer(Code.values()[code], used, others, waited, worked, report(head));
     }
 
     public static Frame probed(long id, float[] report) {
--- /dev/null
+++ b/src/test/java/sagepulley/gateway/AccountsPathTest.java
@@ -0,0 +1,86 @@
+package sagepulley.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+import sagepulley.accounts.Accounts;
+import sagepulley.accounts.Cause;
+import sagepulley.accounts.Spent;
+import sagepulley.drill.Town;
+import sagepulley.nbd.Nbd;
+import sagepulley.nbd.NbdClient;
+import sagepulley.standin.NodeTraits;
+import sagepulley.standin.Witness;
+import sagepulley.wire.Loops;
+
+/** A volume that floods is named as the main cause of another's waits; a slow node is named where it is one. */
+class AccountsPathTest {
+    private static final String TWO = """
+
+            [volume flood]
+            id = 9
+            size = 8 MiB
+            plan = plain
+            read-band = read
+            write-band = write
+            bulk-from = 16 MiB
+            """;
+
+    /** Keeps so many writes of a client in flight until told to stop. */
+    private static void flood(NbdClient client, int number, AtomicBoolean stop) {
+        client.ask(Nbd.CMD_WRITE, 0, number % 64 * 131072L, 131072,
+                Unpooled.wrappedBuffer(new byte[131072]), (reply, failure) -> {
+                    if (!stop.get() && failure == null) {
+                        flood(client, number + 1, stop);
+                    }
+                });
+    }
+
+    private static NbdClient open(Town town, Gateway gateway, String volume) {
+        return Town.await(NbdClient.open(town.loops(), Loops.socket(), gateway.address(), volume,
+                NbdClient.Style.GO));
+    }
+
+    @Test
+    void theFloodIsNamed() throws Exception {
+        List<NodeTraits> traits = new ArrayList<>();
+        for (int i = 1; i <= 2; i++) {
+            traits.add(new NodeTraits(i, i, 0, 0, 1, 8, 8, 256, Rig.MIB, 0.25, 10_000, 2, 2_000, 64, 0, 1_000, null));
+        }
+        try (Town town = Town.start(traits, Witness.NOBODY, 2)) {
+            Gateway gateway = town.open(Town.demoSite("gw", 0, 1, 0, town.directory().address()) + TWO, 1);
+            NbdClient victim = open(town, gateway, "demo");
+            NbdClient neighbour = open(town, gateway, "flood");
+            for (int i = 0; i < 4; i++) {
+                Rig.await(victim.write(i * (long) Rig.MIB, new byte[4096])).release();
+            }
+            AtomicBoolean stop = new AtomicBoolean();
+            for (int i = 0; i < 40; i++) {
+                flood(neighbour, i, stop);
+            }
+            for (int i = 0; i < 60; i++) {
+                Rig.await(victim.read(i % 4 * (long) Rig.MIB, 4096)).release();
+            }
+            stop.set(true);
+            Map<String, Accounts.Report> reports = Rig.await(gateway.accounts(60_000));
+            Accounts.Report report = reports.get("demo");
+            assertEquals(64, report.operations());
+            List<Accounts.Charged> waits = report.causes().stream()
+                    .filter(charged -> charged.cause().kind() != Cause.Kind.OWN_WORK).toList();
+            assertEquals(Cause.Kind.NEIGHBOUR, waits.get(0).cause().kind(), waits.toString());
+            assertEquals(9, waits.get(0).cause().number());
+            // The flood itself waited on its own load.
+            Accounts.Charged own = reports.get("flood").causes().get(0);
+            assertEquals(new Cause(Cause.Kind.OWN_LOAD, 9, own.cause().estimate()), own.cause());
+            assertTrue(reports.get("flood").parts().containsKey(Spent.NODE_WORK));
+            victim.channel().close();
+            neighbour.channel().close();
+        }
+    }
+}
--- a/src/test/java/sagepulley/gateway/FaultsTest.java
+++ b/src/test/java/sagepulley/gateway/FaultsTest.java
@@ -17,6 +17,7 @@
 import sagepulley.nbd.Nbd;
 import sagepulley.nbd.NbdClient;
 import sagepulley.nbd.NbdReply;
+import sagepulley.site.Site;
 import sagepulley.standin.StandInNode;
 import sagepulley.standin.Witness;
 
@@ -205,6 +206,23 @@
         }
     }
 
+    @Test
+    void aGatewayStartedWhileTheDirectoryIsSilentGetsReadyOnceItSpeaks() throws Exception {
+        try (Rig rig = new Rig(2)) {
+            rig.town.directory().silent(true);
+            Gateway second = new Gateway(Site.read("second", rig.site(1, 2)), 5);
+            CompletableFuture<Gateway> ready = second.start();
+            Thread.sleep(300); // time for its call to be swallowed; what follows holds either way
+            assertTrue(!ready.isDone());
+            rig.town.directory().silent(false);
+            Rig.await(ready);
+            NbdClient client = rig.client(second, NbdClient.Style.GO);
+            assertEquals(0, Rig.error(client.write(0, new byte[4096])));
+            client.channel().close().syncUninterruptibly();
+            Rig.await(second.stop());
+        }
+    }
+
     @Test
     void stoppingAnswersWhatIsInHand() throws Exception {
         try (Rig rig = new Rig(3)) {
