--- a/src/main/java/sagepulley/accounts/Accounts.java
+++ b/src/main/java/sagepulley/accounts/Accounts.java
@@ -235,9 +235,9 @@
                 parts.put(part, sum.parts[part.ordinal()]);
             }
         }
-        double all = sum.causes.values().stream().mapToDouble(Double::doubleValue).sum();
+        double all = sum.causes.values().stream().mapToDouble(time -> time[0]).sum();
         List<Charged> causes = new ArrayList<>();
-        sum.causes.forEach((cause, time) -> causes.add(new Charged(cause, time, time / all)));
+        sum.causes.forEach((cause, time) -> causes.add(new Charged(cause, time[0], time[0] / all)));
         causes.sort(Comparator.comparingDouble(Charged::waited).reversed()
                 .thenComparing(charged -> charged.cause().toString()));
         return new Report(volume, sum.operations, sum.met, sum.late, sum.declined, sum.scrapped, sum.left, sum.units,
--- a/src/main/java/sagepulley/accounts/Window.java
+++ b/src/main/java/sagepulley/accounts/Window.java
@@ -11,7 +11,8 @@
 
     long number = Long.MIN_VALUE;
     final double[] parts = new double[Spent.values().length];
-    final Map<Cause, Double> causes = new HashMap<>();
+    /** Milliseconds by cause, each in a cell of its own, summed in place. */
+    final Map<Cause, double[]> causes = new HashMap<>();
     long operations;
     long met;
     long late;
@@ -36,11 +37,16 @@
     }
 
     void charge(Cause cause, double time) {
-        causes.merge(cause, time, Double::sum);
+        double[] sum = causes.get(cause);
+        if (sum != null) {
+            sum[0] += time;
+            return;
+        }
+        causes.put(cause, new double[] {time});
         if (causes.size() > MOST_CAUSES) {
             Cause least = causes.entrySet().stream().filter(entry -> !entry.getKey().equals(REST))
-                    .min(Comparator.comparingDouble(Map.Entry<Cause, Double>::getValue)).orElseThrow().getKey();
-            causes.merge(REST, causes.remove(least), Double::sum);
+                    .min(Comparator.comparingDouble(entry -> entry.getValue()[0])).orElseThrow().getKey();
+            causes.computeIfAbsent(REST, any -> new double[1])[0] += causes.remove(least)[0];
         }
     }
 
@@ -48,7 +54,7 @@
         for (int i = 0; i < parts.length; i++) {
             parts[i] += other.parts[i];
         }
-        other.causes.forEach(this::charge);
+        other.causes.forEach((cause, time) -> charge(cause, time[0]));
         operations += other.operations;
         met += other.met;
         late += other.late;
