Read again: a hole is unsought once, one release for an unwanted answer, one look at a node

Reading the whole change found the same thing done twice in the gateway's host: a hole left its queues two times before its end did it anyway, two branches gave an unwanted payload back, a hop looked its node up twice; and a name for a zero in the site file's reader. Nothing behaves otherwise.

--- a/src/main/java/sagepulley/gateway/House.java
+++ b/src/main/java/sagepulley/gateway/House.java
@@ -365,8 +365,6 @@
             } else if (cells[0] >= 0) {
                 found(part.operation.extent, cells[0]);
             } else {
-                holders.unpark(part.operation.extent, part);
-                unseek(part);
                 if (part.shown) {
                     part.operation.over = true;
                     control.needless(part.operation);
@@ -556,9 +554,9 @@
     private void hand(Part part, Hop hop) {
         part.handed = true;
         accounts.turn(part.meter, Spent.ON_THE_WAY, hop.node.id, ahead(hop.node), clock.now());
-        places.get(hop.node.id).outUnits.merge(part.operation.volume.id, part.operation.units, Double::sum);
-        tally.hops.increment();
         Place place = places.get(hop.node.id);
+        place.outUnits.merge(part.operation.volume.id, part.operation.units, Double::sum);
+        tally.hops.increment();
         boolean durable = (part.request.asked.flags() & Nbd.CMD_FLAG_FUA) != 0;
         StoreWire.Send send = new StoreWire.Send(part.kind, part.operation.band.index(), durable,
                 part.operation.band.repeat().ordinal(), part.operation.id, hop.number,
@@ -594,9 +592,7 @@
         if (outcome == Outcome.SATISFIED && payload.readableBytes() != due) {
             outcome = Outcome.FAULT;
         }
-        if (outcome != Outcome.SATISFIED || part.operation.over) {
-            payload.release();
-        } else if (due > 0) {
+        if (outcome == Outcome.SATISFIED && !part.operation.over && due > 0) {
             part.request.found.add(new Request.Found(part.at, part.length, payload));
         } else {
             payload.release();
--- a/src/main/java/sagepulley/site/Site.java
+++ b/src/main/java/sagepulley/site/Site.java
@@ -100,7 +100,6 @@
 
         private Deployment deployment(List<String> zones, double mostUnits) {
             int gateways = ini.whole("gateway", "gateways", 1, 1, 100_000);
-            double probe = 0;
             return new Deployment(ini.whole("gateway", "number", 0, 0, gateways - 1), gateways,
                     ini.choice("gateway", "zone", zones.get(0), zones), bands, plans, rules(),
                     ini.time("site", "tick", "10 ms", 0.1, 1000),
@@ -111,7 +110,7 @@
                     ini.time("site", "use-period", "1 s", 0, DAY), true, true,
                     ini.time("site", "ask-within", "10 s", 100, DAY), false, true, true,
                     ini.time("site", "longest-advice", "1 s", 0, DAY),
-                    ini.number("site", "cross-zone-price", 0.0, 0, MANY), probe, 0,
+                    ini.number("site", "cross-zone-price", 0.0, 0, MANY), 0, 0,
                     ini.truth("site", "weighs-nodes", false), List.of("queue"));
         }
 
