--- a/src/main/java/sagepulley/accounts/Accounts.java
+++ b/src/main/java/sagepulley/accounts/Accounts.java
@@ -1,254 +1,534 @@
 package sagepulley.accounts;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
+import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import sagepulley.model.Band;
+import sagepulley.model.Owed;
+import sagepulley.model.Reason;
 
 /**
  * Accounts of latency by volume: where each operation's time went, without remainder, and who it waited behind.
- * No I/O and no clock; times are milliseconds handed in. Memory is bounded: so many volumes (the rest share one
- * account, number 0), ten minutes in windows of ten seconds and half a day in windows of five minutes.
+ * No I/O and no clock; times are milliseconds handed in. Memory is bounded, whatever comes, by so many volumes
+ * (the rest share one account, number 0), so many windows in all (detail is given up first where nothing
+ * happened for longest) and so many nodes.
  */
 public final class Accounts {
-    private static final double FINE = 10_000;
-    private static final int FINE_KEPT = 60;
-    private static final double COARSE = 300_000;
-    private static final int COARSE_KEPT = 144;
-    /** A node whose work for a unit takes so many times the mean is slow; what it takes beyond is its own doing. */
+    /** The most that is kept: volumes with an account of their own, windows of all volumes, nodes. */
+    public record Bounds(int volumes, int windows, int nodes) {
+        public static final Bounds USUAL = new Bounds(10_000, 40_000, 512);
+        /** Keeps no accounts at all: no operation gets a meter. */
+        public static final Bounds NONE = new Bounds(0, 0, 0);
+    }
+
+    /** A node whose work for a unit takes so many times that of the others is slow. */
     private static final double SLOW = 1.5;
-    private static final double PACE_STEP = 0.1;
+    private static final int MOST_AHEADS_KEPT = 4096;
+    /** A wait that is shorter than this tells nothing of how fast a queue drains, in milliseconds. */
+    private static final double LEAST_DRAIN = 0.5;
 
     /** How an operation ended. */
     public enum End { SATISFIED, DECLINED, SCRAPPED, LEFT }
 
-    /** A cause with the milliseconds of waiting that are charged to it, and its part of all waits. */
-    public record Charged(Cause cause, double waited, double share) {
-    }
+    private final Bounds bounds;
+    private final double wallAtZero;
+    /** Whoever was used longest ago comes first. */
+    private final LinkedHashMap<Long, Timeline<Window>> volumes = new LinkedHashMap<>(16, 0.75f, true);
+    private final Map<Integer, NodeLog> nodes = new LinkedHashMap<>();
+    private final ArrayDeque<Ahead> spare = new ArrayDeque<>();
+    private int windows;
 
-    /** What a volume got over a stretch of time; causes come with the largest first. */
-    public record Report(long volume, long operations, long met, long late, long declined, long scrapped,
-                         long left, double units, double utilityLost, Map<Spent, Double> parts,
-                         List<Charged> causes) {
+    /** The wall-clock time, in milliseconds, at which the clock that is handed in stood at zero. */
+    public Accounts(Bounds bounds, double wallAtZero) {
+        this.bounds = bounds;
+        this.wallAtZero = wallAtZero;
     }
 
-    private static final class VolumeAccount {
-        final Window[] fine = new Window[FINE_KEPT];
-        final Window[] coarse = new Window[COARSE_KEPT];
-    }
+    // ---- what happens ----
 
-    private final int mostVolumes;
-    private final Map<Long, VolumeAccount> volumes = new HashMap<>();
-    /** Milliseconds of work a unit, by node. */
-    private final Map<Integer, Double> paces = new LinkedHashMap<>();
+    /** A node that may be sent to; until a time on the clock handed in it counts as cold. */
+    public void node(int id, int zone, double coldUntil) {
+        NodeLog node = log(id);
+        if (node != null) {
+            node.zone = zone;
+            node.coldUntil = coldUntil;
+        }
+    }
 
-    public Accounts(int mostVolumes) {
-        this.mostVolumes = mostVolumes;
+    /** An operation came. Its meter is null where no accounts are kept, and all else takes it so. */
+    public Meter begin(long volume, Band band, boolean writes, double units, double now) {
+        return bounds.volumes() == 0 ? null : new Meter(volume, band, writes, units, now);
     }
 
-    /** An operation came. */
-    public Meter begin(long volume, Band band, double units, double now) {
-        return new Meter(volume, band, units, now);
+    /** From now on it waits at this gateway, for a node (0: none). */
+    public void waits(Meter meter, Spent part, int node, double now) {
+        if (meter == null) {
+            return;
+        }
+        close(meter, now);
+        start(meter, part, node);
+        meter.limited |= part == Spent.LIMIT;
+        meter.owed = switch (part) {
+            case RESERVE_FULL -> Owed.RESERVE;
+            case BEYOND_SHARE -> Owed.EXCESS;
+            default -> Owed.SHARE;
+        };
     }
 
-    /** From now on its time goes elsewhere: to a wait at this gateway for a node (0: none) behind others. */
-    public void turn(Meter meter, Spent part, int node, Ahead ahead, double now) {
+    /** A hop of it goes to a node, in this part of its plan. */
+    public void sent(Meter meter, int node, Owed owed, double now) {
+        if (meter == null) {
+            return;
+        }
         close(meter, now);
-        meter.spends = part;
-        meter.node = node;
-        meter.ahead = ahead;
+        start(meter, Spent.ON_THE_WAY, node);
+        meter.owed = owed;
+        meter.outNode = node;
+        meter.wasSent = true;
+        NodeLog log = log(node);
+        if (log != null) {
+            meter.othersLeast = log.othersLeast();
+            meter.othersMost = log.othersMost();
+            meter.outKey = log.out.add(Ahead.key(meter.volume, owed), meter.units);
+            log.sent(now);
+            if (meter.writes) {
+                log.written.add(meter.volume, meter.units, now);
+            }
+        }
     }
 
-    /** Its hop was answered: the node told how long it stood in its queue and was worked on. */
-    public void answered(Meter meter, double waited, double worked, double now) {
+    /**
+     * Its hop was answered well: the node told how long it stood in the queue and was worked on, and how many
+     * hops of everybody's were in its queue then (NaN: not told).
+     */
+    public void answered(Meter meter, double waited, double worked, double queue, double now) {
+        if (meter == null) {
+            return;
+        }
         double length = Math.max(0, now - meter.since);
-        double queue = Math.min(length, Math.max(0, waited));
-        double work = Math.min(length - queue, Math.max(0, worked));
+        double stood = Math.min(length, Math.max(0, waited));
+        double work = Math.min(length - stood, Math.max(0, worked));
+        NodeLog log = home(meter);
         meter.since = now;
-        book(meter, Spent.ON_THE_WAY, length - queue - work, now);
-        book(meter, Spent.NODE_QUEUE, queue, now);
-        book(meter, Spent.NODE_WORK, work, now);
-        double pace = Math.max(0, worked) / Math.max(1e-9, meter.units);
-        paces.merge(meter.node, pace, (old, latest) -> old + PACE_STEP * (latest - old));
-        meter.spends = Spent.RANKS_LATER;
+        if (!meter.ended) {
+            double way = length - stood - work;
+            meter.step(Spent.ON_THE_WAY, meter.node, way);
+            charge(meter, Cause.Kind.NETWORK, meter.node, way, false);
+            meter.step(Spent.NODE_QUEUE, meter.node, stood);
+            queued(meter, log, stood, length, now);
+            meter.step(Spent.NODE_WORK, meter.node, work);
+            worked(meter, log, work);
+        }
+        if (log != null) {
+            log.heard(meter.writes, meter.units, worked, length, queue, now);
+            log.flows.at(wallAtZero + now).worked(meter.volume, meter.writes, meter.units);
+        }
+        letGo(meter);
+        start(meter, Spent.RANKS_LATER, 0);
     }
 
     /** Its hop ended for nothing. */
     public void failed(Meter meter, double now) {
+        if (meter == null) {
+            return;
+        }
         meter.spends = Spent.FUTILE;
         close(meter, now);
-        meter.spends = Spent.RANKS_LATER;
+        home(meter);
+        letGo(meter);
+        start(meter, Spent.RANKS_LATER, 0);
     }
 
-    /** Its final answer is out, or its client left. */
-    public void end(Meter meter, End how, double now) {
-        if (meter.ended) {
+    /** Its final answer is out, or its client left; what it was given up for, and at which node (0: none). */
+    public void end(Meter meter, End how, Reason reason, int node, double now) {
+        if (meter == null || meter.ended) {
             return;
         }
         close(meter, now);
         meter.ended = true;
         double took = now - meter.arrivedAt;
+        boolean met = how == End.SATISFIED && took <= meter.band.targetTime();
+        double lost = met ? 0 : meter.band.utility() * (how == End.SATISFIED ? 1 - meter.band.lateShare() : 1);
+        if (lost > 0 && meter.charges.size() == 0) {
+            blameUnwaited(meter, reason, node, now);
+        }
         Window window = window(meter.volume, now);
-        window.operations++;
-        window.units += meter.units;
+        PlanPart part = meter.limited || reason == Reason.LIMIT ? PlanPart.LIMIT
+                : !meter.wasSent ? PlanPart.NONE : PlanPart.of(meter.owed);
+        int at = part.ordinal();
+        window.units[at] += meter.units;
+        window.lost[at] += lost;
+        if (met) {
+            window.met[at]++;
+        } else {
+            window.missed[at]++;
+        }
+        window.time(part, took);
         switch (how) {
-            case SATISFIED -> {
-                if (took <= meter.band.targetTime()) {
-                    window.met++;
-                } else {
-                    window.late++;
-                    window.utilityLost += meter.band.utility() * (1 - meter.band.lateShare());
-                }
-            }
             case DECLINED -> window.declined++;
             case SCRAPPED -> window.scrapped++;
             case LEFT -> window.left++;
+            case SATISFIED -> { }
         }
-        if (how != End.SATISFIED) {
-            window.utilityLost += meter.band.utility();
+        for (int i = 0; i < meter.steps(); i++) {
+            window.parts[meter.step(i).ordinal()] += meter.stepLength(i);
         }
+        book(window.causes, meter.charges, lost);
+        if (meter.outNode == 0) {
+            giveBack(meter);
+        }
+    }
+
+    /** A lost utility is shared among the causes by what each made it wait. */
+    private static void book(Charges causes, Charges mine, double lost) {
+        double all = 0;
+        for (int i = 0; i < mine.size(); i++) {
+            all += mine.waited(i);
+        }
+        for (int i = 0; i < mine.size(); i++) {
+            double part = all > 0 ? lost * mine.waited(i) / all : lost / mine.size();
+            causes.add(mine.key(i), mine.waited(i), mine.least(i), mine.most(i), part);
+        }
+    }
+
+    /** Given up at once: nothing waited, but what it would have waited for is the cause all the same. */
+    private void blameUnwaited(Meter meter, Reason reason, int node, double now) {
+        Spent part = switch (reason) {
+            case LATE, PATIENCE -> Spent.SHARE_FULL;
+            default -> Spent.of(reason);
+        };
+        start(meter, part, node);
+        charge(meter, part, 1e-9, now);
+        meter.spends = Spent.RANKS_LATER;
     }
 
+    // ---- whose doing it was ----
+
     private void close(Meter meter, double now) {
         double length = Math.max(0, now - meter.since);
+        if (length > 0 && !meter.ended) {
+            meter.step(meter.spends, meter.node, length);
+            charge(meter, meter.spends, length, now);
+        }
         meter.since = now;
-        book(meter, meter.spends, length, now);
     }
 
-    private void book(Meter meter, Spent part, double length, double now) {
-        if (length <= 0 || meter.ended) {
+    private void start(Meter meter, Spent part, int node) {
+        meter.spends = part;
+        meter.node = node;
+        NodeLog log = node == 0 ? null : nodes.get(node);
+        if (log == null) {
+            giveBack(meter);
             return;
         }
-        meter.parts[part.ordinal()] += length;
-        Window window = window(meter.volume, now);
-        window.parts[part.ordinal()] += length;
-        charge(window, meter, part, length);
+        if (meter.ahead == null) {
+            meter.ahead = spare.isEmpty() ? new Ahead() : spare.pop();
+        }
+        meter.ahead.copy(log.out);
+    }
+
+    private void giveBack(Meter meter) {
+        if (meter.ahead != null && spare.size() < MOST_AHEADS_KEPT) {
+            spare.push(meter.ahead);
+        }
+        meter.ahead = null;
+    }
+
+    private NodeLog home(Meter meter) {
+        return meter.outNode == 0 ? null : nodes.get(meter.outNode);
+    }
+
+    private void letGo(Meter meter) {
+        NodeLog log = home(meter);
+        if (log != null) {
+            log.out.add(meter.outKey, -meter.units);
+            log.ended();
+        }
+        meter.outNode = 0;
+        if (meter.ended) {
+            giveBack(meter);
+        }
+    }
+
+    private static void charge(Meter meter, Cause.Kind kind, int node, double length, boolean estimate) {
+        if (length > 0) {
+            meter.charges.add(Cause.key(kind, 0, node, estimate), length, estimate ? 0 : length, length, 0);
+        }
     }
 
-    /** Whom a wait is charged to. */
-    private void charge(Window window, Meter meter, Spent part, double length) {
+    private static void own(Meter meter, Cause.Kind kind, double length) {
+        if (length > 0) {
+            meter.charges.add(Cause.key(kind, meter.volume, meter.node, false), length);
+        }
+    }
+
+    private void charge(Meter meter, Spent part, double length, double now) {
         switch (part) {
-            case RESERVE_FULL, SHARE_FULL, BEYOND_SHARE, RANKS_LATER -> behind(window, meter, length, false);
-            case NODE_QUEUE -> behind(window, meter, length, true);
-            case HELD_BACK, BUDGET -> window.charge(Cause.of(Cause.Kind.CAUTION, meter.node), length);
-            case LIMIT, ORDER -> window.charge(Cause.of(Cause.Kind.OWN_LOAD, meter.volume), length);
-            case COLD, SILENT, NOT_READY, FUTILE -> window.charge(Cause.of(Cause.Kind.FAULT, meter.node), length);
-            case DIRECTORY -> window.charge(Cause.of(Cause.Kind.DIRECTORY, 0), length);
-            case ON_THE_WAY -> window.charge(Cause.of(Cause.Kind.NETWORK, meter.node), length);
-            case NODE_WORK -> {
-                double slow = length * slowPart(meter.node);
-                if (slow > 0) {
-                    window.charge(Cause.of(Cause.Kind.SLOW_NODE, meter.node), slow);
-                }
-                window.charge(Cause.of(Cause.Kind.OWN_WORK, meter.volume), length - slow);
-            }
+            case RESERVE_FULL, SHARE_FULL, BEYOND_SHARE, RANKS_LATER, HELD_BACK -> held(meter, part, length, now);
+            case BUDGET -> charge(meter, Cause.Kind.CAUTION, meter.node, length, false);
+            case LIMIT -> own(meter, Cause.Kind.OWN_LIMIT, length);
+            case ORDER -> own(meter, Cause.Kind.OWN_LOAD, length);
+            case COLD -> charge(meter, Cause.Kind.COLD_NODE, meter.node, length, false);
+            case SILENT, NOT_READY, FUTILE -> charge(meter, Cause.Kind.FAULT, meter.node, length, false);
+            case DIRECTORY -> charge(meter, Cause.Kind.DIRECTORY, 0, length, false);
+            case ON_THE_WAY -> charge(meter, Cause.Kind.NETWORK, meter.node, length, false);
+            case NODE_QUEUE -> charge(meter, Cause.Kind.CAUTION, meter.node, length, true);
+            case NODE_WORK -> own(meter, Cause.Kind.OWN_WORK, length);
         }
     }
 
-    /** Behind the units ahead, by volume; but a slow node's own part is charged to the node. */
-    private void behind(Window window, Meter meter, double length, boolean estimate) {
-        double slow = length * slowPart(meter.node);
-        if (slow > 0) {
-            window.charge(new Cause(Cause.Kind.SLOW_NODE, meter.node, estimate), slow);
+    /**
+     * Held here for a slot at a node, or by the queue seen there: its slots turn over as fast as its hops end.
+     * What the node's silence, its coldness, pauses or other gateways' work add is not the doing of those who
+     * have the slots; the rest is charged to them.
+     */
+    private void held(Meter meter, Spent part, double length, double now) {
+        NodeLog log = meter.node == 0 ? null : nodes.get(meter.node);
+        if (log == null || meter.ahead == null) {
+            charge(meter, Cause.Kind.CAUTION, meter.node, length, false);
+            return;
+        }
+        double quiet = Math.min(length, log.quiet(now - length, now));
+        charge(meter, Cause.Kind.FAULT, log.id, quiet, true);
+        double rest = length - quiet;
+        if (rest <= 0) {
+            return;
+        }
+        if (now < log.coldUntil) {
+            charge(meter, Cause.Kind.COLD_NODE, log.id, rest, true);
+            return;
         }
-        double rest = length - slow;
+        double paused = rest * log.paused;
+        pause(meter, log, paused, now);
+        double elsewhere = rest * log.elsewhere;
+        charge(meter, Cause.Kind.ELSEWHERE, log.id, elsewhere, true);
+        rest -= paused + elsewhere;
+        // The queue that holds it back is known by an answer only: who stands in it is reckoned.
+        boolean seen = part != Spent.HELD_BACK;
         double sum = meter.ahead.sum();
         if (sum <= 0) {
-            // Nothing of this gateway's is ahead: other gateways' work, or none that can be seen.
-            window.charge(new Cause(Cause.Kind.CAUTION, meter.node, estimate), rest);
+            charge(meter, seen ? Cause.Kind.CAUTION : Cause.Kind.ELSEWHERE, log.id, rest, !seen);
+            return;
+        }
+        double spread = seen ? 1 : 0.5;
+        behind(meter, log, rest, spread * rest, rest + elsewhere, seen && log.elsewhere + log.paused < 0.05);
+    }
+
+    /** Waited in the node's queue, as the node told. */
+    private void queued(Meter meter, NodeLog log, double length, double hop, double now) {
+        if (log == null) {
+            charge(meter, Cause.Kind.CAUTION, meter.node, length, true);
             return;
         }
-        for (int i = 0; i < meter.ahead.volumes().length; i++) {
-            long who = meter.ahead.volumes()[i];
-            Cause.Kind kind = who == meter.volume ? Cause.Kind.OWN_LOAD : Cause.Kind.NEIGHBOUR;
-            window.charge(new Cause(kind, who, estimate), rest * meter.ahead.units()[i] / sum);
+        double own = meter.ahead == null ? 0 : meter.ahead.sum();
+        double mean = Math.max(1e-9, meter.units);
+        double leastOthers = meter.othersLeast * mean;
+        double mostOthers = meter.othersMost * mean;
+        if (own > 0 && leastOthers == 0 && length > LEAST_DRAIN) {
+            log.drained(length, own);
+        }
+        double usual = log.usualWait(own);
+        double mine = leastOthers + own > 0 ? length * own / (own + leastOthers) : 0;
+        if (!Double.isNaN(usual)) {
+            mine = Math.min(mine, usual);
+        }
+        double rest = length - mine;
+        double elsewhere = leastOthers > 0 ? rest : 0;
+        double paused = rest - elsewhere;
+        if (elsewhere > 0) {
+            double least = length * leastOthers / (own + leastOthers);
+            meter.charges.add(Cause.key(Cause.Kind.ELSEWHERE, 0, log.id, true), elsewhere,
+                    Math.min(least, elsewhere), length, 0);
+        }
+        pause(meter, log, paused, now);
+        if (mine > 0) {
+            double least = Double.isNaN(usual) ? 0 : mine * own / (own + mostOthers);
+            behind(meter, log, mine, least, length, false);
+        }
+        if (hop > 0) {
+            log.composed(elsewhere / hop, paused / hop);
         }
     }
 
-    /** The part of a node's time that a node at the mean pace would not have taken. */
-    private double slowPart(int node) {
-        Double pace = paces.get(node);
-        if (pace == null || paces.size() < 2) {
+    /** What neither the units ahead nor a queue seen explain: the node paused, perhaps for writes put off. */
+    private static void pause(Meter meter, NodeLog log, double length, double now) {
+        if (length <= 0) {
+            return;
+        }
+        log.written.fade(now);
+        double sum = log.written.sum();
+        if (sum < 1e-3) {
+            charge(meter, Cause.Kind.PAUSE, log.id, length, true);
+            return;
+        }
+        for (int i = 0; i < log.written.size(); i++) {
+            double part = length * log.written.units(i) / sum;
+            meter.charges.add(Cause.key(Cause.Kind.PAUSE, log.written.volume(i), log.id, true), part, 0, length, 0);
+        }
+    }
+
+    /**
+     * Behind the units ahead, by volume, but what a slow node adds is the node's own. Who is in a part of the
+     * plan that goes before is entitled to be ahead: then it is one's own load, beyond that part, that waits.
+     */
+    private void behind(Meter meter, NodeLog log, double length, double least, double most, boolean seen) {
+        double slow = slowPart(log, meter.writes);
+        charge(meter, Cause.Kind.SLOW_NODE, log.id, length * slow, true);
+        double sum = meter.ahead.sum();
+        for (int i = 0; i < meter.ahead.size(); i++) {
+            double part = (1 - slow) * meter.ahead.units(i) / sum;
+            boolean mine = meter.ahead.volume(i) == meter.volume
+                    || meter.ahead.owed(i).compareTo(meter.owed) < 0;
+            long key = mine ? Cause.key(Cause.Kind.OWN_LOAD, meter.volume, log.id, !seen)
+                    : Cause.key(Cause.Kind.NEIGHBOUR, meter.ahead.volume(i), log.id, !seen);
+            meter.charges.add(key, length * part, least * part, most * part, 0);
+        }
+    }
+
+    /** Worked on: beyond what other nodes take for it, the node's slowness. */
+    private void worked(Meter meter, NodeLog log, double length) {
+        double slow = log == null ? 0 : length * slowPart(log, meter.writes);
+        if (slow > 0) {
+            charge(meter, Cause.Kind.SLOW_NODE, log.id, slow, false);
+        }
+        own(meter, Cause.Kind.OWN_WORK, length - slow);
+    }
+
+    /** The part of a node's time that a node at the others' pace would not have taken. */
+    private double slowPart(NodeLog log, boolean writes) {
+        double pace = log.pace(writes);
+        if (Double.isNaN(pace)) {
             return 0;
         }
         double others = 0;
-        for (Map.Entry<Integer, Double> entry : paces.entrySet()) {
-            others += entry.getKey() == node ? 0 : entry.getValue();
+        int count = 0;
+        for (NodeLog other : nodes.values()) {
+            double its = other.pace(writes);
+            if (other != log && !Double.isNaN(its)) {
+                others += its;
+                count++;
+            }
         }
-        double usual = others / (paces.size() - 1);
+        double usual = count == 0 ? 0 : others / count;
         return usual > 0 && pace > SLOW * usual ? 1 - usual / pace : 0;
     }
 
-    /** The volume's window for now; what it held of ten minutes ago goes to the coarser one of its time. */
+    private NodeLog log(int id) {
+        if (id == 0) {
+            return null;
+        }
+        NodeLog log = nodes.get(id);
+        if (log == null && nodes.size() < bounds.nodes()) {
+            log = new NodeLog(id);
+            nodes.put(id, log);
+        }
+        return log;
+    }
+
+    // ---- windows ----
+
     private Window window(long volume, double now) {
-        VolumeAccount account = volumes.get(volume);
-        if (account == null) {
-            long key = volumes.size() < mostVolumes ? volume : 0;
-            account = volumes.computeIfAbsent(key, any -> new VolumeAccount());
-        }
-        long number = (long) Math.floor(now / FINE);
-        int at = (int) Math.floorMod(number, (long) FINE_KEPT);
-        Window window = account.fine[at];
-        if (window == null) {
-            window = new Window();
-            account.fine[at] = window;
-        }
-        if (window.number != number) {
-            if (window.operations > 0 || !window.causes.isEmpty()) {
-                keep(account, window);
-            }
-            window.clear(number);
+        Timeline<Window> line = line(volume);
+        int before = line.size();
+        Window window = line.at(wallAtZero + now);
+        windows += line.size() - before;
+        while (windows > bounds.windows() && giveUpDetail(line)) {
+            // once for each window too many
         }
         return window;
     }
 
-    private static void keep(VolumeAccount account, Window fine) {
-        long number = (long) Math.floor(fine.number * FINE / COARSE);
-        int at = (int) Math.floorMod(number, (long) COARSE_KEPT);
-        Window coarse = account.coarse[at];
-        if (coarse == null) {
-            coarse = new Window();
-            account.coarse[at] = coarse;
+    private Timeline<Window> line(long volume) {
+        Timeline<Window> line = volumes.get(volume);
+        if (line == null) {
+            long key = volumes.size() < bounds.volumes() ? volume : 0;
+            line = volumes.computeIfAbsent(key, any -> new Timeline<>(Window::new));
         }
-        if (coarse.number < number) {
-            coarse.clear(number);
+        return line;
+    }
+
+    /** Whoever was idle longest gives up detail; who has none left goes into the account that the rest share. */
+    private boolean giveUpDetail(Timeline<Window> spared) {
+        for (Map.Entry<Long, Timeline<Window>> entry : volumes.entrySet()) {
+            Timeline<Window> line = entry.getValue();
+            int before = line.size();
+            if (line != spared && line.squeeze()) {
+                windows += line.size() - before;
+                return true;
+            }
         }
-        if (coarse.number == number) {
-            coarse.add(fine);
+        for (Map.Entry<Long, Timeline<Window>> entry : volumes.entrySet()) {
+            if (entry.getKey() != 0 && entry.getValue() != spared) {
+                Timeline<Window> gone = volumes.remove(entry.getKey());
+                Timeline<Window> rest = line(0);
+                int before = rest.size();
+                rest.merge(gone, 0);
+                windows += rest.size() - before - gone.size();
+                return true;
+            }
         }
+        return false;
     }
 
-    /** A volume's account from a time to another, as fine as it is still kept. */
+    // ---- what is told ----
+
+    /** A volume's account from a time to another on the clock handed in, as fine as it is still kept. */
     public Report report(long volume, double from, double to) {
-        Window sum = new Window();
-        VolumeAccount account = volumes.get(volume);
-        if (account != null) {
-            add(sum, account.coarse, COARSE, from, to);
-            add(sum, account.fine, FINE, from, to);
-        }
-        Map<Spent, Double> parts = new LinkedHashMap<>();
-        for (Spent part : Spent.values()) {
-            if (sum.parts[part.ordinal()] > 0) {
-                parts.put(part, sum.parts[part.ordinal()]);
-            }
+        return book().report(volume, wallAtZero + from, wallAtZero + to);
+    }
+
+    /**
+     * Copies so many volumes into a book, from the number given on, and all nodes with the first; returns where
+     * to go on, or -1 at the end. What is copied is the caller's.
+     */
+    public int copy(Book into, int first, int count) {
+        if (first == 0) {
+            nodes.forEach((id, log) -> {
+                Timeline<Flow> line = new Timeline<>(Flow::new);
+                line.merge(log.flows, 0);
+                into.flows.put(id, line);
+                into.zones.put(id, log.zone);
+            });
+        }
+        List<Long> all = volumes();
+        int end = Math.min(all.size(), first + count);
+        for (long volume : all.subList(Math.min(first, end), end)) {
+            Timeline<Window> line = new Timeline<>(Window::new);
+            line.merge(volumes.get(volume), 0);
+            into.volumes.put(volume, line);
         }
-        double all = sum.causes.values().stream().mapToDouble(time -> time[0]).sum();
-        List<Charged> causes = new ArrayList<>();
-        sum.causes.forEach((cause, time) -> causes.add(new Charged(cause, time[0], time[0] / all)));
-        causes.sort(Comparator.comparingDouble(Charged::waited).reversed()
-                .thenComparing(charged -> charged.cause().toString()));
-        return new Report(volume, sum.operations, sum.met, sum.late, sum.declined, sum.scrapped, sum.left, sum.units,
-                sum.utilityLost, parts, causes);
+        return end == all.size() ? -1 : end;
+    }
+
+    /** All of it, as it stands; shares its parts with these accounts, so that it is for the same thread. */
+    public Book book() {
+        Book book = new Book();
+        volumes.forEach(book.volumes::put);
+        nodes.forEach((id, log) -> {
+            book.flows.put(id, log.flows);
+            book.zones.put(id, log.zone);
+        });
+        return book;
     }
 
-    private static void add(Window sum, Window[] ring, double length, double from, double to) {
-        for (Window window : ring) {
-            if (window != null && window.number >= Math.floor(from / length) && window.number * length <= to) {
-                sum.add(window);
+    /** Goes on with what an earlier life kept, at most as much as fits; later than now nothing can have been. */
+    public void goOn(Book book, double now) {
+        book.noLaterThan(wallAtZero + now);
+        book.volumes.forEach((volume, line) -> {
+            Timeline<Window> mine = line(volume);
+            int before = mine.size();
+            mine.merge(line, 0);
+            windows += mine.size() - before;
+        });
+        book.flows.forEach((id, line) -> {
+            NodeLog log = log(id);
+            if (log != null) {
+                log.flows.merge(line, 0);
             }
+        });
+        while (windows > bounds.windows() && giveUpDetail(null)) {
+            // once for each window too many
         }
     }
 
@@ -256,4 +536,9 @@
     public List<Long> volumes() {
         return volumes.keySet().stream().sorted().toList();
     }
+
+    /** Windows kept in all. */
+    public int windows() {
+        return windows;
+    }
 }
--- a/src/main/java/sagepulley/accounts/Meter.java
+++ b/src/main/java/sagepulley/accounts/Meter.java
@@ -1,36 +1,119 @@
 package sagepulley.accounts;
 
+import java.util.Arrays;
 import sagepulley.model.Band;
+import sagepulley.model.Owed;
 
-/** One operation's time as it is spent, from its arrival to its final answer. */
+/** One operation's time as it is spent, from its arrival to its final answer: its steps, and their causes. */
 public final class Meter {
+    private static final int MOST_STEPS = 24;
+    private static final int FIRST_STEPS = 4;
+    /** All kinds, seen and reckoned, must fit. */
+    private static final int MOST_CAUSES = 32;
+    private static final Spent[] SPENT = Spent.values();
+
     final long volume;
     final Band band;
+    final boolean writes;
     final double units;
     final double arrivedAt;
-    final double[] parts = new double[Spent.values().length];
-    /** What runs now, since when, at which node (0: none) and behind whom. */
+    final Charges charges = new Charges(MOST_CAUSES);
+    /** What runs now, since when, at which node (0: none), in which part of the plan, and behind whom. */
     Spent spends = Spent.RANKS_LATER;
     double since;
     int node;
-    Ahead ahead = Ahead.NOBODY;
+    Owed owed = Owed.SHARE;
+    Ahead ahead;
+    /** Units ahead that are not this gateway's, by what the node told before: the least and the most. */
+    double othersLeast;
+    double othersMost;
+    /** The node where a hop is out (0: none), and the key of its units there. */
+    int outNode;
+    long outKey;
+    boolean limited;
+    boolean wasSent;
     boolean ended;
+    private byte[] steps = new byte[FIRST_STEPS];
+    private int[] nodes = new int[FIRST_STEPS];
+    private double[] lengths = new double[FIRST_STEPS];
+    private int count;
 
-    Meter(long volume, Band band, double units, double arrivedAt) {
+    Meter(long volume, Band band, boolean writes, double units, double arrivedAt) {
         this.volume = volume;
         this.band = band;
+        this.writes = writes;
         this.units = units;
         this.arrivedAt = arrivedAt;
         this.since = arrivedAt;
     }
 
+    /** A step of so many milliseconds; one like the last goes on with it, and past the bound with any like it. */
+    void step(Spent part, int where, double length) {
+        int like = count - 1;
+        if (count == MOST_STEPS) {
+            like = 0;
+            while (like < count - 1 && steps[like] != part.ordinal()) {
+                like++;
+            }
+        }
+        if (like >= 0 && steps[like] == part.ordinal() && (nodes[like] == where || count == MOST_STEPS)) {
+            lengths[like] += length;
+            return;
+        }
+        if (count == MOST_STEPS) {
+            // Nothing like it among the steps kept: the last two become one of this part's kind.
+            lengths[count - 1] += length;
+            return;
+        }
+        if (count == steps.length) {
+            steps = Arrays.copyOf(steps, MOST_STEPS);
+            nodes = Arrays.copyOf(nodes, MOST_STEPS);
+            lengths = Arrays.copyOf(lengths, MOST_STEPS);
+        }
+        steps[count] = (byte) part.ordinal();
+        nodes[count] = where;
+        lengths[count++] = length;
+    }
+
+    /** How many steps it took so far, and each one's part, node (0: none) and milliseconds, in order of time. */
+    public int steps() {
+        return count;
+    }
+
+    public Spent step(int at) {
+        return SPENT[steps[at]];
+    }
+
+    public int stepNode(int at) {
+        return nodes[at];
+    }
+
+    public double stepLength(int at) {
+        return lengths[at];
+    }
+
     /** Milliseconds spent in a part so far. */
     public double spent(Spent part) {
-        return parts[part.ordinal()];
+        double sum = 0;
+        for (int i = 0; i < count; i++) {
+            sum += steps[i] == part.ordinal() ? lengths[i] : 0;
+        }
+        return sum;
     }
 
     /** What runs now. */
     public Spent spends() {
         return spends;
     }
+
+    /** The cause that most of its time so far was charged to; null if none. */
+    public Cause mainCause() {
+        int top = -1;
+        for (int i = 0; i < charges.size(); i++) {
+            if (top < 0 || charges.waited(i) > charges.waited(top)) {
+                top = i;
+            }
+        }
+        return top < 0 ? null : Cause.of(charges.key(top));
+    }
 }
--- /dev/null
+++ b/src/main/java/sagepulley/accounts/NodeLog.java
@@ -0,0 +1,108 @@
+package sagepulley.accounts;
+
+/** What this gateway saw of a node: its pace, its queue, its pauses, and whose units are out there. */
+final class NodeLog {
+    private static final double STEP = 0.1;
+    /** One answer counts at most so many times the usual, so that a single pause does not make a slow node. */
+    private static final double ODD = 4;
+    /** The wait for a unit ahead is followed towards its low quarter, in steps of this part. */
+    private static final double DRAIN_STEP = 0.05;
+    /** A node that says nothing for so many times its usual hop, and so long besides, holds up its hops itself. */
+    private static final double QUIET_HOPS = 4;
+    private static final double QUIET_LEAST = 20;
+
+    final int id;
+    int zone;
+    double coldUntil = Double.NEGATIVE_INFINITY;
+    final Ahead out = new Ahead();
+    final Timeline<Flow> flows = new Timeline<>(Flow::new);
+    /** Units written lately, by volume: what a deferred write makes others wait for. */
+    final Lately written = new Lately();
+    int hopsOut;
+    double heardAt = Double.NEGATIVE_INFINITY;
+    private double firstOutAt;
+    /** Milliseconds of work a unit, reads and writes; NaN before the first answer. */
+    private final double[] pace = {Double.NaN, Double.NaN};
+    private double hop = Double.NaN;
+    /** Milliseconds of waiting there for each unit of this gateway's ahead, with nobody else's seen. */
+    private double drain = Double.NaN;
+    /** Hops in its queue when it last answered, and how many of them can have been this gateway's. */
+    private double queueTold;
+    private double queueOwn;
+    /** Of a hop's time, the parts that went to other gateways' work and to pauses of the node's own. */
+    double elsewhere;
+    double paused;
+
+    NodeLog(int id) {
+        this.id = id;
+    }
+
+    void sent(double now) {
+        if (hopsOut++ == 0) {
+            firstOutAt = now;
+        }
+    }
+
+    void ended() {
+        hopsOut--;
+    }
+
+    /** Hops in its queue that are not this gateway's, when it last answered: the least and the most. */
+    double othersLeast() {
+        return Math.max(0, queueTold - queueOwn);
+    }
+
+    double othersMost() {
+        return queueTold;
+    }
+
+    void heard(boolean writes, double units, double worked, double took, double queue, double now) {
+        heardAt = now;
+        int at = writes ? 1 : 0;
+        double latest = Math.max(0, worked) / Math.max(1e-9, units);
+        if (Double.isNaN(pace[at])) {
+            pace[at] = latest;
+        } else {
+            pace[at] += STEP * (Math.min(latest, ODD * pace[at] + 1) - pace[at]);
+        }
+        hop = Double.isNaN(hop) ? took : hop + STEP * (Math.min(took, ODD * hop + 1) - hop);
+        queueTold = Double.isNaN(queue) ? 0 : queue;
+        queueOwn = hopsOut;
+    }
+
+    /** What a wait was with so many units ahead, none of them others'. */
+    void drained(double waited, double units) {
+        double latest = waited / units;
+        if (Double.isNaN(drain)) {
+            drain = latest;
+        } else if (latest < drain) {
+            drain -= 3 * DRAIN_STEP * (drain - latest);
+        } else {
+            drain += DRAIN_STEP * Math.min(latest - drain, drain);
+        }
+    }
+
+    /** Milliseconds that so many units ahead are usually waited for at most; NaN if never seen. */
+    double usualWait(double units) {
+        return Double.isNaN(drain) ? Double.NaN : 2 * drain * units + 1;
+    }
+
+    void composed(double elsewhereNow, double pausedNow) {
+        elsewhere += STEP * (elsewhereNow - elsewhere);
+        paused += STEP * (pausedNow - paused);
+    }
+
+    double pace(boolean writes) {
+        return pace[writes ? 1 : 0];
+    }
+
+    /** Of a wait for this node from one time to another, the milliseconds in which it had fallen quiet. */
+    double quiet(double from, double to) {
+        if (hopsOut == 0) {
+            return 0;
+        }
+        double usual = Double.isNaN(hop) ? QUIET_LEAST : hop;
+        double since = Math.max(heardAt, firstOutAt) + QUIET_HOPS * usual + QUIET_LEAST;
+        return Math.max(0, to - Math.max(from, since));
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/accounts/Span.java
@@ -0,0 +1,8 @@
+package sagepulley.accounts;
+
+/** Sums over one stretch of time that can be added to those of a longer one. */
+interface Span<T> {
+    void add(T other);
+
+    boolean empty();
+}
--- a/src/main/java/sagepulley/accounts/Window.java
+++ b/src/main/java/sagepulley/accounts/Window.java
@@ -1,67 +1,70 @@
 package sagepulley.accounts;
 
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.Map;
+import org.HdrHistogram.IntCountsHistogram;
 
-/** Sums of one volume over one stretch of time. What causes few waits is folded together. */
-final class Window {
-    private static final int MOST_CAUSES = 24;
-    private static final Cause REST = new Cause(Cause.Kind.NEIGHBOUR, 0, true);
+/** Sums of one volume over one stretch of time. */
+final class Window implements Span<Window> {
+    static final int MOST_CAUSES = 40;
+    /** Of ten microseconds each; kept to one digit, which is 6 percent. */
+    static final double TICKS = 100;
+    static final long LONGEST_TICK = 100L * 3_600_000;
+    static final int PARTS = PlanPart.values().length;
 
-    long number = Long.MIN_VALUE;
     final double[] parts = new double[Spent.values().length];
-    /** Milliseconds by cause, each in a cell of its own, summed in place. */
-    final Map<Cause, double[]> causes = new HashMap<>();
-    long operations;
-    long met;
-    long late;
+    final Charges causes = new Charges(MOST_CAUSES);
     long declined;
     long scrapped;
     long left;
-    double units;
-    double utilityLost;
+    /** By part of the plan. */
+    final long[] met = new long[PARTS];
+    final long[] missed = new long[PARTS];
+    final double[] units = new double[PARTS];
+    final double[] lost = new double[PARTS];
+    final IntCountsHistogram[] times = new IntCountsHistogram[PARTS];
 
-    void clear(long fresh) {
-        number = fresh;
-        java.util.Arrays.fill(parts, 0);
-        causes.clear();
-        operations = 0;
-        met = 0;
-        late = 0;
-        declined = 0;
-        scrapped = 0;
-        left = 0;
-        units = 0;
-        utilityLost = 0;
+    /** Counts an operation that took so long. */
+    void time(PlanPart part, double took) {
+        times(part.ordinal()).recordValue(Math.min(LONGEST_TICK, Math.max(0, (long) (took * TICKS))));
     }
 
-    void charge(Cause cause, double time) {
-        double[] sum = causes.get(cause);
-        if (sum != null) {
-            sum[0] += time;
-            return;
+    IntCountsHistogram times(int part) {
+        if (times[part] == null) {
+            times[part] = new IntCountsHistogram(1);
+            times[part].setAutoResize(true);
         }
-        causes.put(cause, new double[] {time});
-        if (causes.size() > MOST_CAUSES) {
-            Cause least = causes.entrySet().stream().filter(entry -> !entry.getKey().equals(REST))
-                    .min(Comparator.comparingDouble(entry -> entry.getValue()[0])).orElseThrow().getKey();
-            causes.computeIfAbsent(REST, any -> new double[1])[0] += causes.remove(least)[0];
+        return times[part];
+    }
+
+    long operations() {
+        long sum = 0;
+        for (int i = 0; i < PARTS; i++) {
+            sum += met[i] + missed[i];
         }
+        return sum;
     }
 
-    void add(Window other) {
+    @Override
+    public boolean empty() {
+        return operations() == 0 && causes.size() == 0;
+    }
+
+    @Override
+    public void add(Window other) {
         for (int i = 0; i < parts.length; i++) {
             parts[i] += other.parts[i];
         }
-        other.causes.forEach((cause, time) -> charge(cause, time[0]));
-        operations += other.operations;
-        met += other.met;
-        late += other.late;
+        causes.addAll(other.causes);
         declined += other.declined;
         scrapped += other.scrapped;
         left += other.left;
-        units += other.units;
-        utilityLost += other.utilityLost;
+        for (int i = 0; i < PARTS; i++) {
+            met[i] += other.met[i];
+            missed[i] += other.missed[i];
+            units[i] += other.units[i];
+            lost[i] += other.lost[i];
+            if (other.times[i] != null) {
+                times(i).add(other.times[i]);
+            }
+        }
     }
 }
--- a/src/main/java/sagepulley/cli/GatewayCommand.java
+++ b/src/main/java/sagepulley/cli/GatewayCommand.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletionException;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import sagepulley.gateway.Gateway;
 import sagepulley.site.Site;
@@ -17,10 +16,6 @@
     @Parameters(paramLabel = "SITE", description = "the site file (INI), see docs/operate/site-file.md")
     private Path file;
 
-    @Option(names = "--accounts", paramLabel = "FILE",
-            description = "writes the volumes' latency accounts of the last ten minutes there every ten seconds")
-    private Path accounts;
-
     @Override
     public Integer call() throws Exception {
         Site site = Site.read(file);
@@ -30,9 +25,6 @@
                 System.err.println("sagepulley: cannot listen on " + site.nbd() + ": " + failure.getMessage());
                 Runtime.getRuntime().halt(Commands.FAILED);
             }
-            if (accounts != null) {
-                AccountsFile.keep(gateway, accounts);
-            }
             System.out.println("ready: " + site.name() + " on " + site.nbd().host() + ":"
                     + ready.address().getPort());
         });
--- /dev/null
+++ b/src/main/java/sagepulley/cli/ReportCommand.java
@@ -0,0 +1,187 @@
+package sagepulley.cli;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.DateTimeException;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.LocalDateTime;
+import java.time.ZoneId;
+import java.time.format.DateTimeFormatter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import sagepulley.accounts.Book;
+import sagepulley.accounts.Cause;
+import sagepulley.accounts.Fleet;
+import sagepulley.accounts.Report;
+import sagepulley.books.BookFile;
+
+/** Tells from gateways' accounts who waited behind whom. */
+@Command(name = "report", mixinStandardHelpOptions = true, sortOptions = false,
+        description = "Reads the latency accounts of one gateway, or of several together, and tells for each volume "
+                + "where its time went, what caused its waits, at which node and when, and what can be done.",
+        footer = {"", "Exit codes: 0 told, 1 a file cannot be believed or has no such volume, 2 wrong words."})
+final class ReportCommand implements Callable<Integer> {
+    private static final int MOST_CAUSES = 8;
+    private static final DateTimeFormatter CLOCK = DateTimeFormatter.ofPattern("yyyy-MM-dd HH:mm:ss");
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Parameters(arity = "1..*", paramLabel = "FILE", description = "accounts files of gateways ([accounts] file)")
+    private List<Path> files;
+
+    @Option(names = "--volume", paramLabel = "NAME", description = "only this volume")
+    private String only;
+
+    @Option(names = "--since", defaultValue = "10m", paramLabel = "TIME",
+            description = "from when: 90s, 10m, 6h, or 2026-11-30T18:00 (default: ${DEFAULT-VALUE} before the end)")
+    private String since;
+
+    @Option(names = "--until", paramLabel = "TIME", description = "until when, likewise (default: the newest account)")
+    private String until;
+
+    @Option(names = "--json", description = "prints the figures as JSON")
+    private boolean json;
+
+    @Option(names = "--html", paramLabel = "OUT", description = "writes the report as one page")
+    private Path html;
+
+    private final Map<Long, String> names = new LinkedHashMap<>();
+
+    @Override
+    public Integer call() throws Exception {
+        List<Fleet.Member> members = new ArrayList<>();
+        for (Path file : files) {
+            BookFile.Read read = BookFile.report(file);
+            members.add(new Fleet.Member(read.head().gateway(), read.book(), read.head().told()));
+            names.putAll(read.head().names());
+        }
+        Fleet.Merged merged = Fleet.merge(members);
+        Book book = merged.book();
+        double newest = book.newest();
+        double to = until == null ? newest : time(until, newest);
+        double from = time(since, to);
+        List<Report> reports = new ArrayList<>();
+        for (long volume : book.volumes()) {
+            if (only == null || only.equals(names.get(volume))) {
+                reports.add(book.report(volume, from, to));
+            }
+        }
+        if (reports.isEmpty()) {
+            throw new IOException(files.get(0) + ": has no volume" + (only == null ? "" : " called " + only));
+        }
+        if (json) {
+            System.out.println(new JsonMapper().writeValueAsString(
+                    Map.of("clocks", merged.clocks(), "names", names, "volumes", reports)));
+            return Commands.OK;
+        }
+        Map<String, Object> page = page(merged, reports, from, to);
+        System.out.print(Pages.fill("report.txt.ftl", page));
+        if (html != null) {
+            Files.writeString(html, Pages.fill("report.ftlh", page));
+        }
+        return Commands.OK;
+    }
+
+    /** A time on the wall's clock in milliseconds, or so long before another. */
+    private double time(String text, double before) {
+        String length = text.toLowerCase(Locale.ROOT);
+        try {
+            if (length.matches("[0-9.]+[smh]")) {
+                return before - Duration.parse("PT" + length.toUpperCase(Locale.ROOT)).toMillis();
+            }
+            return LocalDateTime.parse(text).atZone(ZoneId.systemDefault()).toInstant().toEpochMilli();
+        } catch (DateTimeException e) {
+            throw new CommandLine.ParameterException(spec.commandLine(),
+                    "'" + text + "' is no time: allowed are 90s, 10m, 6h or 2026-11-30T18:00");
+        }
+    }
+
+    private static String clock(double wall) {
+        return CLOCK.format(Instant.ofEpochMilli((long) wall).atZone(ZoneId.systemDefault()));
+    }
+
+    private Map<String, Object> page(Fleet.Merged merged, List<Report> reports, double from, double to)
+            throws IOException {
+        Map<String, Object> page = new HashMap<>();
+        page.put("from", clock(from));
+        page.put("to", clock(to));
+        List<Map<String, Object>> clocks = new ArrayList<>();
+        for (Fleet.Clock clock : merged.clocks()) {
+            clocks.add(Map.of("gateway", clock.gateway(), "known", !Double.isNaN(clock.ahead()),
+                    "ahead", Double.isNaN(clock.ahead()) ? 0 : clock.ahead() / 1000));
+        }
+        page.put("clocks", clocks);
+        List<Map<String, Object>> volumes = new ArrayList<>();
+        for (Report report : reports) {
+            volumes.add(volume(merged.book(), report, from, to));
+        }
+        page.put("volumes", volumes);
+        return page;
+    }
+
+    private Map<String, Object> volume(Book book, Report report, double from, double to) throws IOException {
+        Map<String, Object> volume = new HashMap<>();
+        volume.put("name", names.getOrDefault(report.volume(), report.volume() == 0 ? "(all others)"
+                : "" + report.volume()));
+        volume.put("report", report);
+        List<Map<String, Object>> parts = new ArrayList<>();
+        double whole = Math.max(1e-9, report.parts().values().stream().mapToDouble(Double::doubleValue).sum());
+        report.parts().forEach((part, time) -> parts.add(Map.of("text", Words.part(part), "seconds", time / 1000,
+                "share", time / whole)));
+        parts.sort((one, other) -> Double.compare((Double) other.get("seconds"), (Double) one.get("seconds")));
+        volume.put("parts", parts);
+        List<Map<String, Object>> plan = new ArrayList<>();
+        for (Report.PlanLine line : report.plan()) {
+            plan.add(Map.of("name", Words.of(line.part()), "line", line));
+        }
+        volume.put("plan", plan);
+        List<Map<String, Object>> causes = new ArrayList<>();
+        for (Report.Charged charged : report.causes().stream().limit(MOST_CAUSES).toList()) {
+            causes.add(Map.of("text", Words.cause(charged, names), "charged", charged, "seconds",
+                    charged.waited() / 1000, "share", charged.kind() == Cause.Kind.OWN_WORK ? 0 : charged.share(),
+                    "work", charged.kind() == Cause.Kind.OWN_WORK));
+        }
+        volume.put("causes", causes);
+        Report.Charged main = report.main();
+        if (main != null) {
+            volume.put("main", Words.cause(main, names));
+            volume.put("confidence", Words.of(main.confidence()));
+            volume.put("share", main.share());
+            volume.put("least", main.least() / 1000);
+            volume.put("most", main.most() / 1000);
+            volume.put("when", clock(main.worstFrom()) + " to " + clock(main.worstTo()));
+            volume.put("advice", Words.advice(main, names));
+            List<Integer> zone = zone(book, report, main);
+            if (!zone.isEmpty()) {
+                volume.put("zone", zone);
+            }
+        }
+        if (html != null) {
+            volume.put("plot", Plots.course(book.course(report.volume(), from, to)));
+        }
+        return volume;
+    }
+
+    /** The nodes of the main fault's zone, where most of them share the fault. */
+    private static List<Integer> zone(Book book, Report report, Report.Charged main) {
+        if (main.kind() != Cause.Kind.FAULT) {
+            return List.of();
+        }
+        List<Integer> faulty = report.causes().stream().filter(charged -> charged.kind() == Cause.Kind.FAULT)
+                .map(Report.Charged::node).toList();
+        return Fleet.zoneAtFault(book, book.zones().getOrDefault(main.node(), -1), faulty);
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/cli/Words.java
@@ -0,0 +1,87 @@
+package sagepulley.cli;
+
+import java.util.Locale;
+import java.util.Map;
+import sagepulley.accounts.Cause;
+import sagepulley.accounts.Report;
+import sagepulley.accounts.Spent;
+
+/** Accounts in words: parts of time, causes, and what an operator can do about them. */
+final class Words {
+    private Words() {
+    }
+
+    static String of(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', ' ');
+    }
+
+    static String part(Spent part) {
+        return switch (part) {
+            case RESERVE_FULL -> "held here: node's bound full, in its reserve";
+            case SHARE_FULL -> "held here: node's bound full, in its share";
+            case BEYOND_SHARE -> "held here: beyond its share";
+            case HELD_BACK -> "held here: a queue seen at the node";
+            case COLD -> "held here: the node started lately";
+            case SILENT -> "held here: the node gives no answers";
+            case NOT_READY -> "held here: no node that is ready";
+            case LIMIT -> "held here: its plan's limit";
+            case BUDGET -> "held here: the budget of further hops";
+            case ORDER -> "held here: the order of its extent";
+            case RANKS_LATER -> "held here: others rank before it";
+            case DIRECTORY -> "waiting for the directory or a claim";
+            case ON_THE_WAY -> "on the way to the node and back";
+            case NODE_QUEUE -> "in the node's queue";
+            case NODE_WORK -> "worked on by the node";
+            case FUTILE -> "in hops that ended for nothing";
+        };
+    }
+
+    static String volume(long number, Map<Long, String> names) {
+        return number == 0 ? "other volumes" : "volume " + names.getOrDefault(number, "" + number);
+    }
+
+    static String cause(Cause.Kind kind, long volume, int node, Map<Long, String> names) {
+        String at = node == 0 ? "" : " at node " + node;
+        return switch (kind) {
+            case OWN_LOAD -> "its own load" + at;
+            case OWN_LIMIT -> "its plan's limit";
+            case OWN_WORK -> "its own work";
+            case NEIGHBOUR -> "load of " + volume(volume, names) + at;
+            case ELSEWHERE -> "work through other gateways" + at;
+            case SLOW_NODE -> "node " + node + " works slower than the rest";
+            case PAUSE -> "pauses" + at + (volume == 0 ? "" : " after writes of " + volume(volume, names));
+            case COLD_NODE -> "node " + node + " started lately";
+            case FAULT -> node == 0 ? "no node was ready" : "node " + node + " did not do its work";
+            case CAUTION -> "the gateway's caution" + at;
+            case DIRECTORY -> "the directory";
+            case NETWORK -> "the way to node " + node;
+        };
+    }
+
+    static String cause(Report.Charged charged, Map<Long, String> names) {
+        return cause(charged.kind(), charged.volume(), charged.node(), names);
+    }
+
+    /** What an operator can do. */
+    static String advice(Report.Charged charged, Map<Long, String> names) {
+        return switch (charged.kind()) {
+            case OWN_LOAD -> "It asks for more than its plan owes it: a larger share or reserve, or less at once.";
+            case OWN_LIMIT -> "Its plan's limit holds it: raise the limit, or spread its operations over time.";
+            case OWN_WORK -> "Nothing held it up.";
+            case NEIGHBOUR -> "Give " + volume(charged.volume(), names) + " a limit, or this one a reserve; "
+                    + "moving extents off node " + charged.node() + " parts them.";
+            case ELSEWHERE -> "Read the other gateways' files together with this one: they tell whose work it was.";
+            case SLOW_NODE -> "Look at node " + charged.node() + ": its disks, its other tenants. Draining it moves "
+                    + "new objects away.";
+            case PAUSE -> "Node " + charged.node() + " pauses of its own, as nodes do that put writes off: look at "
+                    + "its flushing, and at who writes there.";
+            case COLD_NODE -> "Node " + charged.node() + " was restarted; this passes. If it restarts often, see why.";
+            case FAULT -> charged.node() == 0 ? "See the list of nodes: drained, gone, or not told."
+                    : "See node " + charged.node() + " and the way to it: it gave no answer, or an error.";
+            case CAUTION -> "The gateway held it by its own rules (budget of further hops, rank): see the day's "
+                    + "declines and the node's state.";
+            case DIRECTORY -> "See the directory: its answers come late or not at all.";
+            case NETWORK -> "See the way to node " + charged.node() + ".";
+        };
+    }
+}
--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -15,6 +15,7 @@
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
+import sagepulley.model.Owed;
 import sagepulley.model.Pause;
 import sagepulley.model.Placement;
 import sagepulley.model.Reason;
@@ -492,6 +493,7 @@
         }
         if (operation.shard < 0) { seat.placements.add(now, 1); }
         Account account = account(operation.volume, now);
+        hop.owed = owed(operation, seat, now);
         if (first) {
             if (operation.shard < 0) { use(account, seat).asked.add(now, operation.units); }
             account.limit -= operation.units;
@@ -704,6 +706,14 @@
         return used <= volume.plan.weight() * fair(seat, now) ? site.shareWorth() : site.beyondWorth();
     }
 
+    /** The part of its plan that an operation is in, by the level last dealt out. */
+    private Owed owed(Operation operation, Seat seat, double now) {
+        Account account = account(operation.volume, now);
+        if (account.reserve >= operation.units) { return Owed.RESERVE; }
+        double top = Math.min(HEADROOM * evenLevel(operation.volume), account.weight * seat.fair);
+        return use(account, seat).beyond.sumOver(now) <= top - operation.units / 2 ? Owed.SHARE : Owed.EXCESS;
+    }
+
     /**
      * The fair level of a node: units a unit of weight that fills what the node lately served beyond the
      * reserves, dealt out by weight among the volumes that asked for more. No volume's demand counts above
@@ -891,9 +901,7 @@
         if (!lawful(operation, seat, now)) { return Reason.BUDGET; }
         if (holdsBack(operation, seat, now)) { return Reason.HELD_BACK; }
         if (hasRoom(seat, now)) { return Reason.RANKS_LATER; }
-        double due = due(operation.volume, operation.units, seat, now);
-        if (due >= 1) { return Reason.RESERVE_FULL; }
-        return due >= site.shareWorth() ? Reason.SHARE_FULL : Reason.BEYOND_SHARE;
+        return owed(operation, seat, now).full();
     }
 
     // ---- what is learned from an outcome ----
--- a/src/main/java/sagepulley/gateway/Gateway.java
+++ b/src/main/java/sagepulley/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
@@ -17,7 +18,10 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sagepulley.accounts.Accounts;
+import sagepulley.accounts.Book;
+import sagepulley.accounts.Report;
+import sagepulley.books.BookFile;
+import sagepulley.books.BookKeeper;
 import sagepulley.control.Control;
 import sagepulley.nbd.Export;
 import sagepulley.nbd.Exports;
@@ -39,6 +43,7 @@
     private final ChannelGroup clients = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicReference<CompletableFuture<Void>> ending = new AtomicReference<>();
     private Channel listener;
+    private BookKeeper keeper;
 
     /** The seed starts the module's chance and must differ at each start, for it names this life of the gateway. */
     public Gateway(Site site, long seed) {
@@ -55,10 +60,32 @@
     /** Begins to listen once the list of nodes has come; then it is ready. Fails if it cannot listen. */
     public CompletableFuture<Gateway> start() {
         CompletableFuture<Gateway> ready = new CompletableFuture<>();
-        houseGroup.next().execute(() -> house.start(() -> listen(ready)));
+        BookFile.Read before = accountsBefore();
+        houseGroup.next().execute(() -> {
+            if (before != null) {
+                house.goOn(before.book());
+            }
+            house.start(() -> listen(ready));
+        });
         return ready;
     }
 
+    /** What an earlier life kept; null if nothing can be believed. That never keeps a gateway from starting. */
+    private BookFile.Read accountsBefore() {
+        if (!site.books().keep() || site.books().file() == null) {
+            return null;
+        }
+        BookFile file = new BookFile(site.books().file(), site.name());
+        keeper = new BookKeeper(file, site.books().every(), house::writtenBook);
+        try {
+            return file.goOn();
+        } catch (IOException e) {
+            LOG.atWarn().addKeyValue("file", site.books().file()).addKeyValue("why", e.toString())
+                    .log("accounts of the earlier life not read");
+            return null;
+        }
+    }
+
     private void listen(CompletableFuture<Gateway> ready) {
         new ServerBootstrap().group(clientGroup).channel(Loops.server())
                 .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
@@ -122,10 +149,15 @@
     }
 
     /** Each volume's account of latency over the last so many milliseconds, by its name. */
-    public CompletableFuture<Map<String, Accounts.Report>> accounts(double lately) {
+    public CompletableFuture<Map<String, Report>> accounts(double lately) {
         return house.accounts(lately);
     }
 
+    /** A copy of all accounts as they stand. */
+    public CompletableFuture<Book> book() {
+        return house.book();
+    }
+
     /** Bytes of requests in hand now, and the most there ever were. */
     public long bytesInHand() {
         return room.used();
@@ -155,7 +187,7 @@
             }
             // What was answered last still has to leave the sockets.
             clients.flush();
-            clientGroup.next().schedule(() -> clients.close().addListener(closed -> end(stopped)), 20,
+            clientGroup.next().schedule(() -> clients.close().addListener(closed -> writeAccounts(stopped)), 20,
                     TimeUnit.MILLISECONDS);
         });
         return stopped;
@@ -170,10 +202,22 @@
         if (listener != null) {
             listener.close();
         }
+        if (keeper != null) {
+            keeper.kill();
+        }
         clients.close().addListener(closed -> end(stopped));
         return stopped;
     }
 
+    /** The last accounts are written while the loop still runs that owns them. */
+    private void writeAccounts(CompletableFuture<Void> stopped) {
+        if (keeper == null) {
+            end(stopped);
+        } else {
+            CompletableFuture.runAsync(keeper::close).whenComplete((done, failure) -> end(stopped));
+        }
+    }
+
     private void end(CompletableFuture<Void> stopped) {
         houseGroup.next().execute(() -> {
             house.close();
--- a/src/main/java/sagepulley/gateway/House.java
+++ b/src/main/java/sagepulley/gateway/House.java
@@ -21,8 +21,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sagepulley.accounts.Accounts;
-import sagepulley.accounts.Ahead;
+import sagepulley.accounts.Book;
+import sagepulley.accounts.Kept;
+import sagepulley.accounts.Report;
 import sagepulley.accounts.Spent;
+import sagepulley.books.GatewayBook;
 import sagepulley.control.Control;
 import sagepulley.directory.DirectoryLink;
 import sagepulley.directory.DirectoryWire;
@@ -57,7 +60,8 @@
     /** A first list, and the holders at start, are asked for this often until they come. */
     private static final long START_AGAIN_MS = 250;
     private static final int HOLDERS_AT_ONCE = 1 << 14;
-    private static final int MOST_ACCOUNTS = 1000;
+    private static final int COPIED_AT_ONCE = 64;
+    private static final int MOST_TOLD = 64;
     private static final int ACCOUNTED_AT_ONCE = 256;
     private static final long ACCOUNT_BEAT_MS = 20;
     private static final double NS = 1e6;
@@ -74,15 +78,19 @@
     private final Tally tally = new Tally();
     private final Map<String, Disk> disks = new LinkedHashMap<>();
     private final Map<Integer, Place> places = new LinkedHashMap<>();
+    /** The ready node of each cell. */
+    private final Map<Integer, Node> byCell = new HashMap<>();
     private final Holders<Part> holders = new Holders<>();
     /** Parts whose hop is out, by the hop's number on the wire. */
     private final Map<Long, Part> out = new HashMap<>();
     private final Map<Session, Set<Request>> requests = new HashMap<>();
     /** Parts in hand whose holder is not known, by extent. */
     private final Map<Long, Set<Part>> seeking = new HashMap<>();
-    private final Accounts accounts = new Accounts(MOST_ACCOUNTS);
+    private final Accounts accounts;
     /** Parts that wait at Control, in the order in which they are asked why. */
     private final Set<Part> waiting = new LinkedHashSet<>();
+    /** When the latest versions of the list came, by the wall's clock: by these, gateways' books are set together. */
+    private final Map<Long, Double> told = new LinkedHashMap<>();
     private long hopIds;
     private boolean settleDue;
     private ScheduledFuture<?> wake;
@@ -98,8 +106,6 @@
         final Node node;
         NodeLink link;
         long startedAt;
-        /** Units of hops out there, by volume. */
-        final Map<Long, Double> outUnits = new LinkedHashMap<>();
 
         Place(int id) {
             node = new Node(id);
@@ -137,6 +143,7 @@
         this.kind = kind;
         this.clock = clock;
         this.control = control;
+        this.accounts = new Accounts(site.books().keep() ? Accounts.Bounds.USUAL : Accounts.Bounds.NONE, clock.wall(0));
         this.splitter = new Splitter(site);
         this.hello = new StoreWire.Hello(seed, site.name());
         this.directory = new DirectoryLink(loop, kind, site.directory().socket(), seed, site.name(), this);
@@ -153,22 +160,55 @@
     void start(Runnable ready) {
         whenReady = ready;
         directory.fetch();
-        beat = loop.scheduleAtFixedRate(this::accountForWaiting, ACCOUNT_BEAT_MS, ACCOUNT_BEAT_MS,
-                TimeUnit.MILLISECONDS);
+        if (site.books().keep()) {
+            beat = loop.scheduleAtFixedRate(this::accountForWaiting, ACCOUNT_BEAT_MS, ACCOUNT_BEAT_MS,
+                    TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Each volume's account of the last so many milliseconds, by name. From any thread. */
-    CompletableFuture<Map<String, Accounts.Report>> accounts(double lately) {
-        CompletableFuture<Map<String, Accounts.Report>> told = new CompletableFuture<>();
+    CompletableFuture<Map<String, Report>> accounts(double lately) {
+        CompletableFuture<Map<String, Report>> told = new CompletableFuture<>();
         loop.execute(() -> {
             double now = clock.now();
-            Map<String, Accounts.Report> reports = new LinkedHashMap<>();
+            Map<String, Report> reports = new LinkedHashMap<>();
             disks.forEach((name, disk) -> reports.put(name, accounts.report(disk.line.id(), now - lately, now)));
             told.complete(reports);
         });
         return told;
     }
 
+    /** The accounts as they go to disk. From any thread. */
+    CompletableFuture<GatewayBook> writtenBook() {
+        return book().thenApply(book -> {
+            Map<Long, String> names = new LinkedHashMap<>();
+            disks.forEach((name, disk) -> names.put((long) disk.line.id(), name));
+            return new GatewayBook(site.name(), (long) clock.wall(clock.now()), names, Map.copyOf(told),
+                    Kept.of(book));
+        });
+    }
+
+    /** A copy of all accounts, taken piece by piece so that no operation waits long for it. From any thread. */
+    CompletableFuture<Book> book() {
+        CompletableFuture<Book> told = new CompletableFuture<>();
+        loop.execute(() -> copyBook(new Book(), 0, told));
+        return told;
+    }
+
+    private void copyBook(Book book, int first, CompletableFuture<Book> told) {
+        int next = accounts.copy(book, first, COPIED_AT_ONCE);
+        if (next < 0) {
+            told.complete(book);
+        } else {
+            loop.execute(() -> copyBook(book, next, told));
+        }
+    }
+
+    /** Goes on with the accounts of an earlier life. On the loop. */
+    void goOn(Book book) {
+        accounts.goOn(book, clock.now());
+    }
+
     /** From any thread. */
     Tally tally() {
         return tally;
@@ -225,8 +265,8 @@
             close(request);
         }
         for (Part part : request.parts) {
-            part.meter = accounts.begin(request.disk.line.id(), part.operation.band, part.operation.units,
-                    request.arrivedAt);
+            part.meter = accounts.begin(request.disk.line.id(), part.operation.band, part.kind.changes(),
+                    part.operation.units, request.arrivedAt);
         }
         for (Part part : List.copyOf(request.parts)) {
             if (part.kind == StoreWire.Kind.FLUSH) {
@@ -314,7 +354,7 @@
         if (part.shown) {
             control.left(part.operation, clock.now());
         }
-        accounts.end(part.meter, Accounts.End.LEFT, clock.now());
+        end(part, Accounts.End.LEFT, Reason.NONE);
         waiting.remove(part);
         part.payload.release();
     }
@@ -343,7 +383,7 @@
     private void park(long key, Part part) {
         double now = clock.now();
         holders.park(key, part, now);
-        accounts.turn(part.meter, Spent.DIRECTORY, 0, Ahead.NOBODY, now);
+        accounts.waits(part.meter, Spent.DIRECTORY, 0, now);
     }
 
     /** Whether the extent must have a holder afterwards. */
@@ -482,7 +522,7 @@
                 part.timer = loop.schedule(() -> timedOut(number),
                         Math.max(1, (long) (placement.timeout() * NS)), TimeUnit.NANOSECONDS);
                 if (operation.shard < 0) {
-                    accounts.turn(part.meter, Spent.DIRECTORY, 0, Ahead.NOBODY, clock.now());
+                    accounts.waits(part.meter, Spent.DIRECTORY, 0, clock.now());
                     claim(part, hop);
                 } else {
                     hand(part, hop);
@@ -492,12 +532,13 @@
                 tally.declined.increment();
                 String when = placement.advice() > 0
                         ? "; come back in " + (long) Math.ceil(placement.advice()) + " ms" : "";
-                finish(part, Accounts.End.DECLINED, Nbd.ENOMEM, "declined (" + word(placement.reason())
-                        + "): asking again does no harm" + when);
+                finish(part, Accounts.End.DECLINED, placement.reason(), Nbd.ENOMEM, "declined ("
+                        + word(placement.reason()) + "): asking again does no harm" + when);
             }
             case SCRAP -> {
                 tally.scrapped.increment();
-                finish(part, Accounts.End.SCRAPPED, Nbd.EIO, "scrapped: it may have taken effect or not");
+                finish(part, Accounts.End.SCRAPPED, placement.reason(), Nbd.EIO,
+                        "scrapped: it may have taken effect or not");
             }
             case WAIT -> throw new IllegalStateException("seen above");
         }
@@ -509,9 +550,11 @@
 
     /** States anew why an operation waits, and behind whom. */
     private void account(Part part, double now) {
+        if (part.meter == null) {
+            return; // no accounts are kept
+        }
         Spent spent = Spent.of(control.why(part.operation, now));
-        Node node = nodeOf(part.operation.shard);
-        accounts.turn(part.meter, spent, node == null ? 0 : node.id, node == null ? Ahead.NOBODY : ahead(node), now);
+        accounts.waits(part.meter, spent, nodeOf(part.operation.shard), now);
     }
 
     /** Operations wait for reasons that change without anything happening to them: some are asked at each beat. */
@@ -529,33 +572,16 @@
         }
     }
 
-    private Node nodeOf(int cell) {
-        for (Place place : places.values()) {
-            if (place.node.cell == cell && place.node.standing == Node.Standing.READY) {
-                return place.node;
-            }
-        }
-        return null;
-    }
-
-    /** What this gateway has out at a node, by volume. */
-    private Ahead ahead(Node node) {
-        Map<Long, Double> units = places.get(node.id).outUnits;
-        long[] volumes = new long[units.size()];
-        double[] sums = new double[units.size()];
-        int at = 0;
-        for (Map.Entry<Long, Double> entry : units.entrySet()) {
-            volumes[at] = entry.getKey();
-            sums[at++] = entry.getValue();
-        }
-        return new Ahead(volumes, sums);
+    /** The id of the node that holds a cell now; 0 if none does. */
+    private int nodeOf(int cell) {
+        Node node = byCell.get(cell);
+        return node == null ? 0 : node.id;
     }
 
     private void hand(Part part, Hop hop) {
         part.handed = true;
-        accounts.turn(part.meter, Spent.ON_THE_WAY, hop.node.id, ahead(hop.node), clock.now());
+        accounts.sent(part.meter, hop.node.id, hop.owed, clock.now());
         Place place = places.get(hop.node.id);
-        place.outUnits.merge(part.operation.volume.id, part.operation.units, Double::sum);
         tally.hops.increment();
         boolean durable = (part.request.asked.flags() & Nbd.CMD_FLAG_FUA) != 0;
         StoreWire.Send send = new StoreWire.Send(part.kind, part.operation.band.index(), durable,
@@ -586,7 +612,8 @@
         hop.othersUnits = answer.others();
         hop.report = widened(answer.report());
         if (answer.code() == StoreWire.Code.SATISFIED) {
-            accounts.answered(part.meter, answer.waited(), answer.worked(), clock.now());
+            accounts.answered(part.meter, answer.waited(), answer.worked(),
+                    answer.report().length == 0 ? Double.NaN : answer.report()[0], clock.now());
         }
         int due = part.kind == StoreWire.Kind.READ ? part.length : 0;
         if (outcome == Outcome.SATISFIED && payload.readableBytes() != due) {
@@ -628,11 +655,7 @@
             part.timer.cancel(false);
             part.timer = null;
         }
-        if (part.handed) {
-            part.handed = false;
-            places.get(hop.node.id).outUnits.computeIfPresent(operation.volume.id, (volume, units) ->
-                    units - operation.units < 1e-6 ? null : units - operation.units);
-        }
+        part.handed = false;
         if (outcome != Outcome.SATISFIED) {
             accounts.failed(part.meter, now);
         }
@@ -664,13 +687,17 @@
     private void satisfied(Part part) {
         part.operation.over = true;
         tally.satisfied.increment();
-        accounts.end(part.meter, Accounts.End.SATISFIED, clock.now());
+        end(part, Accounts.End.SATISFIED, Reason.NONE);
         over(part);
     }
 
-    private void finish(Part part, Accounts.End how, int error, String why) {
+    private void end(Part part, Accounts.End how, Reason reason) {
+        accounts.end(part.meter, how, reason, nodeOf(part.operation.shard), clock.now());
+    }
+
+    private void finish(Part part, Accounts.End how, Reason reason, int error, String why) {
         part.operation.over = true;
-        accounts.end(part.meter, how, clock.now());
+        end(part, how, reason);
         part.request.fail(part.at, error, why);
         over(part);
     }
@@ -788,10 +815,20 @@
             place(line);
         }
         List<Node> nodes = new ArrayList<>(places.size());
+        byCell.clear();
         for (Place place : places.values()) {
-            nodes.add(place.node);
+            Node node = place.node;
+            nodes.add(node);
+            accounts.node(node.id, node.zone, node.startedAt + site.deployment().rules().coldTime());
+            if (node.standing == Node.Standing.READY) {
+                byCell.put(node.cell, node);
+            }
         }
         control.listed(nodes, clock.now());
+        told.put(listing.version(), clock.wall(clock.now()));
+        if (told.size() > MOST_TOLD) {
+            told.remove(told.keySet().iterator().next());
+        }
         LOG.atInfo().addKeyValue("version", listing.version()).addKeyValue("whole", listing.whole())
                 .addKeyValue("lines", listing.lines().size()).log("list of nodes");
         if (!listed) {
--- a/src/main/java/sagepulley/model/Hop.java
+++ b/src/main/java/sagepulley/model/Hop.java
@@ -6,6 +6,8 @@
     public final Node node;
     public final int number;
     public final double sentAt;
+    /** The part of its plan that the operation was in when it was sent. */
+    public Owed owed;
     /** Null while the hop is out. */
     public Outcome outcome;
     /** How long it took, once it has an outcome. */
--- a/src/main/java/sagepulley/site/Site.java
+++ b/src/main/java/sagepulley/site/Site.java
@@ -1,6 +1,7 @@
 package sagepulley.site;
 
 import java.io.StringReader;
+import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -17,10 +18,12 @@
  */
 public record Site(String name, List<String> zones, HostPort nbd, HostPort directory, int loops,
                    long clientBytes, long allBytes, int mostClients, double stopWithin, int extentBytes,
-                   int unitBytes, int mostRequest, Deployment deployment, List<VolumeLine> volumes) {
+                   int unitBytes, int mostRequest, Deployment deployment, List<VolumeLine> volumes,
+                   BooksLine books, TracesLine traces, HostPort watch) {
     private static final double DAY = 86_400_000;
     private static final double MANY = 1e9;
-    private static final Set<String> WORDS = Set.of("gateway", "site", "rules", "band", "plan", "volume");
+    private static final Set<String> WORDS = Set.of("gateway", "site", "rules", "band", "plan", "volume",
+            "accounts", "traces", "watch");
 
     /** Reads and checks a file; the error tells every mistake, a line each. */
     public static Site read(Path path) throws SiteError {
@@ -84,11 +87,37 @@
                     ini.whole("gateway", "loops", 1, 1, 64), clientBytes, allBytes,
                     ini.whole("gateway", "most-clients", 1024, 1, 100_000),
                     ini.time("gateway", "stop-within", "10 s", 0, DAY), extentBytes, unitBytes, mostRequest,
-                    deployment(zones, (double) extentBytes / unitBytes), volumes);
+                    deployment(zones, (double) extentBytes / unitBytes), volumes, books(), traces(),
+                    address("watch", "listen", ""));
             ini.finish(WORDS);
             return site;
         }
 
+        private BooksLine books() {
+            return new BooksLine(ini.truth("accounts", "keep", true), path("accounts", "file"),
+                    ini.time("accounts", "every", "10 s", 100, DAY));
+        }
+
+        private TracesLine traces() {
+            String otlp = ini.text("traces", "otlp", "");
+            if (!otlp.isEmpty() && !otlp.matches("https?://[^\\s]+")) {
+                ini.mistake("traces", "otlp", "is '" + otlp + "', allowed is http://host:port/v1/traces");
+            }
+            return new TracesLine(path("traces", "file"), ini.bytes("traces", "file-bytes", "16 MiB", 4096, 1L << 32),
+                    ini.whole("traces", "files", 4, 1, 100), otlp, ini.number("traces", "budget", 20.0, 0, 10_000),
+                    ini.number("traces", "chance", 0.001, 0, 1));
+        }
+
+        private Path path(String section, String key) {
+            String text = ini.text(section, key, "");
+            try {
+                return text.isEmpty() ? null : Path.of(text);
+            } catch (InvalidPathException e) {
+                ini.mistake(section, key, "is '" + text + "', which can be no path");
+                return null;
+            }
+        }
+
         private HostPort address(String section, String key, String without) {
             String text = ini.text(section, key, without);
             HostPort address = HostPort.read(text);
--- /dev/null
+++ b/src/test/java/sagepulley/books/BookFileTest.java
@@ -0,0 +1,111 @@
+package sagepulley.books;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import sagepulley.accounts.Accounts;
+import sagepulley.accounts.Kept;
+import sagepulley.accounts.Meter;
+import sagepulley.accounts.Spent;
+import sagepulley.keep.Generations;
+import sagepulley.model.Band;
+import sagepulley.model.Owed;
+import sagepulley.model.Reason;
+
+class BookFileTest {
+    private static final Band BAND = new Band(0, "read", Band.Repeat.IDEMPOTENT, Band.Group.CELL, 0, false, false,
+            200, 0, 1000, 3, 0.2);
+    @TempDir
+    private Path folder;
+
+    private static Accounts filled(long seed) {
+        Random random = new Random(seed);
+        Accounts accounts = new Accounts(Accounts.Bounds.USUAL, 1e12);
+        double now = 0;
+        for (int i = 0; i < 300; i++) {
+            now += random.nextInt(20_000);
+            Meter meter = accounts.begin(1 + random.nextInt(5), BAND, random.nextBoolean(), 1, now);
+            accounts.waits(meter, Spent.values()[random.nextInt(11)], random.nextInt(4), now + 1);
+            accounts.sent(meter, 1 + random.nextInt(4), Owed.values()[random.nextInt(3)], now + 10);
+            accounts.answered(meter, random.nextInt(50), random.nextInt(50), random.nextInt(9), now + 100);
+            accounts.end(meter, Accounts.End.values()[random.nextInt(4)], Reason.LATE, 1, now + 101);
+        }
+        return accounts;
+    }
+
+    private static GatewayBook book(String gateway, Accounts accounts) {
+        return new GatewayBook(gateway, 5, Map.of(1L, "exams"), Map.of(3L, 7.5), Kept.of(accounts.book()));
+    }
+
+    /** What is written is read again, figure by figure. */
+    @Property(tries = 20, seed = "5")
+    void roundTrip(@ForAll long seed) throws IOException {
+        Path place = Files.createTempDirectory("books");
+        Accounts accounts = filled(seed);
+        new BookFile(place.resolve("a"), "gw").write(book("gw", accounts));
+        BookFile.Read read = BookFile.report(place.resolve("a"));
+        assertEquals(Map.of(1L, "exams"), read.head().names());
+        for (long volume : accounts.volumes()) {
+            assertEquals(accounts.report(volume, 0, 1e8).toString(),
+                    read.book().report(volume, 1e12, 1e12 + 1e8).toString());
+        }
+        for (String name : new String[] {"a", "a.1"}) {
+            Files.deleteIfExists(place.resolve(name));
+        }
+        Files.delete(place);
+    }
+
+    @Test
+    void aTornFileIsSetAsideAndTheOneBeforeUsed() throws IOException {
+        Path path = folder.resolve("accounts");
+        BookFile file = new BookFile(path, "gw");
+        file.write(book("gw", filled(1)));
+        file.write(book("gw", filled(2)));
+        byte[] whole = Files.readAllBytes(path);
+        Files.write(path, java.util.Arrays.copyOf(whole, whole.length / 2));
+        BookFile.Read read = new BookFile(path, "gw").goOn();
+        assertEquals(filled(1).report(1, 0, 1e8).toString(), read.book().report(1, 1e12, 1e12 + 1e8).toString());
+        assertTrue(Files.exists(folder.resolve("accounts.set-aside")));
+    }
+
+    @Test
+    void wholeFilesWithImpossibleFiguresAreNotBelieved() throws IOException {
+        Path path = folder.resolve("accounts");
+        for (String body : new String[] {"", "not CBOR at all", "\u00a0", "\u00f6"}) {
+            new Generations(path, "accounts", 1, "gw", 1).write(body.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1), 1);
+            assertThrows(IOException.class, () -> BookFile.report(path), body);
+        }
+        assertNull(new BookFile(path, "gw").goOn());
+        assertTrue(Files.notExists(path));
+    }
+
+    /** Random damage inside a body whose checksum was made to agree: read or refused, nothing else. */
+    @Property(tries = 200, seed = "9")
+    void damagedBodiesAreReadOrRefused(@ForAll int at, @ForAll byte value) throws IOException {
+        Path place = Files.createTempDirectory("books");
+        Path path = place.resolve("a");
+        new BookFile(path, "gw").write(book("gw", filled(3)));
+        byte[] body = new Generations(path, "accounts", 1, "gw", 1).read().found().body();
+        body[Math.floorMod(at, body.length)] = value;
+        new Generations(path, "accounts", 1, "gw", 1).write(body, 1);
+        try {
+            BookFile.report(path);
+        } catch (IOException e) {
+            assertTrue(e.getMessage().length() > 0);
+        }
+        Files.deleteIfExists(path);
+        Files.deleteIfExists(place.resolve("a.1"));
+        Files.delete(place);
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/keep/GenerationsTest.java
@@ -0,0 +1,123 @@
+package sagepulley.keep;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class GenerationsTest {
+    @TempDir
+    private Path folder;
+
+    private Generations open(String owner) {
+        return new Generations(folder.resolve("list"), "list", 3, owner, 2);
+    }
+
+    private static byte[] body(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String text(Generations.Reading reading) {
+        assertNotNull(reading.found(), reading.refused().toString());
+        return new String(reading.found().body(), StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void aKillAfterAnyStepLeavesTheOldOrTheNew() throws IOException {
+        for (int stop = 0; stop < 7; stop++) {
+            Path place = Files.createDirectory(folder.resolve("kill" + stop));
+            Generations whole = new Generations(place.resolve("list"), "list", 3, "site", 2);
+            for (String text : new String[] {"one", "two", "three"}) {
+                whole.write(body(text), 1);
+            }
+            int[] left = {stop};
+            Generations killed = new Generations(place.resolve("list"), "list", 3, "site", 2, (step, generation) -> {
+                if (left[0]-- == 0) {
+                    throw new IOException("killed after " + step);
+                }
+            });
+            boolean done = true;
+            try {
+                killed.write(body("four"), 2);
+            } catch (IOException e) {
+                done = false;
+            }
+            Generations.Reading after = new Generations(place.resolve("list"), "list", 3, "site", 2).read();
+            String found = text(after);
+            assertTrue(found.equals("four") || found.equals("three") && !done, "killed at " + stop + ": " + found);
+            assertTrue(after.refused().isEmpty());
+            // And the next life writes on.
+            Generations next = new Generations(place.resolve("list"), "list", 3, "site", 2);
+            next.write(body("five"), 3);
+            assertEquals("five", text(next.read()));
+        }
+    }
+
+    @Test
+    void aFileCutAtAnyByteGivesWayToTheGenerationBefore() throws IOException {
+        Generations file = open("site");
+        file.write(body("the first body"), 1);
+        file.write(body("the second body"), 2);
+        byte[] whole = Files.readAllBytes(folder.resolve("list"));
+        for (int length = 0; length < whole.length; length++) {
+            Files.write(folder.resolve("list"), Arrays.copyOf(whole, length));
+            Generations.Reading reading = open("site").read();
+            assertEquals("the first body", text(reading), "cut to " + length);
+            assertEquals(1, reading.refused().size());
+        }
+    }
+
+    @Test
+    void aFlippedBitAnywhereIsSeen() throws IOException {
+        Generations file = open("site");
+        file.write(body("the first body"), 1);
+        byte[] whole = Files.readAllBytes(folder.resolve("list"));
+        for (int bit = 0; bit < 8 * whole.length; bit++) {
+            byte[] flipped = whole.clone();
+            flipped[bit / 8] ^= (byte) (1 << bit % 8);
+            Files.write(folder.resolve("list"), flipped);
+            Generations.Found found = open("site").read().found();
+            // Leading zeros and letter case of the checksum itself may differ and mean the same.
+            assertTrue(found == null || Arrays.equals(found.body(), body("the first body")) && found.writtenAt() == 1,
+                    "bit " + bit);
+        }
+    }
+
+    @Test
+    void foreignFilesAreNamedAndSetAside() throws IOException {
+        open("another site").write(body("x"), 1);
+        Generations.Reading reading = open("site").read();
+        assertNull(reading.found());
+        assertTrue(reading.refused().get(0).why().contains("another site"));
+        Path aside = open("site").setAside(reading.refused().get(0).file());
+        assertTrue(Files.exists(aside));
+        assertTrue(open("site").read().refused().isEmpty());
+        new Generations(folder.resolve("list"), "list", 4, "site", 2).write(body("y"), 1);
+        assertTrue(open("site").read().refused().get(0).why().contains("format 4"));
+        assertEquals("y", new String(new Generations(folder.resolve("list"), "list", 4, "", 2).read().found().body(),
+                StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void aFolderThatCannotBeWrittenFailsAndHarmsNothing() throws IOException {
+        Path taken = folder.resolve("file");
+        Files.writeString(taken, "in the way");
+        Generations file = new Generations(taken.resolve("list"), "list", 3, "site", 2);
+        try {
+            file.write(body("z"), 1);
+        } catch (IOException e) {
+            assertArrayEquals(body("in the way"), Files.readAllBytes(taken));
+            return;
+        }
+        throw new AssertionError("a file stood where the folder should be");
+    }
+}
