--- a/src/main/antlr4/sagepulley/drill/grammar/Day.g4
+++ b/src/main/antlr4/sagepulley/drill/grammar/Day.g4
@@ -12,6 +12,7 @@
            | 'at' duration event ('for' duration)?        # at
            | 'end' 'at' duration                          # end
            | 'expect' 'service' 'of' WORD 'over' NUMBER '%'   # expect
+           | 'expect' 'cause' 'of' WORD TEXT              # cause
            ;
 
 nodeTrait  : 'slots' NUMBER                               # slots
@@ -28,6 +29,7 @@
            | 'to' duration                                # to
            | 'over' NUMBER 'extents'                      # extents
            | 'connections' NUMBER                         # connections
+           | 'through' 'gateway' NUMBER                   # through
            ;
 
 event      : target fault                                 # nodeEvent
@@ -48,7 +50,7 @@
            | 'erring' NUMBER '%'
            ;
 
-directoryFault : 'silent' | 'down' | 'failing' | 'lagging' duration ;
+directoryFault : 'silent' | 'down' | 'failing' | 'lagging' duration | 'slow' duration ;
 
 duration   : NUMBER ('ms' | 's' | 'min') ;
 
--- a/src/main/java/sagepulley/accounts/Accounts.java
+++ b/src/main/java/sagepulley/accounts/Accounts.java
@@ -4,7 +4,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import sagepulley.model.Band;
+import sagepulley.model.Outcome;
 import sagepulley.model.Owed;
 import sagepulley.model.Reason;
 
@@ -24,6 +26,7 @@
 
     /** A node whose work for a unit takes so many times that of the others is slow. */
     private static final double SLOW = 1.5;
+    private static final double HEARD_LATELY = 1_000;
     private static final int MOST_AHEADS_KEPT = 4096;
     /** A wait that is shorter than this tells nothing of how fast a queue drains, in milliseconds. */
     private static final double LEAST_DRAIN = 0.5;
@@ -37,12 +40,22 @@
     private final LinkedHashMap<Long, Timeline<Window>> volumes = new LinkedHashMap<>(16, 0.75f, true);
     private final Map<Integer, NodeLog> nodes = new LinkedHashMap<>();
     private final ArrayDeque<Ahead> spare = new ArrayDeque<>();
+    private final Totals totals;
+    /** Units of hops out at any node, and of operations that hold a slot while they wait for a claim. */
+    private final Ahead anywhere = new Ahead();
+    private double claiming;
     private int windows;
 
     /** The wall-clock time, in milliseconds, at which the clock that is handed in stood at zero. */
     public Accounts(Bounds bounds, double wallAtZero) {
+        this(bounds, wallAtZero, Set.of());
+    }
+
+    /** The same, with sums since the start for these volumes. */
+    public Accounts(Bounds bounds, double wallAtZero, Set<Long> summed) {
         this.bounds = bounds;
         this.wallAtZero = wallAtZero;
+        this.totals = new Totals(summed);
     }
 
     // ---- what happens ----
@@ -76,12 +89,39 @@
         };
     }
 
+    /** It has a slot at a node and waits for the claim of its extent: the slot is taken meanwhile. */
+    public void claims(Meter meter, int node, double now) {
+        if (meter == null) {
+            return;
+        }
+        close(meter, now);
+        start(meter, Spent.DIRECTORY, 0);
+        meter.claimsAt = node;
+        claiming += meter.units;
+        NodeLog log = log(node);
+        if (log != null) {
+            log.claiming += meter.units;
+        }
+    }
+
+    private void claimed(Meter meter) {
+        if (meter.claimsAt != 0) {
+            claiming = Math.max(0, claiming - meter.units);
+            NodeLog log = nodes.get(meter.claimsAt);
+            if (log != null) {
+                log.claiming = Math.max(0, log.claiming - meter.units);
+            }
+            meter.claimsAt = 0;
+        }
+    }
+
     /** A hop of it goes to a node, in this part of its plan. */
     public void sent(Meter meter, int node, Owed owed, double now) {
         if (meter == null) {
             return;
         }
         close(meter, now);
+        claimed(meter);
         start(meter, Spent.ON_THE_WAY, node);
         meter.owed = owed;
         meter.outNode = node;
@@ -91,6 +131,7 @@
             meter.othersLeast = log.othersLeast();
             meter.othersMost = log.othersMost();
             meter.outKey = log.out.add(Ahead.key(meter.volume, owed), meter.units);
+            meter.outKeyAnywhere = anywhere.add(Ahead.key(meter.volume, owed), meter.units);
             log.sent(now);
             if (meter.writes) {
                 log.written.add(meter.volume, meter.units, now);
@@ -121,31 +162,79 @@
             worked(meter, log, work);
         }
         if (log != null) {
-            log.heard(meter.writes, meter.units, worked, length, queue, now);
+            log.heard(meter.writes, meter.units, waited, worked, length, queue, now);
             log.flows.at(wallAtZero + now).worked(meter.volume, meter.writes, meter.units);
         }
         letGo(meter);
         start(meter, Spent.RANKS_LATER, 0);
     }
 
-    /** Its hop ended for nothing. */
-    public void failed(Meter meter, double now) {
+    /** Its hop ended for nothing, in this way. */
+    public void failed(Meter meter, Outcome how, double now) {
         if (meter == null) {
             return;
         }
-        meter.spends = Spent.FUTILE;
-        close(meter, now);
-        home(meter);
+        double length = Math.max(0, now - meter.since);
+        NodeLog log = home(meter);
+        if (meter.claimsAt != 0) {
+            // It never went out: the claim was lost, or nobody could say.
+            close(meter, now);
+            claimed(meter);
+            start(meter, Spent.RANKS_LATER, 0);
+            return;
+        }
+        if (length > 0 && !meter.ended) {
+            meter.step(Spent.FUTILE, meter.node, length);
+            switch (how) {
+                case TIMED_OUT, CALLED_OFF -> unanswered(meter, log, length, now);
+                case FULL -> held(meter, Spent.HELD_BACK, length, now);
+                case MOOT -> charge(meter, Cause.Kind.DIRECTORY, 0, length, false);
+                default -> charge(meter, Cause.Kind.FAULT, meter.node, length, false);
+            }
+        }
+        meter.since = now;
         letGo(meter);
         start(meter, Spent.RANKS_LATER, 0);
     }
 
+    /**
+     * No answer came in time. From a node that answered others meanwhile, what its hops usually take is its queue's
+     * doing or its slowness; only what goes beyond that is the node's fault, as all of it is of a quiet node.
+     */
+    private void unanswered(Meter meter, NodeLog log, double length, double now) {
+        double queue = log == null ? 0 : Math.min(length, log.usualSince(now - length));
+        if (queue > 0) {
+            held(meter, Spent.HELD_BACK, queue, now - length + queue);
+        }
+        quiet(meter, length - queue, now, false);
+    }
+
+    /** Found silent for hops that ended unanswered; but one that is slow and answered lately is that, not silent. */
+    private void silent(Meter meter, double length, double now) {
+        NodeLog log = meter.node == 0 ? null : nodes.get(meter.node);
+        double slow = log == null || now - log.heardAt > HEARD_LATELY ? 0
+                : length * Math.max(slowPart(log, false), slowPart(log, true));
+        charge(meter, Cause.Kind.SLOW_NODE, meter.node, slow, true);
+        quiet(meter, length - slow, now, false);
+    }
+
+    /** A node that said nothing: a fault, or one of its pauses if that is what its silences lately proved to be. */
+    private void quiet(Meter meter, double length, double now, boolean estimate) {
+        NodeLog log = meter.node == 0 ? null : nodes.get(meter.node);
+        double paused = log == null ? 0 : length * log.pauses();
+        if (paused > 0) {
+            pause(meter, log, paused, now);
+        }
+        charge(meter, Cause.Kind.FAULT, meter.node, length - paused, estimate);
+    }
+
     /** Its final answer is out, or its client left; what it was given up for, and at which node (0: none). */
     public void end(Meter meter, End how, Reason reason, int node, double now) {
         if (meter == null || meter.ended) {
             return;
         }
         close(meter, now);
+        claimed(meter);
         meter.ended = true;
         double took = now - meter.arrivedAt;
         boolean met = how == End.SATISFIED && took <= meter.band.targetTime();
@@ -175,11 +264,44 @@
             window.parts[meter.step(i).ordinal()] += meter.stepLength(i);
         }
         book(window.causes, meter.charges, lost);
+        count(meter, how, part, met, lost);
         if (meter.outNode == 0) {
             giveBack(meter);
         }
     }
 
+    private void count(Meter meter, End how, PlanPart part, boolean met, double lost) {
+        Totals.OfVolume sum = totals.of(meter.volume);
+        sum.met += met ? 1 : 0;
+        sum.missed += met ? 0 : 1;
+        sum.units += meter.units;
+        sum.utilityLost += lost;
+        switch (how) {
+            case DECLINED -> sum.declined++;
+            case SCRAPPED -> sum.scrapped++;
+            case LEFT -> sum.left++;
+            case SATISFIED -> { }
+        }
+        totals.ended(part, meter.units);
+        for (int i = 0; i < meter.steps(); i++) {
+            totals.spent(meter.step(i), meter.stepLength(i));
+            sum.waited += meter.step(i) == Spent.NODE_WORK ? 0 : meter.stepLength(i);
+        }
+        double all = 0;
+        for (int i = 0; i < meter.charges.size(); i++) {
+            all += meter.charges.waited(i);
+        }
+        for (int i = 0; i < meter.charges.size(); i++) {
+            double waited = meter.charges.waited(i);
+            totals.caused(Cause.kind(meter.charges.key(i)), waited, lost * waited / Math.max(1e-12, all));
+        }
+    }
+
+    /** Sums since the start; the caller's own copy. */
+    public Totals totals() {
+        return totals.copy();
+    }
+
     /** A lost utility is shared among the causes by what each made it wait. */
     private static void book(Charges causes, Charges mine, double lost) {
         double all = 0;
@@ -218,14 +340,16 @@
         meter.spends = part;
         meter.node = node;
         NodeLog log = node == 0 ? null : nodes.get(node);
-        if (log == null) {
+        boolean matters = node == 0 ? part == Spent.RESERVE_FULL || part == Spent.SHARE_FULL
+                || part == Spent.BEYOND_SHARE : log != null;
+        if (!matters) {
             giveBack(meter);
             return;
         }
         if (meter.ahead == null) {
             meter.ahead = spare.isEmpty() ? new Ahead() : spare.pop();
         }
-        meter.ahead.copy(log.out);
+        meter.ahead.copy(node == 0 ? anywhere : log.out);
     }
 
     private void giveBack(Meter meter) {
@@ -243,6 +367,7 @@
         NodeLog log = home(meter);
         if (log != null) {
             log.out.add(meter.outKey, -meter.units);
+            anywhere.add(meter.outKeyAnywhere, -meter.units);
             log.ended();
         }
         meter.outNode = 0;
@@ -270,7 +395,8 @@
             case LIMIT -> own(meter, Cause.Kind.OWN_LIMIT, length);
             case ORDER -> own(meter, Cause.Kind.OWN_LOAD, length);
             case COLD -> charge(meter, Cause.Kind.COLD_NODE, meter.node, length, false);
-            case SILENT, NOT_READY, FUTILE -> charge(meter, Cause.Kind.FAULT, meter.node, length, false);
+            case SILENT -> silent(meter, length, now);
+            case NOT_READY, FUTILE -> charge(meter, Cause.Kind.FAULT, meter.node, length, false);
             case DIRECTORY -> charge(meter, Cause.Kind.DIRECTORY, 0, length, false);
             case ON_THE_WAY -> charge(meter, Cause.Kind.NETWORK, meter.node, length, false);
             case NODE_QUEUE -> charge(meter, Cause.Kind.CAUTION, meter.node, length, true);
@@ -283,14 +409,29 @@
      * What the node's silence, its coldness, pauses or other gateways' work add is not the doing of those who
      * have the slots; the rest is charged to them.
      */
-    private void held(Meter meter, Spent part, double length, double now) {
+    private void held(Meter meter, Spent part, double whole, double now) {
+        double length = whole;
         NodeLog log = meter.node == 0 ? null : nodes.get(meter.node);
-        if (log == null || meter.ahead == null) {
+        if (meter.ahead == null) {
             charge(meter, Cause.Kind.CAUTION, meter.node, length, false);
             return;
         }
+        // Slots are taken by whoever waits for a claim, too.
+        double taken = log == null ? claiming : log.claiming;
+        double claims = taken > 0 ? length * taken / (taken + meter.ahead.sum()) : 0;
+        charge(meter, Cause.Kind.DIRECTORY, 0, claims, false);
+        length -= claims;
+        if (log == null) {
+            // A new object, for which no node has a slot: behind all that is out anywhere.
+            if (meter.ahead.sum() > 0) {
+                behind(meter, null, length, length, length, true);
+            } else {
+                charge(meter, Cause.Kind.CAUTION, 0, length, false);
+            }
+            return;
+        }
         double quiet = Math.min(length, log.quiet(now - length, now));
-        charge(meter, Cause.Kind.FAULT, log.id, quiet, true);
+        quiet(meter, quiet, now, true);
         double rest = length - quiet;
         if (rest <= 0) {
             return;
@@ -373,15 +514,16 @@
      * plan that goes before is entitled to be ahead: then it is one's own load, beyond that part, that waits.
      */
     private void behind(Meter meter, NodeLog log, double length, double least, double most, boolean seen) {
-        double slow = slowPart(log, meter.writes);
-        charge(meter, Cause.Kind.SLOW_NODE, log.id, length * slow, true);
+        double slow = log == null ? 0 : slowPart(log, meter.writes);
+        int at = log == null ? 0 : log.id;
+        charge(meter, Cause.Kind.SLOW_NODE, at, length * slow, true);
         double sum = meter.ahead.sum();
         for (int i = 0; i < meter.ahead.size(); i++) {
             double part = (1 - slow) * meter.ahead.units(i) / sum;
             boolean mine = meter.ahead.volume(i) == meter.volume
                     || meter.ahead.owed(i).compareTo(meter.owed) < 0;
-            long key = mine ? Cause.key(Cause.Kind.OWN_LOAD, meter.volume, log.id, !seen)
-                    : Cause.key(Cause.Kind.NEIGHBOUR, meter.ahead.volume(i), log.id, !seen);
+            long key = mine ? Cause.key(Cause.Kind.OWN_LOAD, meter.volume, at, !seen)
+                    : Cause.key(Cause.Kind.NEIGHBOUR, meter.ahead.volume(i), at, !seen);
             meter.charges.add(key, length * part, least * part, most * part, 0);
         }
     }
--- a/src/main/java/sagepulley/accounts/Book.java
+++ b/src/main/java/sagepulley/accounts/Book.java
@@ -15,6 +15,7 @@
     /** A cause is named with confidence from so many operations on. */
     private static final long ENOUGH = 20;
     private static final double MOST_OF_IT = 0.5;
+    private static final double FAR_BEHIND = 0.6;
     private static final double ONE_OF_FEW = 0.3;
     private static final double NEARLY_ALL_SEEN = 0.7;
 
@@ -195,19 +196,25 @@
                     .max(Map.Entry.comparingByValue()).orElseThrow();
             double seen = one.seen / Math.max(1e-9, one.waited);
             double share = one.waited / whole;
+            double next = 0;
+            for (Map.Entry<Who, Sum> other : ranked) {
+                boolean counts = other != entry && other.getKey().kind() != Cause.Kind.OWN_WORK;
+                next = counts ? Math.max(next, other.getValue().waited) : next;
+            }
             double[] worst = worst(line, who, from, to);
             causes.add(new Report.Charged(who.kind(), who.volume(), node.getKey(),
                     node.getValue() / Math.max(1e-9, one.waited), one.waited, one.least, one.most, share, one.lost,
-                    seen, worst[0], worst[1], confidence(share, seen, one.least / whole, sum.operations())));
+                    seen, worst[0], worst[1], confidence(share, next / whole, seen, one.least / whole, sum.operations())));
         }
         return causes;
     }
 
-    private static Report.Confidence confidence(double share, double seen, double least, long operations) {
+    private static Report.Confidence confidence(double share, double next, double seen, double least,
+                                                long operations) {
         if (operations < ENOUGH || share < ONE_OF_FEW) {
             return Report.Confidence.LOW;
         }
-        if (share >= MOST_OF_IT && seen >= NEARLY_ALL_SEEN) {
+        if (share >= MOST_OF_IT && seen >= NEARLY_ALL_SEEN && next <= FAR_BEHIND * share) {
             return Report.Confidence.HIGH;
         }
         return share >= MOST_OF_IT || least >= ONE_OF_FEW ? Report.Confidence.MIDDLE : Report.Confidence.LOW;
--- a/src/main/java/sagepulley/accounts/Cause.java
+++ b/src/main/java/sagepulley/accounts/Cause.java
@@ -33,10 +33,14 @@
     }
 
     static Cause of(long key) {
-        return new Cause(KINDS[(int) (key >>> (NODE_BITS + VOLUME_BITS + 1))], key & MOST_VOLUME,
+        return new Cause(kind(key), key & MOST_VOLUME,
                 (int) (key >>> VOLUME_BITS & MOST_NODE), (key >>> (NODE_BITS + VOLUME_BITS) & 1) == 1);
     }
 
+    static Kind kind(long key) {
+        return KINDS[(int) (key >>> (NODE_BITS + VOLUME_BITS + 1))];
+    }
+
     /** Whether a number can be a cause's: what is read from a file may be anything. */
     static boolean isKey(long key) {
         return key >= 0 && key >>> (NODE_BITS + VOLUME_BITS + 1) < KINDS.length;
--- a/src/main/java/sagepulley/accounts/Meter.java
+++ b/src/main/java/sagepulley/accounts/Meter.java
@@ -30,6 +30,9 @@
     /** The node where a hop is out (0: none), and the key of its units there. */
     int outNode;
     long outKey;
+    long outKeyAnywhere;
+    /** The node where it has a slot while it waits for a claim; 0 for none. */
+    int claimsAt;
     boolean limited;
     boolean wasSent;
     boolean ended;
--- a/src/main/java/sagepulley/accounts/NodeLog.java
+++ b/src/main/java/sagepulley/accounts/NodeLog.java
@@ -10,6 +10,8 @@
     /** A node that says nothing for so many times its usual hop, and so long besides, holds up its hops itself. */
     private static final double QUIET_HOPS = 4;
     private static final double QUIET_LEAST = 20;
+    private static final double SPELL_STEP = 0.4;
+    private static final double MOST_OF_SPELL = 0.6;
 
     final int id;
     int zone;
@@ -19,6 +21,7 @@
     /** Units written lately, by volume: what a deferred write makes others wait for. */
     final Lately written = new Lately();
     int hopsOut;
+    double claiming;
     double heardAt = Double.NEGATIVE_INFINITY;
     private double firstOutAt;
     /** Milliseconds of work a unit, reads and writes; NaN before the first answer. */
@@ -32,6 +35,7 @@
     /** Of a hop's time, the parts that went to other gateways' work and to pauses of the node's own. */
     double elsewhere;
     double paused;
+    private double pauses;
 
     NodeLog(int id) {
         this.id = id;
@@ -56,7 +60,12 @@
         return queueTold;
     }
 
-    void heard(boolean writes, double units, double worked, double took, double queue, double now) {
+    void heard(boolean writes, double units, double waited, double worked, double took, double queue, double now) {
+        double spell = now - Math.max(heardAt, firstOutAt);
+        if (spell > quietFrom()) {
+            // Who tells that it stood or was worked on all that time tells of a pause, not of a fault.
+            pauses += SPELL_STEP * ((waited + worked > MOST_OF_SPELL * spell ? 1 : 0) - pauses);
+        }
         heardAt = now;
         int at = writes ? 1 : 0;
         double latest = Math.max(0, worked) / Math.max(1e-9, units);
@@ -96,13 +105,26 @@
         return pace[writes ? 1 : 0];
     }
 
+    /** What a hop that was sent at a time may take by the usual; 0 if the node has answered nothing since. */
+    double usualSince(double sentAt) {
+        return heardAt <= sentAt || Double.isNaN(hop) ? 0 : QUIET_HOPS * hop + QUIET_LEAST;
+    }
+
     /** Of a wait for this node from one time to another, the milliseconds in which it had fallen quiet. */
     double quiet(double from, double to) {
         if (hopsOut == 0) {
             return 0;
         }
-        double usual = Double.isNaN(hop) ? QUIET_LEAST : hop;
-        double since = Math.max(heardAt, firstOutAt) + QUIET_HOPS * usual + QUIET_LEAST;
+        double since = Math.max(heardAt, firstOutAt) + quietFrom();
         return Math.max(0, to - Math.max(from, since));
     }
+
+    private double quietFrom() {
+        return QUIET_HOPS * (Double.isNaN(hop) ? QUIET_LEAST : hop) + QUIET_LEAST;
+    }
+
+    /** Of the latest times that it was quiet, the part that proved to be pauses. */
+    double pauses() {
+        return pauses;
+    }
 }
--- a/src/main/java/sagepulley/cli/DrillCommand.java
+++ b/src/main/java/sagepulley/cli/DrillCommand.java
@@ -7,6 +7,8 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import sagepulley.books.BookFile;
+import sagepulley.books.GatewayBook;
 import sagepulley.drill.Day;
 import sagepulley.drill.DayReader;
 import sagepulley.drill.Drill;
@@ -18,17 +20,27 @@
                 + "what passed on the sockets; exits with 1 if one was broken or an expectation not met.")
 final class DrillCommand implements Callable<Integer> {
     @Parameters(paramLabel = "DAY", description = "a script, or the name of a day that comes with the program: "
-            + "bad-evening, cold-halls, lost-answers, long-surge")
+            + "bad-evening, cold-halls, lost-answers, long-surge, causes/flood and others")
     private String file;
 
     @Option(names = "--json", description = "prints the result as JSON")
     private boolean json;
 
+    @Option(names = "--accounts", paramLabel = "FOLDER",
+            description = "writes the gateways' latency accounts there at the day's end, for 'report'")
+    private Path accounts;
+
     @Override
     public Integer call() throws Exception {
         Day day = Files.exists(Path.of(file)) ? DayReader.read(Path.of(file))
                 : DayReader.read(file, Drill.builtIn(file));
-        Drill.Result result = new Drill(day).run();
+        Drill drill = new Drill(day);
+        Drill.Result result = drill.run();
+        if (accounts != null) {
+            for (GatewayBook book : drill.books()) {
+                new BookFile(accounts.resolve(book.gateway()), book.gateway()).write(book);
+            }
+        }
         if (json) {
             System.out.println(new JsonMapper().writeValueAsString(result));
             return result.good() ? Commands.OK : Commands.FAILED;
--- a/src/main/java/sagepulley/cli/GatewayCommand.java
+++ b/src/main/java/sagepulley/cli/GatewayCommand.java
@@ -1,5 +1,6 @@
 package sagepulley.cli;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.concurrent.Callable;
@@ -8,6 +9,7 @@
 import picocli.CommandLine.Parameters;
 import sagepulley.gateway.Gateway;
 import sagepulley.site.Site;
+import sagepulley.watch.Watch;
 
 /** Runs one gateway by its site file. */
 @Command(name = "gateway", mixinStandardHelpOptions = true,
@@ -25,6 +27,7 @@
                 System.err.println("sagepulley: cannot listen on " + site.nbd() + ": " + failure.getMessage());
                 Runtime.getRuntime().halt(Commands.FAILED);
             }
+            watch(site, gateway);
             System.out.println("ready: " + site.name() + " on " + site.nbd().host() + ":"
                     + ready.address().getPort());
         });
@@ -36,4 +39,15 @@
             }
         });
     }
+
+    /** Figures over HTTP, where the site asks for them; a gateway that cannot tell them serves all the same. */
+    private static void watch(Site site, Gateway gateway) {
+        if (site.watch() != null) {
+            try {
+                new Watch(site, gateway, site.watch().socket());
+            } catch (IOException e) {
+                System.err.println("sagepulley: no figures over HTTP on " + site.watch() + ": " + e.getMessage());
+            }
+        }
+    }
 }
--- a/src/main/java/sagepulley/drill/DayReader.java
+++ b/src/main/java/sagepulley/drill/DayReader.java
@@ -83,12 +83,14 @@
         private final List<Day.Load> loads = new ArrayList<>();
         private final List<Day.Event> events = new ArrayList<>();
         private final List<Day.Expectation> expectations = new ArrayList<>();
+        private final List<Day.Known> causes = new ArrayList<>();
         private double from;
         private double to;
         private double reads;
         private int bytes;
         private int extents;
         private int connections;
+        private int through;
 
         Builder(String file, List<String> mistakes) {
             this.file = file;
@@ -99,10 +101,10 @@
             List<Day.Load> ending = new ArrayList<>();
             for (Day.Load load : loads) {
                 ending.add(Double.isNaN(load.to()) ? new Day.Load(load.name(), load.volume(), load.perSecond(),
-                        load.reads(), load.bytes(), load.from(), end, load.extents(), load.connections()) : load);
+                        load.reads(), load.bytes(), load.from(), end, load.extents(), load.connections(), load.through()) : load);
             }
             return new Day(name, seed, gateways, new Day.Nodes(nodes, slots, queue, readCost, writeCost, halls,
-                    deferredShare, deferEvery), site, ending, events, end, expectations);
+                    deferredShare, deferEvery), site, ending, events, end, expectations, causes);
         }
 
         private double number(Token token, double least, double most, String what) {
@@ -202,10 +204,11 @@
             bytes = 16 << 10;
             extents = Integer.MAX_VALUE;
             connections = 1;
+            through = 0;
             visitChildren(it);
             loads.add(new Day.Load(it.WORD(0).getText(), it.WORD(1).getText(),
                     number(it.NUMBER().getSymbol(), 0.01, MOST_PER_SECOND, "the rate"), reads, bytes, from, to,
-                    extents, connections));
+                    extents, connections, through));
             return null;
         }
 
@@ -250,6 +253,19 @@
             return null;
         }
 
+        @Override
+        public Void visitThrough(DayParser.ThroughContext it) {
+            through = (int) number(it.NUMBER().getSymbol(), 1, gateways, "the gateway");
+            return null;
+        }
+
+        @Override
+        public Void visitCause(DayParser.CauseContext it) {
+            causes.add(new Day.Known(it.WORD().getText(),
+                    List.of(it.TEXT().getText().replace("\"", "").split("\\s+or\\s+"))));
+            return null;
+        }
+
         @Override
         public Void visitAt(DayParser.AtContext it) {
             double at = time(it.duration(0));
--- a/src/main/java/sagepulley/drill/Drill.java
+++ b/src/main/java/sagepulley/drill/Drill.java
@@ -13,8 +13,10 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sagepulley.books.GatewayBook;
 import sagepulley.directory.DirectoryWire;
 import sagepulley.gateway.Gateway;
 import sagepulley.site.Site;
@@ -39,8 +41,8 @@
 
     /** Opens a gateway; tests put a broken one in its place. */
     public interface Opener {
-        /** A running gateway: where clients connect, and its end as by a kill. */
-        record Opened(InetSocketAddress address, Runnable kill) {
+        /** A running gateway: where clients connect, its end as by a kill, and its accounts. */
+        record Opened(InetSocketAddress address, Runnable kill, Supplier<GatewayBook> accounts) {
         }
 
         Opened open(Site site, long seed);
@@ -59,13 +61,15 @@
         thread.setDaemon(true);
         return thread;
     });
+    private final List<GatewayBook> books = new ArrayList<>();
     private Town town;
     private final AtomicLong seeds;
 
     public Drill(Day day) {
         this(day, (site, seed) -> {
             Gateway gateway = Town.await(new Gateway(site, seed).start());
-            return new Opener.Opened(gateway.address(), () -> Town.await(gateway.kill()));
+            return new Opener.Opened(gateway.address(), () -> Town.await(gateway.kill()),
+                    () -> Town.await(gateway.writtenBook()));
         });
     }
 
@@ -151,11 +155,17 @@
         loaders.forEach(Loader::close);
         for (Opener.Opened gateway : gateways) {
             if (gateway != null) {
+                books.add(gateway.accounts().get());
                 gateway.kill().run();
             }
         }
     }
 
+    /** The accounts of the gateways that stood at the end of the day, as they would go to disk. */
+    public List<GatewayBook> books() {
+        return books;
+    }
+
     private void open(int index) throws SiteError {
         long seed = seeds.incrementAndGet();
         Notebook.Life life = notes.opened(index, seed, System.nanoTime());
@@ -182,6 +192,7 @@
                 case DIRECTORY_SILENT -> town.directory().silent(true);
                 case DIRECTORY_FAILING -> town.directory().failing(true);
                 case DIRECTORY_LAGGING -> town.directory().lag(event.much());
+                case DIRECTORY_SLOW -> town.directory().slow(event.much());
                 case DIRECTORY_DOWN -> Town.await(town.directory().stop());
                 case GATEWAY_KILLED -> kill(event.whom().get(0) - 1);
                 case SURGE -> surge(event, event.much());
@@ -199,6 +210,7 @@
                 case DIRECTORY_SILENT -> town.directory().silent(false);
                 case DIRECTORY_FAILING -> town.directory().failing(false);
                 case DIRECTORY_LAGGING -> town.directory().lag(0);
+                case DIRECTORY_SLOW -> town.directory().slow(0);
                 case DIRECTORY_DOWN -> Town.await(town.directory().restart());
                 // It may take until a directory is back: the script goes on meanwhile.
                 case GATEWAY_KILLED -> CompletableFuture.runAsync(() -> reopen(event.whom().get(0) - 1));
--- a/src/main/java/sagepulley/drill/Loader.java
+++ b/src/main/java/sagepulley/drill/Loader.java
@@ -62,6 +62,9 @@
         this.loop = group.next();
         this.chance = new Random(seed);
         for (int i = 0; i < Math.min(volume.gateways(), doors.size()); i++) {
+            if (load.through() != 0 && load.through() != i + 1) {
+                continue;
+            }
             for (int k = 0; k < load.connections(); k++) {
                 wires.add(new Wire(doors.get(i)));
             }
--- a/src/main/java/sagepulley/gateway/Gateway.java
+++ b/src/main/java/sagepulley/gateway/Gateway.java
@@ -18,19 +18,23 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sagepulley.accounts.Book;
 import sagepulley.accounts.Report;
+import sagepulley.accounts.Totals;
 import sagepulley.books.BookFile;
 import sagepulley.books.BookKeeper;
+import sagepulley.books.GatewayBook;
 import sagepulley.control.Control;
 import sagepulley.nbd.Export;
 import sagepulley.nbd.Exports;
 import sagepulley.nbd.NbdServer;
 import sagepulley.site.Site;
+import sagepulley.traces.Tracer;
 import sagepulley.wire.Loops;
 
 /** One gateway in service: listens for NBD clients, and serves them by what Control decides. */
 public final class Gateway {
+    /** So many volumes, the first of the site file, have sums of their own since the start. */
+    public static final int SUMMED_VOLUMES = 100;
     /** A client that stops inside a message, or reads no replies, for so long is ended. */
     private static final int STUCK_SECONDS = 30;
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
@@ -43,6 +47,7 @@
     private final ChannelGroup clients = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicReference<CompletableFuture<Void>> ending = new AtomicReference<>();
     private Channel listener;
+    private final Tracer tracer;
     private BookKeeper keeper;
 
     /** The seed starts the module's chance and must differ at each start, for it names this life of the gateway. */
@@ -54,7 +59,8 @@
         this.site = site;
         this.clientGroup = site.loops() > 1 ? Loops.group(site.loops() - 1, "client") : houseGroup;
         this.room = new Room(site.allBytes());
-        this.house = new House(site, houseGroup.next(), Loops.socket(), new Clock(), seed, control);
+        this.tracer = site.traces().wanted() ? new Tracer(site.traces(), site.name()) : null;
+        this.house = new House(site, houseGroup.next(), Loops.socket(), new Clock(), seed, control, tracer);
     }
 
     /** Begins to listen once the list of nodes has come; then it is ready. Fails if it cannot listen. */
@@ -153,9 +159,23 @@
         return house.accounts(lately);
     }
 
-    /** A copy of all accounts as they stand. */
-    public CompletableFuture<Book> book() {
-        return house.book();
+    /** Sums of the accounts since the start. */
+    public CompletableFuture<Totals> totals() {
+        return house.totals();
+    }
+
+    /** Traces made since the start, and those dropped; 0 where none go anywhere. */
+    public long tracesMade() {
+        return tracer == null ? 0 : tracer.made();
+    }
+
+    public long tracesDropped() {
+        return tracer == null ? 0 : tracer.dropped();
+    }
+
+    /** A copy of all accounts as they stand, as they go to disk. */
+    public CompletableFuture<GatewayBook> writtenBook() {
+        return house.writtenBook();
     }
 
     /** Bytes of requests in hand now, and the most there ever were. */
@@ -211,11 +231,14 @@
 
     /** The last accounts are written while the loop still runs that owns them. */
     private void writeAccounts(CompletableFuture<Void> stopped) {
-        if (keeper == null) {
-            end(stopped);
-        } else {
-            CompletableFuture.runAsync(keeper::close).whenComplete((done, failure) -> end(stopped));
-        }
+        CompletableFuture.runAsync(() -> {
+            if (keeper != null) {
+                keeper.close();
+            }
+            if (tracer != null) {
+                tracer.close();
+            }
+        }).whenComplete((done, failure) -> end(stopped));
     }
 
     private void end(CompletableFuture<Void> stopped) {
--- a/src/main/java/sagepulley/gateway/House.java
+++ b/src/main/java/sagepulley/gateway/House.java
@@ -16,15 +16,19 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sagepulley.accounts.Accounts;
 import sagepulley.accounts.Book;
+import sagepulley.accounts.Cause;
 import sagepulley.accounts.Kept;
 import sagepulley.accounts.Report;
 import sagepulley.accounts.Spent;
+import sagepulley.accounts.Totals;
 import sagepulley.books.GatewayBook;
 import sagepulley.control.Control;
 import sagepulley.directory.DirectoryLink;
@@ -47,6 +51,9 @@
 import sagepulley.site.VolumeLine;
 import sagepulley.store.NodeLink;
 import sagepulley.store.StoreWire;
+import sagepulley.traces.Story;
+import sagepulley.traces.TailSampler;
+import sagepulley.traces.Tracer;
 
 /**
  * Hosts Control in service: tells it what happens and carries out what it answers. Everything here but the
@@ -87,6 +94,9 @@
     /** Parts in hand whose holder is not known, by extent. */
     private final Map<Long, Set<Part>> seeking = new HashMap<>();
     private final Accounts accounts;
+    /** Null where no trace goes anywhere. */
+    private final Tracer tracer;
+    private final TailSampler sampler;
     /** Parts that wait at Control, in the order in which they are asked why. */
     private final Set<Part> waiting = new LinkedHashSet<>();
     /** When the latest versions of the list came, by the wall's clock: by these, gateways' books are set together. */
@@ -137,13 +147,18 @@
         }
     }
 
-    House(Site site, EventLoop loop, Class<? extends Channel> kind, Clock clock, long seed, Control control) {
+    House(Site site, EventLoop loop, Class<? extends Channel> kind, Clock clock, long seed, Control control,
+          Tracer tracer) {
         this.site = site;
         this.loop = loop;
         this.kind = kind;
         this.clock = clock;
         this.control = control;
-        this.accounts = new Accounts(site.books().keep() ? Accounts.Bounds.USUAL : Accounts.Bounds.NONE, clock.wall(0));
+        this.accounts = new Accounts(site.books().keep() ? Accounts.Bounds.USUAL : Accounts.Bounds.NONE, clock.wall(0),
+                site.volumes().stream().limit(Gateway.SUMMED_VOLUMES).map(line -> (long) line.id())
+                        .collect(Collectors.toSet()));
+        this.tracer = tracer;
+        this.sampler = new TailSampler(site.traces().perSecond(), site.traces().chance(), new SplittableRandom(seed));
         this.splitter = new Splitter(site);
         this.hello = new StoreWire.Hello(seed, site.name());
         this.directory = new DirectoryLink(loop, kind, site.directory().socket(), seed, site.name(), this);
@@ -178,6 +193,13 @@
         return told;
     }
 
+    /** Sums since the start. From any thread. */
+    CompletableFuture<Totals> totals() {
+        CompletableFuture<Totals> told = new CompletableFuture<>();
+        loop.execute(() -> told.complete(accounts.totals()));
+        return told;
+    }
+
     /** The accounts as they go to disk. From any thread. */
     CompletableFuture<GatewayBook> writtenBook() {
         return book().thenApply(book -> {
@@ -522,7 +544,7 @@
                 part.timer = loop.schedule(() -> timedOut(number),
                         Math.max(1, (long) (placement.timeout() * NS)), TimeUnit.NANOSECONDS);
                 if (operation.shard < 0) {
-                    accounts.waits(part.meter, Spent.DIRECTORY, 0, clock.now());
+                    accounts.claims(part.meter, hop.node.id, clock.now());
                     claim(part, hop);
                 } else {
                     hand(part, hop);
@@ -544,8 +566,8 @@
         }
     }
 
-    private static String word(Reason reason) {
-        return reason.name().toLowerCase(Locale.ROOT).replace('_', ' ');
+    private static String word(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', ' ');
     }
 
     /** States anew why an operation waits, and behind whom. */
@@ -657,7 +679,7 @@
         }
         part.handed = false;
         if (outcome != Outcome.SATISFIED) {
-            accounts.failed(part.meter, now);
+            accounts.failed(part.meter, outcome, now);
         }
         boolean first = !operation.over && outcome == Outcome.SATISFIED;
         operation.over |= first;
@@ -692,7 +714,38 @@
     }
 
     private void end(Part part, Accounts.End how, Reason reason) {
-        accounts.end(part.meter, how, reason, nodeOf(part.operation.shard), clock.now());
+        double now = clock.now();
+        accounts.end(part.meter, how, reason, nodeOf(part.operation.shard), now);
+        if (tracer == null || part.meter == null) {
+            return;
+        }
+        Operation operation = part.operation;
+        double took = now - operation.arrivedAt;
+        boolean missed = how != Accounts.End.SATISFIED || took > operation.band.targetTime();
+        double standsFor = sampler.keeps(how, missed, operation.band.index(), took, now);
+        if (standsFor > 0) {
+            tracer.tell(story(part, how, reason, took, standsFor));
+        }
+    }
+
+    private Story story(Part part, Accounts.End how, Reason reason, double took, double standsFor) {
+        Operation operation = part.operation;
+        List<Story.Step> steps = new ArrayList<>(part.meter.steps());
+        for (int i = 0; i < part.meter.steps(); i++) {
+            steps.add(new Story.Step(part.meter.step(i), part.meter.stepNode(i), part.meter.stepLength(i)));
+        }
+        List<Story.Hop> hops = new ArrayList<>(operation.hops.size());
+        for (Hop hop : operation.hops) {
+            hops.add(new Story.Hop(hop.number, hop.node.id, hop.owed, hop.sentAt - operation.arrivedAt, hop.took,
+                    hop.outcome));
+        }
+        Cause cause = part.meter.mainCause();
+        String named = cause == null ? "" : word(cause.kind()) + (cause.volume() == 0 ? "" : ", volume "
+                + cause.volume()) + (cause.node() == 0 ? "" : ", node " + cause.node())
+                + (cause.estimate() ? ", estimate" : "");
+        return new Story(site.name(), operation.id, part.request.asked.cookie(), part.request.disk.line.name(),
+                operation.band.name(), word(part.kind), part.extent, operation.units,
+                clock.wall(operation.arrivedAt), took, how, reason, named, sampler.why(), standsFor, steps, hops);
     }
 
     private void finish(Part part, Accounts.End how, Reason reason, int error, String why) {
--- a/src/main/java/sagepulley/standin/StandInDirectory.java
+++ b/src/main/java/sagepulley/standin/StandInDirectory.java
@@ -46,6 +46,7 @@
     private InetSocketAddress address;
     private long version;
     private volatile double lag;
+    private volatile double slow;
     private volatile boolean silent;
     private volatile boolean failing;
     private long claims;
@@ -86,6 +87,11 @@
         lag = milliseconds;
     }
 
+    /** Answers calls so many milliseconds late. */
+    public void slow(double milliseconds) {
+        slow = milliseconds;
+    }
+
     /** Answers nothing, though connections stand. */
     public void silent(boolean now) {
         silent = now;
@@ -192,11 +198,25 @@
                 return;
             } else if (failing) {
                 channel.writeAndFlush(DirectoryWire.failed(frame.id(), "the directory is failing"));
+            } else if (slow > 0) {
+                frame.head().retain();
+                frame.payload().retain();
+                channel.eventLoop().schedule(() -> late(frame), (long) (slow * 1e6), TimeUnit.NANOSECONDS);
             } else {
                 call(frame);
             }
         }
 
+        private void late(Frame frame) {
+            try {
+                call(frame);
+            } catch (BadBytes e) {
+                channel.close();
+            } finally {
+                frame.release();
+            }
+        }
+
         private void call(Frame frame) throws BadBytes {
             switch (frame.type()) {
                 case DirectoryWire.SUBSCRIBE, DirectoryWire.FETCH -> {
--- /dev/null
+++ b/src/main/java/sagepulley/traces/SpanFile.java
@@ -0,0 +1,89 @@
+package sagepulley.traces;
+
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
+import ch.qos.logback.core.rolling.FixedWindowRollingPolicy;
+import ch.qos.logback.core.rolling.RollingFileAppender;
+import ch.qos.logback.core.rolling.SizeBasedTriggeringPolicy;
+import ch.qos.logback.core.util.Duration;
+import ch.qos.logback.core.util.FileSize;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.opentelemetry.sdk.common.CompletableResultCode;
+import io.opentelemetry.sdk.trace.data.SpanData;
+import io.opentelemetry.sdk.trace.export.SpanExporter;
+import java.nio.file.Path;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Writes spans to a file, a line of JSON each; a file that is full is moved on, and the oldest goes. */
+final class SpanFile implements SpanExporter {
+    private static final JsonMapper JSON = new JsonMapper();
+
+    private final LoggerContext context = new LoggerContext();
+    private final Logger lines;
+
+    SpanFile(Path file, long bytes, int files) {
+        context.setMDCAdapter(new LogbackMDCAdapter());
+        PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+        encoder.setContext(context);
+        encoder.setPattern("%msg%n");
+        encoder.start();
+        RollingFileAppender<ILoggingEvent> appender = new RollingFileAppender<>();
+        appender.setContext(context);
+        appender.setFile(file.toString());
+        appender.setEncoder(encoder);
+        FixedWindowRollingPolicy window = new FixedWindowRollingPolicy();
+        window.setContext(context);
+        window.setParent(appender);
+        window.setFileNamePattern(file + ".%i");
+        window.setMinIndex(1);
+        window.setMaxIndex(Math.max(1, files - 1));
+        window.start();
+        SizeBasedTriggeringPolicy<ILoggingEvent> size = new SizeBasedTriggeringPolicy<>();
+        size.setContext(context);
+        size.setMaxFileSize(new FileSize(bytes));
+        size.setCheckIncrement(Duration.buildByMilliseconds(200));
+        size.start();
+        appender.setRollingPolicy(window);
+        appender.setTriggeringPolicy(size);
+        appender.start();
+        lines = context.getLogger("traces");
+        lines.addAppender(appender);
+    }
+
+    @Override
+    public CompletableResultCode export(Collection<SpanData> spans) {
+        for (SpanData span : spans) {
+            Map<String, Object> line = new LinkedHashMap<>();
+            line.put("trace", span.getTraceId());
+            line.put("span", span.getSpanId());
+            line.put("parent", span.getParentSpanContext().isValid() ? span.getParentSpanId() : "");
+            line.put("name", span.getName());
+            line.put("start", span.getStartEpochNanos());
+            line.put("end", span.getEndEpochNanos());
+            span.getAttributes().forEach((key, value) -> line.put(key.getKey(), value));
+            try {
+                lines.info(JSON.writeValueAsString(line));
+            } catch (JsonProcessingException e) {
+                return CompletableResultCode.ofExceptionalFailure(e);
+            }
+        }
+        return CompletableResultCode.ofSuccess();
+    }
+
+    @Override
+    public CompletableResultCode flush() {
+        return CompletableResultCode.ofSuccess();
+    }
+
+    @Override
+    public CompletableResultCode shutdown() {
+        context.stop();
+        return CompletableResultCode.ofSuccess();
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/traces/Tracer.java
@@ -0,0 +1,148 @@
+package sagepulley.traces;
+
+import io.opentelemetry.api.common.AttributeKey;
+import io.opentelemetry.api.common.Attributes;
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanBuilder;
+import io.opentelemetry.api.trace.StatusCode;
+import io.opentelemetry.context.Context;
+import io.opentelemetry.exporter.otlp.http.trace.OtlpHttpSpanExporter;
+import io.opentelemetry.sdk.resources.Resource;
+import io.opentelemetry.sdk.trace.SdkTracerProvider;
+import io.opentelemetry.sdk.trace.SdkTracerProviderBuilder;
+import io.opentelemetry.sdk.trace.export.BatchSpanProcessor;
+import io.opentelemetry.sdk.trace.export.SpanExporter;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import sagepulley.accounts.Accounts;
+import sagepulley.site.TracesLine;
+
+/**
+ * Makes traces of stories that were found worth keeping, on a thread of its own, and sends them to a file and an
+ * OTLP receiver. What neither can take in time is dropped and counted; no operation ever waits for it.
+ */
+public final class Tracer implements AutoCloseable {
+    private static final int MOST_WAITING = 1024;
+    private static final int MOST_SPANS = 8192;
+    private static final Duration LONGEST_EXPORT = Duration.ofSeconds(5);
+    private static final long LONGEST_END_SECONDS = 3;
+    private static final double NS = 1e6;
+    private static final AttributeKey<String> SERVICE = AttributeKey.stringKey("service.name");
+
+    private final SdkTracerProvider provider;
+    private final io.opentelemetry.api.trace.Tracer spans;
+    private final BlockingQueue<Story> waiting = new ArrayBlockingQueue<>(MOST_WAITING);
+    private final Thread maker = new Thread(this::work, "traces");
+    private final LongAdder made = new LongAdder();
+    private final LongAdder dropped = new LongAdder();
+    private volatile boolean ending;
+
+    public Tracer(TracesLine line, String gateway) {
+        SdkTracerProviderBuilder builder = SdkTracerProvider.builder()
+                .setResource(Resource.create(Attributes.of(SERVICE, "sagepulley/" + gateway)));
+        if (line.file() != null) {
+            builder.addSpanProcessor(batches(new SpanFile(line.file(), line.fileBytes(), line.files())));
+        }
+        if (!line.otlp().isEmpty()) {
+            builder.addSpanProcessor(batches(OtlpHttpSpanExporter.builder().setEndpoint(line.otlp())
+                    .setTimeout(LONGEST_EXPORT).setConnectTimeout(LONGEST_EXPORT).build()));
+        }
+        provider = builder.build();
+        spans = provider.get("sagepulley");
+        maker.setDaemon(true);
+        maker.start();
+    }
+
+    private static BatchSpanProcessor batches(SpanExporter exporter) {
+        return BatchSpanProcessor.builder(exporter).setMaxQueueSize(MOST_SPANS)
+                .setScheduleDelay(Duration.ofMillis(500)).setExporterTimeout(LONGEST_EXPORT).build();
+    }
+
+    /** Takes a story; drops it if too many wait. From any thread, without waiting. */
+    public void tell(Story story) {
+        if (!waiting.offer(story)) {
+            dropped.increment();
+        }
+    }
+
+    /** Stories made into traces, and dropped, since the start. */
+    public long made() {
+        return made.sum();
+    }
+
+    public long dropped() {
+        return dropped.sum();
+    }
+
+    private void work() {
+        try {
+            while (!ending || !waiting.isEmpty()) {
+                Story story = waiting.poll(100, TimeUnit.MILLISECONDS);
+                if (story != null) {
+                    make(story);
+                    made.increment();
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static long at(double wall) {
+        return (long) (wall * NS);
+    }
+
+    private static String word(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT);
+    }
+
+    private void make(Story story) {
+        double end = story.arrived() + story.took();
+        Span root = spans.spanBuilder("operation").setNoParent()
+                .setStartTimestamp(at(story.arrived()), TimeUnit.NANOSECONDS)
+                .setAttribute("gateway", story.gateway()).setAttribute("operation", story.operation())
+                .setAttribute("cookie", story.cookie()).setAttribute("volume", story.volume())
+                .setAttribute("band", story.band()).setAttribute("kind", story.kind())
+                .setAttribute("extent", story.extent()).setAttribute("units", story.units())
+                .setAttribute("result", word(story.end())).setAttribute("reason", word(story.reason()))
+                .setAttribute("main_cause", story.mainCause()).setAttribute("kept", word(story.kept()))
+                .setAttribute("stands_for", story.standsFor()).startSpan();
+        Context within = Context.root().with(root);
+        for (Story.Hop hop : story.hops()) {
+            SpanBuilder one = spans.spanBuilder("hop").setParent(within)
+                    .setStartTimestamp(at(story.arrived() + hop.after()), TimeUnit.NANOSECONDS)
+                    .setAttribute("number", hop.number()).setAttribute("node", hop.node())
+                    .setAttribute("owed", hop.owed() == null ? "" : word(hop.owed()))
+                    .setAttribute("result", hop.outcome() == null ? "out" : word(hop.outcome()));
+            double ended = hop.outcome() == null ? end : story.arrived() + hop.after() + hop.took();
+            one.startSpan().end(at(ended), TimeUnit.NANOSECONDS);
+        }
+        double at = story.arrived();
+        for (Story.Step step : story.steps()) {
+            spans.spanBuilder("step").setParent(within).setStartTimestamp(at(at), TimeUnit.NANOSECONDS)
+                    .setAttribute("spent", word(step.part())).setAttribute("node", step.node()).startSpan()
+                    .end(at(at + step.length()), TimeUnit.NANOSECONDS);
+            at += step.length();
+        }
+        if (story.end() == Accounts.End.SCRAPPED || story.end() == Accounts.End.DECLINED) {
+            root.setStatus(StatusCode.ERROR, word(story.reason()));
+        }
+        root.end(at(end), TimeUnit.NANOSECONDS);
+    }
+
+    /** Makes and exports what waits, as far as that goes within seconds. */
+    @Override
+    public void close() {
+        ending = true;
+        try {
+            maker.join(TimeUnit.SECONDS.toMillis(LONGEST_END_SECONDS));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        provider.shutdown().join(LONGEST_END_SECONDS, TimeUnit.SECONDS);
+    }
+}
--- a/src/test/java/sagepulley/accounts/AccountsTest.java
+++ b/src/test/java/sagepulley/accounts/AccountsTest.java
@@ -14,6 +14,7 @@
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 import sagepulley.model.Band;
+import sagepulley.model.Outcome;
 import sagepulley.model.Owed;
 import sagepulley.model.Reason;
 
@@ -68,14 +69,14 @@
                 now += length;
             } else {
                 all.sent(meter, step % 4, Owed.values()[step % 3], now);
-                all.failed(meter, now + length / 2);
+                all.failed(meter, Outcome.values()[step % Outcome.values().length], now + length / 2);
                 now += length;
             }
         }
         all.end(meter, Accounts.End.SATISFIED, Reason.NONE, 1, now);
         all.waits(meter, Spent.FUTILE, 1, now + 500); // after its end nothing is added
         for (Meter other : others) {
-            all.failed(other, now + 1);
+            all.failed(other, Outcome.TIMED_OUT, now + 1);
         }
         double sum = 0;
         for (Spent part : Spent.values()) {
@@ -188,6 +189,29 @@
         assertEquals(1, report.main().node());
     }
 
+    @Test
+    void aHopThatTimedOutInALongQueueIsNotTheNodesFault() {
+        Meter flood = accounts.begin(9, BAND, false, 20, 0);
+        accounts.sent(flood, 1, Owed.EXCESS, 0);
+        for (int i = 0; i < 40; i++) {
+            hop(accounts, 9, 1, Owed.EXCESS, 100 * i, 90, 10, 0);
+        }
+        for (int i = 0; i < 30; i++) {
+            Meter late = accounts.begin(2, BAND, false, 1, 3900);
+            accounts.sent(late, 1, Owed.SHARE, 3900);
+            hop(accounts, 9, 1, Owed.EXCESS, 3900, 90, 10, 0);
+            accounts.failed(late, Outcome.TIMED_OUT, 4100);
+            accounts.end(late, Accounts.End.DECLINED, Reason.LATE, 1, 4100);
+            Meter lost = accounts.begin(3, BAND, false, 1, 3900);
+            accounts.sent(lost, 1, Owed.SHARE, 3900);
+            hop(accounts, 9, 1, Owed.EXCESS, 3900, 90, 10, 0);
+            accounts.failed(lost, Outcome.TIMED_OUT, 6900);
+            accounts.end(lost, Accounts.End.SCRAPPED, Reason.MAY_HAVE_RUN, 1, 6900);
+        }
+        assertEquals(Cause.Kind.NEIGHBOUR, accounts.report(2, 0, 9000).main().kind());
+        assertEquals(Cause.Kind.FAULT, accounts.report(3, 0, 9000).main().kind(), "it answered others, not this one");
+    }
+
     @Test
     void memoryStaysBoundedWhateverComes() {
         Accounts small = new Accounts(SMALL, 0);
@@ -195,7 +219,7 @@
             double at = i * 100.0;
             Meter meter = small.begin(i + 1, BAND, i % 2 == 0, 1, at);
             small.sent(meter, 1 + i % 30, Owed.SHARE, at);
-            small.failed(meter, at + 10);
+            small.failed(meter, Outcome.RESET, at + 10);
             small.waits(meter, Spent.SHARE_FULL, 1 + i % 30, at + 10);
             small.end(meter, Accounts.End.SCRAPPED, Reason.MAY_HAVE_RUN, 1, at + 50);
         }
--- a/src/test/java/sagepulley/drill/Rogue.java
+++ b/src/test/java/sagepulley/drill/Rogue.java
@@ -16,6 +16,9 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import sagepulley.accounts.Book;
+import sagepulley.accounts.Kept;
+import sagepulley.books.GatewayBook;
 import sagepulley.directory.DirectoryLink;
 import sagepulley.directory.DirectoryWire;
 import sagepulley.nbd.Export;
@@ -45,7 +48,8 @@
     @Override
     public Opened open(Site site, long seed) {
         Running running = new Running(site, seed);
-        return new Opened(running.address, running::kill);
+        return new Opened(running.address, running::kill,
+                () -> new GatewayBook("rogue", 0, Map.of(), Map.of(), Kept.of(new Book())));
     }
 
     private final class Running implements DirectoryLink.Owner, Exports, Gate {
--- /dev/null
+++ b/src/test/java/sagepulley/traces/TailSamplerTest.java
@@ -0,0 +1,83 @@
+package sagepulley.traces;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import sagepulley.accounts.Accounts.End;
+
+class TailSamplerTest {
+    /** Whatever comes, no stretch of time holds more than its budget and what was saved up before. */
+    @Property(tries = 40, seed = "3")
+    void theBudgetHolds(@ForAll long seed, @ForAll @IntRange(min = 1, max = 50) int perSecond,
+            @ForAll @DoubleRange(min = 0.05, max = 20) double gap) {
+        SplittableRandom random = new SplittableRandom(seed);
+        TailSampler sampler = new TailSampler(perSecond, 0.5, random.split());
+        double now = 0;
+        long kept = 0;
+        while (now < 10_000) {
+            now += gap * 2 * random.nextDouble();
+            End end = End.values()[random.nextInt(4)];
+            kept += sampler.keeps(end, end != End.SATISFIED || random.nextInt(5) == 0, random.nextInt(3),
+                    random.nextDouble() * 500, now) > 0 ? 1 : 0;
+        }
+        double most = perSecond * (now / 1000) + 2 * perSecond + 5;
+        assertTrue(kept <= most, kept + " kept, bound " + most);
+    }
+
+    @Test
+    void aScrappedOneIsKeptAmidAFloodOfDeclines() {
+        TailSampler sampler = new TailSampler(20, 0.001, new SplittableRandom(1));
+        int kept = 0;
+        for (int i = 0; i < 100_000; i++) {
+            if (i % 10_000 == 5_000) {
+                kept += sampler.keeps(End.SCRAPPED, true, 0, 900, i * 0.5) > 0 ? 1 : 0;
+                assertEquals(TailSampler.Why.SCRAPPED, sampler.why());
+            } else {
+                sampler.keeps(End.DECLINED, true, 0, 10, i * 0.5);
+            }
+        }
+        assertEquals(10, kept);
+    }
+
+    @Test
+    void whatIsKeptStandsForTheRest() {
+        TailSampler sampler = new TailSampler(20, 0.001, new SplittableRandom(2));
+        double stands = 0;
+        int kept = 0;
+        int all = 200_000;
+        for (int i = 0; i < all; i++) {
+            double one = sampler.keeps(End.DECLINED, true, 0, 10, i);
+            stands += one;
+            kept += one > 0 ? 1 : 0;
+        }
+        assertTrue(kept > 200 && kept < 200 * 20, "kept " + kept);
+        assertEquals(all, stands, 0.2 * all);
+    }
+
+    @Test
+    void theSlowestOfABandAreKeptThoughTheyAreInTime() {
+        TailSampler sampler = new TailSampler(50, 0, new SplittableRandom(3));
+        SplittableRandom random = new SplittableRandom(4);
+        int slow = 0;
+        int other = 0;
+        for (int i = 0; i < 20_000; i++) {
+            boolean odd = i > 5_000 && i % 500 == 0;
+            double took = odd ? 190 : 10 + random.nextDouble();
+            if (sampler.keeps(End.SATISFIED, false, 1, took, i * 5.0) > 0) {
+                if (odd) {
+                    slow++;
+                } else {
+                    other++;
+                }
+            }
+        }
+        assertTrue(slow >= 25, slow + " of 29 slow ones");
+        assertTrue(other < 400, other + " others");
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/watch/WatchTest.java
@@ -0,0 +1,169 @@
+package sagepulley.watch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.net.httpserver.HttpServer;
+import io.netty.buffer.ByteBuf;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import sagepulley.accounts.Report;
+import sagepulley.cli.Commands;
+import sagepulley.drill.Town;
+import sagepulley.gateway.Gateway;
+import sagepulley.nbd.NbdClient;
+import sagepulley.nbd.NbdReply;
+import sagepulley.site.Site;
+import sagepulley.standin.NodeTraits;
+import sagepulley.standin.Witness;
+import sagepulley.wire.Loops;
+
+/** What a running gateway tells about itself: accounts over a restart, traces, figures over HTTP. */
+class WatchTest {
+    private static final int MIB = 1 << 20;
+    @TempDir
+    private Path folder;
+    private Town town;
+
+    @BeforeEach
+    void open() {
+        List<NodeTraits> traits = new ArrayList<>();
+        for (int i = 1; i <= 2; i++) {
+            traits.add(NodeTraits.quick(i, MIB).withCost(2, 2));
+        }
+        town = Town.start(traits, Witness.NOBODY, 2);
+    }
+
+    @AfterEach
+    void close() {
+        town.close();
+    }
+
+    private String site(String sections) {
+        return Town.demoSite("gw", 0, 1, 0, town.directory().address()) + sections;
+    }
+
+    private static Gateway start(String site, long seed) throws Exception {
+        return Town.await(new Gateway(Site.read("site", site), seed).start());
+    }
+
+    private void work(Gateway gateway, int operations) {
+        NbdClient client = Town.await(NbdClient.open(town.loops(), Loops.socket(), gateway.address(), "demo",
+                NbdClient.Style.GO));
+        for (int i = 0; i < operations; i++) {
+            Town.await(client.write(i % 8 * (long) MIB, new byte[4096])).release();
+        }
+        NbdReply reply = Town.await(client.read(0, 4096));
+        ByteBuf data = reply.data();
+        data.release();
+        client.channel().close().awaitUninterruptibly();
+    }
+
+    private static String printed(String... words) {
+        PrintStream before = System.out;
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        System.setOut(new PrintStream(out, true, StandardCharsets.UTF_8));
+        try {
+            assertEquals(0, Commands.run(words), String.join(" ", words) + " " + out);
+        } finally {
+            System.setOut(before);
+        }
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void accountsGoOnOverARestartAndATornFileIsSetAside() throws Exception {
+        Path file = folder.resolve("accounts");
+        String site = site("\n[accounts]\nfile = " + file + "\nevery = 1 h\n");
+        Gateway first = start(site, 1);
+        work(first, 20);
+        Town.await(first.stop());
+        Gateway second = start(site, 2);
+        work(second, 10);
+        Map<String, Report> reports = Town.await(second.accounts(60_000));
+        assertEquals(32, reports.get("demo").operations());
+        Town.await(second.stop());
+        // A kill writes nothing more: the file still has what the last orderly end left.
+        Gateway third = start(site, 3);
+        work(third, 5);
+        Town.await(third.kill());
+        assertTrue(printed("report", file.toString()).contains("volume demo: 32 operations"));
+        byte[] whole = Files.readAllBytes(file);
+        Files.write(file, java.util.Arrays.copyOf(whole, whole.length - 7));
+        Gateway fourth = start(site, 4);
+        assertTrue(Files.exists(folder.resolve("accounts.set-aside")));
+        assertEquals(21, Town.await(fourth.accounts(60_000)).get("demo").operations(), "the generation before");
+        Town.await(fourth.stop());
+    }
+
+    @Test
+    void tracesGoToAFileAndAReceiverAndExplainTellsThem() throws Exception {
+        AtomicReference<byte[]> received = new AtomicReference<>(new byte[0]);
+        HttpServer receiver = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 4);
+        receiver.createContext("/v1/traces", exchange -> {
+            received.set(exchange.getRequestBody().readAllBytes());
+            exchange.sendResponseHeaders(200, -1);
+            exchange.close();
+        });
+        receiver.start();
+        Path file = folder.resolve("traces");
+        Gateway gateway = start(site("\n[traces]\nfile = " + file + "\notlp = http://127.0.0.1:"
+                + receiver.getAddress().getPort() + "/v1/traces\nbudget = 100\nchance = 1\n"), 1);
+        work(gateway, 5);
+        Town.await(gateway.stop());
+        receiver.stop(0);
+        assertTrue(gateway.tracesMade() > 0);
+        String told = printed("explain", file.toString(), "--volume", "demo");
+        assertTrue(told.contains("hop 1 goes to node"), told);
+        assertTrue(told.contains("worked on by the node"), told);
+        assertTrue(told.contains("satisfied after"), told);
+        assertTrue(new String(received.get(), StandardCharsets.ISO_8859_1).contains("demo"), "the receiver got spans");
+        assertEquals(3, printed("explain", file.toString(), "--list", "3").lines().count());
+    }
+
+    @Test
+    void aReceiverThatIsNotThereHarmsNothing() throws Exception {
+        Gateway gateway = start(site("\n[traces]\notlp = http://127.0.0.1:9/v1/traces\nbudget = 100\nchance = 1\n"), 1);
+        work(gateway, 20);
+        assertEquals(21, gateway.tally().satisfied.sum());
+        Town.await(gateway.stop());
+    }
+
+    @Test
+    void figuresOverHttp() throws Exception {
+        Site site = Site.read("site", site(""));
+        Gateway gateway = Town.await(new Gateway(site, 1).start());
+        work(gateway, 10);
+        try (Watch watch = new Watch(site, gateway, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
+            String base = "http://127.0.0.1:" + watch.address().getPort();
+            HttpClient client = HttpClient.newHttpClient();
+            String text = client.send(HttpRequest.newBuilder(URI.create(base + "/metrics")).build(),
+                    HttpResponse.BodyHandlers.ofString()).body();
+            assertTrue(text.contains("sagepulley_operations_total{end=\"met\",volume=\"demo\"} 11.0"), text);
+            assertTrue(text.contains("sagepulley_spent_seconds_total{part=\"node_work\"}"), text);
+            assertEquals(405, client.send(HttpRequest.newBuilder(URI.create(base + "/metrics"))
+                    .POST(HttpRequest.BodyPublishers.ofString("x")).build(),
+                    HttpResponse.BodyHandlers.discarding()).statusCode());
+            String top = printed("top", "127.0.0.1:" + watch.address().getPort(), "--once");
+            assertTrue(top.contains("demo"), top);
+        }
+        Town.await(gateway.stop());
+    }
+}
