--- a/src/main/java/sagepulley/drill/Starts.java
+++ b/src/main/java/sagepulley/drill/Starts.java
@@ -263,7 +263,10 @@
         }
     }
 
-    /** Gateways that come back to one directory: the most calls in a tenth of a second, and when all hold a list. */
+    /**
+     * Gateways that come back to one directory: the most calls in a tenth of a second once it was gone for a second,
+     * and when all hold a list.
+     */
     public record Storm(int gateways, boolean spread, int mostInTenth, long calls, double allListedMs) {
     }
 
@@ -290,7 +293,9 @@
             double now = one[0];
             int who = (int) one[1];
             calls++;
-            tenths.merge((long) (now / 100), 1, Integer::sum);
+            if (now >= 1_000) { // the moment at which all lost it is the same either way
+                tenths.merge((long) (now / 100), 1, Integer::sum);
+            }
             double again = spread ? pauses[who].next() : 250;
             if (now < downMs) {
                 tries.add(new double[] {now + again, who});
