--- a/src/test/java/sagepulley/watch/WatchTest.java
+++ b/src/test/java/sagepulley/watch/WatchTest.java
@@ -163,7 +163,23 @@
                     HttpResponse.BodyHandlers.discarding()).statusCode());
             String top = printed("top", "127.0.0.1:" + watch.address().getPort(), "--once");
             assertTrue(top.contains("demo"), top);
+            String nodes = printed("nodes", "127.0.0.1:" + watch.address().getPort());
+            assertTrue(nodes.contains("list fresh") && nodes.contains("directory reached"), nodes);
         }
         Town.await(gateway.stop());
     }
+
+    @Test
+    void anOperatorsListIsImportedVerifiedAndExported() throws Exception {
+        Path csv = folder.resolve("list.csv");
+        Files.writeString(csv, "node,cell,zone,kind,standing,host,port\n7,3,0,0,ready,10.0.0.7,7000\n");
+        String file = folder.resolve("nodes").toString();
+        printed("list-file", "import", file, "--site", "sahil", "--csv", csv.toString());
+        assertTrue(printed("list-file", "verify", file, "--site", "sahil").contains("good, 1 nodes"));
+        assertTrue(printed("list-file", "show", file).contains("last confirmed never"));
+        assertEquals(Files.readString(csv), printed("list-file", "export", file));
+        assertEquals(3, Commands.run("list-file", "verify", file, "--site", "another"));
+        Files.writeString(csv, "7,3,0,0,ready,10.0.0.7,99999\n");
+        assertEquals(1, Commands.run("list-file", "import", file, "--site", "sahil", "--csv", csv.toString()));
+    }
 }
