Read again: accounts are written out off the gateway's loop; one way to ask a watch

Need: the read of the whole change found work in the wrong place and twice. Writing the accounts as plain values ran on the loop that serves operations; each piece of a copy sorted all volumes anew and, by reading the map, upset the order in which volumes give up detail; a report for every volume built a book each; merging copied every book once more than needed; two commands asked the gateway over HTTP in the same words; membership had two methods that nobody calls and looked through the list for each node. Change: BookCopy goes on where it stopped and touches no order, the plain values are made on another thread, one book for all reports, names put in place, WatchClient for both commands (with the bound on both), dead methods gone, a set for the list's nodes. Behaviour otherwise as it was.

--- a/src/main/java/sagepulley/accounts/Accounts.java
+++ b/src/main/java/sagepulley/accounts/Accounts.java
@@ -430,18 +430,17 @@
      * What the node's silence, its coldness, pauses or other gateways' work add is not the doing of those who
      * have the slots; the rest is charged to them.
      */
-    private void held(Meter meter, Spent part, double whole, double now) {
-        double length = whole;
+    private void held(Meter meter, Spent part, double all, double now) {
         NodeLog log = meter.log;
         if (meter.ahead == null) {
-            charge(meter, Cause.Kind.CAUTION, meter.node, length, false);
+            charge(meter, Cause.Kind.CAUTION, meter.node, all, false);
             return;
         }
         // Slots are taken by whoever waits for a claim, too.
         double taken = log == null ? claiming : log.claiming;
-        double claims = taken > 0 ? length * taken / (taken + meter.ahead.sum()) : 0;
+        double claims = taken > 0 ? all * taken / (taken + meter.ahead.sum()) : 0;
         charge(meter, Cause.Kind.DIRECTORY, 0, claims, false);
-        length -= claims;
+        double length = all - claims;
         if (log == null) {
             // A new object, for which no node has a slot: behind all that is out anywhere.
             if (meter.ahead.sum() > 0) {
@@ -651,27 +650,9 @@
         return book().report(volume, wallAtZero + from, wallAtZero + to);
     }
 
-    /**
-     * Copies so many volumes into a book, from the number given on, and all nodes with the first; returns where
-     * to go on, or -1 at the end. What is copied is the caller's.
-     */
-    public int copy(Book into, int first, int count) {
-        if (first == 0) {
-            nodes.forEach((id, log) -> {
-                Timeline<Flow> line = new Timeline<>(Flow::new);
-                line.merge(log.flows, 0);
-                into.flows.put(id, line);
-                into.zones.put(id, log.zone);
-            });
-        }
-        List<Long> all = volumes();
-        int end = Math.min(all.size(), first + count);
-        for (long volume : all.subList(Math.min(first, end), end)) {
-            Timeline<Window> line = new Timeline<>(Window::new);
-            line.merge(volumes.get(volume), 0);
-            into.volumes.put(volume, line);
-        }
-        return end == all.size() ? -1 : end;
+    /** Begins a copy of all that is kept now, taken piece by piece; on the thread that owns these accounts. */
+    public BookCopy copy() {
+        return new BookCopy(book());
     }
 
     /** All of it, as it stands; shares its parts with these accounts, so that it is for the same thread. */
--- a/src/main/java/sagepulley/accounts/Fleet.java
+++ b/src/main/java/sagepulley/accounts/Fleet.java
@@ -43,12 +43,11 @@
             aligned.add(book);
         }
         for (int i = 0; i < aligned.size(); i++) {
-            Book named = new Book();
-            named.merge(aligned.get(i), 0);
+            // Names are read from the others' flows, which naming leaves as they are.
             if (members.size() > 1) {
-                name(named, aligned, i);
+                name(aligned.get(i), aligned, i);
             }
-            all.merge(named, 0);
+            all.merge(aligned.get(i), 0);
         }
         return new Merged(all, clocks);
     }
--- a/src/main/java/sagepulley/accounts/Timeline.java
+++ b/src/main/java/sagepulley/accounts/Timeline.java
@@ -138,8 +138,8 @@
         }
     }
 
-    /** Moves every stretch by a whole number of the longest, if the newest lies after a time: so many hours. */
-    long noLaterThan(double wall) {
+    /** Moves every stretch by a whole number of the longest, if the newest lies after a time. */
+    void noLaterThan(double wall) {
         double newest = Double.NEGATIVE_INFINITY;
         for (int i = 0; i < LEVELS; i++) {
             if (!levels[i].isEmpty()) {
@@ -147,7 +147,7 @@
             }
         }
         if (newest <= wall) {
-            return 0;
+            return;
         }
         latest = null;
         long hours = (long) Math.ceil((newest - wall) / LENGTH[LEVELS - 1]);
@@ -157,6 +157,5 @@
             levels[i].forEach((number, sums) -> moved.put(number - by, sums));
             levels[i] = moved;
         }
-        return hours;
     }
 }
--- a/src/main/java/sagepulley/cli/NodesCommand.java
+++ b/src/main/java/sagepulley/cli/NodesCommand.java
@@ -2,12 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
-import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -28,17 +22,12 @@
 
     @Override
     public Integer call() throws Exception {
-        HttpClient client = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(3)).build();
-        HttpResponse<String> answer = client.send(HttpRequest.newBuilder(URI.create("http://" + address + "/nodes"))
-                .timeout(Duration.ofSeconds(10)).build(), HttpResponse.BodyHandlers.ofString());
-        if (answer.statusCode() != 200) {
-            throw new IOException(address + " answers with status " + answer.statusCode());
-        }
+        String answer = new WatchClient(address).get("/nodes");
         if (json) {
-            System.out.println(answer.body());
+            System.out.println(answer);
             return Commands.OK;
         }
-        JsonNode view = new JsonMapper().readTree(answer.body());
+        JsonNode view = new JsonMapper().readTree(answer);
         double age = view.path("age").asDouble();
         System.out.printf(Locale.ROOT, "gateway %s: list %s, %s; directory %s; extents known from disk only: %d%n%n",
                 view.path("gateway").asText(), view.path("trust").asText().toLowerCase(Locale.ROOT),
--- a/src/main/java/sagepulley/cli/TopCommand.java
+++ b/src/main/java/sagepulley/cli/TopCommand.java
@@ -2,12 +2,6 @@
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
-import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -27,7 +21,6 @@
                 + "by its accounts of the last ten minutes ([watch] listen).")
 final class TopCommand implements Callable<Integer> {
     private static final String CLEAR = "\u001b[H\u001b[2J";
-    private static final int MOST_BYTES = 64 << 20;
 
     @Parameters(paramLabel = "HOST:PORT", converter = AddressConverter.class, description = "of the gateway's [watch]")
     private HostPort address;
@@ -46,20 +39,15 @@
 
     @Override
     public Integer call() throws Exception {
-        HttpClient client = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(3)).build();
-        HttpRequest ask = HttpRequest.newBuilder(URI.create("http://" + address + "/accounts"))
-                .timeout(Duration.ofSeconds(10)).build();
+        WatchClient watch = new WatchClient(address);
         while (true) {
-            HttpResponse<String> answer = client.send(ask, HttpResponse.BodyHandlers.ofString());
-            if (answer.statusCode() != 200 || answer.body().length() > MOST_BYTES) {
-                throw new IOException(address + " answers with status " + answer.statusCode());
-            }
+            String answer = watch.get("/accounts");
             if (json) {
-                System.out.println(answer.body());
+                System.out.println(answer);
                 return Commands.OK;
             }
             Watch.View view = JsonMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build()
-                    .readValue(answer.body(), Watch.View.class);
+                    .readValue(answer, Watch.View.class);
             System.out.print((once ? "" : CLEAR) + text(view));
             if (once) {
                 return Commands.OK;
--- a/src/main/java/sagepulley/gateway/House.java
+++ b/src/main/java/sagepulley/gateway/House.java
@@ -24,6 +24,7 @@
 import org.slf4j.LoggerFactory;
 import sagepulley.accounts.Accounts;
 import sagepulley.accounts.Book;
+import sagepulley.accounts.BookCopy;
 import sagepulley.accounts.Cause;
 import sagepulley.accounts.Kept;
 import sagepulley.accounts.Report;
@@ -327,8 +328,10 @@
         CompletableFuture<Map<String, Report>> told = new CompletableFuture<>();
         loop.execute(() -> {
             double now = clock.now();
+            Book book = accounts.book();
             Map<String, Report> reports = new LinkedHashMap<>();
-            disks.forEach((name, disk) -> reports.put(name, accounts.report(disk.line.id(), now - lately, now)));
+            disks.forEach((name, disk) -> reports.put(name, book.report(disk.line.id(), clock.wall(now - lately),
+                    clock.wall(now))));
             told.complete(reports);
         });
         return told;
@@ -341,29 +344,27 @@
         return told;
     }
 
-    /** The accounts as they go to disk. From any thread. */
+    /** The accounts as they go to disk: copied piece by piece, and written out off this loop. From any thread. */
     CompletableFuture<GatewayBook> writtenBook() {
-        return book().thenApply(book -> {
+        CompletableFuture<BookAt> copied = new CompletableFuture<>();
+        loop.execute(() -> copyBook(accounts.copy(), copied));
+        return copied.thenApplyAsync(at -> {
             Map<Long, String> names = new LinkedHashMap<>();
             disks.forEach((name, disk) -> names.put((long) disk.line.id(), name));
-            return new GatewayBook(site.name(), (long) clock.wall(clock.now()), names, Map.copyOf(told),
-                    Kept.of(book));
+            return new GatewayBook(site.name(), (long) clock.wall(clock.now()), names, at.told, Kept.of(at.book));
         });
     }
 
-    /** A copy of all accounts, taken piece by piece so that no operation waits long for it. From any thread. */
-    CompletableFuture<Book> book() {
-        CompletableFuture<Book> told = new CompletableFuture<>();
-        loop.execute(() -> copyBook(new Book(), 0, told));
-        return told;
+    /** A copy of the accounts, and which versions of the list had been told when it was whole. */
+    private record BookAt(Book book, Map<Long, Double> told) {
     }
 
-    private void copyBook(Book book, int first, CompletableFuture<Book> told) {
-        int next = accounts.copy(book, first, COPIED_AT_ONCE);
-        if (next < 0) {
-            told.complete(book);
+    private void copyBook(BookCopy copy, CompletableFuture<BookAt> copied) {
+        Book whole = copy.more(COPIED_AT_ONCE);
+        if (whole != null) {
+            copied.complete(new BookAt(whole, Map.copyOf(told)));
         } else {
-            loop.execute(() -> copyBook(book, next, told));
+            loop.execute(() -> copyBook(copy, copied));
         }
     }
 
--- a/src/main/java/sagepulley/membership/Membership.java
+++ b/src/main/java/sagepulley/membership/Membership.java
@@ -3,11 +3,12 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 /**
  * One view of the nodes, made of what the directory, a list on disk, the site file and the nodes themselves say;
@@ -197,8 +198,7 @@
         } else if (known.struck != null && permits) {
             known.askAgainAt = Math.min(known.askAgainAt, now);
         }
-        if (permits && line.startedAt() >= before.startedAt() && known.selfDraining && line.startedAt() > 0
-                && line.startedAt() > before.startedAt()) {
+        if (permits && line.startedAt() > before.startedAt()) {
             known.selfDraining = false; // it started anew since it said so
         }
         return !known.line.equals(before) || known.struck == null;
@@ -218,9 +218,9 @@
     /** Who is missing in a whole list is gone; in one of another history, only if it is missing for a while. */
     private boolean omissions(Told list, boolean other, double now) {
         boolean changed = false;
+        Set<Integer> listed = list.lines().stream().map(NodeLine::node).collect(Collectors.toSet());
         for (Known known : nodes.values()) {
-            boolean listed = list.lines().stream().anyMatch(line -> line.node() == known.line.node());
-            if (listed || known.line.standing() == NodeLine.Standing.GONE) {
+            if (listed.contains(known.line.node()) || known.line.standing() == NodeLine.Standing.GONE) {
                 continue;
             }
             if (known.source == Source.SITE) {
@@ -244,7 +244,7 @@
         if (known == null) {
             return Welcome.NOT_THIS;
         }
-        answered(known);
+        known.asking = false;
         if (who != node || cell != known.line.cell()) {
             known.struck = who != node ? "at its address node " + who + " answers"
                     : "it holds cell " + cell + ", not " + known.line.cell();
@@ -278,7 +278,7 @@
         Known known = nodes.get(node);
         if (known != null) {
             boolean asked = known.asking;
-            answered(known);
+            known.asking = false;
             if (known.connected) {
                 known.provenAt = now;
             }
@@ -289,10 +289,6 @@
         }
     }
 
-    private static void answered(Known known) {
-        known.asking = false;
-    }
-
     private void again(Known known, double now) {
         double pause = Math.min(ASK_AGAIN_LONGEST, ASK_AGAIN_FIRST * Math.pow(2, Math.min(known.inVain++, 10)));
         known.askAgainAt = now + pause * (0.5 + random.nextDouble());
@@ -358,16 +354,6 @@
         return known.connected || now - known.provenAt <= bounds.proofHolds();
     }
 
-    /** When to look again, though nothing happens: at the latest in a second. */
-    public double nextLook(double now) {
-        for (Known known : nodes.values()) {
-            if (known.asking || wantsAsking(known, now)) {
-                return now + bounds.askedApart();
-            }
-        }
-        return now + 1_000;
-    }
-
     /** Lets time do its work: omissions that were doubted long enough, trust that fades. Tells whether that changed. */
     public boolean pass(double now) {
         boolean changed = trust(now) != trustBefore;
@@ -435,11 +421,4 @@
         return new KeptList(site, history, version, confirmedAt == Double.NEGATIVE_INFINITY ? 0 : (long) confirmedAt,
                 lines);
     }
-
-    /** Nodes by use, for figures. */
-    public Map<NodeLine.Standing, Integer> counts(double now) {
-        Map<NodeLine.Standing, Integer> counts = new LinkedHashMap<>();
-        seen(now).forEach(one -> counts.merge(one.use(), 1, Integer::sum));
-        return counts;
-    }
 }
