--- a/src/main/antlr4/sagepulley/drill/grammar/Day.g4
+++ b/src/main/antlr4/sagepulley/drill/grammar/Day.g4
@@ -8,6 +8,7 @@
            | 'gateways' NUMBER                            # gateways
            | 'nodes' NUMBER nodeTrait*                    # nodes
            | 'site' BLOCK                                 # site
+           | 'site' TEXT                                  # siteNamed
            | 'load' WORD 'on' WORD NUMBER 'a' 'second' loadTrait*   # load
            | 'at' duration event ('for' duration)?        # at
            | 'end' 'at' duration                          # end
--- a/src/main/java/sagepulley/drill/DayReader.java
+++ b/src/main/java/sagepulley/drill/DayReader.java
@@ -101,10 +101,12 @@
             List<Day.Load> ending = new ArrayList<>();
             for (Day.Load load : loads) {
                 ending.add(Double.isNaN(load.to()) ? new Day.Load(load.name(), load.volume(), load.perSecond(),
-                        load.reads(), load.bytes(), load.from(), end, load.extents(), load.connections(), load.through()) : load);
+                        load.reads(), load.bytes(), load.from(), end, load.extents(), load.connections(),
+                        load.through()) : load);
             }
             return new Day(name, seed, gateways, new Day.Nodes(nodes, slots, queue, readCost, writeCost, halls,
-                    deferredShare, deferEvery), site, ending, events, end, expectations, causes);
+                    deferredShare, deferEvery), site.replace("${gateways}", "" + gateways), ending, events, end,
+                    expectations, causes);
         }
 
         private double number(Token token, double least, double most, String what) {
@@ -196,6 +198,16 @@
             return null;
         }
 
+        @Override
+        public Void visitSiteNamed(DayParser.SiteNamedContext it) {
+            try {
+                site = Drill.comesWith(it.TEXT().getText().replace("\"", "") + ".site");
+            } catch (DayError e) {
+                mistake(it, e.getMessage());
+            }
+            return null;
+        }
+
         @Override
         public Void visitLoad(DayParser.LoadContext it) {
             from = 0;
--- a/src/main/java/sagepulley/drill/Drill.java
+++ b/src/main/java/sagepulley/drill/Drill.java
@@ -292,9 +292,13 @@
 
     /** A day that comes with the program. */
     public static String builtIn(String name) throws DayError {
-        try (InputStream from = Drill.class.getResourceAsStream("/days/" + name + ".day")) {
+        return comesWith(name + ".day");
+    }
+
+    static String comesWith(String name) throws DayError {
+        try (InputStream from = Drill.class.getResourceAsStream("/days/" + name)) {
             if (from == null) {
-                throw new DayError(name + ": no such day comes with the program");
+                throw new DayError(name + ": no such file comes with the program");
             }
             return new String(from.readAllBytes(), StandardCharsets.UTF_8);
         } catch (IOException e) {
