--- a/src/main/java/sagepulley/Main.java
+++ b/src/main/java/sagepulley/Main.java
@@ -5,18 +5,36 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import sagepulley.cli.Commands;
+import sagepulley.platform.ConfigError;
+import sagepulley.platform.Serve;
 import sagepulley.simhost.MalformedFrame;
 import sagepulley.simhost.SimHost;
 
-/** Picks the command; simhost starts without anything of the others. */
+/** Picks the command; simhost and serve start without anything of the others. */
 public final class Main {
     private Main() {
     }
 
     public static void main(String[] words) {
-        if (words.length != 1 || !words[0].equals("simhost")) {
-            System.exit(Commands.run(words));
+        switch (words.length == 1 ? words[0] : "") {
+            case "simhost" -> simhost();
+            case "serve" -> serve();
+            default -> System.exit(Commands.run(words));
         }
+    }
+
+    /** Status 1 and one line if the configuration cannot be used; 0 after a signal, once all is answered. */
+    private static void serve() {
+        try {
+            Serve.run(System.getenv());
+            System.exit(0);
+        } catch (ConfigError e) {
+            System.err.println("sagepulley: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    private static void simhost() {
         try {
             new SimHost(new FileInputStream(FileDescriptor.in),
                     new FileOutputStream(FileDescriptor.out)).run();
--- a/src/main/java/sagepulley/gateway/Gateway.java
+++ b/src/main/java/sagepulley/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sagepulley.host.Clock;
 import sagepulley.accounts.Report;
 import sagepulley.accounts.Totals;
 import sagepulley.books.BookFile;
--- a/src/main/java/sagepulley/gateway/House.java
+++ b/src/main/java/sagepulley/gateway/House.java
@@ -32,6 +32,7 @@
 import sagepulley.accounts.Totals;
 import sagepulley.books.GatewayBook;
 import sagepulley.control.Control;
+import sagepulley.host.Clock;
 import sagepulley.directory.DirectoryLink;
 import sagepulley.directory.DirectoryWire;
 import sagepulley.extents.Holders;
--- a/src/main/java/sagepulley/gateway/Clock.java
+++ b/src/main/java/sagepulley/host/Clock.java
@@ -1,4 +1,4 @@
-package sagepulley.gateway;
+package sagepulley.host;
 
 /** The one clock of a gateway: milliseconds with fractions that only move forward, tied to the wall once. */
 public final class Clock {
--- a/src/main/java/sagepulley/simhost/FirstMessage.java
+++ b/src/main/java/sagepulley/host/FirstMessage.java
@@ -1,4 +1,4 @@
-package sagepulley.simhost;
+package sagepulley.host;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,26 +9,32 @@
 import sagepulley.model.Plan;
 import sagepulley.model.Rulebook;
 
-/** Reads the settings of an `Up` into a deployment. Unknown keys are skipped. */
-final class FirstMessage {
+/**
+ * The settings that a gateway is told first, as path=value pairs, read into a deployment. Unknown keys are
+ * skipped.
+ */
+public final class FirstMessage {
     private static final double NS = 1e6;
 
-    private final Map<String, String> pairs = new HashMap<>();
+    private final Map<String, String> pairs;
 
-    private FirstMessage(String text) {
+    public FirstMessage(Map<String, String> pairs) {
+        this.pairs = pairs;
+    }
+
+    /** Reads pairs that stand one to a line. */
+    public static FirstMessage ofLines(String text) {
+        Map<String, String> pairs = new HashMap<>();
         for (String line : text.split("\n")) {
             int sign = line.indexOf('=');
             if (sign > 0) {
                 pairs.put(line.substring(0, sign).trim(), line.substring(sign + 1).trim());
             }
         }
+        return new FirstMessage(pairs);
     }
 
-    static Deployment read(String text) {
-        return new FirstMessage(text).deployment();
-    }
-
-    private Deployment deployment() {
+    public Deployment deployment() {
         List<Band> bands = new ArrayList<>();
         String[] writes = optional("domain.changesData", "").split(",");
         boolean ordered = false;
@@ -111,7 +117,7 @@
                 limit > 0 ? number(path + "slack") : 0);
     }
 
-    private String optional(String path, String without) {
+    public String optional(String path, String without) {
         return pairs.getOrDefault(path, without);
     }
 
@@ -143,11 +149,12 @@
         return (int) value;
     }
 
-    private double optionalNumber(String path, double without) {
+    public double optionalNumber(String path, double without) {
         return pairs.containsKey(path) ? number(path) : without;
     }
 
-    private double time(String path, double without) {
+    /** A time in milliseconds that may be left out. */
+    public double time(String path, double without) {
         return pairs.containsKey(path) ? number(path) / NS : without;
     }
 
--- /dev/null
+++ b/src/main/java/sagepulley/host/Host.java
@@ -0,0 +1,159 @@
+package sagepulley.host;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import sagepulley.control.Control;
+import sagepulley.model.Deployment;
+import sagepulley.model.Hop;
+import sagepulley.model.Node;
+import sagepulley.model.Operation;
+import sagepulley.model.Outcome;
+import sagepulley.model.Pause;
+import sagepulley.model.Placement;
+import sagepulley.model.Sequel;
+import sagepulley.model.Volume;
+
+/**
+ * One gateway round the module that decides for it: its operations in hand, its nodes and volumes, and the
+ * settle loop. Told what happens by whoever owns the wire; what is decided goes out by the exit. One thread.
+ */
+public final class Host {
+    private final Deployment deployment;
+    private final Exit exit;
+    private final Control control;
+    private final Map<Long, Operation> operations = new HashMap<>();
+    private final Map<Long, Volume> volumes = new HashMap<>();
+    private final Map<Integer, Node> nodes = new LinkedHashMap<>();
+
+    public Host(Deployment deployment, long seed, Exit exit) {
+        this.deployment = deployment;
+        this.exit = exit;
+        this.control = new Control(deployment, seed);
+    }
+
+    public Deployment deployment() {
+        return deployment;
+    }
+
+    /** The list as it stands after a message of the given entries; a whole list drops what it lacks. */
+    public void listed(List<ListEntry> entries, boolean whole, double now) {
+        if (whole) {
+            for (Node node : nodes.values()) {
+                node.standing = Node.Standing.GONE;
+            }
+        }
+        for (ListEntry entry : entries) {
+            entry.copyTo(nodes.computeIfAbsent(entry.store(), Node::new));
+        }
+        control.listed(new ArrayList<>(nodes.values()), now);
+    }
+
+    public void listFailed(double now) {
+        control.listFailed(now);
+    }
+
+    public void arrived(Operation operation, double now) {
+        operations.put(operation.id, operation);
+        answer(operation, control.place(operation, now));
+    }
+
+    public Volume volume(long id, int plan) {
+        return volumes.computeIfAbsent(id, any -> new Volume(any, deployment.plans().get(plan)));
+    }
+
+    /** The operation in hand with this number; null if there is none. */
+    public Operation operation(long id) {
+        return operations.get(id);
+    }
+
+    public Collection<Operation> inHand() {
+        return Collections.unmodifiableCollection(operations.values());
+    }
+
+    public Collection<Node> nodes() {
+        return Collections.unmodifiableCollection(nodes.values());
+    }
+
+    /** The hop of an outcome; null if it was never sent. */
+    public Hop hop(long operation, int number) {
+        Operation known = operations.get(operation);
+        return known == null || number >= known.hops.size() ? null : known.hops.get(number);
+    }
+
+    /** A hop's outcome is set; settled tells whether its operation is over with it. */
+    public void ended(Hop hop, boolean settled, double now) {
+        Operation operation = hop.operation;
+        operation.over |= settled;
+        if (control.after(hop, now) == Sequel.PLACE_AGAIN) {
+            answer(operation, control.place(operation, now));
+        }
+        forget(operation);
+    }
+
+    public void left(long id, double now) {
+        Operation operation = operations.get(id);
+        if (operation != null && !operation.over) {
+            operation.over = true;
+            control.left(operation, now);
+            forget(operation);
+        }
+    }
+
+    public void probed(int id, Outcome outcome, double took, double[] report, double now) {
+        Node node = nodes.get(id);
+        if (node != null) {
+            control.probed(node, outcome, took, report, now);
+        }
+    }
+
+    /** After all that happened at this moment: whatever is due now, and when to be woken for what is later. */
+    public void settle(double now) {
+        Pause pause = control.pause(now);
+        while (true) {
+            pause.callOff().forEach(exit::callOff);
+            pause.probes().forEach(exit::probe);
+            switch (pause.call()) {
+                case SUBSCRIBE -> exit.subscribe();
+                case FETCH -> exit.fetch();
+                case NONE -> { }
+            }
+            boolean moved = false;
+            for (Operation operation : pause.due()) {
+                Placement placement = control.place(operation, now);
+                moved |= placement.kind() != Placement.Kind.WAIT;
+                answer(operation, placement);
+            }
+            if (!moved) {
+                break; // asking again at the same moment would change nothing
+            }
+            pause = control.pause(now);
+        }
+        exit.wakeIn(pause.length(), now);
+    }
+
+    private void answer(Operation operation, Placement placement) {
+        switch (placement.kind()) {
+            case SEND -> exit.send(operation.hops.get(operation.hops.size() - 1), placement.timeout());
+            case DECLINE, SCRAP -> exit.giveUp(operation, placement);
+            case WAIT -> { }
+        }
+        forget(operation);
+    }
+
+    private void forget(Operation operation) {
+        if (!operation.over) {
+            return;
+        }
+        for (Hop hop : operation.hops) {
+            if (hop.outcome == null) {
+                return;
+            }
+        }
+        operations.remove(operation.id);
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/host/ListEntry.java
@@ -0,0 +1,17 @@
+package sagepulley.host;
+
+import sagepulley.model.Node;
+
+/** One line of a list of nodes. */
+public record ListEntry(int zone, int cell, int store, Node.Standing standing, double startedAt, int kind,
+                 double weight) {
+
+    void copyTo(Node node) {
+        node.zone = zone;
+        node.cell = cell;
+        node.standing = standing;
+        node.startedAt = startedAt;
+        node.kind = kind;
+        node.weight = weight;
+    }
+}
--- a/src/main/java/sagepulley/simhost/MissingFigure.java
+++ b/src/main/java/sagepulley/host/MissingFigure.java
@@ -1,10 +1,10 @@
-package sagepulley.simhost;
+package sagepulley.host;
 
 /** The first message lacks a figure that the decisions depend on, or it cannot be read. */
-final class MissingFigure extends RuntimeException {
+public final class MissingFigure extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    MissingFigure(String what) {
+    public MissingFigure(String what) {
         super(what, null, false, false);
     }
 }
--- /dev/null
+++ b/src/main/java/sagepulley/platform/Addresses.java
@@ -0,0 +1,32 @@
+package sagepulley.platform;
+
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+
+/** Addresses as HOST:PORT, numeric ones only: there are no names to look up here. */
+final class Addresses {
+    private static final int MOST_PORT = 65_535;
+
+    private Addresses() {
+    }
+
+    /** The address that a text names; null if it names none. */
+    static InetSocketAddress read(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0 || !text.substring(colon + 1).matches("[0-9]{1,5}")) {
+            return null;
+        }
+        byte[] host = NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        int port = Integer.parseInt(text.substring(colon + 1));
+        if (host == null || port == 0 || port > MOST_PORT) {
+            return null;
+        }
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(host), port);
+        } catch (UnknownHostException never) {
+            throw new IllegalStateException(never);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/platform/Answer.java
@@ -0,0 +1,83 @@
+package sagepulley.platform;
+
+import java.util.List;
+import sagepulley.model.Hop;
+import sagepulley.resp.Resp;
+
+/** What a node's answer holds beside its value: figures on use, and a report of its load. */
+final class Answer {
+    private static final int VALUE = 0;
+    private static final int USE = 1;
+    private static final int REPORT = 2;
+    private static final double MOST_FIGURE = 1e9;
+
+    private Answer() {
+    }
+
+    /** The value of an answer that satisfied. */
+    static byte[] value(Resp answer) {
+        return ((Resp.Bulk) ((Resp.Array) answer).items().get(VALUE)).bytes();
+    }
+
+    /** Notes with the hop what its answer tells; what cannot be read of it was not told. */
+    static void tell(Hop hop, Resp answer, List<String> reportFields) {
+        if (answer instanceof Resp.Array array && array.items() != null && array.items().size() > REPORT) {
+            use(hop, text(array.items().get(USE)));
+            hop.report = report(array.items().get(REPORT), reportFields);
+        } else if (answer instanceof Resp.Line line && line.isError()) {
+            for (String word : line.text().split(" ")) {
+                use(hop, word);
+                double[] report = report(word, reportFields);
+                hop.report = report != null ? report : hop.report;
+            }
+        }
+    }
+
+    private static void use(Hop hop, String text) {
+        double used = figure(text, "used");
+        if (used >= 0) {
+            hop.usedPercent = used;
+        }
+        double cost = figure(text, "cost");
+        if (cost >= 0) {
+            hop.othersUnits = cost;
+        }
+    }
+
+    /** A load report in the order of its fields; null if it does not tell them all. */
+    static double[] report(Resp item, List<String> fields) {
+        return report(text(item), fields);
+    }
+
+    private static double[] report(String text, List<String> fields) {
+        if (fields.isEmpty() || text.isEmpty()) {
+            return null;
+        }
+        double[] values = new double[fields.size()];
+        for (int i = 0; i < values.length; i++) {
+            values[i] = figure(text, fields.get(i));
+            if (!(values[i] >= 0)) {
+                return null;
+            }
+        }
+        return values;
+    }
+
+    private static String text(Resp item) {
+        return item instanceof Resp.Bulk bulk && !bulk.isNull() ? bulk.text() : "";
+    }
+
+    /** The figure of this name in a list of names and values; NaN if it is not there or cannot be read. */
+    private static double figure(String text, String name) {
+        for (String part : text.split(",")) {
+            if (part.startsWith(name + "=")) {
+                String value = part.substring(name.length() + 1);
+                if (value.matches("[0-9]{1,12}(\\.[0-9]{1,12})?")) {
+                    double figure = Double.parseDouble(value);
+                    return figure <= MOST_FIGURE ? figure : Double.NaN;
+                }
+            }
+        }
+        return Double.NaN;
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/platform/BadCommand.java
@@ -0,0 +1,10 @@
+package sagepulley.platform;
+
+/** A command that cannot be taken; the message is what its client is told. */
+final class BadCommand extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    BadCommand(String what) {
+        super(what, null, false, false);
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/platform/BlockCommand.java
@@ -0,0 +1,178 @@
+package sagepulley.platform;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import sagepulley.model.Band;
+import sagepulley.model.Deployment;
+import sagepulley.model.Plan;
+import sagepulley.resp.Resp;
+
+/** A client's read or write of a piece of data, checked field by field, and the words that go to a node. */
+final class BlockCommand {
+    static final String READ = "BLK.READ";
+    static final String WRITE = "BLK.WRITE";
+    /** Bytes of the longest list of fields. */
+    static final int LONGEST_FIELDS = 1024;
+    private static final int MOST_FIELDS = 32;
+    private static final int READ_WORDS = 4;
+    private static final double LONGEST_PATIENCE = 24 * 3_600_000;
+
+    final long id;
+    final long extent;
+    final Band band;
+    final Plan plan;
+    final double patience;
+    final long volume;
+    final double units;
+    final int shard;
+    final int gateways;
+    final boolean repeat;
+    private final List<byte[]> words;
+    /** The fields as they came, less the patience, whose place is known. */
+    private final String beforePatience;
+    private final String afterPatience;
+
+    private BlockCommand(List<byte[]> words, Deployment deployment) throws BadCommand {
+        this.words = words;
+        this.extent = hex(text(words.get(1)), "the piece");
+        this.id = hex(text(words.get(2)), "the id");
+        String list = text(words.get(3));
+        Map<String, String> fields = fields(list);
+        this.band = band(need(fields, "c"), deployment);
+        this.plan = plan(need(fields, "t"), deployment);
+        this.patience = number(need(fields, "d"), "d", LONGEST_PATIENCE);
+        this.volume = hex(need(fields, "volume"), "volume");
+        this.units = number(need(fields, "units"), "units", deployment.mostUnits());
+        this.shard = shard(need(fields, "shard"), deployment.shards());
+        this.gateways = (int) number(need(fields, "hosts"), "hosts", 1e6);
+        this.repeat = "1".equals(fields.get("r"));
+        int at = list.startsWith("d=") ? 0 : list.indexOf(",d=") + 1;
+        this.beforePatience = list.substring(0, at + 2);
+        this.afterPatience = list.substring(at + 2 + fields.get("d").length());
+    }
+
+    /** Checks a command whose first word is one of the two. */
+    static BlockCommand read(List<byte[]> words, Deployment deployment) throws BadCommand {
+        boolean writes = text(words.get(0)).equals(WRITE);
+        if (words.size() != (writes ? READ_WORDS + 1 : READ_WORDS)) {
+            throw new BadCommand("wrong number of words");
+        }
+        BlockCommand command = new BlockCommand(words, deployment);
+        if (command.band.writes() != writes) {
+            throw new BadCommand("c=" + command.band.name() + " does not go with the command");
+        }
+        return command;
+    }
+
+    static List<byte[]> words(Resp.Array command) {
+        List<byte[]> words = new ArrayList<>(command.items().size());
+        for (Resp item : command.items()) {
+            words.add(((Resp.Bulk) item).bytes());
+        }
+        return words;
+    }
+
+    static String text(byte[] word) {
+        return new String(word, StandardCharsets.ISO_8859_1);
+    }
+
+    int bytes() {
+        int bytes = 0;
+        for (byte[] word : words) {
+            bytes += word.length;
+        }
+        return bytes;
+    }
+
+    /** The same command for a node that is given so many milliseconds. */
+    List<byte[]> forNode(double timeout) {
+        List<byte[]> out = new ArrayList<>(words);
+        String list = beforePatience + Math.max(1, (long) timeout) + afterPatience;
+        out.set(3, list.getBytes(StandardCharsets.ISO_8859_1));
+        return out;
+    }
+
+    private static Map<String, String> fields(String list) throws BadCommand {
+        if (list.length() > LONGEST_FIELDS) {
+            throw new BadCommand("fields of over " + LONGEST_FIELDS + " bytes");
+        }
+        Map<String, String> fields = new HashMap<>();
+        Set<String> twice = new HashSet<>();
+        String[] parts = list.split(",", -1);
+        if (parts.length > MOST_FIELDS) {
+            throw new BadCommand("over " + MOST_FIELDS + " fields");
+        }
+        for (String part : parts) {
+            int sign = part.indexOf('=');
+            if (sign <= 0 || !part.chars().allMatch(c -> c > ' ' && c < 127)) {
+                throw new BadCommand("a field that is no name=value");
+            }
+            if (fields.put(part.substring(0, sign), part.substring(sign + 1)) != null) {
+                twice.add(part.substring(0, sign));
+            }
+        }
+        if (!twice.isEmpty()) {
+            throw new BadCommand("a field that stands twice");
+        }
+        return fields;
+    }
+
+    private static String need(Map<String, String> fields, String name) throws BadCommand {
+        String value = fields.get(name);
+        if (value == null || value.isEmpty()) {
+            throw new BadCommand(name + " is missing");
+        }
+        return value;
+    }
+
+    private static long hex(String text, String what) throws BadCommand {
+        if (!text.matches("[0-9a-f]{16}")) {
+            throw new BadCommand(what + " has not 16 hex digits");
+        }
+        return Long.parseUnsignedLong(text, 16);
+    }
+
+    private static double number(String text, String name, double most) throws BadCommand {
+        if (text.length() > 20 || !text.matches("[0-9]+(\\.[0-9]+)?")) {
+            throw new BadCommand(name + " is no number");
+        }
+        double value = Double.parseDouble(text);
+        if (!(value > 0) || value > most) {
+            throw new BadCommand(name + " is out of range");
+        }
+        return value;
+    }
+
+    private static int shard(String text, int shards) throws BadCommand {
+        if (text.equals("-1")) {
+            return -1;
+        }
+        if (!text.matches("[0-9]{1,6}") || shards > 0 && Integer.parseInt(text) >= shards) {
+            throw new BadCommand("there is no such shard");
+        }
+        return Integer.parseInt(text);
+    }
+
+    private static Band band(String name, Deployment deployment) throws BadCommand {
+        for (Band band : deployment.bands()) {
+            if (band.name().equals(name)) {
+                return band;
+            }
+        }
+        throw new BadCommand("there is no such class");
+    }
+
+    private static Plan plan(String name, Deployment deployment) throws BadCommand {
+        for (Plan plan : deployment.plans()) {
+            if (plan.name().equals(name)) {
+                return plan;
+            }
+        }
+        throw new BadCommand("there is no such plan");
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/platform/Json.java
@@ -0,0 +1,64 @@
+package sagepulley.platform;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One JSON value as maps, lists, strings, numbers and booleans. Only Jackson's parser is loaded for it. */
+final class Json {
+    private static final int DEPTH = 50;
+    private static final int TEXT = 100_000;
+    private static final JsonFactory FACTORY = JsonFactory.builder().streamReadConstraints(
+            StreamReadConstraints.builder().maxNestingDepth(DEPTH).maxStringLength(TEXT).build()).build();
+
+    private Json() {
+    }
+
+    /** Reads the one object that the bytes hold. */
+    static Map<String, Object> object(byte[] bytes) throws IOException {
+        try (JsonParser parser = FACTORY.createParser(bytes)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new IOException("not a JSON object");
+            }
+            Map<String, Object> object = objectOf(parser);
+            if (parser.nextToken() != null) {
+                throw new IOException("something follows the JSON object");
+            }
+            return object;
+        }
+    }
+
+    private static Map<String, Object> objectOf(JsonParser parser) throws IOException {
+        Map<String, Object> object = new LinkedHashMap<>();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            parser.nextToken();
+            object.put(name, value(parser));
+        }
+        return object;
+    }
+
+    private static Object value(JsonParser parser) throws IOException {
+        return switch (parser.currentToken()) {
+            case START_OBJECT -> objectOf(parser);
+            case START_ARRAY -> {
+                List<Object> items = new ArrayList<>();
+                while (parser.nextToken() != JsonToken.END_ARRAY) {
+                    items.add(value(parser));
+                }
+                yield items;
+            }
+            case VALUE_STRING -> parser.getText();
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> parser.getNumberValue();
+            case VALUE_TRUE -> true;
+            case VALUE_FALSE -> false;
+            default -> null;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/platform/Listing.java
@@ -0,0 +1,63 @@
+package sagepulley.platform;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import sagepulley.model.Node;
+
+/** A list of nodes, or changes of it, in discovery's form. */
+record Listing(long revision, boolean whole, List<Member> members, List<String> unreadable) {
+    /** One entry; started is wall-clock milliseconds, 0 for long ago. */
+    record Member(String id, InetSocketAddress address, String locality, String flavor, int cell,
+                  Node.Standing standing, double weight, long started) {
+    }
+
+    /** Reads a list; an entry that cannot be read is left out and named. */
+    static Listing read(Map<String, Object> object) throws IOException {
+        if (!(object.get("revision") instanceof Number revision)
+                || !(object.get("complete") instanceof Boolean whole)
+                || !(object.get("members") instanceof List<?> entries)) {
+            throw new IOException("a list without revision, complete or members");
+        }
+        List<Member> members = new ArrayList<>(entries.size());
+        List<String> unreadable = new ArrayList<>(0);
+        for (Object entry : entries) {
+            Member member = entry instanceof Map<?, ?> fields ? member(fields) : null;
+            if (member != null) {
+                members.add(member);
+            } else {
+                unreadable.add(String.valueOf(entry));
+            }
+        }
+        return new Listing(revision.longValue(), whole, members, unreadable);
+    }
+
+    private static Member member(Map<?, ?> fields) {
+        Node.Standing standing = switch (String.valueOf(fields.get("phase")).toUpperCase(Locale.ROOT)) {
+            case "SERVING" -> Node.Standing.READY;
+            case "DRAINING" -> Node.Standing.DRAINING;
+            case "DELETED" -> Node.Standing.GONE;
+            default -> null;
+        };
+        InetSocketAddress address = fields.get("host_port") instanceof String text ? Addresses.read(text) : null;
+        if (standing == null || !(fields.get("id") instanceof String id) || id.isEmpty()) {
+            return null;
+        }
+        // What has gone needs no address any more.
+        boolean placed = address != null && fields.get("cell") instanceof Number;
+        if (!placed && standing != Node.Standing.GONE) {
+            return null;
+        }
+        return new Member(id, address, String.valueOf(fields.get("locality")),
+                String.valueOf(fields.get("flavor")), (int) number(fields.get("cell"), -1), standing,
+                number(fields.get("size"), 1), (long) number(fields.get("up_since_ms"), 0));
+    }
+
+    private static double number(Object value, double without) {
+        return value instanceof Number number && Double.isFinite(number.doubleValue())
+                ? number.doubleValue() : without;
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/platform/NodeBook.java
@@ -0,0 +1,56 @@
+package sagepulley.platform;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import sagepulley.host.Clock;
+import sagepulley.host.ListEntry;
+import sagepulley.model.Node;
+
+/** Discovery's names of nodes against the numbers that nodes have inside, and where each listens. */
+final class NodeBook {
+    private final List<String> zones;
+    private final List<String> kinds;
+    private final Clock clock;
+    private final Map<String, Integer> numbers = new HashMap<>();
+    private final Map<Integer, String> names = new HashMap<>();
+    private final Map<Integer, InetSocketAddress> addresses = new HashMap<>();
+    private int lastNumber;
+
+    NodeBook(List<String> zones, List<String> kinds, Clock clock) {
+        this.zones = zones;
+        this.kinds = kinds;
+        this.clock = clock;
+    }
+
+    /** The entries as the host takes them; starts are turned into its clock's time. */
+    List<ListEntry> entries(Listing listing) {
+        return listing.members().stream().filter(member -> member.standing() != Node.Standing.GONE
+                || numbers.containsKey(member.id())).map(this::entry).toList();
+    }
+
+    private ListEntry entry(Listing.Member member) {
+        int number = numbers.computeIfAbsent(member.id(), any -> ++lastNumber);
+        names.put(number, member.id());
+        if (member.address() != null) {
+            addresses.put(number, member.address());
+        }
+        return new ListEntry(zones.indexOf(member.locality()), member.cell(), number, member.standing(),
+                clock.atWall(member.started()), kinds.indexOf(member.flavor()), member.weight());
+    }
+
+    InetSocketAddress address(Node node) {
+        return addresses.get(node.id);
+    }
+
+    String name(Node node) {
+        return names.getOrDefault(node.id, "node " + node.id);
+    }
+
+    /** A node that is gone for good; should it come back it is a new one. */
+    void forget(Node node) {
+        numbers.remove(names.remove(node.id));
+        addresses.remove(node.id);
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/platform/NodeLinks.java
@@ -0,0 +1,324 @@
+package sagepulley.platform;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import sagepulley.model.Hop;
+import sagepulley.model.Node;
+import sagepulley.model.Outcome;
+import sagepulley.resp.Resp;
+import sagepulley.resp.RespBytes;
+import sagepulley.resp.RespDecoder;
+import sagepulley.resp.RespLimits;
+import sagepulley.wire.Loops;
+
+/**
+ * The connections to the nodes: one call at a time on each, and those that are free used again. Carries out
+ * and decides nothing: no call is sent twice, and each ends in one outcome. All on one loop.
+ */
+final class NodeLinks {
+    private static final int LONGEST_LINE = 512;
+    private static final int MOST_ITEMS = 3;
+    private static final int BESIDE_VALUE = 2048;
+    /** What comes late behind an answer must meet a connection that carries nothing: it rests so long. */
+    private static final double REST = 5;
+    private static final double NS = 1e6;
+
+    /** Told the end of a call, once: the answer if one could be read, else null. */
+    interface Ended {
+        void accept(Outcome outcome, Resp answer);
+    }
+
+    private final EventLoop loop;
+    private final int most;
+    private final double connectTimeout;
+    private final double idleTime;
+    private final java.util.function.DoubleSupplier clock;
+    private final RespLimits limits = RespLimits.replies(LONGEST_LINE, Front.LONGEST_VALUE,
+            Front.LONGEST_VALUE + BESIDE_VALUE, MOST_ITEMS);
+    /** Free connections, the one used last first. */
+    private final Map<InetSocketAddress, ArrayDeque<Link>> free = new HashMap<>();
+    private final Map<Hop, Link> out = new IdentityHashMap<>();
+    private int open;
+    long opened;
+    long refusedForRoom;
+    long spoilt;
+
+    NodeLinks(EventLoop loop, int most, double connectTimeout, double idleTime,
+              java.util.function.DoubleSupplier clock) {
+        this.loop = loop;
+        this.most = most;
+        this.connectTimeout = connectTimeout;
+        this.idleTime = idleTime;
+        this.clock = clock;
+    }
+
+    int open() {
+        return open;
+    }
+
+    int hopsOut() {
+        return out.size();
+    }
+
+    /** Sends a hop's command, and waits so many milliseconds for its answer. */
+    void send(Hop hop, InetSocketAddress address, List<byte[]> words, double timeout, Ended ended) {
+        Link link = call(address, words, timeout, (outcome, answer) -> {
+            out.remove(hop);
+            ended.accept(outcome, answer);
+        });
+        if (link != null) {
+            out.put(hop, link);
+        }
+    }
+
+    /** Asks a node something that no client sent. */
+    void probe(InetSocketAddress address, List<byte[]> words, double timeout, Ended ended) {
+        call(address, words, timeout, ended);
+    }
+
+    /** Nobody waits for this hop any longer: its connection ends with it. */
+    void callOff(Hop hop) {
+        Link link = out.get(hop);
+        if (link != null) {
+            link.end(Outcome.CALLED_OFF, null);
+        }
+    }
+
+    private Link call(InetSocketAddress address, List<byte[]> words, double timeout, Ended ended) {
+        Link link = takeFree(address);
+        if (link == null && (open < most || closeOneFree())) {
+            link = new Link(address);
+        }
+        if (link == null) {
+            refusedForRoom++;
+            loop.execute(() -> ended.accept(Outcome.NO_CONNECTION, null));
+            return null;
+        }
+        link.start(words, timeout, ended);
+        return link;
+    }
+
+    private Link takeFree(InetSocketAddress address) {
+        ArrayDeque<Link> links = free.get(address);
+        if (links == null) {
+            return null;
+        }
+        double now = clock.getAsDouble();
+        for (Iterator<Link> each = links.iterator(); each.hasNext();) {
+            Link link = each.next();
+            if (now - link.freeSince >= REST) {
+                each.remove();
+                return link;
+            }
+        }
+        return null;
+    }
+
+    private boolean closeOneFree() {
+        Link oldest = null;
+        for (ArrayDeque<Link> links : free.values()) {
+            Link last = links.peekLast();
+            if (last != null && (oldest == null || last.freeSince < oldest.freeSince)) {
+                oldest = last;
+            }
+        }
+        if (oldest != null) {
+            oldest.close();
+        }
+        return oldest != null;
+    }
+
+    /** Closes what has been free for long, well before the machine would. */
+    void sweep() {
+        double now = clock.getAsDouble();
+        for (ArrayDeque<Link> links : List.copyOf(free.values())) {
+            while (!links.isEmpty() && now - links.peekLast().freeSince > idleTime) {
+                links.peekLast().close();
+            }
+        }
+        free.values().removeIf(ArrayDeque::isEmpty);
+    }
+
+    /** Closes the free connections to an address. */
+    void closeFree(InetSocketAddress address) {
+        ArrayDeque<Link> links = free.remove(address);
+        if (links != null) {
+            links.forEach(Link::close);
+        }
+    }
+
+    /** One connection. */
+    private final class Link extends ChannelInboundHandlerAdapter {
+        private final InetSocketAddress address;
+        private final RespDecoder decoder = new RespDecoder(limits);
+        private Channel channel;
+        private List<byte[]> words;
+        private Ended ended;
+        private ScheduledFuture<?> timer;
+        private boolean connected;
+        private boolean written;
+        private boolean closed;
+        private double freeSince = Double.NaN;
+
+        Link(InetSocketAddress address) {
+            this.address = address;
+        }
+
+        void start(List<byte[]> command, double timeout, Ended whenEnded) {
+            words = command;
+            ended = whenEnded;
+            written = false;
+            freeSince = Double.NaN;
+            timer = loop.schedule(() -> end(written ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION, null),
+                    (long) Math.max(1, timeout * NS), TimeUnit.NANOSECONDS);
+            if (connected) {
+                write();
+            } else {
+                connect();
+            }
+        }
+
+        private void connect() {
+            open++;
+            opened++;
+            ChannelFuture connecting = new Bootstrap().group(loop).channel(Loops.socket())
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout))
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel fresh) {
+                            fresh.pipeline().addLast(decoder, Link.this);
+                        }
+                    }).connect(address);
+            channel = connecting.channel();
+            connecting.addListener(done -> {
+                if (!done.isSuccess()) {
+                    // Not from within the call that asked for the connection.
+                    loop.execute(() -> end(Outcome.NO_CONNECTION, null));
+                }
+            });
+        }
+
+        private void write() {
+            channel.writeAndFlush(RespBytes.command(words)).addListener(done -> {
+                if (done.isSuccess()) {
+                    written = true;
+                }
+            });
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            connected = true;
+            if (ended != null) {
+                write();
+            }
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (ended == null) {
+                close(); // more than belongs to an answer: nothing of it may meet the next call
+                return;
+            }
+            Resp answer = (Resp) message;
+            Outcome outcome = outcome(answer);
+            Ended call = finish();
+            // Offered again once all that came with the answer is read.
+            freeSince = clock.getAsDouble();
+            call.accept(outcome, answer);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (ended != null || closed || Double.isNaN(freeSince)) {
+                return;
+            }
+            if (decoder.inMiddle()) {
+                close();
+            } else if (!isOffered()) {
+                free.computeIfAbsent(address, any -> new ArrayDeque<>()).addFirst(this);
+            }
+        }
+
+        private boolean isOffered() {
+            ArrayDeque<Link> links = free.get(address);
+            return links != null && links.contains(this);
+        }
+
+        private Outcome outcome(Resp answer) {
+            if (answer instanceof Resp.Array array && array.items() != null && array.items().size() == MOST_ITEMS
+                    && array.items().get(0) instanceof Resp.Bulk value && !value.isNull()) {
+                return Outcome.SATISFIED;
+            }
+            if (answer instanceof Resp.Line line && line.isError()) {
+                return line.text().startsWith("BUSY") ? Outcome.FULL : Outcome.FAULT;
+            }
+            spoilt++;
+            return Outcome.FAULT;
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            end(written ? Outcome.RESET : Outcome.NO_CONNECTION, null);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (cause instanceof io.netty.handler.codec.DecoderException) {
+                spoilt++;
+                end(Outcome.FAULT, null);
+            } else {
+                end(written ? Outcome.RESET : Outcome.NO_CONNECTION, null);
+            }
+        }
+
+        /** Ends the call that is out, if any, and the connection. */
+        void end(Outcome outcome, Resp answer) {
+            Ended call = finish();
+            close();
+            if (call != null) {
+                call.accept(outcome, answer);
+            }
+        }
+
+        private Ended finish() {
+            Ended call = ended;
+            ended = null;
+            words = null;
+            if (timer != null) {
+                timer.cancel(false);
+                timer = null;
+            }
+            return call;
+        }
+
+        void close() {
+            if (closed) {
+                return;
+            }
+            closed = true;
+            open--;
+            ArrayDeque<Link> links = free.get(address);
+            if (links != null) {
+                links.remove(this);
+            }
+            channel.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -0,0 +1,379 @@
+package sagepulley.platform;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sagepulley.host.Clock;
+import sagepulley.host.Exit;
+import sagepulley.host.Host;
+import sagepulley.model.Band;
+import sagepulley.model.Hop;
+import sagepulley.model.Node;
+import sagepulley.model.Operation;
+import sagepulley.model.Outcome;
+import sagepulley.model.Placement;
+import sagepulley.model.Volume;
+import sagepulley.resp.Resp;
+import sagepulley.resp.RespBytes;
+import sagepulley.wire.Loops;
+
+/**
+ * One gateway on the platform: clients, nodes and discovery on one event loop, round the host of Control. It
+ * tells the host what happens and carries out what comes back.
+ */
+final class PlatformGateway implements Exit, ClientConnection.Owner, DiscoveryLink.Owner {
+    private static final Logger LOG = LoggerFactory.getLogger(PlatformGateway.class);
+    private static final double NS = 1e6;
+    private static final long SWEEP_MS = 200;
+    private static final long REPORT_MS = 5_000;
+    /** After SIGTERM clients still come for a while; whoever uses a connection then may go on. */
+    private static final long LINGER_MS = 550;
+    /** SIGKILL comes no sooner after SIGTERM than the longest patience, at most this, and a little more. */
+    private static final double LONGEST_STOP = 3_000;
+    private static final double STOP_MARGIN = 400;
+    /** The part of the idle time told after which a free connection to a node is closed. */
+    private static final double IDLE_PART = 0.4;
+    /** Descriptors: some for the program itself, and of the rest this part for clients. */
+    private static final int OWN_SOCKETS = 40;
+    private static final double CLIENT_PART = 0.55;
+    /** The part of the memory that clients' bytes in hand may take. */
+    private static final double BYTES_PART = 0.1;
+    private static final double PROBE_TIMEOUT = 250;
+
+    private final Config config;
+    private final Clock clock = new Clock();
+    private final EventLoopGroup loops = Loops.group(1, "gateway");
+    private final EventLoop loop = loops.next();
+    private final Host host;
+    private final NodeBook book;
+    private final Front front;
+    private final NodeLinks nodes;
+    private final DiscoveryLink discovery;
+    private final CompletableFuture<Void> ended = new CompletableFuture<>();
+    private final Counts counts = new Counts();
+    private final long mostBytes;
+    private long bytesInHand;
+    private boolean settleDue;
+    private ScheduledFuture<?> wake;
+    private double wakeAt = Double.POSITIVE_INFINITY;
+    private boolean stopping;
+    private double stopAt = Double.POSITIVE_INFINITY;
+
+    /** What is kept of an operation in hand: its command, and where its answer goes. */
+    private record Held(BlockCommand command, ClientConnection.Slot slot) {
+    }
+
+    PlatformGateway(Config config) {
+        this.config = config;
+        this.host = new Host(config.deployment(), config.seed(), this);
+        this.book = new NodeBook(config.zones(), config.kinds(), clock);
+        int sockets = config.sockets() - OWN_SOCKETS;
+        int clients = (int) (sockets * CLIENT_PART);
+        this.front = new Front(loops, clients, this);
+        this.nodes = new NodeLinks(loop, sockets - clients, config.connectTimeout(),
+                config.idleTime() * IDLE_PART, clock::now);
+        this.discovery = new DiscoveryLink(loop, config.discovery(), config.known().revision(), this);
+        this.mostBytes = (long) (config.memoryMb() * (1 << 20) * BYTES_PART);
+    }
+
+    /** Completes once clients can connect. */
+    CompletableFuture<Void> start() {
+        CompletableFuture<Void> ready = new CompletableFuture<>();
+        loop.execute(() -> {
+            adopt(config.known());
+            front.listen(config.listen()).addListener(done -> {
+                if (done.isSuccess()) {
+                    ready.complete(null);
+                } else {
+                    ready.completeExceptionally(done.cause());
+                }
+            });
+            loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+            loop.scheduleWithFixedDelay(this::report, REPORT_MS, REPORT_MS, TimeUnit.MILLISECONDS);
+        });
+        return ready;
+    }
+
+    /** Completes once the gateway has stopped, with all that it took answered. */
+    CompletableFuture<Void> ended() {
+        return ended;
+    }
+
+    @Override
+    public double now() {
+        return clock.now();
+    }
+
+    // ---- clients ----
+
+    @Override
+    public void asked(ClientConnection connection, ClientConnection.Slot slot, List<byte[]> words) {
+        double now = clock.now();
+        BlockCommand command;
+        try {
+            command = BlockCommand.read(words, config.deployment());
+            if (host.operation(command.id) != null) {
+                throw new BadCommand("an operation with this id is in hand");
+            }
+        } catch (BadCommand bad) {
+            counts.badCommands++;
+            slot.answer(RespBytes.error("ERR " + bad.getMessage()));
+            return;
+        }
+        connection.asked = true;
+        if (bytesInHand + command.bytes() > mostBytes || host.inHand().size() >= config.mostOpen()) {
+            counts.noRoom++;
+            slot.answer(RespBytes.error("BUSY"));
+            return;
+        }
+        bytesInHand += command.bytes();
+        counts.taken++;
+        Volume volume = host.volume(command.volume, command.plan.index());
+        volume.gateways = command.gateways;
+        double patienceEnds = Math.min(now + command.patience, Math.max(now + 1, stopAt));
+        Operation operation = new Operation(command.id, command.band, volume, command.extent, command.units,
+                command.shard, now, patienceEnds, command.repeat);
+        operation.held = new Held(command, slot);
+        slot.held = operation;
+        host.arrived(operation, now);
+        settle();
+    }
+
+    @Override
+    public void left(ClientConnection.Slot slot) {
+        Operation operation = (Operation) slot.held;
+        slot.held = null;
+        counts.left++;
+        release(operation);
+        host.left(operation.id, clock.now());
+        settle();
+    }
+
+    @Override
+    public void closed(ClientConnection connection) {
+        front.closed(connection);
+        checkEnd();
+    }
+
+    @Override
+    public void giveUp(Operation operation, Placement placement) {
+        boolean declined = placement.kind() == Placement.Kind.DECLINE;
+        counts.gaveUp(operation.band, placement.reason());
+        if (!declined) {
+            answer(operation, RespBytes.error("ERR failed"));
+        } else if (placement.advice() > 0) {
+            answer(operation, RespBytes.error("BUSY " + (long) Math.ceil(placement.advice())));
+        } else {
+            answer(operation, RespBytes.error("BUSY"));
+        }
+    }
+
+    private void answer(Operation operation, ByteBuf bytes) {
+        Held held = release(operation);
+        held.slot().answer(bytes);
+        checkEnd();
+    }
+
+    private Held release(Operation operation) {
+        Held held = (Held) operation.held;
+        operation.held = null;
+        bytesInHand -= held.command().bytes();
+        return held;
+    }
+
+    // ---- nodes ----
+
+    @Override
+    public void send(Hop hop, double timeout) {
+        counts.hops++;
+        InetSocketAddress address = book.address(hop.node);
+        List<byte[]> words = ((Held) hop.operation.held).command().forNode(timeout);
+        nodes.send(hop, address, words, timeout, (outcome, answer) -> hopEnded(hop, outcome, answer));
+    }
+
+    private void hopEnded(Hop hop, Outcome outcome, Resp answer) {
+        double now = clock.now();
+        hop.outcome = outcome;
+        hop.took = now - hop.sentAt;
+        counts.ended(outcome, hop.node);
+        Answer.tell(hop, answer, config.deployment().reportFields());
+        boolean settled = hop.operation.over;
+        if (outcome == Outcome.SATISFIED && !settled) {
+            settled = true;
+            counts.satisfied(hop.operation, now);
+            hop.operation.over = true;
+            answer(hop.operation, RespBytes.bulk(Answer.value(answer)));
+        }
+        host.ended(hop, settled, now);
+        settle();
+    }
+
+    @Override
+    public void callOff(Hop hop) {
+        if (hop.outcome == null) {
+            loop.execute(() -> nodes.callOff(hop));
+        }
+    }
+
+    @Override
+    public void probe(Node node) {
+        boolean load = !config.deployment().reportFields().isEmpty();
+        List<byte[]> words = (load ? List.of("INFO", "load") : List.of("PING")).stream()
+                .map(word -> word.getBytes(StandardCharsets.US_ASCII)).toList();
+        double sentAt = clock.now();
+        nodes.probe(book.address(node), words, PROBE_TIMEOUT, (outcome, answer) -> {
+            boolean well = answer instanceof Resp.Bulk bulk && !bulk.isNull()
+                    || answer instanceof Resp.Line line && !line.isError();
+            double[] report = answer instanceof Resp.Bulk bulk
+                    ? Answer.report(bulk, config.deployment().reportFields()) : null;
+            host.probed(node.id, well ? Outcome.SATISFIED : outcome, clock.now() - sentAt, report, clock.now());
+            settle();
+        });
+    }
+
+    // ---- discovery ----
+
+    @Override
+    public void subscribe() {
+        discovery.subscribe();
+    }
+
+    @Override
+    public void fetch() {
+        discovery.fetch();
+    }
+
+    @Override
+    public void listed(Listing listing) {
+        adopt(listing);
+    }
+
+    private void adopt(Listing listing) {
+        LOG.atInfo().addKeyValue("revision", listing.revision()).addKeyValue("whole", listing.whole())
+                .addKeyValue("entries", listing.members().size()).log("list of nodes");
+        for (String entry : listing.unreadable()) {
+            LOG.atWarn().addKeyValue("entry", entry).log("an entry of the list cannot be read");
+        }
+        host.listed(book.entries(listing), listing.whole(), clock.now());
+        settle();
+    }
+
+    @Override
+    public void listFailed(String why) {
+        LOG.atWarn().addKeyValue("why", why).log("the list of nodes failed");
+        host.listFailed(clock.now());
+        settle();
+    }
+
+    // ---- what is due ----
+
+    /** Asks what is due, once for all that one turn of the loop brought. */
+    private void settle() {
+        if (!settleDue) {
+            settleDue = true;
+            loop.execute(() -> {
+                settleDue = false;
+                host.settle(clock.now());
+            });
+        }
+    }
+
+    @Override
+    public void wakeIn(double pause, double now) {
+        double at = now + pause;
+        if (wake != null && at >= wakeAt) {
+            return;
+        }
+        if (wake != null) {
+            wake.cancel(false);
+            wake = null;
+        }
+        wakeAt = at;
+        if (at < Double.POSITIVE_INFINITY) {
+            long wait = Math.max(1000, (long) Math.ceil((at - clock.now()) * NS));
+            wake = loop.schedule(() -> {
+                wake = null;
+                host.settle(clock.now());
+            }, wait, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void sweep() {
+        front.sweep();
+        nodes.sweep();
+        double now = clock.now();
+        if (now >= stopAt) {
+            for (Operation operation : new ArrayList<>(host.inHand())) {
+                if (operation.held != null) {
+                    answer(operation, RespBytes.error("ERR the gateway stops"));
+                    host.left(operation.id, now);
+                }
+            }
+        }
+    }
+
+    private void report() {
+        Runtime runtime = Runtime.getRuntime();
+        LOG.atInfo().addKeyValue("in-hand", host.inHand().size()).addKeyValue("bytes", bytesInHand)
+                .addKeyValue("hops-out", nodes.hopsOut()).addKeyValue("node-connections", nodes.open())
+                .addKeyValue("opened", nodes.opened).addKeyValue("no-room-for-hop", nodes.refusedForRoom)
+                .addKeyValue("spoilt", nodes.spoilt).addKeyValue("clients", front.size())
+                .addKeyValue("accepted", front.accepted).addKeyValue("turned-away", front.turnedAway)
+                .addKeyValue("revision", discovery.revision()).addKeyValue("watching", discovery.isWatching())
+                .addKeyValue("heap", (runtime.totalMemory() - runtime.freeMemory()) >> 10)
+                .addKeyValue("counts", counts).log("state");
+    }
+
+    // ---- signals ----
+
+    /** The file was read anew: discovery moves; what else differs holds from the next start on. */
+    void reload(Config fresh) {
+        loop.execute(() -> {
+            LOG.atInfo().addKeyValue("discovery", fresh.discovery()).log("configuration read anew");
+            discovery.moveTo(fresh.discovery());
+        });
+    }
+
+    /** Goes on serving while clients still come, then answers what it has and ends. */
+    void stop() {
+        loop.execute(() -> {
+            if (stopping) {
+                return;
+            }
+            stopping = true;
+            double longest = 0;
+            for (Band band : config.deployment().bands()) {
+                longest = Math.max(longest, band.patience());
+            }
+            stopAt = clock.now() + Math.min(longest, LONGEST_STOP) + STOP_MARGIN;
+            LOG.atInfo().addKeyValue("in-hand", host.inHand().size()).log("stopping");
+            loop.schedule(() -> {
+                front.end();
+                checkEnd();
+            }, LINGER_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(this::finish, (long) (stopAt - clock.now() + SWEEP_MS), TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private void checkEnd() {
+        if (stopping && front.hasEnded()) {
+            finish();
+        }
+    }
+
+    private void finish() {
+        if (ended.complete(null)) {
+            LOG.atInfo().addKeyValue("in-hand", host.inHand().size()).addKeyValue("counts", counts).log("stopped");
+            discovery.close();
+        }
+    }
+}
--- a/src/main/java/sagepulley/simhost/SimHost.java
+++ b/src/main/java/sagepulley/simhost/SimHost.java
@@ -10,9 +10,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import sagepulley.host.FirstMessage;
+import sagepulley.host.ListEntry;
+import sagepulley.host.MissingFigure;
 import sagepulley.model.Band;
 import sagepulley.model.Deployment;
 import sagepulley.model.Hop;
+import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
 import sagepulley.model.Volume;
@@ -80,11 +84,11 @@
 
     private void told(Gateway gateway, int code, int record, double now) throws MalformedFrame {
         switch (code) {
-            case 1 -> gateway.probed(batch.u32(record, 5), outcome(record, 9),
+            case 1 -> gateway.host.probed(batch.u32(record, 5), outcome(record, 9),
                     batch.u64(record, 11) / NS, report(record, 19), now);
             case 4 -> topology(gateway, record, now);
-            case 6 -> gateway.arrived(operation(gateway, record, now), now);
-            case 7 -> gateway.left(batch.u64(record, 5), now);
+            case 6 -> gateway.host.arrived(operation(gateway, record, now), now);
+            case 7 -> gateway.host.left(batch.u64(record, 5), now);
             case 10 -> gateway.timer(batch.u64(record, 5));
             case 11 -> completed(gateway, record, now);
             default -> { } // streams and messages of peers: nothing is decided by them
@@ -96,7 +100,7 @@
         Reply reply = replyOf.computeIfAbsent(who, Reply::new);
         noteReply(reply);
         try {
-            Deployment deployment = FirstMessage.read(batch.text(record, 13));
+            Deployment deployment = FirstMessage.ofLines(batch.text(record, 13)).deployment();
             Gateway gateway = new Gateway(reply, deployment, batch.u64(record, 5));
             gateways.put(who, gateway);
             call(gateway);
@@ -140,7 +144,7 @@
         ByteBuffer from = ByteBuffer.wrap(batch.copy(start, count * Batch.ENTRY));
         List<ListEntry> entries = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
-            ListEntry entry = ListEntry.read(from);
+            ListEntry entry = entry(from);
             if (entry == null) {
                 throw batch.badRecord(record, "entry " + i + " has an unknown phase");
             }
@@ -149,16 +153,37 @@
         pools.set(table, entries);
     }
 
+    /** Reads an entry; null if its phase is unknown. */
+    private static ListEntry entry(ByteBuffer from) {
+        int zone = from.getShort() & 0xffff;
+        int cell = from.getShort() & 0xffff;
+        int store = from.getInt();
+        int phase = from.get();
+        long started = from.getLong();
+        int kind = from.get() & 0xff;
+        float weight = from.getFloat();
+        if (phase < 0 || phase > 2) {
+            return null;
+        }
+        Node.Standing standing = switch (phase) {
+            case 1 -> Node.Standing.READY;
+            case 2 -> Node.Standing.DRAINING;
+            default -> Node.Standing.GONE;
+        };
+        return new ListEntry(zone, cell, store, standing,
+                started == 0 ? Double.NEGATIVE_INFINITY : started / 1e6, kind, weight);
+    }
+
     private void topology(Gateway gateway, int record, double now) throws MalformedFrame {
         int scope = batch.u8(record, 5);
         switch (scope) {
-            case 0 -> gateway.listFailed(now);
+            case 0 -> gateway.host.listFailed(now);
             case 1, 3, 4 -> {
                 int table = batch.u8(record, 6);
                 if (table >= POOLS || pools.get(table) == null) {
                     throw batch.badRecord(record, "list number " + table + " was never set up");
                 }
-                gateway.list(pools.get(table), scope != 3, now);
+                gateway.host.listed(pools.get(table), scope != 3, now);
             }
             default -> throw batch.badRecord(record, "unknown list scope " + scope);
         }
@@ -166,16 +191,16 @@
 
     private Operation operation(Gateway gateway, int record, double now) throws MalformedFrame {
         int grade = batch.u8(record, 13);
-        List<Band> bands = gateway.deployment.bands();
+        List<Band> bands = gateway.host.deployment().bands();
         if (grade >= bands.size()) {
             throw batch.badRecord(record, "class " + grade + " of " + bands.size() + " is out of range");
         }
         long plan = Integer.toUnsignedLong(batch.u32(record, 14));
-        if (plan >= gateway.deployment.plans().size()) {
-            throw batch.badRecord(record, "plan " + plan + " of " + gateway.deployment.plans().size()
+        if (plan >= gateway.host.deployment().plans().size()) {
+            throw batch.badRecord(record, "plan " + plan + " of " + gateway.host.deployment().plans().size()
                     + " is out of range");
         }
-        Volume volume = gateway.volume(batch.u64(record, 34), (int) plan);
+        Volume volume = gateway.host.volume(batch.u64(record, 34), (int) plan);
         volume.gateways = Math.max(1, (int) batch.f32(record, 50));
         return new Operation(batch.u64(record, 5), bands.get(grade), volume, batch.u64(record, 18),
                 batch.f32(record, 42), (int) batch.f32(record, 46), now, batch.u64(record, 26) / NS,
@@ -184,7 +209,7 @@
 
     private void completed(Gateway gateway, int record, double now) throws MalformedFrame {
         Outcome outcome = outcome(record, 18);
-        Hop hop = gateway.hop(batch.u64(record, 5), batch.u8(record, 13));
+        Hop hop = gateway.host.hop(batch.u64(record, 5), batch.u8(record, 13));
         if (hop == null || hop.outcome != null) {
             return;
         }
@@ -194,7 +219,7 @@
         hop.usedPercent = used == 0 ? Double.NaN : used - 1;
         hop.othersUnits = batch.u16(record, 31);
         hop.report = report(record, 33);
-        gateway.ended(hop, batch.u8(record, 28) != 0, now);
+        gateway.host.ended(hop, batch.u8(record, 28) != 0, now);
     }
 
     private Outcome outcome(int record, int at) throws MalformedFrame {
--- a/src/test/java/sagepulley/ArrowsTest.java
+++ b/src/test/java/sagepulley/ArrowsTest.java
@@ -40,5 +40,24 @@
     static final ArchRule SIMHOST_STAYS_LIGHT = noClasses()
             .that().resideInAPackage("sagepulley.simhost..")
             .should().dependOnClassesThat().resideOutsideOfPackages("java..", "sagepulley.simhost..",
+                    "sagepulley.host..", "sagepulley.control..", "sagepulley.model..");
+
+    @ArchTest
+    static final ArchRule THE_HOST_KNOWS_NO_WIRE = noClasses()
+            .that().resideInAPackage("sagepulley.host..")
+            .should().dependOnClassesThat().resideOutsideOfPackages("java..", "sagepulley.host..",
                     "sagepulley.control..", "sagepulley.model..");
+
+    @ArchTest
+    static final ArchRule RESP_KNOWS_NETTY_ONLY = noClasses()
+            .that().resideInAPackage("sagepulley.resp..")
+            .should().dependOnClassesThat().resideOutsideOfPackages("java..", "io.netty..",
+                    "sagepulley.resp..");
+
+    @ArchTest
+    static final ArchRule THE_PLATFORM_IS_ONE_MORE_ENTRY = noClasses()
+            .that().resideInAPackage("sagepulley.platform..")
+            .should().dependOnClassesThat().resideInAnyPackage("sagepulley.control..", "sagepulley.simhost..",
+                    "sagepulley.gateway..", "sagepulley.cli..", "sagepulley.standin..", "sagepulley.drill..",
+                    "sagepulley.nbd..", "sagepulley.store..", "sagepulley.directory..");
 }
