Start by a shared class archive and a log off the loop; counters of the gateway's view

Change: the build ends with a rehearsal that lets the JVM write its class archive; the platform's log is a queue and a thread of its own; the front ends unused connections before it turns a new one away. The log tells by node what Control believes (bound, queue, hops out, waiting) beside how hops ended, and why operations wait.

--- a/src/main/java/sagepulley/Main.java
+++ b/src/main/java/sagepulley/Main.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import sagepulley.cli.Commands;
 import sagepulley.platform.ConfigError;
+import sagepulley.platform.Rehearsal;
 import sagepulley.platform.Serve;
 import sagepulley.simhost.MalformedFrame;
 import sagepulley.simhost.SimHost;
@@ -18,17 +19,22 @@
     public static void main(String[] words) {
         switch (words.length == 1 ? words[0] : "") {
             case "simhost" -> simhost();
-            case "serve" -> serve();
+            case "serve" -> serve(() -> Serve.run(System.getenv()));
+            case "rehearse" -> serve(Rehearsal::run);
             default -> System.exit(Commands.run(words));
         }
     }
 
+    private interface Service {
+        void run() throws ConfigError, IOException;
+    }
+
     /** Status 1 and one line if the configuration cannot be used; 0 after a signal, once all is answered. */
-    private static void serve() {
+    private static void serve(Service service) {
         try {
-            Serve.run(System.getenv());
+            service.run();
             System.exit(0);
-        } catch (ConfigError e) {
+        } catch (ConfigError | IOException e) {
             System.err.println("sagepulley: " + e.getMessage());
             System.exit(1);
         }
--- a/src/main/java/sagepulley/host/Host.java
+++ b/src/main/java/sagepulley/host/Host.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,6 +16,7 @@
 import sagepulley.model.Outcome;
 import sagepulley.model.Pause;
 import sagepulley.model.Placement;
+import sagepulley.model.Reason;
 import sagepulley.model.Sequel;
 import sagepulley.model.Volume;
 
@@ -79,6 +81,17 @@
         return Collections.unmodifiableCollection(nodes.values());
     }
 
+    /** Why each operation that waits is not sent now, by reason. */
+    public Map<Reason, Integer> waiting(double now) {
+        Map<Reason, Integer> waiting = new EnumMap<>(Reason.class);
+        for (Operation operation : operations.values()) {
+            if (!operation.over && operation.hops.stream().allMatch(hop -> hop.outcome != null)) {
+                waiting.merge(control.why(operation, now), 1, Integer::sum);
+            }
+        }
+        return waiting;
+    }
+
     /** The hop of an outcome; null if it was never sent. */
     public Hop hop(long operation, int number) {
         Operation known = operations.get(operation);
--- a/src/main/java/sagepulley/platform/Counts.java
+++ b/src/main/java/sagepulley/platform/Counts.java
@@ -1,6 +1,7 @@
 package sagepulley.platform;
 
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
 import sagepulley.model.Band;
@@ -20,9 +21,12 @@
     private long late;
     private final Map<Outcome, Long> outcomes = new EnumMap<>(Outcome.class);
     private final Map<String, Long> givenUp = new TreeMap<>();
+    private final Map<Reason, Long> waits = new EnumMap<>(Reason.class);
+    private final Map<Integer, Map<Outcome, Integer>> lately = new HashMap<>();
 
     void ended(Outcome outcome, Node node) {
         outcomes.merge(outcome, 1L, Long::sum);
+        lately.computeIfAbsent(node.id, any -> new EnumMap<>(Outcome.class)).merge(outcome, 1, Integer::sum);
     }
 
     void satisfied(Operation operation, double now) {
@@ -33,13 +37,25 @@
         }
     }
 
+    /** Adds what waits at one moment. */
+    void waits(Map<Reason, Integer> waiting) {
+        waiting.forEach((reason, count) -> waits.merge(reason, (long) count, Long::sum));
+    }
+
     void gaveUp(Band band, Reason reason) {
         givenUp.merge(band.name() + "/" + reason, 1L, Long::sum);
     }
 
+    /** How hops to a node have ended since this was last asked. */
+    Map<Outcome, Integer> lately(Node node) {
+        Map<Outcome, Integer> outcomes = lately.remove(node.id);
+        return outcomes == null ? Map.of() : outcomes;
+    }
+
     @Override
     public String toString() {
         return "taken=" + taken + " on-time=" + onTime + " late=" + late + " left=" + left + " bad=" + badCommands
-                + " no-room=" + noRoom + " hops=" + hops + " outcomes=" + outcomes + " given-up=" + givenUp;
+                + " no-room=" + noRoom + " hops=" + hops + " outcomes=" + outcomes + " given-up=" + givenUp
+                + " waits=" + waits;
     }
 }
--- a/src/main/java/sagepulley/platform/Front.java
+++ b/src/main/java/sagepulley/platform/Front.java
@@ -26,6 +26,8 @@
     private static final int UNREAD_HIGH = 262_144;
     /** A connection without a whole command is closed by this age; one that stops reading, after this long. */
     private static final double SILENT_TIME = 2_000;
+    /** A client that means to ask has done so by then. */
+    private static final double FIRST_COMMAND_TIME = 100;
     private static final double STUCK_TIME = 5_000;
     /** One that nobody uses may go after this long where room is short, and goes after that long anyway. */
     private static final double UNUSED_TIME = 2_000;
@@ -81,17 +83,22 @@
         return connections.size();
     }
 
-    /** Those that never asked go first, the oldest; then whoever was unused longest. */
+    /**
+     * Ends one connection without an open command: the oldest that never asked, if what it would ask must have
+     * come by now, else whoever was unused longest.
+     */
     private boolean makeRoom() {
         ClientConnection worst = null;
         double now = owner.now();
         for (ClientConnection connection : connections) {
-            if (!connection.asked && !connection.hasOpen()) {
+            if (connection.hasOpen()) {
+                continue;
+            }
+            if (!connection.asked && now - connection.connectedAt > FIRST_COMMAND_TIME) {
                 worst = connection;
                 break;
             }
-            if (connection.isIdle() && now - connection.activeAt > UNUSED_TIME
-                    && (worst == null || connection.activeAt < worst.activeAt)) {
+            if (worst == null || connection.activeAt < worst.activeAt) {
                 worst = connection;
             }
         }
--- /dev/null
+++ b/src/main/java/sagepulley/platform/Log.java
@@ -0,0 +1,94 @@
+package sagepulley.platform;
+
+import java.io.PrintStream;
+import java.time.Instant;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Lines of names and values on standard error, written by a thread of their own: whoever logs never waits, and
+ * what does not fit is counted. Logback is not used here: it took a third of the time to start (docs/platform.md).
+ */
+final class Log {
+    private static final int MOST_WAITING = 1000;
+    private static final int LONGEST_VALUE = 4000;
+    private static final BlockingQueue<String> LINES = new ArrayBlockingQueue<>(MOST_WAITING);
+    private static final AtomicLong DROPPED = new AtomicLong();
+    private static final AtomicLong UNWRITTEN = new AtomicLong();
+
+    static {
+        Thread writer = new Thread(() -> write(System.err), "log");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    private Log() {
+    }
+
+    static void info(String what, Object... namesAndValues) {
+        offer("INFO", what, namesAndValues);
+    }
+
+    static void warn(String what, Object... namesAndValues) {
+        offer("WARN", what, namesAndValues);
+    }
+
+    private static void offer(String level, String what, Object... namesAndValues) {
+        StringBuilder line = new StringBuilder(200).append(Instant.now()).append(' ').append(level).append(' ')
+                .append(what);
+        for (int i = 0; i + 1 < namesAndValues.length; i += 2) {
+            line.append(' ').append(namesAndValues[i]).append('=').append(value(namesAndValues[i + 1]));
+        }
+        UNWRITTEN.incrementAndGet();
+        if (!LINES.offer(line.toString())) {
+            UNWRITTEN.decrementAndGet();
+            DROPPED.incrementAndGet();
+        }
+    }
+
+    /** A value on one line, quoted where it has blanks. */
+    private static String value(Object value) {
+        String text = String.valueOf(value);
+        if (text.length() > LONGEST_VALUE) {
+            text = text.substring(0, LONGEST_VALUE);
+        }
+        StringBuilder clean = new StringBuilder(text.length());
+        boolean quoted = text.isEmpty();
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            quoted |= c == ' ';
+            clean.append(c < ' ' || c == '"' || c == 127 ? '?' : c);
+        }
+        return quoted ? "\"" + clean + "\"" : clean.toString();
+    }
+
+    private static void write(PrintStream to) {
+        try {
+            while (true) {
+                to.println(LINES.take());
+                UNWRITTEN.decrementAndGet();
+                long dropped = DROPPED.getAndSet(0);
+                if (dropped > 0) {
+                    to.println(Instant.now() + " WARN lines dropped count=" + dropped);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Waits until what was logged is written, at most so many milliseconds. */
+    static void flush(long most) {
+        long until = System.nanoTime() + most * 1_000_000;
+        while (UNWRITTEN.get() > 0 && System.nanoTime() < until) {
+            Thread.onSpinWait();
+            try {
+                Thread.sleep(1);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+}
--- a/src/main/java/sagepulley/platform/NodeLinks.java
+++ b/src/main/java/sagepulley/platform/NodeLinks.java
@@ -53,6 +53,7 @@
     /** Free connections, the one used last first. */
     private final Map<InetSocketAddress, ArrayDeque<Link>> free = new HashMap<>();
     private final Map<Hop, Link> out = new IdentityHashMap<>();
+    private final Map<InetSocketAddress, Integer> openTo = new HashMap<>();
     private int open;
     long opened;
     long refusedForRoom;
@@ -71,6 +72,11 @@
         return open;
     }
 
+    /** Connections to an address, free ones and others. */
+    int open(InetSocketAddress address) {
+        return openTo.getOrDefault(address, 0);
+    }
+
     int hopsOut() {
         return out.size();
     }
@@ -195,6 +201,7 @@
 
         private void connect() {
             open++;
+            openTo.merge(address, 1, Integer::sum);
             opened++;
             ChannelFuture connecting = new Bootstrap().group(loop).channel(Loops.socket())
                     .option(ChannelOption.TCP_NODELAY, true)
@@ -314,6 +321,7 @@
             }
             closed = true;
             open--;
+            openTo.computeIfPresent(address, (any, count) -> count == 1 ? null : count - 1);
             ArrayDeque<Link> links = free.get(address);
             if (links != null) {
                 links.remove(this);
--- a/src/main/java/sagepulley/platform/PlatformGateway.java
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -8,10 +8,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import sagepulley.control.NodeView;
 import sagepulley.host.Clock;
 import sagepulley.host.Exit;
 import sagepulley.host.Host;
@@ -31,7 +31,6 @@
  * tells the host what happens and carries out what comes back.
  */
 final class PlatformGateway implements Exit, ClientConnection.Owner, DiscoveryLink.Owner {
-    private static final Logger LOG = LoggerFactory.getLogger(PlatformGateway.class);
     private static final double NS = 1e6;
     private static final long SWEEP_MS = 200;
     private static final long REPORT_MS = 5_000;
@@ -258,10 +257,10 @@
     }
 
     private void adopt(Listing listing) {
-        LOG.atInfo().addKeyValue("revision", listing.revision()).addKeyValue("whole", listing.whole())
-                .addKeyValue("entries", listing.members().size()).log("list of nodes");
+        Log.info("list of nodes", "revision", listing.revision(), "whole", listing.whole(), "entries",
+                listing.members().size());
         for (String entry : listing.unreadable()) {
-            LOG.atWarn().addKeyValue("entry", entry).log("an entry of the list cannot be read");
+            Log.warn("an entry of the list cannot be read", "entry", entry);
         }
         host.listed(book.entries(listing), listing.whole(), clock.now());
         settle();
@@ -269,7 +268,7 @@
 
     @Override
     public void listFailed(String why) {
-        LOG.atWarn().addKeyValue("why", why).log("the list of nodes failed");
+        Log.warn("the list of nodes failed", "why", why);
         host.listFailed(clock.now());
         settle();
     }
@@ -311,6 +310,7 @@
         front.sweep();
         nodes.sweep();
         double now = clock.now();
+        counts.waits(host.waiting(now));
         if (now >= stopAt) {
             for (Operation operation : new ArrayList<>(host.inHand())) {
                 if (operation.held != null) {
@@ -323,14 +323,19 @@
 
     private void report() {
         Runtime runtime = Runtime.getRuntime();
-        LOG.atInfo().addKeyValue("in-hand", host.inHand().size()).addKeyValue("bytes", bytesInHand)
-                .addKeyValue("hops-out", nodes.hopsOut()).addKeyValue("node-connections", nodes.open())
-                .addKeyValue("opened", nodes.opened).addKeyValue("no-room-for-hop", nodes.refusedForRoom)
-                .addKeyValue("spoilt", nodes.spoilt).addKeyValue("clients", front.size())
-                .addKeyValue("accepted", front.accepted).addKeyValue("turned-away", front.turnedAway)
-                .addKeyValue("revision", discovery.revision()).addKeyValue("watching", discovery.isWatching())
-                .addKeyValue("heap", (runtime.totalMemory() - runtime.freeMemory()) >> 10)
-                .addKeyValue("counts", counts).log("state");
+        Log.info("state", "in-hand", host.inHand().size(), "bytes", bytesInHand, "hops-out", nodes.hopsOut(),
+                "node-connections", nodes.open(), "opened", nodes.opened, "no-room-for-hop",
+                nodes.refusedForRoom, "spoilt", nodes.spoilt, "clients", front.size(), "accepted", front.accepted,
+                "turned-away", front.turnedAway, "revision", discovery.revision(), "watching",
+                discovery.isWatching(), "heap-kb", (runtime.totalMemory() - runtime.freeMemory()) >> 10, "counts",
+                counts);
+        for (Node node : host.nodes()) {
+            Map<Outcome, Integer> ended = counts.lately(node);
+            if (node.standing != Node.Standing.GONE || !ended.isEmpty()) {
+                Log.info("node", "id", book.name(node), "standing", node.standing, "cell", node.cell, "view",
+                        NodeView.of(node), "ended", ended, "connections", nodes.open(book.address(node)));
+            }
+        }
     }
 
     // ---- signals ----
@@ -338,7 +343,7 @@
     /** The file was read anew: discovery moves; what else differs holds from the next start on. */
     void reload(Config fresh) {
         loop.execute(() -> {
-            LOG.atInfo().addKeyValue("discovery", fresh.discovery()).log("configuration read anew");
+            Log.info("configuration read anew", "discovery", fresh.discovery());
             discovery.moveTo(fresh.discovery());
         });
     }
@@ -355,7 +360,7 @@
                 longest = Math.max(longest, band.patience());
             }
             stopAt = clock.now() + Math.min(longest, LONGEST_STOP) + STOP_MARGIN;
-            LOG.atInfo().addKeyValue("in-hand", host.inHand().size()).log("stopping");
+            Log.info("stopping", "in-hand", host.inHand().size());
             loop.schedule(() -> {
                 front.end();
                 checkEnd();
@@ -372,7 +377,7 @@
 
     private void finish() {
         if (ended.complete(null)) {
-            LOG.atInfo().addKeyValue("in-hand", host.inHand().size()).addKeyValue("counts", counts).log("stopped");
+            Log.info("stopped", "in-hand", host.inHand().size(), "counts", counts);
             discovery.close();
         }
     }
--- a/src/main/java/sagepulley/platform/Serve.java
+++ b/src/main/java/sagepulley/platform/Serve.java
@@ -1,19 +1,25 @@
 package sagepulley.platform;
 
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import java.util.function.Consumer;
 
 /** Runs one gateway on the platform in the foreground, until SIGTERM. */
 public final class Serve {
-    private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
+    private static final long LAST_LINES_MS = 200;
 
     private Serve() {
     }
 
     /** Returns once the gateway has stopped. */
     public static void run(Map<String, String> environment) throws ConfigError {
+        run(environment, gateway -> { });
+    }
+
+    static void run(Map<String, String> environment, Consumer<PlatformGateway> whenReady) throws ConfigError {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         Config config = Config.read(environment);
         PlatformGateway gateway = new PlatformGateway(config);
         Signals.on("TERM", gateway::stop);
@@ -24,15 +30,17 @@
         } catch (CompletionException e) {
             throw new ConfigError("cannot listen on " + config.listen() + ": " + e.getCause().getMessage());
         }
-        LOG.atInfo().addKeyValue("name", config.name()).addKeyValue("listen", config.listen()).log("ready");
+        Log.info("ready", "name", config.name(), "listen", config.listen());
+        whenReady.accept(gateway);
         gateway.ended().join();
+        Log.flush(LAST_LINES_MS);
     }
 
     private static void reload(PlatformGateway gateway, Map<String, String> environment) {
         try {
             gateway.reload(Config.read(environment));
         } catch (ConfigError bad) {
-            LOG.atError().addKeyValue("why", bad.getMessage()).log("the new configuration cannot be used");
+            Log.warn("the new configuration cannot be used", "why", bad.getMessage());
         }
     }
 }
