--- a/src/main/java/sagepulley/Main.java
+++ b/src/main/java/sagepulley/Main.java
@@ -20,7 +20,7 @@
         switch (words.length == 1 ? words[0] : "") {
             case "simhost" -> simhost();
             case "serve" -> serve(() -> Serve.run(System.getenv()));
-            case "rehearse" -> serve(Rehearsal::run);
+            case "rehearse" -> serve(Rehearsal::onLoopback);
             default -> System.exit(Commands.run(words));
         }
     }
--- a/src/main/java/sagepulley/platform/Answer.java
+++ b/src/main/java/sagepulley/platform/Answer.java
@@ -71,11 +71,8 @@
     private static double figure(String text, String name) {
         for (String part : text.split(",")) {
             if (part.startsWith(name + "=")) {
-                String value = part.substring(name.length() + 1);
-                if (value.matches("[0-9]{1,12}(\\.[0-9]{1,12})?")) {
-                    double figure = Double.parseDouble(value);
-                    return figure <= MOST_FIGURE ? figure : Double.NaN;
-                }
+                double figure = Figures.number(part.substring(name.length() + 1));
+                return figure <= MOST_FIGURE ? figure : Double.NaN;
             }
         }
         return Double.NaN;
--- a/src/main/java/sagepulley/platform/BlockCommand.java
+++ b/src/main/java/sagepulley/platform/BlockCommand.java
@@ -109,7 +109,7 @@
         }
         for (String part : parts) {
             int sign = part.indexOf('=');
-            if (sign <= 0 || !part.chars().allMatch(c -> c > ' ' && c < 127)) {
+            if (sign <= 0 || !isPlain(part)) {
                 throw new BadCommand("a field that is no name=value");
             }
             if (fields.put(part.substring(0, sign), part.substring(sign + 1)) != null) {
@@ -122,6 +122,15 @@
         return fields;
     }
 
+    private static boolean isPlain(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) <= ' ' || text.charAt(i) > '~') {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static String need(Map<String, String> fields, String name) throws BadCommand {
         String value = fields.get(name);
         if (value == null || value.isEmpty()) {
@@ -131,17 +140,17 @@
     }
 
     private static long hex(String text, String what) throws BadCommand {
-        if (!text.matches("[0-9a-f]{16}")) {
+        if (!Figures.isId(text)) {
             throw new BadCommand(what + " has not 16 hex digits");
         }
         return Long.parseUnsignedLong(text, 16);
     }
 
     private static double number(String text, String name, double most) throws BadCommand {
-        if (text.length() > 20 || !text.matches("[0-9]+(\\.[0-9]+)?")) {
+        double value = Figures.number(text);
+        if (Double.isNaN(value)) {
             throw new BadCommand(name + " is no number");
         }
-        double value = Double.parseDouble(text);
         if (!(value > 0) || value > most) {
             throw new BadCommand(name + " is out of range");
         }
@@ -152,10 +161,11 @@
         if (text.equals("-1")) {
             return -1;
         }
-        if (!text.matches("[0-9]{1,6}") || shards > 0 && Integer.parseInt(text) >= shards) {
+        int shard = Figures.whole(text);
+        if (shard < 0 || shards > 0 && shard >= shards) {
             throw new BadCommand("there is no such shard");
         }
-        return Integer.parseInt(text);
+        return shard;
     }
 
     private static Band band(String name, Deployment deployment) throws BadCommand {
--- a/src/main/java/sagepulley/platform/Config.java
+++ b/src/main/java/sagepulley/platform/Config.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -15,8 +16,8 @@
 /** What a gateway is told at its start, and again at SIGHUP: the file named by GW_CONFIG, and GW_* beside it. */
 record Config(
         String name,
-        InetSocketAddress listen,
-        InetSocketAddress discovery,
+        SocketAddress listen,
+        SocketAddress discovery,
         long seed,
         int sockets,
         double memoryMb,
@@ -55,7 +56,13 @@
         return text.lines().findFirst().orElse("cannot be read");
     }
 
-    private static Config of(Map<String, Object> file, Map<String, String> environment)
+    /** The same at other addresses, with all nodes known at one. */
+    Config at(SocketAddress front, SocketAddress list, SocketAddress node) {
+        return new Config(name, front, list, seed, sockets, memoryMb, known.at(node), deployment, zones, kinds,
+                connectTimeout, idleTime, mostOpen);
+    }
+
+    static Config of(Map<String, Object> file, Map<String, String> environment)
             throws ConfigError, IOException {
         String name = text(file, "name", environment.get("GW_NAME"));
         InetSocketAddress listen = address(file, "listen", environment.get("GW_LISTEN"));
--- a/src/main/java/sagepulley/platform/DiscoveryLink.java
+++ b/src/main/java/sagepulley/platform/DiscoveryLink.java
@@ -1,6 +1,5 @@
 package sagepulley.platform;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -25,8 +24,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.concurrent.TimeUnit;
-import sagepulley.wire.Loops;
 
 /**
  * The calls to discovery: one watch, and now and then the whole list. It asks nothing again by itself; each
@@ -47,15 +46,17 @@
         void listFailed(String why);
     }
 
+    private final Transport transport;
     private final EventLoop loop;
     private final Owner owner;
-    private InetSocketAddress address;
+    private SocketAddress address;
     private long revision;
     private Call watch;
     private Call fetch;
 
-    DiscoveryLink(EventLoop loop, InetSocketAddress address, long revision, Owner owner) {
-        this.loop = loop;
+    DiscoveryLink(Transport transport, SocketAddress address, long revision, Owner owner) {
+        this.transport = transport;
+        this.loop = transport.loops().next();
         this.address = address;
         this.revision = revision;
         this.owner = owner;
@@ -87,7 +88,7 @@
     }
 
     /** Discovery has another address from now on: whatever was asked of the old one is asked there. */
-    void moveTo(InetSocketAddress fresh) {
+    void moveTo(SocketAddress fresh) {
         if (fresh.equals(address)) {
             return;
         }
@@ -111,6 +112,10 @@
         }
     }
 
+    private static String hostOf(SocketAddress address) {
+        return address instanceof InetSocketAddress socket ? NetUtil.toSocketAddressString(socket) : "here";
+    }
+
     /** One request and its answer, a list a line. */
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
         private final boolean watches;
@@ -125,9 +130,8 @@
         }
 
         void open() {
-            ChannelFuture connecting = new Bootstrap().group(loop).channel(Loops.socket())
+            ChannelFuture connecting = transport.connector()
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                    .option(ChannelOption.TCP_NODELAY, true)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel fresh) {
@@ -181,7 +185,7 @@
             String query = watches ? "?watch=1&after=" + revision : "";
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     PATH + query);
-            request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(address));
+            request.headers().set(HttpHeaderNames.HOST, hostOf(address));
             ctx.writeAndFlush(request);
         }
 
--- a/src/main/java/sagepulley/platform/Front.java
+++ b/src/main/java/sagepulley/platform/Front.java
@@ -5,15 +5,14 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import sagepulley.resp.RespDecoder;
 import sagepulley.resp.RespLimits;
-import sagepulley.wire.Loops;
 
 /** Where clients connect: takes connections up to a number, and ends those that nobody uses. On the loop. */
 final class Front {
@@ -22,6 +21,7 @@
     private static final int LONGEST_LINE = 64;
     private static final int MOST_WORDS = 8;
     private static final int WORDS_BESIDE_VALUE = 4096;
+    private static final int BACKLOG = 1024;
     private static final int UNREAD_LOW = 65_536;
     private static final int UNREAD_HIGH = 262_144;
     /** A connection without a whole command is closed by this age; one that stops reading, after this long. */
@@ -33,7 +33,7 @@
     private static final double UNUSED_TIME = 2_000;
     private static final double LONG_UNUSED_TIME = 15_000;
 
-    private final EventLoopGroup loops;
+    private final Transport transport;
     private final int most;
     private final ClientConnection.Owner owner;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
@@ -42,18 +42,16 @@
     long accepted;
     long turnedAway;
 
-    Front(EventLoopGroup loops, int most, ClientConnection.Owner owner) {
-        this.loops = loops;
+    Front(Transport transport, int most, ClientConnection.Owner owner) {
+        this.transport = transport;
         this.most = most;
         this.owner = owner;
     }
 
-    ChannelFuture listen(InetSocketAddress address) {
+    ChannelFuture listen(SocketAddress address) {
         RespLimits limits = RespLimits.commands(LONGEST_LINE, LONGEST_VALUE,
                 LONGEST_VALUE + WORDS_BESIDE_VALUE, MOST_WORDS);
-        ChannelFuture bound = new ServerBootstrap().group(loops).channel(Loops.server())
-                .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
+        ServerBootstrap server = new ServerBootstrap().group(transport.loops()).channel(transport.server())
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(UNREAD_LOW, UNREAD_HIGH))
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -70,7 +68,12 @@
                         connections.add(connection);
                         channel.pipeline().addLast(decoder, connection);
                     }
-                }).bind(address);
+                });
+        if (address instanceof InetSocketAddress) {
+            server.option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                    .childOption(ChannelOption.TCP_NODELAY, true);
+        }
+        ChannelFuture bound = server.bind(address);
         listener = bound.channel();
         return bound;
     }
--- a/src/main/java/sagepulley/platform/Listing.java
+++ b/src/main/java/sagepulley/platform/Listing.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -11,10 +12,17 @@
 /** A list of nodes, or changes of it, in discovery's form. */
 record Listing(long revision, boolean whole, List<Member> members, List<String> unreadable) {
     /** One entry; started is wall-clock milliseconds, 0 for long ago. */
-    record Member(String id, InetSocketAddress address, String locality, String flavor, int cell,
+    record Member(String id, SocketAddress address, String locality, String flavor, int cell,
                   Node.Standing standing, double weight, long started) {
     }
 
+    /** The same list with all its nodes at one address. */
+    Listing at(SocketAddress address) {
+        return new Listing(revision, whole, members.stream().map(member -> new Member(member.id(), address,
+                member.locality(), member.flavor(), member.cell(), member.standing(), member.weight(),
+                member.started())).toList(), unreadable);
+    }
+
     /** Reads a list; an entry that cannot be read is left out and named. */
     static Listing read(Map<String, Object> object) throws IOException {
         if (!(object.get("revision") instanceof Number revision)
--- a/src/main/java/sagepulley/platform/Log.java
+++ b/src/main/java/sagepulley/platform/Log.java
@@ -23,11 +23,20 @@
         writer.start();
     }
 
+    private static volatile boolean quiet;
+
     private Log() {
     }
 
+    /** While quiet, nothing is written but warnings. */
+    static void quiet(boolean now) {
+        quiet = now;
+    }
+
     static void info(String what, Object... namesAndValues) {
-        offer("INFO", what, namesAndValues);
+        if (!quiet) {
+            offer("INFO", what, namesAndValues);
+        }
     }
 
     static void warn(String what, Object... namesAndValues) {
--- a/src/main/java/sagepulley/platform/NodeBook.java
+++ b/src/main/java/sagepulley/platform/NodeBook.java
@@ -1,6 +1,6 @@
 package sagepulley.platform;
 
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,7 +15,7 @@
     private final Clock clock;
     private final Map<String, Integer> numbers = new HashMap<>();
     private final Map<Integer, String> names = new HashMap<>();
-    private final Map<Integer, InetSocketAddress> addresses = new HashMap<>();
+    private final Map<Integer, SocketAddress> addresses = new HashMap<>();
     private int lastNumber;
 
     NodeBook(List<String> zones, List<String> kinds, Clock clock) {
@@ -40,7 +40,7 @@
                 clock.atWall(member.started()), kinds.indexOf(member.flavor()), member.weight());
     }
 
-    InetSocketAddress address(Node node) {
+    SocketAddress address(Node node) {
         return addresses.get(node.id);
     }
 
--- a/src/main/java/sagepulley/platform/NodeLinks.java
+++ b/src/main/java/sagepulley/platform/NodeLinks.java
@@ -1,6 +1,5 @@
 package sagepulley.platform;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -9,7 +8,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
@@ -24,7 +23,6 @@
 import sagepulley.resp.RespBytes;
 import sagepulley.resp.RespDecoder;
 import sagepulley.resp.RespLimits;
-import sagepulley.wire.Loops;
 
 /**
  * The connections to the nodes: one call at a time on each, and those that are free used again. Carries out
@@ -37,12 +35,15 @@
     /** What comes late behind an answer must meet a connection that carries nothing: it rests so long. */
     private static final double REST = 5;
     private static final double NS = 1e6;
+    /** Nodes write an answer at once: one that has begun and brings nothing more for so long is spoilt. */
+    private static final long STALL_MS = 60;
 
     /** Told the end of a call, once: the answer if one could be read, else null. */
     interface Ended {
         void accept(Outcome outcome, Resp answer);
     }
 
+    private final Transport transport;
     private final EventLoop loop;
     private final int most;
     private final double connectTimeout;
@@ -51,17 +52,18 @@
     private final RespLimits limits = RespLimits.replies(LONGEST_LINE, Front.LONGEST_VALUE,
             Front.LONGEST_VALUE + BESIDE_VALUE, MOST_ITEMS);
     /** Free connections, the one used last first. */
-    private final Map<InetSocketAddress, ArrayDeque<Link>> free = new HashMap<>();
+    private final Map<SocketAddress, ArrayDeque<Link>> free = new HashMap<>();
     private final Map<Hop, Link> out = new IdentityHashMap<>();
-    private final Map<InetSocketAddress, Integer> openTo = new HashMap<>();
+    private final Map<SocketAddress, Integer> openTo = new HashMap<>();
     private int open;
     long opened;
     long refusedForRoom;
     long spoilt;
 
-    NodeLinks(EventLoop loop, int most, double connectTimeout, double idleTime,
+    NodeLinks(Transport transport, int most, double connectTimeout, double idleTime,
               java.util.function.DoubleSupplier clock) {
-        this.loop = loop;
+        this.transport = transport;
+        this.loop = transport.loops().next();
         this.most = most;
         this.connectTimeout = connectTimeout;
         this.idleTime = idleTime;
@@ -73,7 +75,7 @@
     }
 
     /** Connections to an address, free ones and others. */
-    int open(InetSocketAddress address) {
+    int open(SocketAddress address) {
         return openTo.getOrDefault(address, 0);
     }
 
@@ -82,7 +84,7 @@
     }
 
     /** Sends a hop's command, and waits so many milliseconds for its answer. */
-    void send(Hop hop, InetSocketAddress address, List<byte[]> words, double timeout, Ended ended) {
+    void send(Hop hop, SocketAddress address, List<byte[]> words, double timeout, Ended ended) {
         Link link = call(address, words, timeout, (outcome, answer) -> {
             out.remove(hop);
             ended.accept(outcome, answer);
@@ -93,7 +95,7 @@
     }
 
     /** Asks a node something that no client sent. */
-    void probe(InetSocketAddress address, List<byte[]> words, double timeout, Ended ended) {
+    void probe(SocketAddress address, List<byte[]> words, double timeout, Ended ended) {
         call(address, words, timeout, ended);
     }
 
@@ -105,7 +107,7 @@
         }
     }
 
-    private Link call(InetSocketAddress address, List<byte[]> words, double timeout, Ended ended) {
+    private Link call(SocketAddress address, List<byte[]> words, double timeout, Ended ended) {
         Link link = takeFree(address);
         if (link == null && (open < most || closeOneFree())) {
             link = new Link(address);
@@ -119,7 +121,7 @@
         return link;
     }
 
-    private Link takeFree(InetSocketAddress address) {
+    private Link takeFree(SocketAddress address) {
         ArrayDeque<Link> links = free.get(address);
         if (links == null) {
             return null;
@@ -160,28 +162,27 @@
         free.values().removeIf(ArrayDeque::isEmpty);
     }
 
-    /** Closes the free connections to an address. */
-    void closeFree(InetSocketAddress address) {
-        ArrayDeque<Link> links = free.remove(address);
-        if (links != null) {
-            links.forEach(Link::close);
-        }
+    /** Closes all connections; hops that are out are called off. */
+    void close() {
+        List.copyOf(out.keySet()).forEach(this::callOff);
+        List.copyOf(free.values()).forEach(links -> List.copyOf(links).forEach(Link::close));
     }
 
     /** One connection. */
     private final class Link extends ChannelInboundHandlerAdapter {
-        private final InetSocketAddress address;
+        private final SocketAddress address;
         private final RespDecoder decoder = new RespDecoder(limits);
         private Channel channel;
         private List<byte[]> words;
         private Ended ended;
         private ScheduledFuture<?> timer;
+        private ScheduledFuture<?> stall;
         private boolean connected;
         private boolean written;
         private boolean closed;
         private double freeSince = Double.NaN;
 
-        Link(InetSocketAddress address) {
+        Link(SocketAddress address) {
             this.address = address;
         }
 
@@ -203,8 +204,7 @@
             open++;
             openTo.merge(address, 1, Integer::sum);
             opened++;
-            ChannelFuture connecting = new Bootstrap().group(loop).channel(Loops.socket())
-                    .option(ChannelOption.TCP_NODELAY, true)
+            ChannelFuture connecting = transport.connector()
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout))
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
@@ -253,6 +253,9 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (ended != null && !closed && decoder.inMiddle()) {
+                watchStall();
+            }
             if (ended != null || closed || Double.isNaN(freeSince)) {
                 return;
             }
@@ -263,6 +266,17 @@
             }
         }
 
+        /** An answer that stops inside will not go on: its length was wrong, or the rest is lost. */
+        private void watchStall() {
+            if (stall != null) {
+                stall.cancel(false);
+            }
+            stall = loop.schedule(() -> {
+                spoilt++;
+                end(Outcome.FAULT, null);
+            }, STALL_MS, TimeUnit.MILLISECONDS);
+        }
+
         private boolean isOffered() {
             ArrayDeque<Link> links = free.get(address);
             return links != null && links.contains(this);
@@ -312,6 +326,10 @@
                 timer.cancel(false);
                 timer = null;
             }
+            if (stall != null) {
+                stall.cancel(false);
+                stall = null;
+            }
             return call;
         }
 
--- a/src/main/java/sagepulley/platform/PlatformGateway.java
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -1,10 +1,10 @@
 package sagepulley.platform;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,7 +24,6 @@
 import sagepulley.model.Volume;
 import sagepulley.resp.Resp;
 import sagepulley.resp.RespBytes;
-import sagepulley.wire.Loops;
 
 /**
  * One gateway on the platform: clients, nodes and discovery on one event loop, round the host of Control. It
@@ -50,8 +49,7 @@
 
     private final Config config;
     private final Clock clock = new Clock();
-    private final EventLoopGroup loops = Loops.group(1, "gateway");
-    private final EventLoop loop = loops.next();
+    private final EventLoop loop;
     private final Host host;
     private final NodeBook book;
     private final Front front;
@@ -64,6 +62,8 @@
     private boolean settleDue;
     private ScheduledFuture<?> wake;
     private double wakeAt = Double.POSITIVE_INFINITY;
+    private double sweepDue = Double.POSITIVE_INFINITY;
+    private double worstLag;
     private boolean stopping;
     private double stopAt = Double.POSITIVE_INFINITY;
 
@@ -71,27 +71,29 @@
     private record Held(BlockCommand command, ClientConnection.Slot slot) {
     }
 
-    PlatformGateway(Config config) {
+    PlatformGateway(Config config, Transport transport) {
+        this.loop = transport.loops().next();
         this.config = config;
         this.host = new Host(config.deployment(), config.seed(), this);
         this.book = new NodeBook(config.zones(), config.kinds(), clock);
         int sockets = config.sockets() - OWN_SOCKETS;
         int clients = (int) (sockets * CLIENT_PART);
-        this.front = new Front(loops, clients, this);
-        this.nodes = new NodeLinks(loop, sockets - clients, config.connectTimeout(),
+        this.front = new Front(transport, clients, this);
+        this.nodes = new NodeLinks(transport, sockets - clients, config.connectTimeout(),
                 config.idleTime() * IDLE_PART, clock::now);
-        this.discovery = new DiscoveryLink(loop, config.discovery(), config.known().revision(), this);
+        this.discovery = new DiscoveryLink(transport, config.discovery(), config.known().revision(), this);
         this.mostBytes = (long) (config.memoryMb() * (1 << 20) * BYTES_PART);
     }
 
-    /** Completes once clients can connect. */
-    CompletableFuture<Void> start() {
-        CompletableFuture<Void> ready = new CompletableFuture<>();
+    /** Completes with the address once clients can connect there. */
+    CompletableFuture<SocketAddress> start() {
+        CompletableFuture<SocketAddress> ready = new CompletableFuture<>();
         loop.execute(() -> {
             adopt(config.known());
-            front.listen(config.listen()).addListener(done -> {
+            ChannelFuture bound = front.listen(config.listen());
+            bound.addListener(done -> {
                 if (done.isSuccess()) {
-                    ready.complete(null);
+                    ready.complete(bound.channel().localAddress());
                 } else {
                     ready.completeExceptionally(done.cause());
                 }
@@ -194,7 +196,7 @@
     @Override
     public void send(Hop hop, double timeout) {
         counts.hops++;
-        InetSocketAddress address = book.address(hop.node);
+        SocketAddress address = book.address(hop.node);
         List<byte[]> words = ((Held) hop.operation.held).command().forNode(timeout);
         nodes.send(hop, address, words, timeout, (outcome, answer) -> hopEnded(hop, outcome, answer));
     }
@@ -307,6 +309,9 @@
     }
 
     private void sweep() {
+        double late = clock.now() - sweepDue;
+        sweepDue = clock.now() + SWEEP_MS;
+        worstLag = Math.max(worstLag, late);
         front.sweep();
         nodes.sweep();
         double now = clock.now();
@@ -327,8 +332,9 @@
                 "node-connections", nodes.open(), "opened", nodes.opened, "no-room-for-hop",
                 nodes.refusedForRoom, "spoilt", nodes.spoilt, "clients", front.size(), "accepted", front.accepted,
                 "turned-away", front.turnedAway, "revision", discovery.revision(), "watching",
-                discovery.isWatching(), "heap-kb", (runtime.totalMemory() - runtime.freeMemory()) >> 10, "counts",
+                discovery.isWatching(), "lag-ms", Math.round(worstLag), "heap-kb", (runtime.totalMemory() - runtime.freeMemory()) >> 10, "counts",
                 counts);
+        worstLag = 0;
         for (Node node : host.nodes()) {
             Map<Outcome, Integer> ended = counts.lately(node);
             if (node.standing != Node.Standing.GONE || !ended.isEmpty()) {
@@ -370,15 +376,19 @@
     }
 
     private void checkEnd() {
-        if (stopping && front.hasEnded()) {
+        if (stopping && front.hasEnded() && !ended.isDone()) {
             finish();
         }
     }
 
-    private void finish() {
-        if (ended.complete(null)) {
+    /** Ends at once. */
+    void finish() {
+        loop.execute(() -> {
             Log.info("stopped", "in-hand", host.inHand().size(), "counts", counts);
+            front.end();
             discovery.close();
-        }
+            nodes.close();
+            ended.complete(null);
+        });
     }
 }
--- a/src/main/java/sagepulley/platform/Rehearsal.java
+++ b/src/main/java/sagepulley/platform/Rehearsal.java
@@ -1,160 +1,177 @@
 package sagepulley.platform;
 
-import java.io.BufferedInputStream;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.local.LocalAddress;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
-import java.util.concurrent.Executors;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import sagepulley.resp.Resp;
+import sagepulley.resp.RespBytes;
+import sagepulley.resp.RespDecoder;
+import sagepulley.resp.RespLimits;
 
 /**
- * A short run of one gateway against one node and a discovery of its own, on loopback, with a few hundred
- * operations. The build does it once, so that the JVM can write down which classes a start needs.
+ * A short run of a whole gateway with a node, a discovery and clients of its own. The build does it once on
+ * loopback, so that the JVM can write down which classes a start needs; a gateway does it inside the program
+ * before it listens, so that its code is compiled when clients come.
  */
 public final class Rehearsal {
+    private static final int CLIENTS = 4;
     private static final int OPERATIONS = 300;
-    private static final String FIELDS = "c=%s,t=any,d=900,volume=%016x,units=1,shard=%d,hosts=1";
-
-    private Rehearsal() {
+    private static final long QUIET_MS = 100;
+    private static final long END_MS = 1_000;
+    private static final byte[] NODE_ANSWER =
+            "*3\r\n$5\r\nvalue\r\n$6\r\ncost=1\r\n$-1\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] LIST_ANSWER = ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + "2e\r\n{\"revision\":2,\"complete\":false,\"members\":[]}\n\r\n").getBytes(StandardCharsets.US_ASCII);
+
+    private final Transport transport;
+    private final SocketAddress listen;
+    private final CountDownLatch left;
+    private long asked;
+
+    private Rehearsal(Transport transport, SocketAddress listen, int operations) {
+        this.transport = transport;
+        this.listen = listen;
+        this.left = new CountDownLatch(operations);
     }
 
-    public static void run() throws IOException, ConfigError {
-        Path file = Files.createTempFile("rehearsal", ".json");
-        try (ServerSocket node = loopback(); ServerSocket discovery = loopback()) {
-            int port;
-            try (ServerSocket free = loopback()) {
-                port = free.getLocalPort();
-            }
-            try (InputStream in = Rehearsal.class.getResourceAsStream("/rehearsal.json")) {
-                Files.writeString(file, new String(in.readAllBytes(), StandardCharsets.UTF_8)
-                        .replace("LISTEN", address(port)).replace("DISCOVERY", address(discovery.getLocalPort()))
-                        .replace("NODE", address(node.getLocalPort())));
-            }
-            serve(node, Rehearsal::answerAsNode);
-            serve(discovery, Rehearsal::answerAsDiscovery);
-            var client = Executors.newSingleThreadExecutor(task -> {
-                Thread thread = new Thread(task, "rehearsal");
-                thread.setDaemon(true);
-                return thread;
-            });
-            Serve.run(Map.of("GW_CONFIG", file.toString()), gateway -> client.execute(() -> {
-                try {
-                    ask(port);
-                } catch (IOException e) {
-                    Log.warn("the rehearsal failed", "why", e.getMessage());
-                }
-                gateway.stop();
-            }));
-        } finally {
-            Files.deleteIfExists(file);
-        }
+    /** On loopback, for the build, and inside the program as at each start. */
+    public static void onLoopback() throws IOException, ConfigError {
+        inside(OPERATIONS, 10_000);
+        run(Transport.sockets(), Transport.sockets(), loopback(), loopback(), loopback(), OPERATIONS, 10_000);
     }
 
-    private interface Talk {
-        void with(BufferedInputStream in, OutputStream out) throws IOException;
+    /** Inside the program, for so many operations or milliseconds. */
+    static void inside(int operations, long most) {
+        try {
+            run(Transport.local(), Transport.local(), new LocalAddress("rehearsal-gateway"), new LocalAddress("rehearsal-node"),
+                    new LocalAddress("rehearsal-discovery"), operations, most);
+        } catch (IOException | ConfigError e) {
+            Log.warn("the rehearsal failed", "why", e.getMessage());
+        }
     }
 
-    private static ServerSocket loopback() throws IOException {
-        return new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private static SocketAddress loopback() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     }
 
-    private static String address(int port) {
-        return InetAddress.getLoopbackAddress().getHostAddress() + ":" + port;
+    /** The gateway has a loop of its own, as in service; all others share one. */
+    private static void run(Transport own, Transport others, SocketAddress listen, SocketAddress node,
+                            SocketAddress discovery, int operations, long most)
+            throws IOException, ConfigError {
+        try {
+            SocketAddress nodeAt = server(others, node, Rehearsal::node);
+            SocketAddress discoveryAt = server(others, discovery, Rehearsal::discovery);
+            PlatformGateway gateway = new PlatformGateway(config(listen, discoveryAt, nodeAt), own);
+            Rehearsal rehearsal = new Rehearsal(others, gateway.start().join(), operations);
+            for (int i = 0; i < CLIENTS; i++) {
+                rehearsal.client();
+            }
+            rehearsal.left.await(most, TimeUnit.MILLISECONDS);
+            // Whoever is called closes last: a loop that has ended hears of nothing any more.
+            gateway.finish();
+            gateway.ended().join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            others.loops().shutdownGracefully(QUIET_MS, END_MS, TimeUnit.MILLISECONDS);
+            own.loops().shutdownGracefully(QUIET_MS, END_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
-    /** Answers each connection on a thread of its own, until the socket is closed. */
-    private static void serve(ServerSocket server, Talk talk) {
-        daemon(() -> {
-            while (true) {
-                Socket socket = server.accept();
-                daemon(() -> {
-                    try (socket) {
-                        talk.with(new BufferedInputStream(socket.getInputStream()), socket.getOutputStream());
-                    }
-                });
-            }
-        });
+    private static Config config(SocketAddress listen, SocketAddress discovery, SocketAddress node)
+            throws IOException, ConfigError {
+        try (InputStream in = Rehearsal.class.getResourceAsStream("/rehearsal.json")) {
+            return Config.of(Json.object(in.readAllBytes()), Map.of()).at(listen, discovery, node);
+        }
     }
 
-    private interface Task {
-        void run() throws IOException;
+    private interface Pipeline {
+        void fill(Channel channel);
     }
 
-    private static void daemon(Task task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (IOException ended) {
-                // The other end, or the server, is closed: that is how each of these ends.
-            }
-        }, "rehearsal");
-        thread.setDaemon(true);
-        thread.start();
+    private static SocketAddress server(Transport transport, SocketAddress address, Pipeline pipeline) {
+        return new ServerBootstrap().group(transport.loops()).channel(transport.server())
+                .childHandler(initializer(pipeline)).bind(address).syncUninterruptibly().channel().localAddress();
     }
 
-    private static void answerAsNode(BufferedInputStream in, OutputStream out) throws IOException {
-        while (true) {
-            int words = Integer.parseInt(line(in).substring(1));
-            for (int i = 0; i < words; i++) {
-                in.readNBytes(Integer.parseInt(line(in).substring(1)) + 2);
+    private static ChannelInitializer<Channel> initializer(Pipeline pipeline) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                pipeline.fill(channel);
             }
-            out.write("*3\r\n$5\r\nvalue\r\n$6\r\ncost=1\r\n$-1\r\n".getBytes(StandardCharsets.US_ASCII));
-        }
+        };
     }
 
-    private static void answerAsDiscovery(BufferedInputStream in, OutputStream out) throws IOException {
-        while (!line(in).isEmpty()) {
-            continue;
-        }
-        out.write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                + "32\r\n{\"revision\":2,\"complete\":false,\"members\":[]     }\n\r\n")
-                .getBytes(StandardCharsets.US_ASCII));
-        in.read();
+    private static void node(Channel channel) {
+        channel.pipeline().addLast(new RespDecoder(RespLimits.commands(64, 2048, 4096, 8)),
+                new SimpleChannelInboundHandler<Resp>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext ctx, Resp command) {
+                        ctx.writeAndFlush(Unpooled.wrappedBuffer(NODE_ANSWER));
+                    }
+                });
     }
 
-    /** Reads and writes one after the other, and one command that nobody can take. */
-    private static void ask(int port) throws IOException {
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-            BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
-            for (int i = 1; i <= OPERATIONS; i++) {
-                boolean writes = i % 3 == 0;
-                String fields = FIELDS.formatted(writes ? "put" : "get", i % 7, writes ? -1 : 0);
-                String command = bulk(writes ? "BLK.WRITE" : "BLK.READ") + bulk("%016x".formatted(i % 50))
-                        + bulk("%016x".formatted(i)) + bulk(fields) + (writes ? bulk("value") : "");
-                send(socket, "*" + (writes ? 5 : 4) + "\r\n" + command);
-                if (line(in).startsWith("$")) {
-                    line(in);
+    private static void discovery(Channel channel) {
+        channel.pipeline().addLast(new HttpServerCodec(), new SimpleChannelInboundHandler<HttpObject>() {
+            @Override
+            protected void channelRead0(ChannelHandlerContext ctx, HttpObject request) {
+                if (request instanceof LastHttpContent) {
+                    // Past the encoder, as it goes over the wire.
+                    ctx.channel().pipeline().firstContext().writeAndFlush(Unpooled.wrappedBuffer(LIST_ANSWER));
                 }
             }
-            send(socket, "*1\r\n" + bulk("PING"));
-            line(in);
-            send(socket, "nonsense\r\n");
-            line(in);
-        }
-    }
-
-    private static String bulk(String text) {
-        return "$" + text.length() + "\r\n" + text + "\r\n";
+        });
     }
 
-    private static void send(Socket socket, String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    /** Asks one thing after the other, and now and then what nobody can answer. */
+    private void client() {
+        transport.connector().handler(initializer(channel ->
+                channel.pipeline().addLast(new RespDecoder(RespLimits.replies(512, 2048, 4096, 8)),
+                        new SimpleChannelInboundHandler<Resp>() {
+                            @Override
+                            public void channelActive(ChannelHandlerContext ctx) {
+                                ask(ctx);
+                            }
+
+                            @Override
+                            protected void channelRead0(ChannelHandlerContext ctx, Resp answer) {
+                                left.countDown();
+                                ask(ctx);
+                            }
+                        }))).connect(listen);
     }
 
-    private static String line(BufferedInputStream in) throws IOException {
-        StringBuilder line = new StringBuilder();
-        for (int next = in.read(); next != '\n'; next = in.read()) {
-            if (next < 0) {
-                throw new IOException("the connection ended");
-            }
-            line.append((char) next);
+    private void ask(ChannelHandlerContext ctx) {
+        long number = ++asked;
+        boolean writes = number % 3 == 0;
+        String fields = "c=" + (number % 20 == 0 ? "none" : writes ? "put" : "get") + ",t=any,d=900,volume="
+                + Figures.id(number % 7) + ",units=1,shard=" + (writes ? -1 : 0) + ",hosts=1";
+        List<byte[]> words = new ArrayList<>();
+        for (String word : number % 50 == 0 ? List.of("PING")
+                : List.of(writes ? BlockCommand.WRITE : BlockCommand.READ, Figures.id(number % 30),
+                        Figures.id(number), fields, "value")) {
+            words.add(word.getBytes(StandardCharsets.US_ASCII));
         }
-        return line.toString().trim();
+        ctx.writeAndFlush(RespBytes.command(writes || words.size() == 1 ? words : words.subList(0, 4)));
     }
 }
--- a/src/main/java/sagepulley/platform/Serve.java
+++ b/src/main/java/sagepulley/platform/Serve.java
@@ -4,34 +4,33 @@
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
-import java.util.function.Consumer;
 
 /** Runs one gateway on the platform in the foreground, until SIGTERM. */
 public final class Serve {
     private static final long LAST_LINES_MS = 200;
+    private static final int REHEARSED = 300;
+    private static final long REHEARSAL_MS = 1_200;
 
     private Serve() {
     }
 
     /** Returns once the gateway has stopped. */
     public static void run(Map<String, String> environment) throws ConfigError {
-        run(environment, gateway -> { });
-    }
-
-    static void run(Map<String, String> environment, Consumer<PlatformGateway> whenReady) throws ConfigError {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         Config config = Config.read(environment);
-        PlatformGateway gateway = new PlatformGateway(config);
+        PlatformGateway gateway = new PlatformGateway(config, Transport.sockets());
         Signals.on("TERM", gateway::stop);
         Signals.on("INT", gateway::stop);
         Signals.on("HUP", () -> reload(gateway, environment));
+        Log.quiet(true);
+        Rehearsal.inside(REHEARSED, REHEARSAL_MS);
+        Log.quiet(false);
         try {
             gateway.start().join();
         } catch (CompletionException e) {
             throw new ConfigError("cannot listen on " + config.listen() + ": " + e.getCause().getMessage());
         }
         Log.info("ready", "name", config.name(), "listen", config.listen());
-        whenReady.accept(gateway);
         gateway.ended().join();
         Log.flush(LAST_LINES_MS);
     }
--- /dev/null
+++ b/src/main/java/sagepulley/platform/Transport.java
@@ -0,0 +1,33 @@
+package sagepulley.platform;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.local.LocalChannel;
+import io.netty.channel.local.LocalIoHandler;
+import io.netty.channel.local.LocalServerChannel;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import sagepulley.wire.Loops;
+
+/** One loop, and the channels that a gateway opens on it: sockets, or pipes inside the program. */
+record Transport(EventLoopGroup loops, Class<? extends Channel> socket, Class<? extends ServerChannel> server) {
+    static Transport sockets() {
+        return new Transport(Loops.group(1, "gateway"), Loops.socket(), Loops.server());
+    }
+
+    /** For connections out of the program or inside it. */
+    Bootstrap connector() {
+        Bootstrap connector = new Bootstrap().group(loops).channel(socket);
+        return SocketChannel.class.isAssignableFrom(socket)
+                ? connector.option(ChannelOption.TCP_NODELAY, true) : connector;
+    }
+
+    static Transport local() {
+        return new Transport(new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("rehearsal", true),
+                LocalIoHandler.newFactory()), LocalChannel.class, LocalServerChannel.class);
+    }
+}
