--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -122,8 +122,8 @@
     private final Deployment site;
     private final Rulebook rules;
     private final RandomGenerator chance;
-    private final BandRow[] rows;
-    private final List<Seat> seats = new ArrayList<>();
+    final BandRow[] rows;
+    final List<Seat> seats = new ArrayList<>();
     private final Queue fresh = new Queue();
     private final Queue homeless = new Queue();
     private final Waits waits = new Waits();
@@ -147,7 +147,7 @@
     private long state;
     private double bornAt;
     private double servedUnits;
-    private double ease = 1;
+    double ease = 1;
     /** Of all volumes met: the weights, and the units a second that they are sized for beyond reserves. */
     private double weights;
     private double spare;
@@ -159,7 +159,7 @@
     private boolean asked;
 
     /** What differs by band. */
-    private static final class BandRow {
+    static final class BandRow {
         double patienceSeen;
         double basePace;
         double meanPace;
@@ -186,10 +186,12 @@
         for (Node node : nodes) {
             Seat seat = (Seat) node.kept;
             if (seat == null) {
-                seat = new Seat(seats.size(), node, FIRST_BOUND, new Ring(PLACEMENTS_WINDOW, 10),
-                        new Ring(rules.fallTime(), 20));
+                // Who is gone for good leaves its place: the seats stay as many as the fleet is wide.
+                Seat old = seats.stream().filter(Seat::isVacant).findFirst().orElse(null);
+                seat = new Seat(old == null ? seats.size() : old.index, node, FIRST_BOUND,
+                        new Ring(PLACEMENTS_WINDOW, 10), new Ring(rules.fallTime(), 20));
                 node.kept = seat;
-                seats.add(seat);
+                if (old == null) { seats.add(seat); } else { seats.set(old.index, seat); }
                 // A node that turns up later has just started, whatever its line says of its start.
                 if (knowsList && node.startedAt < now - rules.coldTime()) {
                     seat.startedAt = now;
@@ -245,11 +247,13 @@
         // Clients that leave before the target time set a shorter one: for what is late, and for the queues.
         BandRow row = rows[operation.band.index()];
         double age = now - operation.arrivedAt;
-        row.leftAge = row.leftShare == 0 ? age : row.leftAge + LEFT_STEP * (age - row.leftAge);
-        row.leftShare += LEFT_STEP * (1 - row.leftShare);
-        if (!site.mayCallOff()) { return; }
+        // Whoever leaves before an answer usually comes has reasons of its own, and tells nothing of waiting.
+        if (age > row.meanPace * operation.units) {
+            row.leftAge = row.leftShare == 0 ? age : row.leftAge + LEFT_STEP * (age - row.leftAge);
+            row.leftShare += LEFT_STEP * (1 - row.leftShare);
+        }
         for (Hop hop : operation.hops) {
-            if (hop.outcome == null) { unwanted.add(hop); }
+            if (hop.outcome == null && site.mayCallOff()) { unwanted.add(hop); }
         }
     }
 
@@ -306,7 +310,7 @@
             drop(operation);
             return Sequel.NOTHING;
         }
-        return hopsOut(operation) > 0 ? Sequel.NOTHING : Sequel.PLACE_AGAIN;
+        return isOut(operation) ? Sequel.NOTHING : Sequel.PLACE_AGAIN;
     }
 
     /** How long to wait before asking again, and what is due now. */
@@ -380,7 +384,7 @@
         if (hops > 0) {
             // 2: no effect twice.
             if (!mayRepeat(operation, seat, now) || hops >= rules.mostHops()
-                    || !rules.secondCopies() && hopsOut(operation) > 0) {
+                    || !rules.secondCopies() && isOut(operation)) {
                 return false;
             }
             // 6: the budget of further hops, counted against ourselves where a bucket is cut.
@@ -420,10 +424,7 @@
                 || band.repeat() == Band.Repeat.DEDUPLICATED && band.group() == Band.Group.ALL) {
             return true;
         }
-        for (Hop hop : operation.hops) {
-            if (hop.outcome == null || !hop.outcome.provesNotRun) { return false; }
-        }
-        return true;
+        return operation.hops.stream().allMatch(hop -> hop.outcome != null && hop.outcome.provesNotRun);
     }
 
     /**
@@ -520,9 +521,11 @@
     }
 
     private Placement giveUp(Operation operation, double now) {
-        if (hopsOut(operation) > 0) { return Placement.NOT_YET; }
+        if (isOut(operation)) { return Placement.NOT_YET; }
         forsake(operation);
         operation.over = true;
+        // A share that only answers wore off would last for good where it forbids every hop.
+        rows[operation.band.index()].leftShare *= 1 - LEFT_STEP;
         // Overload is what is declined though its node serves; an outage must not forbid hops elsewhere.
         Seat seat = ((Ticket) operation.kept).seat;
         if (seat == null || sound(seat, now)) { declines.add(now, 1); }
@@ -543,7 +546,7 @@
     /** Whether another hop is wanted at all; what the rules say of it is asked elsewhere. */
     private boolean mayHopAgain(Operation operation, double now) {
         return operation.hops.size() <= MOST_FURTHER_HOPS && operation.hops.size() < rules.mostHops()
-                && !overloaded(now) && hopsOut(operation) == 0 && lateAt(operation) > now;
+                && !overloaded(now) && !isOut(operation) && lateAt(operation) > now;
     }
 
     private boolean overloaded(double now) {
@@ -551,12 +554,8 @@
                 || declines.sumOver(now) > OVERLOAD_SHARE * arrivals.sumOver(now) + 1;
     }
 
-    private static int hopsOut(Operation operation) {
-        int out = 0;
-        for (Hop hop : operation.hops) {
-            if (hop.outcome == null) { out++; }
-        }
-        return out;
+    private static boolean isOut(Operation operation) {
+        return operation.hops.stream().anyMatch(hop -> hop.outcome == null);
     }
 
     // ---- whose turn it is ----
@@ -788,8 +787,8 @@
             account.uses = Arrays.copyOf(account.uses, seats.size());
         }
         Use use = account.uses[seat.index];
-        if (use == null) {
-            use = new Use(account.weight, new Ring(SHARE_WINDOW, 5), new Ring(SHARE_WINDOW, 5),
+        if (use == null || use.seat != seat) {
+            use = new Use(seat, account.weight, new Ring(SHARE_WINDOW, 5), new Ring(SHARE_WINDOW, 5),
                     new Ring(SHARE_WINDOW, 5));
             account.uses[seat.index] = use;
             seat.uses.add(use);
@@ -840,10 +839,8 @@
     private void refresh(double now) {
         if (now < refreshAt) { return; }
         refreshAt = now + BUSY_REFRESH;
-        shortestTarget = Double.POSITIVE_INFINITY;
-        for (Band band : site.bands()) { shortestTarget = Math.min(shortestTarget, target(band)); }
-        double crowds = 0;
-        for (Seat seat : seats) { crowds += seat.crowd; }
+        shortestTarget = site.bands().stream().mapToDouble(this::target).min().orElse(0);
+        double crowds = seats.stream().mapToDouble(seat -> seat.crowd).sum();
         for (Seat seat : seats) {
             // What was seen of one node fades into what is seen of all.
             seat.crowd = CROWD_FADE * (CROWD_KEEP * seat.crowd + (1 - CROWD_KEEP) * crowds / seats.size());
@@ -1082,7 +1079,7 @@
     private void drop(Operation operation) {
         Ticket ticket = (Ticket) operation.kept;
         dequeue(operation);
-        if (ticket.line != null && hopsOut(operation) == 0) {
+        if (ticket.line != null && !isOut(operation)) {
             ticket.line.operations.remove(operation);
         }
     }
--- a/src/main/java/sagepulley/control/Seat.java
+++ b/src/main/java/sagepulley/control/Seat.java
@@ -56,6 +56,11 @@
     double busy = 1;
     double fragment = 1;
 
+    /** Whether its place may go to another node. */
+    boolean isVacant() {
+        return node.forgotten && waiting.isEmpty();
+    }
+
     Seat(int index, Node node, double bound, Ring placements, Ring coldSpent) {
         this.index = index;
         this.node = node;
--- a/src/main/java/sagepulley/control/Use.java
+++ b/src/main/java/sagepulley/control/Use.java
@@ -4,6 +4,7 @@
 
 /** What a volume lately asked of a node and was served there, in units, through all gateways if told. */
 final class Use {
+    final Seat seat;
     final double weight;
     final Ring asked;
     final Ring reserved;
@@ -15,7 +16,8 @@
     double wants;
     boolean open;
 
-    Use(double weight, Ring asked, Ring reserved, Ring beyond) {
+    Use(Seat seat, double weight, Ring asked, Ring reserved, Ring beyond) {
+        this.seat = seat;
         this.weight = weight;
         this.asked = asked;
         this.reserved = reserved;
--- a/src/main/java/sagepulley/host/Host.java
+++ b/src/main/java/sagepulley/host/Host.java
@@ -5,9 +5,12 @@
 import java.util.Collections;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import sagepulley.control.BandView;
 import sagepulley.control.Control;
 import sagepulley.model.Deployment;
 import sagepulley.model.Hop;
@@ -25,12 +28,15 @@
  * settle loop. Told what happens by whoever owns the wire; what is decided goes out by the exit. One thread.
  */
 public final class Host {
+    private static final double GONE_FOR_GOOD = 30_000;
+
     private final Deployment deployment;
     private final Exit exit;
     private final Control control;
     private final Map<Long, Operation> operations = new HashMap<>();
     private final Map<Long, Volume> volumes = new HashMap<>();
     private final Map<Integer, Node> nodes = new LinkedHashMap<>();
+    private final Map<Integer, Double> goneSince = new HashMap<>();
 
     public Host(Deployment deployment, long seed, Exit exit) {
         this.deployment = deployment;
@@ -42,8 +48,11 @@
         return deployment;
     }
 
-    /** The list as it stands after a message of the given entries; a whole list drops what it lacks. */
-    public void listed(List<ListEntry> entries, boolean whole, double now) {
+    /**
+     * The list as it stands after a message of the given entries; a whole list drops what it lacks. Gives the
+     * nodes that were gone for long and are forgotten now.
+     */
+    public List<Node> listed(List<ListEntry> entries, boolean whole, double now) {
         if (whole) {
             for (Node node : nodes.values()) {
                 node.standing = Node.Standing.GONE;
@@ -52,7 +61,35 @@
         for (ListEntry entry : entries) {
             entry.copyTo(nodes.computeIfAbsent(entry.store(), Node::new));
         }
+        List<Node> forgotten = longGone(now);
         control.listed(new ArrayList<>(nodes.values()), now);
+        return forgotten;
+    }
+
+    /** A node that vanished may come back as it was; by then it will not, and nothing may grow with those. */
+    private List<Node> longGone(double now) {
+        Set<Node> busy = new HashSet<>();
+        for (Operation operation : operations.values()) {
+            for (Hop hop : operation.hops) {
+                if (hop.outcome == null) {
+                    busy.add(hop.node);
+                }
+            }
+        }
+        List<Node> forgotten = new ArrayList<>(0);
+        for (Node node : nodes.values()) {
+            if (node.standing != Node.Standing.GONE) {
+                goneSince.remove(node.id);
+            } else if (now - goneSince.computeIfAbsent(node.id, any -> now) > GONE_FOR_GOOD && !busy.contains(node)) {
+                node.forgotten = true;
+                forgotten.add(node);
+            }
+        }
+        for (Node node : forgotten) {
+            nodes.remove(node.id);
+            goneSince.remove(node.id);
+        }
+        return forgotten;
     }
 
     public void listFailed(double now) {
@@ -81,6 +118,11 @@
         return Collections.unmodifiableCollection(nodes.values());
     }
 
+    /** What Control has learned by band, in the order of the bands. */
+    public List<BandView> bands() {
+        return BandView.of(control);
+    }
+
     /** Why each operation that waits is not sent now, by reason. */
     public Map<Reason, Integer> waiting(double now) {
         Map<Reason, Integer> waiting = new EnumMap<>(Reason.class);
--- a/src/main/java/sagepulley/platform/Front.java
+++ b/src/main/java/sagepulley/platform/Front.java
@@ -38,6 +38,7 @@
     private final ClientConnection.Owner owner;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
+    private boolean keeping;
     private boolean ending;
     long accepted;
     long turnedAway;
@@ -121,12 +122,17 @@
                 connection.close();
             } else if (!connection.hasOpen() && (!connection.asked && now - connection.connectedAt > SILENT_TIME
                     || !connection.isIdle() && quiet > SILENT_TIME
-                    || quiet > (crowded ? UNUSED_TIME : LONG_UNUSED_TIME))) {
+                    || !keeping && quiet > (crowded ? UNUSED_TIME : LONG_UNUSED_TIME))) {
                 connection.close();
             }
         }
     }
 
+    /** Connections stay open from now on, however long they are not used. */
+    void keepUnused() {
+        keeping = true;
+    }
+
     /** Whether it has been ended, and the last connection is closed. */
     boolean hasEnded() {
         return ending && connections.isEmpty();
--- a/src/main/java/sagepulley/platform/PlatformGateway.java
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -33,11 +33,15 @@
     private static final double NS = 1e6;
     private static final long SWEEP_MS = 200;
     private static final long REPORT_MS = 5_000;
-    /** After SIGTERM clients still come for a while; whoever uses a connection then may go on. */
-    private static final long LINGER_MS = 550;
-    /** SIGKILL comes no sooner after SIGTERM than the longest patience, at most this, and a little more. */
+    /**
+     * SIGKILL comes no sooner after SIGTERM than the longest patience, at most this, and a little more. Clients go
+     * on using the connections that they have, and find nobody else: they are served for as long as that.
+     */
     private static final double LONGEST_STOP = 3_000;
-    private static final double STOP_MARGIN = 400;
+    private static final double KILL_AFTER = 700;
+    /** Before that, by so much, all is answered, and before that, by so much, nothing more is taken. */
+    private static final double ANSWERED_BEFORE = 150;
+    private static final double LAST_TAKEN = 250;
     /** The part of the idle time told after which a free connection to a node is closed. */
     private static final double IDLE_PART = 0.4;
     /** Descriptors: some for the program itself, and of the rest this part for clients. */
@@ -264,7 +268,7 @@
         for (String entry : listing.unreadable()) {
             Log.warn("an entry of the list cannot be read", "entry", entry);
         }
-        host.listed(book.entries(listing), listing.whole(), clock.now());
+        host.listed(book.entries(listing), listing.whole(), clock.now()).forEach(book::forget);
         settle();
     }
 
@@ -316,14 +320,6 @@
         nodes.sweep();
         double now = clock.now();
         counts.waits(host.waiting(now));
-        if (now >= stopAt) {
-            for (Operation operation : new ArrayList<>(host.inHand())) {
-                if (operation.held != null) {
-                    answer(operation, RespBytes.error("ERR the gateway stops"));
-                    host.left(operation.id, now);
-                }
-            }
-        }
     }
 
     private void report() {
@@ -333,7 +329,7 @@
                 nodes.refusedForRoom, "spoilt", nodes.spoilt, "clients", front.size(), "accepted", front.accepted,
                 "turned-away", front.turnedAway, "revision", discovery.revision(), "watching",
                 discovery.isWatching(), "lag-ms", Math.round(worstLag), "heap-kb", (runtime.totalMemory() - runtime.freeMemory()) >> 10, "counts",
-                counts);
+                counts, "bands", host.bands());
         worstLag = 0;
         for (Node node : host.nodes()) {
             Map<Outcome, Integer> ended = counts.lately(node);
@@ -365,16 +361,29 @@
             for (Band band : config.deployment().bands()) {
                 longest = Math.max(longest, band.patience());
             }
-            stopAt = clock.now() + Math.min(longest, LONGEST_STOP) + STOP_MARGIN;
+            double left = Math.min(longest, LONGEST_STOP) + KILL_AFTER - ANSWERED_BEFORE;
+            stopAt = clock.now() + left;
+            front.keepUnused();
             Log.info("stopping", "in-hand", host.inHand().size());
             loop.schedule(() -> {
                 front.end();
                 checkEnd();
-            }, LINGER_MS, TimeUnit.MILLISECONDS);
-            loop.schedule(this::finish, (long) (stopAt - clock.now() + SWEEP_MS), TimeUnit.MILLISECONDS);
+            }, (long) (left - LAST_TAKEN), TimeUnit.MILLISECONDS);
+            loop.schedule(this::giveUpAll, (long) left, TimeUnit.MILLISECONDS);
         });
     }
 
+    /** The time is up: whatever is still in hand gets the answer that promises nothing. */
+    private void giveUpAll() {
+        for (Operation operation : new ArrayList<>(host.inHand())) {
+            if (operation.held != null) {
+                answer(operation, RespBytes.error("ERR the gateway stops"));
+                host.left(operation.id, clock.now());
+            }
+        }
+        loop.schedule(this::finish, SWEEP_MS / 2, TimeUnit.MILLISECONDS);
+    }
+
     private void checkEnd() {
         if (stopping && front.hasEnded() && !ended.isDone()) {
             finish();
--- a/src/main/java/sagepulley/platform/Serve.java
+++ b/src/main/java/sagepulley/platform/Serve.java
@@ -8,7 +8,7 @@
 /** Runs one gateway on the platform in the foreground, until SIGTERM. */
 public final class Serve {
     private static final long LAST_LINES_MS = 200;
-    private static final int REHEARSED = 300;
+    private static final int REHEARSED = 60;
     private static final long REHEARSAL_MS = 1_200;
 
     private Serve() {
--- a/src/test/java/sagepulley/control/HealthTest.java
+++ b/src/test/java/sagepulley/control/HealthTest.java
@@ -67,6 +67,78 @@
         assertEquals(1, host.declined.size(), "long before its target time of 1.5 s");
     }
 
+    @Test
+    void clientsThatLeaveBeforeAnyAnswerCouldComeTellNothing() {
+        FakeHost host = new FakeHost(1);
+        serve(host, 30, 20);
+        for (int i = 0; i < 10; i++) {
+            Operation operation = host.take(FakeHost.READ, 0);
+            host.passTime(4);
+            host.leave(operation);
+            host.end(host.lastHop(operation), Outcome.CALLED_OFF);
+        }
+        host.nodes.get(0).standing = Node.Standing.DRAINING;
+        host.relist();
+        host.take(FakeHost.READ, 0);
+        host.passTime(100);
+        assertEquals(0, host.declined.size(), "the target time is still 250 ms");
+    }
+
+    @Test
+    void clientsThatLeftOnceDoNotForbidAllHopsForGood() {
+        FakeHost host = new FakeHost(1);
+        serve(host, 30, 20);
+        for (int i = 0; i < 10; i++) {
+            Operation operation = host.take(FakeHost.READ, 0);
+            host.passTime(22);
+            if (operation.over) { continue; }
+            host.leave(operation);
+            host.end(host.lastHop(operation), Outcome.CALLED_OFF);
+            // The node takes long for a while, so that no answer would come in the time that clients stay.
+            serve(host, 2, 60);
+        }
+        int before = host.sent.size();
+        for (int i = 0; i < 200; i++) {
+            Operation operation = host.take(FakeHost.READ, 0);
+            host.passTime(10);
+            if (!operation.over) { host.end(host.lastHop(operation), Outcome.SATISFIED); }
+        }
+        assertTrue(host.sent.size() - before > 100, "sent " + (host.sent.size() - before));
+    }
+
+    /** So many reads, one after the other, each answered after a time. */
+    private static void serve(FakeHost host, int count, double time) {
+        for (int i = 0; i < count; i++) {
+            Operation operation = host.take(FakeHost.READ, 0);
+            host.passTime(time);
+            if (!operation.over) { host.end(host.lastHop(operation), Outcome.SATISFIED); }
+        }
+    }
+
+    @Test
+    void aNodeThatIsForgottenLeavesItsPlaceToAnother() {
+        FakeHost host = new FakeHost(2);
+        Volume volume = host.volume(1);
+        for (int i = 0; i < 50; i++) {
+            Node old = host.nodes.get(0);
+            Operation read = host.take(FakeHost.READ, volume, 7 + i, 2, 0);
+            host.passTime(20);
+            host.end(host.lastHop(read), Outcome.SATISFIED);
+            old.standing = Node.Standing.GONE;
+            host.relist();
+            old.forgotten = true;
+            Node fresh = new Node(1000 + i);
+            fresh.cell = 0;
+            host.nodes.set(0, fresh);
+            host.relist();
+            // Cold at first: it is served once it is warm.
+            host.passTime(10_000);
+        }
+        assertEquals(2, host.control.seats.size());
+        Operation read = host.take(FakeHost.READ, volume, 3, 2, 0);
+        assertEquals(host.nodes.get(0), host.lastHop(read).node);
+    }
+
     @Test
     void aNodeThatFailsAtOnceDrawsNoNewObjects() {
         FakeHost host = new FakeHost(2);
