--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -918,8 +918,9 @@
                 seat.heardAt = now;
                 seat.faults += FAULT_STEP * (1 - seat.faults);
             }
-            // A full node is up, but one that hangs turns work away as well: only an answer restores trust.
-            case TIMED_OUT, NO_CONNECTION, RESET, FULL -> seat.distrusted |= seat.heardAt < hop.sentAt;
+            // A full node is up, but one that hangs turns work away as well: only an answer restores trust. A
+            // connection that breaks may be the only thing that did: if the node is down, the next hop tells.
+            case TIMED_OUT, NO_CONNECTION, FULL -> seat.distrusted |= seat.heardAt < hop.sentAt;
             default -> { }
         }
         if (hop.outcome == Outcome.FULL) { cut(seat, hop, now); }
--- /dev/null
+++ b/src/test/java/sagepulley/host/HostTest.java
@@ -0,0 +1,103 @@
+package sagepulley.host;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import sagepulley.model.Hop;
+import sagepulley.model.Node;
+import sagepulley.model.Operation;
+import sagepulley.model.Outcome;
+import sagepulley.model.Placement;
+
+/** What a gateway keeps of nodes that come and go. */
+class HostTest {
+    private static final String SETTINGS = """
+            me=0
+            balancers=1
+            classes.count=1
+            classes.0.effect=retryable
+            classes.0.sloNs=300000000
+            classes.0.hardLimitNs=1000000000
+            plans.count=1
+            contract.drainGraceNs=1000000000
+            contract.coldFrom=0.5
+            contract.coldNs=1000000000
+            contract.fallMultiple=3
+            contract.overloadForNs=1000000000
+            domain.coldBears=4
+            domain.maxUnits=6
+            limits.mostTries=2
+            limits.mayDuplicate=false
+            """;
+    private final List<Hop> sent = new ArrayList<>();
+    private final Host host = new Host(FirstMessage.ofLines(SETTINGS).deployment(), 1, new Exit() {
+        @Override
+        public void send(Hop hop, double timeout) {
+            sent.add(hop);
+        }
+
+        @Override
+        public void giveUp(Operation operation, Placement placement) {
+            throw new AssertionError("given up: " + placement.reason());
+        }
+
+        @Override
+        public void callOff(Hop hop) {
+            throw new AssertionError("called off");
+        }
+
+        @Override
+        public void probe(Node node) {
+            throw new AssertionError("probed");
+        }
+
+        @Override
+        public void subscribe() {
+            throw new AssertionError("this site pushes its list");
+        }
+
+        @Override
+        public void fetch() {
+            throw new AssertionError("this site pushes its list");
+        }
+
+        @Override
+        public void wakeIn(double pause, double now) {
+            // Time is driven by hand.
+        }
+    });
+
+    @Test
+    void nodesThatAreGoneForLongAreForgottenOnceTheirLastHopHasEnded() {
+        host.listed(List.of(entry(1, 0), entry(2, 1)), true, 0);
+        Operation operation = new Operation(1, host.deployment().bands().get(0), host.volume(1, 0), 7, 1, 0, 0, 1000,
+                false);
+        host.arrived(operation, 0);
+        host.settle(0);
+        Hop hop = sent.get(0);
+        assertEquals(1, hop.node.id);
+        assertEquals(List.of(), host.listed(List.of(entry(2, 1)), true, 100));
+        assertEquals(List.of(), host.listed(List.of(entry(3, 0)), false, 40_000), "its hop is still out");
+        hop.outcome = Outcome.SATISFIED;
+        host.ended(hop, true, 40_000);
+        assertEquals(List.of(hop.node), host.listed(List.of(entry(4, 2)), false, 40_001));
+        assertEquals(3, host.nodes().size());
+    }
+
+    @Test
+    void aNodeThatComesBackSoonIsTheSame() {
+        host.listed(List.of(entry(1, 0)), true, 0);
+        Node node = host.nodes().iterator().next();
+        host.listed(List.of(), true, 1000);
+        host.listed(List.of(entry(1, 0)), true, 20_000);
+        assertEquals(List.of(), host.listed(List.of(entry(2, 1)), false, 60_000));
+        assertEquals(node, host.nodes().iterator().next());
+        assertEquals(Node.Standing.READY, node.standing);
+    }
+
+    private static ListEntry entry(int store, int cell) {
+        return new ListEntry(0, cell, store, Node.Standing.READY, Double.NEGATIVE_INFINITY, 0, 1);
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/platform/ConfigTest.java
@@ -0,0 +1,74 @@
+package sagepulley.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What a gateway is told at its start. */
+class ConfigTest {
+    @TempDir
+    private Path folder;
+
+    @Test
+    void nestedSettingsAreReadAsTheFirstMessageIs() throws Exception {
+        Config config = Config.read(write(text()));
+        assertEquals("put", config.deployment().bands().get(1).name());
+        assertTrue(config.deployment().bands().get(1).writes());
+        assertFalse(config.deployment().bands().get(0).writes());
+        assertEquals(300, config.deployment().bands().get(0).targetTime());
+        assertEquals(4, config.deployment().mostUnits());
+        assertEquals(1, config.known().members().size());
+        assertEquals(250, config.connectTimeout());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "\"seed\": \"1\" | \"seed\": \"zz\" | seed=zz",
+        "\"listen\": \"127.0.0.1:1\" | \"listen\": \"host.name:1\" | listen=host.name:1",
+        "\"sockets\": 256 | \"sockets\": 3 | limits.sockets=3",
+        "\"sloNs\": 300000000 | \"sloNs\": \"soon\" | classes.0.sloNs=soon",
+        "\"mostTries\": 2, | '' | limits.mostTries is missing",
+        "{\"name\" | [{\"name\" | not a JSON object",
+        "\"discovery\": \"127.0.0.1:1\", | '' | discovery is missing"})
+    void anUnusableFileIsNamedWithWhatIsWrongInOneLine(String good, String bad, String what) throws Exception {
+        String text = text();
+        assertTrue(text.contains(good));
+        ConfigError error = assertThrows(ConfigError.class, () -> Config.read(write(text.replace(good, bad))));
+        assertTrue(error.getMessage().contains(what), error.getMessage());
+        assertTrue(error.getMessage().contains("config.json"), error.getMessage());
+        assertEquals(1, error.getMessage().lines().count());
+    }
+
+    @Test
+    void aMissingFileOrVariableIsNamed() {
+        assertEquals("GW_CONFIG is not set",
+                assertThrows(ConfigError.class, () -> Config.read(Map.of())).getMessage());
+        ConfigError error = assertThrows(ConfigError.class,
+                () -> Config.read(Map.of("GW_CONFIG", folder.resolve("none.json").toString())));
+        assertTrue(error.getMessage().endsWith("there is no such file"), error.getMessage());
+    }
+
+    private Map<String, String> write(String text) throws IOException {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, text);
+        return Map.of("GW_CONFIG", file.toString());
+    }
+
+    private static String text() throws IOException {
+        try (InputStream in = ConfigTest.class.getResourceAsStream("/rehearsal.json")) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/platform/Peers.java
@@ -0,0 +1,212 @@
+package sagepulley.platform;
+
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+
+/** A gateway on loopback with one node and a discovery that do as a test's script says. */
+final class Peers implements Closeable {
+    private static final int PATIENCE_MS = 20_000;
+    static final String VALUE = "*3\r\n$5\r\nvalue\r\n$6\r\ncost=1\r\n$-1\r\n";
+    private static final String LIST = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    /** What a node does with one command. */
+    interface Script {
+        void answer(List<String> words, Talk talk) throws IOException;
+    }
+
+    /** One connection to a peer. */
+    static final class Talk {
+        final Socket socket;
+        final InputStream in;
+
+        Talk(Socket socket) throws IOException {
+            socket.setSoTimeout(PATIENCE_MS);
+            socket.setTcpNoDelay(true);
+            this.socket = socket;
+            this.in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        void say(String text) throws IOException {
+            OutputStream out = socket.getOutputStream();
+            out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+        }
+
+        /** A line without its end; null where the connection has ended. */
+        String line() throws IOException {
+            StringBuilder line = new StringBuilder();
+            for (int next = in.read(); next != '\n'; next = in.read()) {
+                if (next < 0) {
+                    return null;
+                }
+                line.append((char) next);
+            }
+            return line.toString().trim();
+        }
+
+        List<String> command() throws IOException {
+            String head = line();
+            if (head == null) {
+                return null;
+            }
+            List<String> words = new ArrayList<>();
+            for (int i = Integer.parseInt(head.substring(1)); i > 0; i--) {
+                int length = Integer.parseInt(line().substring(1));
+                words.add(new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
+                in.readNBytes(2);
+            }
+            return words;
+        }
+
+        /** One answer: its line, and its value behind a blank where there is one. */
+        String answer() throws IOException {
+            String head = line();
+            return head != null && head.startsWith("$") ? head + " " + line() : head;
+        }
+
+        void ask(String... words) throws IOException {
+            say(Peers.command(words));
+        }
+    }
+
+    final List<List<String>> commands = new CopyOnWriteArrayList<>();
+    final List<String> calls = new CopyOnWriteArrayList<>();
+    final List<Talk> watches = new CopyOnWriteArrayList<>();
+    final PlatformGateway gateway;
+    final Transport transport = Transport.sockets();
+    /** What discovery answers a call with; null: it says nothing. */
+    volatile String listing = "{\"revision\":2,\"complete\":false,\"members\":[]}";
+    private final List<Closeable> open = new CopyOnWriteArrayList<>();
+    private final SocketAddress front;
+
+    Peers(Script script) throws Exception {
+        ServerSocket node = serve(talk -> {
+            for (List<String> words = talk.command(); words != null; words = talk.command()) {
+                commands.add(words);
+                script.answer(words, talk);
+            }
+        });
+        SocketAddress discovery = discovery();
+        try (InputStream in = Peers.class.getResourceAsStream("/rehearsal.json")) {
+            Config config = Config.of(Json.object(in.readAllBytes()), Map.of()).at(
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), discovery,
+                    node.getLocalSocketAddress());
+            gateway = new PlatformGateway(config, transport);
+            front = gateway.start().get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** One more discovery; it answers as the listing says, and keeps the watch open. */
+    SocketAddress discovery() throws IOException {
+        return serve(talk -> {
+            calls.add(talk.line());
+            while (!talk.line().isEmpty()) {
+                continue;
+            }
+            if (listing == null) {
+                talk.in.read();
+            } else if (listing.startsWith("HTTP")) {
+                talk.say(listing);
+            } else {
+                talk.say(LIST);
+                tell(talk, listing);
+                watches.add(talk);
+                talk.in.read();
+            }
+        }).getLocalSocketAddress();
+    }
+
+    static void tell(Talk talk, String line) throws IOException {
+        talk.say(Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+    }
+
+    Talk client() throws IOException {
+        Socket socket = new Socket();
+        socket.connect(front);
+        open.add(socket);
+        return new Talk(socket);
+    }
+
+    static String command(String... words) {
+        StringBuilder command = new StringBuilder("*" + words.length + "\r\n");
+        for (String word : words) {
+            command.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+        }
+        return command.toString();
+    }
+
+    /** Words of a read with this id. */
+    static String[] read(long id) {
+        return new String[] {"BLK.READ", Figures.id(7), Figures.id(id), fields("get", 900, 0)};
+    }
+
+    static String fields(String band, int patience, int shard) {
+        return "c=" + band + ",t=any,d=" + patience + ",volume=" + Figures.id(3) + ",units=2,shard=" + shard
+                + ",hosts=1";
+    }
+
+    private interface Task {
+        void with(Talk talk) throws IOException;
+    }
+
+    private ServerSocket serve(Task task) throws IOException {
+        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        open.add(server);
+        daemon(() -> {
+            while (true) {
+                Socket socket = server.accept();
+                open.add(socket);
+                daemon(() -> {
+                    try (socket) {
+                        task.with(new Talk(socket));
+                    }
+                });
+            }
+        });
+        return server;
+    }
+
+    private interface Work {
+        void run() throws IOException;
+    }
+
+    private static void daemon(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (IOException ended) {
+                // The other end, or the test, has closed it.
+            }
+        }, "peer");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public void close() {
+        gateway.finish();
+        gateway.ended().join();
+        for (Closeable each : open) {
+            try {
+                each.close();
+            } catch (IOException alreadyGone) {
+                continue;
+            }
+        }
+        transport.loops().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/platform/PlatformPathTest.java
@@ -0,0 +1,230 @@
+package sagepulley.platform;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The whole way on sockets: a client, the gateway, a scripted node and a scripted discovery. */
+@Timeout(60)
+class PlatformPathTest {
+    private static final Peers.Script SERVES = (words, talk) -> talk.say(Peers.VALUE);
+
+    @Test
+    void readsAndWritesAreServedAndGoOnAsTheyCameButForThePatience() throws Exception {
+        try (Peers peers = new Peers(SERVES)) {
+            Peers.Talk client = peers.client();
+            client.ask("PING");
+            assertEquals("+PONG", client.answer());
+            client.ask(Peers.read(1));
+            assertEquals("$5 value", client.answer());
+            client.ask("BLK.WRITE", Figures.id(7), Figures.id(2), Peers.fields("put", 900, -1) + ",k=9", "bytes");
+            assertEquals("$5 value", client.answer());
+            assertEquals("BLK.READ", peers.commands.get(0).get(0));
+            String sent = peers.commands.get(1).get(3);
+            assertEquals(Peers.fields("put", 900, -1).replaceAll(",d=\\d+", "") + ",k=9",
+                    sent.replaceAll(",d=\\d+", ""));
+            int patience = Integer.parseInt(sent.replaceAll(".*,d=(\\d+),.*", "$1"));
+            assertTrue(patience > 0 && patience < 900, "told " + patience);
+            assertEquals("bytes", peers.commands.get(1).get(4));
+        }
+    }
+
+    @Test
+    void answersKeepTheOrderOfTheCommandsThoughALaterOneIsReadyFirst() throws Exception {
+        CountDownLatch later = new CountDownLatch(1);
+        try (Peers peers = new Peers((words, talk) -> {
+            if (words.get(2).equals(Figures.id(1))) {
+                awaitQuietly(later);
+            }
+            talk.say("*3\r\n$16\r\n" + words.get(2) + "\r\n$-1\r\n$-1\r\n");
+            if (words.get(2).equals(Figures.id(2))) {
+                later.countDown();
+            }
+        })) {
+            Peers.Talk client = peers.client();
+            client.say(Peers.command(Peers.read(1)) + Peers.command(Peers.read(2)) + Peers.command("PING"));
+            assertEquals("$16 " + Figures.id(1), client.answer());
+            assertEquals("$16 " + Figures.id(2), client.answer());
+            assertEquals("+PONG", client.answer());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"c=none,t=any,d=900,volume=0000000000000003,units=2,shard=0,hosts=1",
+        "c=get,t=none,d=900,volume=0000000000000003,units=2,shard=0,hosts=1",
+        "c=get,t=any,d=soon,volume=0000000000000003,units=2,shard=0,hosts=1",
+        "c=get,t=any,d=-9,volume=0000000000000003,units=2,shard=0,hosts=1",
+        "c=get,t=any,d=9,d=9,volume=0000000000000003,units=2,shard=0,hosts=1",
+        "c=get,t=any,d=900,volume=3,units=2,shard=0,hosts=1",
+        "c=get,t=any,d=900,volume=0000000000000003,units=NaN,shard=0,hosts=1",
+        "c=get,t=any,d=900,volume=0000000000000003,units=2,shard=99,hosts=1",
+        "c=put,t=any,d=900,volume=0000000000000003,units=2,shard=0,hosts=1", "c=get", "", "c=get,,t=any"})
+    void aCommandWithWrongFieldsGetsAnErrorAndNothingGoesToANode(String fields) throws Exception {
+        try (Peers peers = new Peers(SERVES)) {
+            Peers.Talk client = peers.client();
+            client.ask("BLK.READ", Figures.id(7), Figures.id(1), fields);
+            assertTrue(client.answer().startsWith("-ERR"));
+            client.ask("BLK.READ", Figures.id(7), "no id", Peers.fields("get", 900, 0));
+            assertTrue(client.answer().startsWith("-ERR"));
+            client.ask("BLK.READ", Figures.id(7), Figures.id(1));
+            assertTrue(client.answer().startsWith("-ERR"));
+            client.ask("FLUSHALL");
+            assertTrue(client.answer().startsWith("-ERR"));
+            client.ask(Peers.read(5));
+            assertEquals("$5 value", client.answer(), "the connection goes on");
+            assertEquals(1, peers.commands.size());
+        }
+    }
+
+    @Test
+    void bytesThatAreNoCommandGetAnErrorAndTheEndAndHarmNobodyElse() throws Exception {
+        try (Peers peers = new Peers(SERVES)) {
+            Peers.Talk good = peers.client();
+            for (String bad : new String[] {"GET / HTTP/1.1\r\n", "*1\r\n$-7\r\n", "*5\r\n$62914560\r\n",
+                "*1\r\n$4\r\nPINGPING"}) {
+                Peers.Talk client = peers.client();
+                client.say(bad);
+                assertTrue(client.answer().startsWith("-ERR protocol error"));
+                assertNull(client.answer(), "closed");
+            }
+            good.ask(Peers.read(5));
+            assertEquals("$5 value", good.answer());
+        }
+    }
+
+    @Test
+    void anIdThatIsInHandIsRefusedAndTheFirstIsServed() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Peers peers = new Peers((words, talk) -> {
+            awaitQuietly(go);
+            talk.say(Peers.VALUE);
+        })) {
+            Peers.Talk first = peers.client();
+            first.ask(Peers.read(1));
+            await().until(() -> peers.commands.size() == 1);
+            Peers.Talk second = peers.client();
+            second.ask(Peers.read(1));
+            assertTrue(second.answer().startsWith("-ERR"));
+            go.countDown();
+            assertEquals("$5 value", first.answer());
+            assertEquals(1, peers.commands.size());
+        }
+    }
+
+    @Test
+    void aConnectionThatNeverAsksIsClosedAndOneThatAskedStays() throws Exception {
+        try (Peers peers = new Peers(SERVES)) {
+            Peers.Talk asked = peers.client();
+            asked.ask(Peers.read(1));
+            assertEquals("$5 value", asked.answer());
+            Peers.Talk silent = peers.client();
+            Peers.Talk half = peers.client();
+            half.say("*4\r\n$8\r\nBLK.RE");
+            assertNull(silent.answer());
+            assertNull(half.answer());
+            asked.ask(Peers.read(2));
+            assertEquals("$5 value", asked.answer());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"*3\r\n$3221225472\r\nxxxx", "*3\r\n$9\r\nvalue\r\n$-1\r\n", "noise\r\n", "+OK\r\n",
+        "*3\r\n$-1\r\n$-1\r\n$-1\r\n", "*2\r\n$5\r\nvalue\r\n$-1\r\n", "*3\r\n$2\r\nvalue\r\n", ":7\r\n"})
+    void aSpoiltAnswerIsNeverServedAndItsConnectionNeverUsedAgain(String spoilt) throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        try (Peers peers = new Peers((words, talk) ->
+                talk.say(asked.getAndIncrement() == 0 ? spoilt : Peers.VALUE))) {
+            Peers.Talk client = peers.client();
+            client.ask(Peers.read(1));
+            assertEquals("$5 value", client.answer(), "by a second hop");
+            assertEquals(2, peers.commands.size());
+        }
+    }
+
+    @Test
+    void aSecondCopyBehindAnAnswerIsNotTakenForTheNext() throws Exception {
+        try (Peers peers = new Peers((words, talk) -> {
+            String answer = "*3\r\n$16\r\n" + words.get(2) + "\r\n$-1\r\n$-1\r\n";
+            talk.say(answer + answer);
+        })) {
+            Peers.Talk client = peers.client();
+            for (long id = 1; id <= 20; id++) {
+                client.ask(Peers.read(id));
+                assertEquals("$16 " + Figures.id(id), client.answer());
+            }
+        }
+    }
+
+    @Test
+    void figuresThatCannotBeReadLeaveAGoodAnswerGood() throws Exception {
+        try (Peers peers = new Peers((words, talk) ->
+                talk.say("*3\r\n$5\r\nvalue\r\n$12\r\ncost=,used=x\r\n$3\r\n???\r\n"))) {
+            Peers.Talk client = peers.client();
+            client.ask(Peers.read(1));
+            assertEquals("$5 value", client.answer());
+        }
+    }
+
+    @Test
+    void aClientThatClosesHasItsHopCalledOff() throws Exception {
+        CountDownLatch ended = new CountDownLatch(1);
+        try (Peers peers = new Peers((words, talk) -> {
+            if (talk.line() == null) {
+                ended.countDown();
+            }
+        })) {
+            Peers.Talk client = peers.client();
+            client.ask(Peers.read(1));
+            await().until(() -> peers.commands.size() == 1);
+            client.socket.close();
+            ended.await();
+        }
+    }
+
+    @Test
+    void aNodeThatClosesMidwayGetsTheOperationOnceMore() throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        try (Peers peers = new Peers((words, talk) -> {
+            if (asked.getAndIncrement() == 0) {
+                talk.socket.close();
+            } else {
+                talk.say(Peers.VALUE);
+            }
+        })) {
+            Peers.Talk client = peers.client();
+            client.ask(Peers.read(1));
+            assertEquals("$5 value", client.answer());
+        }
+    }
+
+    @Test
+    void afterTheStopClientsAreServedOnTheirConnectionsUntilThoseEnd() throws Exception {
+        try (Peers peers = new Peers(SERVES)) {
+            Peers.Talk client = peers.client();
+            client.ask(Peers.read(1));
+            assertEquals("$5 value", client.answer());
+            peers.gateway.stop();
+            client.ask(Peers.read(2));
+            assertEquals("$5 value", client.answer());
+            assertNull(client.answer(), "closed when the time is up");
+            peers.gateway.ended().join();
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/resp/RespDecoderTest.java
@@ -0,0 +1,111 @@
+package sagepulley.resp;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.CorruptedFrameException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** RESP2 in any split of the bytes, and what is refused of it. */
+class RespDecoderTest {
+    private static final RespLimits COMMANDS = RespLimits.commands(32, 1000, 2000, 8);
+    private static final RespLimits REPLIES = RespLimits.replies(32, 1000, 2000, 3);
+
+    @Property(tries = 300)
+    void commandsComeOutAsWrittenHoweverTheBytesAreSplit(
+            @ForAll @Size(min = 1, max = 5) List<@Size(min = 1, max = 8) List<@Size(max = 60) byte[]>> commands,
+            @ForAll @Size(max = 40) List<@IntRange(min = 1, max = 50) Integer> splits) {
+        ByteBuf bytes = Unpooled.buffer();
+        for (List<byte[]> command : commands) {
+            bytes.writeBytes(RespBytes.command(command));
+        }
+        EmbeddedChannel channel = new EmbeddedChannel(new RespDecoder(COMMANDS));
+        for (int split : splits) {
+            channel.writeInbound(bytes.readBytes(Math.min(split, bytes.readableBytes())));
+        }
+        channel.writeInbound(bytes);
+        for (List<byte[]> command : commands) {
+            Resp.Array read = channel.readInbound();
+            assertEquals(command.size(), read.items().size());
+            for (int i = 0; i < command.size(); i++) {
+                assertTrue(Arrays.equals(command.get(i), ((Resp.Bulk) read.items().get(i)).bytes()));
+            }
+        }
+        assertNull(channel.readInbound());
+        channel.finishAndReleaseAll();
+    }
+
+    @Property(tries = 500)
+    void noiseEndsInOneErrorOrWaitsForMore(@ForAll @Size(max = 300) byte[] noise) {
+        EmbeddedChannel channel = new EmbeddedChannel(new RespDecoder(COMMANDS));
+        int errors = 0;
+        for (int i = 0; i < noise.length; i += 7) {
+            try {
+                channel.writeInbound(Unpooled.copiedBuffer(noise, i, Math.min(7, noise.length - i)));
+            } catch (CorruptedFrameException bad) {
+                errors++;
+            }
+        }
+        assertTrue(errors <= 1, "told " + errors + " times");
+        channel.finishAndReleaseAll();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"nonsense", "\r\n", "PING\r\n", "*0\r\n", "*-1\r\n", "*9\r\n", "*x\r\n", "*1\r\n+PING\r\n",
+        "*1\r\n$-1\r\n", "*1\r\n$-5\r\n", "*1\r\n$1001\r\n", "*1\r\n$99999999999\r\n", "*1\r\n$ 4\r\n", "*1\n",
+        "*1\r\n$4\r\nPINGxx", "*1\r\n*1\r\n", "*3\r\n$1000\r\nBULK$1000\r\nBULK$1\r\n",
+        "*11111111111111111111111111111111111111111111111111111111"})
+    void aCommandThatIsNoneIsRefusedAtItsFirstWrongByte(String text) {
+        String bytes = text.replace("BULK", "x".repeat(1000) + "\r\n");
+        EmbeddedChannel channel = new EmbeddedChannel(new RespDecoder(COMMANDS));
+        assertThrows(CorruptedFrameException.class, () -> channel.writeInbound(ascii(bytes)));
+        channel.writeInbound(ascii("*1\r\n$4\r\nPING\r\n"));
+        assertNull(channel.readInbound(), "nothing is read after it");
+        channel.finishAndReleaseAll();
+    }
+
+    @Test
+    void aHugeLengthIsRefusedBeforeAnyOfItComes() {
+        EmbeddedChannel channel = new EmbeddedChannel(new RespDecoder(REPLIES));
+        assertThrows(CorruptedFrameException.class, () -> channel.writeInbound(ascii("*3\r\n$3221225472\r\n")));
+        channel.finishAndReleaseAll();
+    }
+
+    @Test
+    void repliesOfEveryKindAreRead() {
+        EmbeddedChannel channel = new EmbeddedChannel(new RespDecoder(REPLIES));
+        channel.writeInbound(ascii("+PONG\r\n-ERR failed used=3\r\n:42\r\n$-1\r\n$0\r\n\r\n*-1\r\n*3\r\n$1\r\nv\r\n$-1"
+                + "\r\n$-1\r\n"));
+        List<Resp> read = new ArrayList<>();
+        for (Resp next = channel.readInbound(); next != null; next = channel.readInbound()) {
+            read.add(next);
+        }
+        assertEquals(7, read.size());
+        assertEquals("PONG", ((Resp.Line) read.get(0)).text());
+        assertTrue(((Resp.Line) read.get(1)).isError());
+        assertTrue(((Resp.Bulk) read.get(3)).isNull());
+        assertEquals("", ((Resp.Bulk) read.get(4)).text());
+        assertNull(((Resp.Array) read.get(5)).items());
+        assertEquals(3, ((Resp.Array) read.get(6)).items().size());
+        channel.finishAndReleaseAll();
+    }
+
+    private static ByteBuf ascii(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+    }
+}
