Slow answers of nodes are waited for; what was wrong with spoilt ones is counted

Change that stays: an answer ends as stalled after 150 ms without a byte, however long it takes; the log counts spoilt answers by kind; a value is written without a copy.

--- a/src/main/java/sagepulley/platform/ClientConnection.java
+++ b/src/main/java/sagepulley/platform/ClientConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.DecoderException;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.List;
 import sagepulley.resp.Resp;
@@ -182,6 +183,10 @@
             ending = true;
             slot.answer(RespBytes.error("ERR protocol error: " + cause.getMessage()));
         } else if (!(cause instanceof DecoderException)) {
+            // A reset is how many clients leave; anything else is worth a line.
+            if (!(cause instanceof IOException)) {
+                Log.warn("a client's connection failed", "why", cause, "unanswered", unanswered.size());
+            }
             ctx.close();
         }
     }
--- a/src/main/java/sagepulley/platform/NodeLinks.java
+++ b/src/main/java/sagepulley/platform/NodeLinks.java
@@ -15,6 +15,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import sagepulley.model.Hop;
 import sagepulley.model.Node;
@@ -35,8 +36,8 @@
     /** What comes late behind an answer must meet a connection that carries nothing: it rests so long. */
     private static final double REST = 5;
     private static final double NS = 1e6;
-    /** Nodes write an answer at once: one that has begun and is not whole after so long is spoilt. */
-    private static final long STALL_MS = 80;
+    /** An answer that has begun and brings nothing more for so long is spoilt; a slow network leaves no such gaps. */
+    private static final long STALL_MS = 150;
 
     /** Told the end of a call, once: the answer if one could be read, else null. */
     interface Ended {
@@ -58,7 +59,8 @@
     private int open;
     long opened;
     long refusedForRoom;
-    long spoilt;
+    /** Answers that were no use, by what was wrong with them. */
+    final Map<String, Integer> spoilt = new TreeMap<>();
 
     NodeLinks(Transport transport, int most, double connectTimeout, double idleTime,
               java.util.function.DoubleSupplier clock) {
@@ -266,13 +268,13 @@
             }
         }
 
-        /** An answer that does not come whole will not: its length was wrong, or a line of it never ends. */
+        /** An answer that stops inside will not go on; one that comes slowly does. */
         private void watchStall() {
             if (stall != null) {
-                return;
+                stall.cancel(false);
             }
             stall = loop.schedule(() -> {
-                spoilt++;
+                spoilt("stopped inside");
                 end(Outcome.FAULT, null);
             }, STALL_MS, TimeUnit.MILLISECONDS);
         }
@@ -290,10 +292,15 @@
             if (answer instanceof Resp.Line line && line.isError()) {
                 return line.text().startsWith("BUSY") ? Outcome.FULL : Outcome.FAULT;
             }
-            spoilt++;
+            spoilt("is no answer");
             return Outcome.FAULT;
         }
 
+        /** Counted by kind, of which there are only as many as the codec has sentences. */
+        private void spoilt(String how) {
+            spoilt.merge(how.replaceAll("[0-9]+", "N"), 1, Integer::sum);
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             end(written ? Outcome.RESET : Outcome.NO_CONNECTION, null);
@@ -302,7 +309,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (cause instanceof io.netty.handler.codec.DecoderException) {
-                spoilt++;
+                spoilt("cannot be read: " + cause.getMessage());
                 end(Outcome.FAULT, null);
             } else {
                 end(written ? Outcome.RESET : Outcome.NO_CONNECTION, null);
--- a/src/main/java/sagepulley/resp/RespBytes.java
+++ b/src/main/java/sagepulley/resp/RespBytes.java
@@ -27,10 +27,11 @@
         return to;
     }
 
+    /** A bulk string; the bytes are not copied and must not change any more. */
     public static ByteBuf bulk(byte[] bytes) {
-        ByteBuf to = Unpooled.buffer(HEAD + bytes.length);
-        bulk(to, bytes);
-        return to;
+        ByteBuf first = Unpooled.buffer(HEAD);
+        head(first, '$', bytes.length);
+        return Unpooled.wrappedBuffer(first, Unpooled.wrappedBuffer(bytes), Unpooled.wrappedBuffer(CRLF));
     }
 
     /** A simple string; the text has neither CR nor LF. */
