--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -82,9 +82,9 @@
     // The usual time a unit takes with no queue: a low quantile, followed in small steps.
     private static final double PACE_STEP = 0.05;
     private static final double PACE_QUANTILE = 0.2;
-    // Silence of a node, as a share of the shortest target time, and how often it is tried then.
+    // Silence of a node, and how often it is tried then, as shares of the shortest target time.
     private static final double SILENCE_SHARE = 0.5;
-    private static final double TRIAL_EVERY = 400;
+    private static final double TRIAL_SHARE = 0.3;
     // An operation that would need more than this part of its usual time beyond its target time is late.
     private static final double LATE_FACTOR = 0.7;
     // Hops go on this part of the target time after it, where a late answer is worth this part at least.
@@ -583,8 +583,9 @@
         if (seat.node.standing != Node.Standing.READY) { return false; }
         if (silent(seat, now)) {
             // One operation at a time tries a node that takes work and answers none.
-            if (now - seat.sentAt < TRIAL_EVERY) {
-                lookAt(seat.sentAt + TRIAL_EVERY);
+            double next = seat.sentAt + TRIAL_SHARE * shortestTarget;
+            if (now < next) {
+                lookAt(next);
                 return false;
             }
             return seat.out.size() < MOST_BOUND;
@@ -923,7 +924,10 @@
             }
             // A full node is up, but one that hangs turns work away as well: only an answer restores trust. A
             // connection that breaks may be the only thing that did: if the node is down, the next hop tells.
-            case TIMED_OUT, NO_CONNECTION, FULL -> seat.distrusted |= seat.heardAt < hop.sentAt;
+            case NO_CONNECTION -> seat.distrusted |= seat.heardAt < hop.sentAt;
+            // A hop that had little time left tells as little.
+            case TIMED_OUT -> seat.distrusted |= seat.heardAt < hop.sentAt
+                    && hop.took >= SILENCE_SHARE * shortestTarget;
             default -> { }
         }
         if (hop.outcome == Outcome.FULL) { cut(seat, hop, now); }
--- a/src/main/java/sagepulley/platform/NodeLinks.java
+++ b/src/main/java/sagepulley/platform/NodeLinks.java
@@ -36,8 +36,6 @@
     /** What comes late behind an answer must meet a connection that carries nothing: it rests so long. */
     private static final double REST = 5;
     private static final double NS = 1e6;
-    /** An answer that has begun and brings nothing more for so long is spoilt; a slow network leaves no such gaps. */
-    private static final long STALL_MS = 150;
 
     /** Told the end of a call, once: the answer if one could be read, else null. */
     interface Ended {
@@ -49,6 +47,7 @@
     private final int most;
     private final double connectTimeout;
     private final double idleTime;
+    private final double stallTime;
     private final java.util.function.DoubleSupplier clock;
     private final RespLimits limits = RespLimits.replies(LONGEST_LINE, Front.LONGEST_VALUE,
             Front.LONGEST_VALUE + BESIDE_VALUE, MOST_ITEMS);
@@ -62,13 +61,15 @@
     /** Answers that were no use, by what was wrong with them. */
     final Map<String, Integer> spoilt = new TreeMap<>();
 
-    NodeLinks(Transport transport, int most, double connectTimeout, double idleTime,
+    /** An answer that has begun and brings nothing more for the stall time is spoilt. */
+    NodeLinks(Transport transport, int most, double connectTimeout, double idleTime, double stallTime,
               java.util.function.DoubleSupplier clock) {
         this.transport = transport;
         this.loop = transport.loops().next();
         this.most = most;
         this.connectTimeout = connectTimeout;
         this.idleTime = idleTime;
+        this.stallTime = stallTime;
         this.clock = clock;
     }
 
@@ -193,8 +194,7 @@
             ended = whenEnded;
             written = false;
             freeSince = Double.NaN;
-            timer = loop.schedule(() -> end(written ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION, null),
-                    (long) Math.max(1, timeout * NS), TimeUnit.NANOSECONDS);
+            timer = loop.schedule(this::timedOut, (long) Math.max(1, timeout * NS), TimeUnit.NANOSECONDS);
             if (connected) {
                 write();
             } else {
@@ -273,10 +273,21 @@
             if (stall != null) {
                 stall.cancel(false);
             }
-            stall = loop.schedule(() -> {
-                spoilt("stopped inside");
-                end(Outcome.FAULT, null);
-            }, STALL_MS, TimeUnit.MILLISECONDS);
+            stall = loop.schedule(this::stoppedInside, (long) (stallTime * NS), TimeUnit.NANOSECONDS);
+        }
+
+        private void stoppedInside() {
+            spoilt("stopped inside");
+            end(Outcome.FAULT, null);
+        }
+
+        /** Whoever has begun to answer is not silent. */
+        private void timedOut() {
+            if (decoder.inMiddle()) {
+                stoppedInside();
+            } else {
+                end(written ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION, null);
+            }
         }
 
         private boolean isOffered() {
--- a/src/main/java/sagepulley/platform/PlatformGateway.java
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -43,6 +43,8 @@
     private static final double LAST_TAKEN = 250;
     /** The part of the idle time told after which a free connection to a node is closed. */
     private static final double IDLE_PART = 0.4;
+    /** The part of the shortest target time that an answer may pause inside: it leaves time for another hop. */
+    private static final double STALL_PART = 0.3;
     /** Descriptors: some for the program itself, and of the rest this part for clients. */
     private static final int OWN_SOCKETS = 40;
     private static final double CLIENT_PART = 0.7;
@@ -83,11 +85,15 @@
         int clients = (int) (sockets * CLIENT_PART);
         this.front = new Front(transport, clients, this);
         this.nodes = new NodeLinks(transport, sockets - clients, config.connectTimeout(),
-                config.idleTime() * IDLE_PART, clock::now);
+                config.idleTime() * IDLE_PART, shortestTarget(config) * STALL_PART, clock::now);
         this.discovery = new DiscoveryLink(transport, config.discovery(), config.known().revision(), this);
         this.mostBytes = (long) (config.memoryMb() * (1 << 20) * BYTES_PART);
     }
 
+    private static double shortestTarget(Config config) {
+        return config.deployment().bands().stream().mapToDouble(Band::targetTime).min().orElse(0);
+    }
+
     /** Completes with the address once clients can connect there. */
     CompletableFuture<SocketAddress> start() {
         CompletableFuture<SocketAddress> ready = new CompletableFuture<>();
--- a/src/main/java/sagepulley/platform/Serve.java
+++ b/src/main/java/sagepulley/platform/Serve.java
@@ -30,7 +30,7 @@
         } catch (CompletionException e) {
             throw new ConfigError("cannot listen on " + config.listen() + ": " + e.getCause().getMessage());
         }
-        Log.info("ready", "name", config.name(), "listen", config.listen());
+        Log.info("ready", "name", config.name(), "listen", config.listen(), "bands", config.deployment().bands());
         gateway.ended().join();
         Log.flush(LAST_LINES_MS);
     }
--- a/src/test/java/sagepulley/control/HealthTest.java
+++ b/src/test/java/sagepulley/control/HealthTest.java
@@ -23,9 +23,11 @@
             host.take(FakeHost.WRITE, -1);
             host.end(host.lastHop(host.held.get(host.held.size() - 1)), Outcome.SATISFIED);
         }
-        assertEquals(1, sentTo(host, 0), "only the hop that found it silent");
-        host.passTime(250);
-        assertEquals(2, sentTo(host, 0), "one trial");
+        assertEquals(2, sentTo(host, 0), "the hop that found it silent, and one trial");
+        host.passTime(70);
+        assertEquals(2, sentTo(host, 0), "the next waits for a part of the shortest target time");
+        host.passTime(10);
+        assertEquals(3, sentTo(host, 0), "one more trial");
         for (int i = 0; i < host.sent.size(); i++) {
             if (host.sent.get(i).outcome == null) { host.end(host.sent.get(i), Outcome.SATISFIED); }
         }
@@ -48,6 +50,26 @@
         assertEquals(2, sentTo(host, 0), "the next trial waits for its time");
     }
 
+    @Test
+    void aFullAnswerMakesNoNodeSilent() {
+        FakeHost host = new FakeHost(2);
+        Operation refused = host.take(FakeHost.BULK, 0);
+        host.end(host.lastHop(refused), Outcome.FULL);
+        host.take(FakeHost.BULK, 0);
+        assertEquals(3, sentTo(host, 0), "the hop refused, the one after it, and the next operation's");
+    }
+
+    @Test
+    void aHopThatHadLittleTimeLeftMakesNoNodeSilent() {
+        FakeHost host = new FakeHost(2);
+        Operation hurried = host.takeHurried(FakeHost.BULK, 1, 0, 60);
+        host.passTime(60);
+        host.end(host.lastHop(hurried), Outcome.TIMED_OUT);
+        host.take(FakeHost.BULK, 0);
+        host.take(FakeHost.BULK, 0);
+        assertEquals(3, sentTo(host, 0), "none of them is a trial");
+    }
+
     @Test
     void clientsThatLeaveEarlySetAShorterTargetAndTheirWorkIsCalledOff() {
         FakeHost host = new FakeHost(1);
--- a/src/test/java/sagepulley/control/RulesTest.java
+++ b/src/test/java/sagepulley/control/RulesTest.java
@@ -169,9 +169,11 @@
         }
         for (Operation operation : taken) {
             host.end(host.lastHop(operation), Outcome.NO_CONNECTION);
-            host.passTime(402);
+            host.passTime(302);
         }
         assertEquals(1, taken.stream().mapToInt(operation -> operation.hops.size() - 1).sum());
+        host.passTime(200);
+        assertEquals(2, taken.stream().mapToInt(operation -> operation.hops.size() - 1).sum(), "a window later");
     }
 
     @Test
--- /dev/null
+++ b/src/test/java/sagepulley/platform/NodeLinksTest.java
@@ -0,0 +1,87 @@
+package sagepulley.platform;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import sagepulley.host.Clock;
+import sagepulley.model.Outcome;
+
+/** How a call to a node ends, by what its connection does. */
+class NodeLinksTest {
+    private static final long NEVER = 600_000;
+
+    private final Transport transport = Transport.sockets();
+    private final List<Socket> taken = new CopyOnWriteArrayList<>();
+    private ServerSocket node;
+
+    /** A node that says this to whoever connects, and then nothing more. */
+    private SocketAddress node(String says) throws IOException {
+        node = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(() -> {
+            try {
+                while (true) {
+                    Socket socket = node.accept();
+                    taken.add(socket);
+                    socket.getOutputStream().write(says.getBytes(StandardCharsets.US_ASCII));
+                }
+            } catch (IOException closed) {
+                // The test is over.
+            }
+        }, "node");
+        thread.setDaemon(true);
+        thread.start();
+        return node.getLocalSocketAddress();
+    }
+
+    private NodeLinks links(double stallTime) {
+        return new NodeLinks(transport, 100, 5_000, NEVER, stallTime, new Clock()::now);
+    }
+
+    private Outcome call(NodeLinks links, SocketAddress address, double timeout) {
+        CompletableFuture<Outcome> ended = new CompletableFuture<>();
+        transport.loops().next().execute(() -> links.probe(address, List.of("PING".getBytes(
+                StandardCharsets.US_ASCII)), timeout, (outcome, answer) -> ended.complete(outcome)));
+        return ended.join();
+    }
+
+    @Test
+    void whoeverHasBegunToAnswerByTheTimeOutIsAtFaultAndNotSilent() throws IOException {
+        SocketAddress address = node("*3\r\n$5\r\nva");
+        NodeLinks links = links(NEVER);
+        // The first bytes may come after a time-out, on a slow machine; not after every one.
+        await().until(() -> call(links, address, 50) == Outcome.FAULT);
+    }
+
+    @Test
+    void whoeverSaysNothingTimesOut() throws IOException {
+        SocketAddress address = node("");
+        NodeLinks links = links(1);
+        await().until(() -> call(links, address, 50) == Outcome.TIMED_OUT);
+    }
+
+    @Test
+    void anAnswerThatPausesForTheStallTimeIsAFault() throws IOException {
+        assertEquals(Outcome.FAULT, call(links(20), node("*3\r\n$5\r\nva"), NEVER));
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        node.close();
+        for (Socket socket : taken) {
+            socket.close();
+        }
+        transport.loops().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+}
