--- a/src/main/java/sagepulley/platform/Serve.java
+++ b/src/main/java/sagepulley/platform/Serve.java
@@ -37,7 +37,8 @@
         } catch (CompletionException e) {
             throw new ConfigError("cannot listen on " + config.listen() + ": " + e.getCause().getMessage());
         }
-        Log.info("ready", "name", config.name(), "listen", config.listen(), "bands", bands(config));
+        Log.info("ready", "name", config.name(), "listen", config.listen(), "bands", bands(config),
+                "idle-time", config.idleTime(), "connect-timeout", config.connectTimeout());
         whenReady.accept(gateway);
         gateway.ended().join();
         Log.flush(LAST_LINES_MS);
