Tests: SIGHUP by the signal, silent crowds, 60 MB at full speed, a client that reads nothing

Change: ServeTest starts a gateway as run does and moves its discovery by kill -HUP, then hands it a broken file; PlatformPathTest fills all descriptors with clients that say nothing, sends 60 MB at once, and asks without reading. All wait for conditions.

--- a/src/test/java/sagepulley/platform/PlatformPathTest.java
+++ b/src/test/java/sagepulley/platform/PlatformPathTest.java
@@ -232,6 +232,72 @@
         }
     }
 
+    @Test
+    void whoConnectsAndSaysNothingLeavesRoomForThoseWhoAsk() throws Exception {
+        try (Peers peers = new Peers(SERVES)) {
+            // The configuration has 256 descriptors for all.
+            for (int i = 0; i < 400; i++) {
+                peers.client();
+            }
+            await().until(() -> {
+                Peers.Talk client = peers.client();
+                try {
+                    client.ask(Peers.read(1));
+                    return "$5 value".equals(client.answer());
+                } catch (IOException turnedAway) {
+                    return false;
+                }
+            });
+        }
+    }
+
+    @Test
+    void sixtyMegabytesAtFullSpeedEndTheirOwnConnectionOnly() throws Exception {
+        try (Peers peers = new Peers(SERVES)) {
+            Peers.Talk good = peers.client();
+            Peers.Talk bad = peers.client();
+            byte[] chunk = new byte[1 << 20];
+            try {
+                bad.say("*5\r\n$9\r\nBLK.WRITE\r\n$16\r\n" + Figures.id(7) + "\r\n$16\r\n" + Figures.id(1)
+                        + "\r\n$1\r\nx\r\n$62914560\r\n");
+                for (int i = 0; i < 60; i++) {
+                    bad.socket.getOutputStream().write(chunk);
+                }
+                while (bad.in.read() >= 0) {
+                    continue;
+                }
+            } catch (IOException closed) {
+                // What is left unread makes the close a reset.
+            }
+            good.ask(Peers.read(5));
+            assertEquals("$5 value", good.answer());
+            assertEquals(1, peers.commands.size());
+        }
+    }
+
+    @Test
+    void aClientThatReadsNothingIsHeldUpAndThenClosed() throws Exception {
+        String value = "*3\r\n$60000\r\n" + "v".repeat(60_000) + "\r\n$-1\r\n$-1\r\n";
+        try (Peers peers = new Peers((words, talk) -> talk.say(value))) {
+            Peers.Talk deaf = peers.client();
+            int asked = 0;
+            try {
+                while (true) {
+                    deaf.ask(Peers.read(++asked));
+                    if (asked % 64 == 0) {
+                        deaf.socket.getOutputStream().flush();
+                    }
+                }
+            } catch (IOException closed) {
+                // By the gateway, for it read nothing for long.
+            }
+            assertTrue(peers.commands.size() < asked, peers.commands.size() + " of " + asked);
+            Peers.Talk good = peers.client();
+            good.ask(Peers.read(Long.MAX_VALUE));
+            assertTrue(good.answer().startsWith("$60000 "));
+        }
+    }
+
     private static void awaitQuietly(CountDownLatch latch) throws IOException {
         try {
             latch.await();
--- /dev/null
+++ b/src/test/java/sagepulley/platform/ServeTest.java
@@ -0,0 +1,76 @@
+package sagepulley.platform;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A gateway as `run` starts it: from a file, with the operating system's signals. */
+@Timeout(60)
+class ServeTest {
+    @TempDir
+    Path folder;
+
+    @Test
+    void atHangUpDiscoveryMovesAndABadFileLeavesAllAsItWas() throws Exception {
+        try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
+            int port;
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                port = free.getLocalPort();
+            }
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, config(port, peers.discovery()));
+            CompletableFuture<PlatformGateway> ready = new CompletableFuture<>();
+            CompletableFuture<Void> ended = CompletableFuture.runAsync(() -> {
+                try {
+                    Serve.run(Map.of("GW_CONFIG", file.toString()), ready::complete);
+                } catch (ConfigError bad) {
+                    throw new IllegalStateException(bad);
+                }
+            });
+            PlatformGateway gateway = ready.get();
+            await().until(() -> peers.watches.size() == 2);
+
+            Files.writeString(file, config(port, peers.discovery()));
+            hangUp();
+            await().until(() -> peers.watches.size() == 3);
+
+            Files.writeString(file, "{\"listen\":");
+            hangUp();
+            Peers.Talk client = new Peers.Talk(new Socket(InetAddress.getLoopbackAddress(), port));
+            client.ask("PING");
+            assertEquals("+PONG", client.answer());
+            assertEquals(3, peers.watches.size());
+            client.socket.close();
+            gateway.finish();
+            ended.get();
+        }
+    }
+
+    private static String config(int port, SocketAddress discovery) throws Exception {
+        try (InputStream in = ServeTest.class.getResourceAsStream("/rehearsal.json")) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8)
+                    .replace("\"listen\": \"127.0.0.1:1\"", "\"listen\": \"127.0.0.1:" + port + "\"")
+                    .replace("\"discovery\": \"127.0.0.1:1\"", "\"discovery\": \"127.0.0.1:"
+                            + ((InetSocketAddress) discovery).getPort() + "\"");
+        }
+    }
+
+    private static void hangUp() throws Exception {
+        Process kill = new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid())).start();
+        assertEquals(0, kill.waitFor());
+    }
+}
