--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -547,7 +547,8 @@
     /** Whether another hop is wanted at all; what the rules say of it is asked elsewhere. */
     private boolean mayHopAgain(Operation operation, double now) {
         return operation.hops.size() <= MOST_FURTHER_HOPS && operation.hops.size() < rules.mostHops()
-                && !overloaded(((Ticket) operation.kept).seat, now) && !operation.isOut() && lateAt(operation) > now;
+                && !overloaded(((Ticket) operation.kept).seat, now) && !operation.isOut()
+                && lateAt(operation) > now;
     }
 
     /** Overload is a node's matter: a surge at one forbids no further hop at another. */
--- a/src/test/java/sagepulley/platform/PlatformPathTest.java
+++ b/src/test/java/sagepulley/platform/PlatformPathTest.java
@@ -137,7 +137,8 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"*3\r\n$3221225472\r\nxxxx", "*3\r\n$65537\r\nvalue", "*3\r\n$9\r\nvalue\r\n$-1\r\n", "noise\r\n", "+OK\r\n",
+    @ValueSource(strings = {"*3\r\n$3221225472\r\nxxxx", "*3\r\n$65537\r\nvalue",
+        "*3\r\n$9\r\nvalue\r\n$-1\r\n", "noise\r\n", "+OK\r\n",
         "*3\r\n$-1\r\n$-1\r\n$-1\r\n", "*2\r\n$5\r\nvalue\r\n$-1\r\n", "*3\r\n$2\r\nvalue\r\n", ":7\r\n"})
     void aSpoiltAnswerIsNeverServedAndItsConnectionNeverUsedAgain(String spoilt) throws Exception {
         AtomicInteger asked = new AtomicInteger();
