Pushed lists are watched; silence, failed calls and moves together stay under 6 s

Ruled out: late or unread lists (the agent was never called).

Lines at fault: - Control.listed asked only where the settings say 'ask'; on the platform a pushed list too comes only on a watch. - DiscoveryLink.heard took any byte for life, 3.5 s; Control.listFailed backed off by 0.5 to 1.5 s and later up to half of the time for asking. - DiscoveryLink.lines cut at line ends, so an indented list failed the watch. - DiscoveryLink.told set the revision back by an answer that something newer had overtaken. - DiscoveryLink.moveTo asked the new address only where a call was out; otherwise the back-off was waited for. - Two SIGHUPs were read on two threads: the older file could be heard last.

Change: a deployment on a watch (Deployment.onWatch) asks at once where lists are pushed, and the front listens after the first answer, 1 s at most. Values are cut by Netty's JsonObjectDecoder; only a whole list or an empty line is life, for 2.7 s; a first answer is waited for 1.5 s; gaps between calls grow from 0.3 to 0.8 s, by chance half more or less. Lower numbers count only in a new call's first list. After a move Control is told and asks within 0.3 s. A fetch that ends without a whole list has failed. Reloads run one after the other. A gateway told to end before it is ready never listens.

Tests: DiscoveryTest (pieces, trickle, overtaken, reset inside, pushed, moved twice while backing off), HealthTest. The test of the move is replaced: the link no longer asks by itself (that is a decision), it says that it moved, and the test on the whole gateway asks for the new watch while calls fail.

--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -111,7 +111,12 @@
     private static final double COLD_PART = 0.8;
     private static final double COLD_BURST = 2;
     private static final double COLD_LOOK = 20;
-    private static final double ASK_AGAIN = 1_000;
+    // Whatever could be had counts as told after 6 s: a call that failed, and one more, must end before that. The
+    // gap before the next call grows to the most, half of it either way by chance, so that a fleet spreads.
+    private static final double ASK_AGAIN = 300;
+    private static final double MOST_ASK_GAP = 800;
+    // A call that was asked for tells of its end within this time.
+    private static final double ASK_PATIENCE = 2_000;
     // First calls to the list: this far apart, and all of them within a part of the time there is for it.
     private static final double ASK_STAGGER = 250;
     private static final double ASK_SPREAD = 0.8;
@@ -232,10 +237,16 @@
     public void listFailed(double now) {
         if (site.mustAsk()) {
             askAt = now + askGap * (0.5 + chance.nextDouble());
-            askGap = Math.min(askGap * 2, site.askWithin() / 2);
+            askGap = Math.min(askGap * 2, MOST_ASK_GAP);
         }
     }
 
+    /** The list is kept elsewhere from now on, and nobody has been asked there. */
+    public void listMoved(double now) {
+        askGap = ASK_AGAIN;
+        askAt = now + chance.nextDouble() * ASK_AGAIN;
+    }
+
     /** What a probe found. */
     public void probed(Node node, Outcome outcome, double took, double[] report, double now) {
         // No probe is asked for yet.
@@ -334,7 +345,7 @@
         if (askAt <= now) {
             call = Pause.ListCall.SUBSCRIBE;
             asked = true;
-            askAt = now + site.askWithin() / 2;
+            askAt = now + Math.max(site.askWithin() / 2, ASK_PATIENCE);
         }
         lookAt(askAt);
         List<Hop> callOff = List.copyOf(unwanted);
--- a/src/main/java/sagepulley/host/Host.java
+++ b/src/main/java/sagepulley/host/Host.java
@@ -96,6 +96,10 @@
         control.listFailed(now);
     }
 
+    public void listMoved(double now) {
+        control.listMoved(now);
+    }
+
     public void arrived(Operation operation, double now) {
         operations.put(operation.id, operation);
         answer(operation, control.place(operation, now));
--- a/src/main/java/sagepulley/model/Deployment.java
+++ b/src/main/java/sagepulley/model/Deployment.java
@@ -29,4 +29,10 @@
         double wastePrice,
         boolean weighsNodes,
         List<String> reportFields) {
+    /** The same where lists come only on a watch that this gateway opens: those that are pushed, at once. */
+    public Deployment onWatch() {
+        return mustAsk ? this : new Deployment(me, gateways, zone, bands, plans, rules, tick, shards, usualUnits,
+                mostUnits, shareWorth, beyondWorth, usePeriod, saysOthers, true, 0, mayProbe, mayCallOff, mayAdvise,
+                longestAdvice, crossZonePrice, probePrice, wastePrice, weighsNodes, reportFields);
+    }
 }
--- a/src/main/java/sagepulley/platform/DiscoveryLink.java
+++ b/src/main/java/sagepulley/platform/DiscoveryLink.java
@@ -1,6 +1,7 @@
 package sagepulley.platform;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -19,9 +20,9 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.json.JsonObjectDecoder;
 import io.netty.util.NetUtil;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -35,9 +36,14 @@
 final class DiscoveryLink {
     private static final String PATH = "/v1/endpoints";
     private static final int CONNECT_MS = 1_000;
-    /** A watch that says nothing so long is gone: an empty line is due every 2 s. */
-    private static final long SILENCE_MS = 3_500;
-    private static final int LONGEST_LINE = 1 << 20;
+    /**
+     * Whatever discovery has to tell counts as told after 6 s. An empty line is due every 2 s, so that a watch that
+     * brings none for this long is gone; a call's first list comes at once, or not at all. Both together leave time
+     * for a call that fails and one more.
+     */
+    private static final long SILENCE_MS = 2_700;
+    private static final long ANSWER_MS = 1_500;
+    private static final int LONGEST_LIST = 1 << 20;
 
     /** Told what discovery says, on the loop. */
     interface Owner {
@@ -88,18 +94,14 @@
         fetch.open();
     }
 
-    /** Discovery has another address from now on: whatever was asked of the old one is asked there. */
-    void moveTo(SocketAddress fresh) {
+    /** Discovery has another address from now on; the old one is not listened to any more. Whether it moved. */
+    boolean moveTo(SocketAddress fresh) {
         if (fresh.equals(address)) {
-            return;
+            return false;
         }
         address = fresh;
-        if (watch != null) {
-            subscribe();
-        }
-        if (fetch != null) {
-            fetch();
-        }
+        close();
+        return true;
     }
 
     void close() {
@@ -117,10 +119,12 @@
         return address instanceof InetSocketAddress socket ? NetUtil.toSocketAddressString(socket) : "here";
     }
 
-    /** One request and its answer, a list a line. */
+    /** One request and its answer: lists as JSON values, in any pieces and with any white space between. */
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
         private final boolean watches;
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final Values values = new Values();
+        /** The revision that was held when this call was opened. */
+        private final long after = revision;
         private Channel channel;
         private ScheduledFuture<?> silence;
         private boolean over;
@@ -136,11 +140,11 @@
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel fresh) {
-                            fresh.pipeline().addLast(new HttpClientCodec(), Call.this);
+                            fresh.pipeline().addLast(new HttpClientCodec(), Call.this, values, new Reader());
                         }
                     }).connect(address);
             channel = connecting.channel();
-            heard();
+            failIn(ANSWER_MS);
             connecting.addListener(done -> {
                 if (!done.isSuccess()) {
                     fail("no connection: " + done.cause().getMessage());
@@ -173,17 +177,16 @@
             }
         }
 
-        private void heard() {
+        private void failIn(long most) {
             if (silence != null) {
                 silence.cancel(false);
             }
-            silence = loop.schedule(() -> fail("nothing came for " + SILENCE_MS + " ms"), SILENCE_MS,
-                    TimeUnit.MILLISECONDS);
+            silence = loop.schedule(() -> fail("nothing came for " + most + " ms"), most, TimeUnit.MILLISECONDS);
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            String query = watches ? "?watch=1&after=" + revision : "";
+            String query = watches ? "?watch=1&after=" + after : "";
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     PATH + query);
             request.headers().set(HttpHeaderNames.HOST, hostOf(address));
@@ -195,7 +198,6 @@
             if (over) {
                 return;
             }
-            heard();
             if (!message.decoderResult().isSuccess()) {
                 fail("an answer that cannot be read");
                 return;
@@ -205,49 +207,42 @@
                 return;
             }
             if (message instanceof HttpContent content) {
-                lines(content.content());
+                boolean endsLine = content.content().indexOf(content.content().readerIndex(),
+                        content.content().writerIndex(), (byte) '\n') >= 0;
+                ctx.fireChannelRead(content.content().retain());
+                // Only a whole list or an empty line is a sign of life: half a list that trickles is silence too.
+                if (!over && answered && endsLine && !values.inMiddle()) {
+                    failIn(SILENCE_MS);
+                }
             }
             if (message instanceof LastHttpContent && !over) {
-                if (line.size() > 0) {
-                    told();
-                }
-                if (watches) {
-                    fail("the watch ended");
-                } else if (!over) {
+                if (watches || !answered || values.inMiddle()) {
+                    fail(watches ? "the watch ended" : "an answer without a whole list");
+                } else {
                     drop();
                     leave();
                 }
             }
         }
 
-        private void lines(ByteBuf bytes) {
-            while (bytes.isReadable() && !over) {
-                byte next = bytes.readByte();
-                if (watches && next == '\n') {
-                    told();
-                } else {
-                    line.write(next);
-                }
-                if (line.size() > LONGEST_LINE) {
-                    fail("a line of over " + LONGEST_LINE + " bytes");
-                }
-            }
-        }
-
-        private void told() {
-            byte[] text = line.toByteArray();
-            line.reset();
-            if (new String(text, StandardCharsets.ISO_8859_1).isBlank()) {
-                return;
-            }
+        private void told(ByteBuf text) {
             Listing listing;
             try {
-                listing = Listing.read(Json.object(text));
+                listing = Listing.read(Json.object(ByteBufUtil.getBytes(text)));
             } catch (IOException bad) {
                 fail("a list that cannot be read: " + bad.getMessage());
                 return;
             }
+            boolean first = !answered;
             answered = true;
+            if (watches) {
+                failIn(SILENCE_MS);
+            }
+            // Lower numbers come from a discovery that started anew, which a new call's first list tells; or from
+            // an answer that something newer has overtaken.
+            if (listing.revision() < revision && !(first && after == revision)) {
+                return;
+            }
             revision = listing.revision();
             owner.listed(listing);
         }
@@ -261,5 +256,31 @@
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             fail(String.valueOf(cause.getMessage()));
         }
+
+        /** Takes each value that is whole. */
+        private final class Reader extends SimpleChannelInboundHandler<ByteBuf> {
+            @Override
+            protected void channelRead0(ChannelHandlerContext ctx, ByteBuf value) {
+                if (!over) {
+                    told(value);
+                }
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                fail("a list that cannot be read: " + cause.getMessage());
+            }
+        }
+    }
+
+    /** Cuts the bytes into JSON values. */
+    private static final class Values extends JsonObjectDecoder {
+        Values() {
+            super(LONGEST_LIST);
+        }
+
+        boolean inMiddle() {
+            return actualReadableBytes() > 0;
+        }
     }
 }
--- a/src/main/java/sagepulley/platform/PlatformGateway.java
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -51,6 +51,8 @@
     /** The part of the memory that clients' bytes in hand may take. */
     private static final double BYTES_PART = 0.1;
     private static final double PROBE_TIMEOUT = 250;
+    /** A first list that is pushed is waited for so long, while nobody is served. */
+    private static final long FIRST_LIST_MS = 1_000;
 
     private final Config config;
     private final Clock clock = new Clock();
@@ -69,7 +71,10 @@
     private boolean settleDue;
     private double sweepDue = Double.POSITIVE_INFINITY;
     private double worstLag;
+    private boolean listening;
     private boolean stopping;
+    /** Completes with the end of the first call to discovery. */
+    private final CompletableFuture<Void> firstCall = new CompletableFuture<>();
     private double stopAt = Double.POSITIVE_INFINITY;
 
     /** What is kept of an operation in hand: its command, and where its answer goes. */
@@ -95,25 +100,46 @@
         return config.deployment().bands().stream().mapToDouble(Band::targetTime).min().orElse(0);
     }
 
+    private static double longestPatience(Config config) {
+        return config.deployment().bands().stream().mapToDouble(Band::patience).max().orElse(0);
+    }
+
     /** Completes with the address once clients can connect there. */
     CompletableFuture<SocketAddress> start() {
         CompletableFuture<SocketAddress> ready = new CompletableFuture<>();
         loop.execute(() -> {
             listed(config.known());
-            ChannelFuture bound = front.listen(config.listen());
-            bound.addListener(done -> {
-                if (done.isSuccess()) {
-                    ready.complete(bound.channel().localAddress());
-                } else {
-                    ready.completeExceptionally(done.cause());
-                }
-            });
+            settleNow();
             loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
             loop.scheduleWithFixedDelay(this::report, REPORT_MS, REPORT_MS, TimeUnit.MILLISECONDS);
+            // A list that is pushed counts as told from the first moment on: the first answer is waited for.
+            if (config.listPushed()) {
+                loop.schedule(() -> firstCall.complete(null), FIRST_LIST_MS, TimeUnit.MILLISECONDS);
+            } else {
+                firstCall.complete(null);
+            }
+            firstCall.thenRun(() -> listen(ready));
         });
         return ready;
     }
 
+    private void listen(CompletableFuture<SocketAddress> ready) {
+        if (stopping) {
+            ready.complete(config.listen()); // nobody was told that it is there
+            finish();
+            return;
+        }
+        listening = true;
+        ChannelFuture bound = front.listen(config.listen());
+        bound.addListener(done -> {
+            if (done.isSuccess()) {
+                ready.complete(bound.channel().localAddress());
+            } else {
+                ready.completeExceptionally(done.cause());
+            }
+        });
+    }
+
     /** Completes once the gateway has stopped, with all that it took answered. */
     CompletableFuture<Void> ended() {
         return ended;
@@ -272,6 +298,9 @@
             Log.warn("an entry of the list cannot be read", "entry", entry);
         }
         host.listed(book.entries(listing), listing.whole(), clock.now()).forEach(book::forget);
+        if (discovery.isWatching()) {
+            firstCall.complete(null);
+        }
         settle();
     }
 
@@ -279,6 +308,7 @@
     public void listFailed(String why) {
         Log.warn("the list of nodes failed", "why", why);
         host.listFailed(clock.now());
+        firstCall.complete(null);
         settle();
     }
 
@@ -318,7 +348,8 @@
         Runtime runtime = Runtime.getRuntime();
         Log.info("state", "in-hand", host.inHand().size(), "bytes", bytesInHand, "hops-out", nodes.hopsOut(),
                 "node-connections", nodes.open(), "opened", nodes.opened, "no-room-for-hop",
-                nodes.refusedForRoom, "spoilt", nodes.spoilt, "clients", front.size(), "accepted", front.accepted,
+                nodes.refusedForRoom, "spoilt", nodes.spoilt, "clients",
+                front.size(), "accepted", front.accepted,
                 "turned-away", front.turnedAway, "revision", discovery.revision(), "watching",
                 discovery.isWatching(), "lag-ms", Math.round(worstLag), "heap-kb",
                 (runtime.totalMemory() - runtime.freeMemory()) >> 10, "counts", counts, "bands", host.bands());
@@ -338,7 +369,10 @@
     void reload(Config fresh) {
         loop.execute(() -> {
             Log.info("configuration read anew", "discovery", fresh.discovery());
-            discovery.moveTo(fresh.discovery());
+            if (discovery.moveTo(fresh.discovery())) {
+                host.listMoved(clock.now());
+                settle();
+            }
         });
     }
 
@@ -349,11 +383,11 @@
                 return;
             }
             stopping = true;
-            double longest = 0;
-            for (Band band : config.deployment().bands()) {
-                longest = Math.max(longest, band.patience());
+            if (!listening) {
+                firstCall.complete(null);
+                return;
             }
-            double left = Math.min(longest, LONGEST_STOP) + KILL_AFTER - ANSWERED_BEFORE;
+            double left = Math.min(longestPatience(config), LONGEST_STOP) + KILL_AFTER - ANSWERED_BEFORE;
             stopAt = clock.now() + left;
             front.keepUnused();
             Log.info("stopping", "in-hand", host.inHand().size());
--- a/src/main/java/sagepulley/platform/Serve.java
+++ b/src/main/java/sagepulley/platform/Serve.java
@@ -1,9 +1,12 @@
 package sagepulley.platform;
 
+import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.function.Consumer;
 import sagepulley.model.Band;
 
@@ -28,7 +31,9 @@
         PlatformGateway gateway = new PlatformGateway(config, Transport.sockets());
         Signals.on("TERM", gateway::stop);
         Signals.on("INT", gateway::stop);
-        Signals.on("HUP", () -> reload(gateway, environment));
+        // One after the other: the last to read the file is the last to be heard.
+        ExecutorService reloads = Executors.newSingleThreadExecutor(new DefaultThreadFactory("reload", true));
+        Signals.on("HUP", () -> reloads.execute(() -> reload(gateway, environment)));
         Log.quiet(true);
         Rehearsal.inside(REHEARSED, REHEARSAL_MS);
         Log.quiet(false);
--- a/src/test/java/sagepulley/control/HealthTest.java
+++ b/src/test/java/sagepulley/control/HealthTest.java
@@ -247,6 +247,37 @@
         assertTrue(host.listCalls > calls, "but it does ask again");
     }
 
+    /** What can be had counts as told after 6 s, whatever failed before: three calls must fit into that. */
+    @Test
+    void howeverLongTheListCannotBeHadItIsAskedForSoonAgain() {
+        FakeHost host = new FakeHost(1, 0, 100, true, Double.NaN);
+        double lastCall = host.now;
+        double longest = 0;
+        for (int seen = 0; host.now < 160_000; host.passTime(2)) {
+            if (host.listCalls > seen) {
+                longest = Math.max(longest, host.now - lastCall);
+                lastCall = host.now;
+                seen = host.listCalls;
+                host.control.listFailed(host.now);
+            }
+        }
+        assertTrue(longest <= 1_300, "at most " + longest + " ms between two calls");
+        assertTrue(host.listCalls < 100, "in a minute " + host.listCalls);
+    }
+
+    @Test
+    void aListThatMovedIsAskedForAtOnceWhateverFailedBefore() {
+        FakeHost host = new FakeHost(1, 0, 100, true, Double.NaN);
+        host.passTime(10);
+        for (int i = 0; i < 10; i++) {
+            host.control.listFailed(host.now);
+        }
+        int calls = host.listCalls;
+        host.control.listMoved(host.now);
+        host.passTime(302);
+        assertEquals(calls + 1, host.listCalls);
+    }
+
     @Test
     void theLastOfManyGatewaysHasAskedForTheListBeforeItCountsAsTold() {
         FakeHost host = new FakeHost(1, 199, 200, true, Double.NaN);
--- a/src/test/java/sagepulley/platform/DiscoveryTest.java
+++ b/src/test/java/sagepulley/platform/DiscoveryTest.java
@@ -2,9 +2,11 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
+import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -87,14 +89,151 @@
     }
 
     @Test
-    void aNewAddressIsAskedAtOnceAndTheOldWatchsEndIsNoFailure() throws Exception {
+    void aNewAddressIsAskedFromThenOnAndTheOldWatchsEndIsNoFailure() throws Exception {
         try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
             DiscoveryLink link = link(peers);
             await().until(() -> told.size() == 1);
             var second = peers.discovery();
-            loop.submit(() -> link.moveTo(second)).get(10, TimeUnit.SECONDS);
+            loop.submit(() -> {
+                assertTrue(link.moveTo(second));
+                assertFalse(link.moveTo(second), "it is there already");
+                link.subscribe();
+            }).get(10, TimeUnit.SECONDS);
             await().until(() -> told.size() == 2);
             assertEquals(List.of(), failures);
         }
     }
+
+    /** What the old address still says, or its end, is nobody's business once it has moved. */
+    @Test
+    void aGatewayAsksTheNewAddressSoonThoughNoCallWasOut() throws Exception {
+        try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
+            await().until(() -> peers.watches.size() == 1);
+            peers.listing = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+            peers.watches.get(0).socket.close();
+            await().until(() -> peers.calls.size() >= 2);
+            peers.listing = "{\"revision\":7,\"complete\":false,\"members\":[]}";
+            var first = peers.discovery();
+            var second = peers.discovery();
+            peers.gateway.reload(peers.configAt(first));
+            peers.gateway.reload(peers.configAt(second));
+            await().until(() -> peers.watches.stream().anyMatch(watch ->
+                    watch.socket.getLocalSocketAddress().equals(second)));
+        }
+    }
+
+    @Test
+    void aListIsReadInWhateverPiecesAndWhiteSpaceItComes() throws Exception {
+        try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
+            link(peers);
+            await().until(() -> told.size() == 1);
+            Peers.Talk watch = lastWatch(peers);
+            String indented = "\n{\n  \"revision\": 50,\r\n\n  \"complete\": false,\n  \"members\": [\n"
+                    + "    {\n      \"id\": \"br}ace\\\"{\",\n      \"phase\": \"DELETED\"\n    }\n  ]\n}\n\n";
+            for (char each : indented.toCharArray()) {
+                watch.say("1\r\n" + each + "\r\n");
+            }
+            await().until(() -> told.size() == 2);
+            assertEquals(50, told.get(1).revision());
+            assertEquals("br}ace\"{", told.get(1).members().get(0).id());
+            String two = CHANGE.formatted(51, "") + CHANGE.formatted(52, "") + "\n";
+            watch.say(Integer.toHexString(two.length()) + "\r\n" + two + "\r\n");
+            await().until(() -> told.size() == 4);
+            assertEquals(List.of(), failures);
+        }
+    }
+
+    @Test
+    void halfAListThatTricklesIsSilence() throws Exception {
+        try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
+            link(peers);
+            await().until(() -> told.size() == 1);
+            Peers.Talk watch = lastWatch(peers);
+            watch.say("1\r\n{\r\n");
+            // Bounded, and far longer than any silence that may be borne.
+            for (int i = 0; i < 200 && failures.isEmpty(); i++) {
+                try {
+                    watch.say("1\r\n\n\r\n");
+                } catch (IOException closed) {
+                    break;
+                }
+                Thread.sleep(50);
+            }
+            await().until(() -> failures.size() == 1);
+        }
+    }
+
+    @Test
+    void whatIsOlderThanWhatIsHeldIsNotToldAndADiscoveryThatStartsAnewIs() throws Exception {
+        try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
+            DiscoveryLink link = link(peers);
+            await().until(() -> told.size() == 1);
+            Peers.tell(lastWatch(peers), CHANGE.formatted(60, ""));
+            Peers.tell(lastWatch(peers), CHANGE.formatted(59, ""));
+            Peers.tell(lastWatch(peers), CHANGE.formatted(61, ""));
+            await().until(() -> told.size() >= 3);
+            assertEquals(List.of(2L, 60L, 61L), told.stream().map(Listing::revision).toList());
+            peers.listing = "{\"revision\":5,\"complete\":true,\"members\":[]}";
+            loop.submit(link::subscribe).get(10, TimeUnit.SECONDS);
+            await().until(() -> told.size() == 4);
+            Peers.tell(lastWatch(peers), CHANGE.formatted(6, ""));
+            await().until(() -> told.size() == 5);
+            assertEquals(List.of(), failures);
+        }
+    }
+
+    /** A fetch that was answered late, behind a newer line of the watch. */
+    @Test
+    void aWholeListThatSomethingNewerHasOvertakenIsNotTold() throws Exception {
+        try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
+            DiscoveryLink link = link(peers);
+            await().until(() -> told.size() == 1);
+            Peers.Talk watch = lastWatch(peers);
+            peers.listing = null;
+            int calls = peers.calls.size();
+            loop.submit(link::fetch).get(10, TimeUnit.SECONDS);
+            await().until(() -> peers.calls.size() > calls);
+            Peers.tell(watch, CHANGE.formatted(70, ""));
+            await().until(() -> told.size() == 2);
+            Peers.Talk late = peers.silent.get(peers.silent.size() - 1);
+            String whole = "{\"revision\":8,\"complete\":true,\"members\":[]}";
+            late.say("HTTP/1.1 200 OK\r\nContent-Length: " + whole.length() + "\r\n\r\n" + whole);
+            assertEquals(-1, late.in.read(), "the call is over");
+            Peers.tell(watch, CHANGE.formatted(71, ""));
+            await().until(() -> told.size() == 3);
+            assertEquals(71, link.revision());
+            assertEquals(71, told.get(2).revision());
+        }
+    }
+
+    @Test
+    void anAnswerWithoutLengthThatIsResetInsideIsNoList() throws Exception {
+        try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
+            DiscoveryLink link = link(peers);
+            await().until(() -> told.size() == 1);
+            peers.listing = null;
+            int calls = peers.calls.size();
+            loop.submit(link::fetch).get(10, TimeUnit.SECONDS);
+            await().until(() -> peers.calls.size() > calls);
+            Peers.Talk talk = peers.silent.get(peers.silent.size() - 1);
+            talk.say("HTTP/1.1 200 OK\r\n\r\n{\"revision\":90,\"complete\":true,\"members\":[");
+            talk.socket.setSoLinger(true, 0);
+            talk.socket.close();
+            await().until(() -> failures.size() == 1);
+            assertEquals(1, told.size());
+        }
+    }
+
+    @Test
+    void aListThatIsPushedIsWatchedAndKnownBeforeAnybodyIsServed() throws Exception {
+        try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE),
+                text -> text.replace("\"discovery\": \"subscribe\"", "\"discovery\": \"automatic\""))) {
+            assertEquals(1, peers.calls.size());
+            assertTrue(peers.calls.get(0).contains("watch=1"));
+        }
+    }
+
+    private static Peers.Talk lastWatch(Peers peers) {
+        return peers.watches.get(peers.watches.size() - 1);
+    }
 }
--- a/src/test/java/sagepulley/platform/Peers.java
+++ b/src/test/java/sagepulley/platform/Peers.java
@@ -13,8 +13,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 /** A gateway on loopback with one node and a discovery that do as a test's script says. */
 final class Peers implements Closeable {
@@ -85,14 +87,22 @@
     final List<List<String>> commands = new CopyOnWriteArrayList<>();
     final List<String> calls = new CopyOnWriteArrayList<>();
     final List<Talk> watches = new CopyOnWriteArrayList<>();
+    /** Calls to discovery that were not answered. */
+    final List<Talk> silent = new CopyOnWriteArrayList<>();
     final PlatformGateway gateway;
     final Transport transport = Transport.sockets();
     /** What discovery answers a call with; null: it says nothing. */
     volatile String listing = "{\"revision\":2,\"complete\":false,\"members\":[]}";
     private final List<Closeable> open = new CopyOnWriteArrayList<>();
     private final SocketAddress front;
+    private final Config config;
 
     Peers(Script script) throws Exception {
+        this(script, text -> text);
+    }
+
+    /** The same with another configuration file. */
+    Peers(Script script, UnaryOperator<String> change) throws Exception {
         ServerSocket node = serve(talk -> {
             for (List<String> words = talk.command(); words != null; words = talk.command()) {
                 commands.add(words);
@@ -100,7 +110,9 @@
             }
         });
         SocketAddress discovery = discovery();
-        gateway = new PlatformGateway(Rehearsal.config(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+        config = Config.of(Json.object(change.apply(Rehearsal.text()).getBytes(StandardCharsets.UTF_8)),
+                Map.of());
+        gateway = new PlatformGateway(config.at(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 discovery, node.getLocalSocketAddress()), transport);
         front = gateway.start().get(PATIENCE_MS, TimeUnit.MILLISECONDS);
     }
@@ -108,10 +120,14 @@
     /** One more discovery; it answers as the listing says, and keeps the watch open. */
     SocketAddress discovery() throws IOException {
         return serve(talk -> {
-            calls.add(talk.line());
+            String call = talk.line();
             while (!talk.line().isEmpty()) {
                 continue;
             }
+            if (listing == null) {
+                silent.add(talk);
+            }
+            calls.add(call);
             if (listing == null) {
                 talk.in.read();
             } else if (listing.startsWith("HTTP")) {
@@ -129,6 +145,11 @@
         talk.say(Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
     }
 
+    /** The gateway's configuration with discovery at this address. */
+    Config configAt(SocketAddress discovery) {
+        return config.at(front, discovery, front);
+    }
+
     Talk client() throws IOException {
         Socket socket = new Socket();
         socket.connect(front);
