Client and node connections end one way; what one turn of the loop read is taken in before a send

Found by reading, each forced with real sockets and a loop that a test holds still:

Now one machine for all: open, draining, half-closed, closed.
What was taken is answered, commands read meanwhile are refused (BUSY), the output is shut, input is read and dropped up to the peer's end or 1 s.
- Host.arrived placed at once: a command and the client's end in one read were sent on.
And the pipeline tells a close one task after the settling that the read asked for: PlatformPathTest saw it sent with both in the kernel.
Arrivals are placed when things are settled, and the close is heard from the channel's close future.
- A hop of a client that left while its connection came up was written where calling off is not allowed, and called off one task late where it is.
What is not written is cut at once, whatever the settings.
- BlockCommand.forNode was rendered before connecting: the time told to a node was too long by the time to connect.
It is rendered when written; with under 1 ms left nothing is sent.
- NodeLinks.takeFree took connections whose end, reset or second answer lay unread: the kernel is asked (TCP_INFO) first.
The rest after an answer is 25 ms (5): a second answer may come some milliseconds late.

--- a/src/main/java/sagepulley/host/Host.java
+++ b/src/main/java/sagepulley/host/Host.java
@@ -1,5 +1,6 @@
 package sagepulley.host;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -9,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import sagepulley.control.BandView;
 import sagepulley.control.Control;
@@ -37,6 +39,8 @@
     private final Map<Long, Volume> volumes = new HashMap<>();
     private final Map<Integer, Node> nodes = new LinkedHashMap<>();
     private final Map<Integer, Double> goneSince = new HashMap<>();
+    /** Taken, and not yet placed: all that came at one moment is known before anything is sent. */
+    private final Queue<Operation> arrivals = new ArrayDeque<>();
 
     public Host(Deployment deployment, long seed, Exit exit) {
         this.deployment = deployment;
@@ -100,9 +104,10 @@
         control.listMoved(now);
     }
 
-    public void arrived(Operation operation, double now) {
+    /** Takes an operation; it is placed when things are settled, if its client has not left by then. */
+    public void arrived(Operation operation) {
         operations.put(operation.id, operation);
-        answer(operation, control.place(operation, now));
+        arrivals.add(operation);
     }
 
     public Volume volume(long id, int plan) {
@@ -131,7 +136,7 @@
     public Map<Reason, Integer> waiting(double now) {
         Map<Reason, Integer> waiting = new EnumMap<>(Reason.class);
         for (Operation operation : operations.values()) {
-            if (!operation.over && !operation.isOut()) {
+            if (!operation.over && !operation.isOut() && !arrivals.contains(operation)) {
                 waiting.merge(control.why(operation, now), 1, Integer::sum);
             }
         }
@@ -158,7 +163,9 @@
         Operation operation = operations.get(id);
         if (operation != null && !operation.over) {
             operation.over = true;
-            control.left(operation, now);
+            if (!arrivals.remove(operation)) {
+                control.left(operation, now);
+            }
             forget(operation);
         }
     }
@@ -172,6 +179,9 @@
 
     /** After all that happened at this moment: whatever is due now, and when to be woken for what is later. */
     public void settle(double now) {
+        for (Operation fresh = arrivals.poll(); fresh != null; fresh = arrivals.poll()) {
+            answer(fresh, control.place(fresh, now));
+        }
         Pause pause = control.pause(now);
         while (true) {
             pause.callOff().forEach(exit::callOff);
--- a/src/main/java/sagepulley/platform/ClientConnection.java
+++ b/src/main/java/sagepulley/platform/ClientConnection.java
@@ -3,9 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -14,8 +14,15 @@
 import sagepulley.resp.RespBytes;
 import sagepulley.resp.RespDecoder;
 
-/** One client's connection: its commands in, its answers out in the order of the commands. On the loop. */
+/**
+ * One client's connection: its commands in, its answers out in the order of the commands. However it ends, it ends
+ * the same way: open, draining, half-closed, closed. Input is read in every phase, so that the peer's end is seen
+ * and no close meets bytes unread in the kernel, which would make a reset of it. On the loop.
+ */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
+    /** Draining: what it asks is refused; half-closed: all is answered, the output is shut, input is dropped. */
+    private enum Phase { OPEN, DRAINING, HALF_CLOSED, CLOSED }
+
     /** Commands unanswered on one connection; with more, nothing is read from it. */
     private static final int MOST_UNANSWERED = 64;
 
@@ -55,12 +62,17 @@
     private final RespDecoder decoder;
     private final ArrayDeque<Slot> unanswered = new ArrayDeque<>();
     private Channel channel;
-    private boolean ending;
-    private boolean closed;
-    /** When it connected, when it last did something, and since when it has read nothing of what waits. */
+    private Phase phase = Phase.OPEN;
+    private boolean shutting;
+    /** When it connected, when it last asked or was answered, and when it last sent a byte. */
     double connectedAt;
     double activeAt;
+    double heardAt;
+    /** Since when a command has been under way. */
+    double partialSince = Double.POSITIVE_INFINITY;
+    /** Since when it has read nothing of what waits, and since when all is answered on a connection that ends. */
     double stuckSince = Double.POSITIVE_INFINITY;
+    double doneSince = Double.POSITIVE_INFINITY;
     /** Whether a whole command that could be read has come. */
     boolean asked;
 
@@ -69,28 +81,33 @@
         this.decoder = decoder;
     }
 
-    boolean isIdle() {
-        return unanswered.isEmpty() && !decoder.inMiddle();
+    /** Whether some of a command has come, but not all of it. */
+    boolean inMiddle() {
+        return decoder.inMiddle();
     }
 
     boolean hasOpen() {
         return !unanswered.isEmpty();
     }
 
+    boolean isEnding() {
+        return phase != Phase.OPEN;
+    }
+
     /** How long ago the command that is being read came. */
     double cameAgo(Arrival arrival) {
         return arrival.ago(channel, activeAt - connectedAt);
     }
 
-    /** Takes nothing more, and closes once all that was taken is answered. */
+    /** Answers what was taken, then shuts the output, and closes with the peer's end. */
     void end() {
-        ending = true;
-        if (channel != null) {
-            channel.config().setAutoRead(false);
+        if (phase == Phase.OPEN) {
+            phase = Phase.DRAINING;
             advance();
         }
     }
 
+    /** Ends without waiting for anybody. */
     void close() {
         if (channel != null) {
             channel.close();
@@ -102,14 +119,16 @@
         channel = ctx.channel();
         connectedAt = owner.now();
         activeAt = connectedAt;
+        heardAt = connectedAt;
+        channel.closeFuture().addListener(closed -> gone());
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        activeAt = owner.now();
-        if (ending) {
-            return;
+        if (phase == Phase.HALF_CLOSED || shutting) {
+            return; // read after the end was said: never sent on
         }
+        activeAt = owner.now();
         Slot slot = new Slot(this);
         unanswered.add(slot);
         List<byte[]> words = BlockCommand.words((Resp.Array) message);
@@ -126,34 +145,54 @@
         pace();
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        heardAt = owner.now();
+        partialSince = !inMiddle() ? Double.POSITIVE_INFINITY : Math.min(partialSince, heardAt);
+    }
+
     private void advance() {
         boolean wrote = false;
         while (!unanswered.isEmpty() && unanswered.peek().answer != null) {
             ByteBuf bytes = unanswered.poll().answer;
-            if (closed) {
+            if (phase == Phase.CLOSED) {
                 bytes.release();
             } else {
                 channel.write(bytes, channel.voidPromise());
                 wrote = true;
             }
         }
-        if (closed) {
+        if (phase == Phase.CLOSED) {
             return;
         }
         if (wrote) {
             activeAt = owner.now();
             channel.flush();
         }
-        if (ending && unanswered.isEmpty()) {
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                    .addListener(ChannelFutureListener.CLOSE);
+        if (phase == Phase.DRAINING && unanswered.isEmpty() && !shutting) {
+            shutting = true;
+            doneSince = owner.now();
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(flushed -> shutOutput());
         }
         pace();
     }
 
+    /** All is written: says so to the peer, whose own end closes the connection. */
+    private void shutOutput() {
+        if (phase != Phase.DRAINING) {
+            return;
+        }
+        phase = Phase.HALF_CLOSED;
+        if (channel instanceof DuplexChannel socket) {
+            socket.shutdownOutput();
+        } else {
+            channel.close();
+        }
+    }
+
     private void pace() {
-        if (!closed) {
-            channel.config().setAutoRead(!ending && unanswered.size() < MOST_UNANSWERED
+        if (phase != Phase.CLOSED) {
+            channel.config().setAutoRead(shutting || unanswered.size() < MOST_UNANSWERED
                     && channel.isWritable());
         }
     }
@@ -164,9 +203,12 @@
         pace();
     }
 
-    @Override
-    public void channelInactive(ChannelHandlerContext ctx) {
-        closed = true;
+    /**
+     * Told by the close itself: the pipeline's word comes a task later, after what this turn of the loop has read
+     * was sent on.
+     */
+    private void gone() {
+        phase = Phase.CLOSED;
         for (Slot slot : List.copyOf(unanswered)) {
             if (slot.answer == null && slot.held != null) {
                 owner.left(slot);
@@ -183,10 +225,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        if (cause instanceof DecoderException && !ending) {
+        if (cause instanceof DecoderException && phase == Phase.OPEN) {
             Slot slot = new Slot(this);
             unanswered.add(slot);
-            ending = true;
+            phase = Phase.DRAINING;
             slot.answer(RespBytes.error("ERR protocol error: " + cause.getMessage()));
         } else if (!(cause instanceof DecoderException)) {
             // A reset is how many clients leave; anything else is worth a line.
--- a/src/main/java/sagepulley/platform/Front.java
+++ b/src/main/java/sagepulley/platform/Front.java
@@ -5,12 +5,14 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import sagepulley.resp.RespDecoder;
 import sagepulley.resp.RespLimits;
 
@@ -24,17 +26,22 @@
     private static final int BACKLOG = 1024;
     private static final int UNREAD_LOW = 65_536;
     private static final int UNREAD_HIGH = 262_144;
-    /** A connection without a whole command is closed by this age; one that stops reading, after this long. */
+    /** A connection that owes bytes, of a command or of its first one, is ended after this long without any. */
     private static final double SILENT_TIME = 2_000;
     /** A client that means to ask has done so by then. */
     private static final double FIRST_COMMAND_TIME = 100;
     private static final double STUCK_TIME = 5_000;
+    /** A connection that has said its end waits so long for the peer's, and at most so many wait. */
+    private static final double LINGER_TIME = 1_000;
+    private static final int MOST_LINGERING = 16;
     /** One that nobody uses may go after this long where room is short, and goes after that long anyway. */
     private static final double UNUSED_TIME = 2_000;
     private static final double LONG_UNUSED_TIME = 15_000;
 
     private final Transport transport;
     private final int most;
+    private final double slowest;
+    private final EventLoop loop;
     private final ClientConnection.Owner owner;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
@@ -43,9 +50,12 @@
     long accepted;
     long turnedAway;
 
-    Front(Transport transport, int most, ClientConnection.Owner owner) {
+    /** So many connections at most; a command that takes longer than the slowest time to come is of no use. */
+    Front(Transport transport, int most, double slowest, ClientConnection.Owner owner) {
         this.transport = transport;
-        this.most = most;
+        this.loop = transport.loops().next();
+        this.most = most - MOST_LINGERING;
+        this.slowest = Math.max(slowest, SILENT_TIME);
         this.owner = owner;
     }
 
@@ -59,7 +69,7 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         accepted++;
-                        if (connections.size() >= most && !makeRoom()) {
+                        if (!hasRoom()) {
                             turnedAway++;
                             channel.close();
                             return;
@@ -83,31 +93,56 @@
         connections.remove(connection);
     }
 
+    /** Whether some connection has a command under way. */
+    boolean isInMiddle() {
+        return connections.stream().anyMatch(ClientConnection::inMiddle);
+    }
+
     int size() {
         return connections.size();
     }
 
+    /** Whether one more can be held, if need be by ending another. */
+    private boolean hasRoom() {
+        ClientConnection oldestEnding = null;
+        int ending = 0;
+        for (ClientConnection connection : connections) {
+            if (connection.isEnding() && !connection.hasOpen()) {
+                oldestEnding = oldestEnding == null ? connection : oldestEnding;
+                ending++;
+            }
+        }
+        if (connections.size() - ending < most) {
+            return true;
+        }
+        if (ending >= MOST_LINGERING) {
+            oldestEnding.close();
+        }
+        return makeRoom();
+    }
+
     /**
      * Ends one connection without an open command: the oldest that never asked, if what it would ask must have
-     * come by now, else whoever was unused longest.
+     * come by now, else whoever was unused longest, and of those rather one that has begun no command.
      */
     private boolean makeRoom() {
         ClientConnection worst = null;
         double now = owner.now();
         for (ClientConnection connection : connections) {
-            if (connection.hasOpen()) {
+            if (connection.hasOpen() || connection.isEnding()) {
                 continue;
             }
-            if (!connection.asked && now - connection.connectedAt > FIRST_COMMAND_TIME) {
+            if (!connection.asked && now - connection.heardAt > FIRST_COMMAND_TIME) {
                 worst = connection;
                 break;
             }
-            if (worst == null || connection.activeAt < worst.activeAt) {
+            if (worst == null || worst.inMiddle() && !connection.inMiddle()
+                    || worst.inMiddle() == connection.inMiddle() && connection.activeAt < worst.activeAt) {
                 worst = connection;
             }
         }
         if (worst != null) {
-            worst.close();
+            worst.end();
         }
         return worst != null;
     }
@@ -118,12 +153,17 @@
         boolean crowded = connections.size() > most / 2;
         for (ClientConnection connection : new ArrayList<>(connections)) {
             double quiet = now - connection.activeAt;
-            if (now - connection.stuckSince > STUCK_TIME) {
-                connection.close();
-            } else if (!connection.hasOpen() && (!connection.asked && now - connection.connectedAt > SILENT_TIME
-                    || !connection.isIdle() && quiet > SILENT_TIME
-                    || !keeping && quiet > (crowded ? UNUSED_TIME : LONG_UNUSED_TIME))) {
+            double silent = now - connection.heardAt;
+            if (now - connection.stuckSince > STUCK_TIME || now - connection.doneSince > LINGER_TIME) {
                 connection.close();
+            } else if (connection.hasOpen()) {
+                continue;
+            } else if (connection.inMiddle() ? silent > SILENT_TIME || now - connection.partialSince > slowest
+                    : !connection.asked ? now - connection.connectedAt > SILENT_TIME
+                    : !keeping && quiet > (crowded ? UNUSED_TIME : LONG_UNUSED_TIME)) {
+                connection.end();
+            } else if (ending && now - connection.connectedAt > FIRST_COMMAND_TIME) {
+                connection.end();
             }
         }
     }
@@ -135,15 +175,40 @@
 
     /** Whether it has been ended, and the last connection is closed. */
     boolean hasEnded() {
-        return ending && connections.isEmpty();
+        return ending && listener == null && connections.isEmpty();
     }
 
-    /** Takes no new connections, and ends each of those that stand once all that it asked is answered. */
+    boolean isEnding() {
+        return ending;
+    }
+
+    /**
+     * Takes no new connections, and ends each of those that stand once all that it asked is answered. What the
+     * kernel has accepted by now is taken first, and may still ask: the sweep ends it.
+     */
     void end() {
         ending = true;
-        if (listener != null) {
+        closeListener(-1);
+        double now = owner.now();
+        for (ClientConnection connection : new ArrayList<>(connections)) {
+            if (connection.asked || now - connection.connectedAt > FIRST_COMMAND_TIME) {
+                connection.end();
+            }
+        }
+    }
+
+    /** Closes it in a turn of the loop in which nobody was there to be accepted. */
+    private void closeListener(long acceptedBefore) {
+        if (listener == null) {
+            return;
+        }
+        if (accepted == acceptedBefore) {
             listener.close();
+            listener = null;
+            return;
         }
-        new ArrayList<>(connections).forEach(ClientConnection::end);
+        long acceptedNow = accepted;
+        // Not executed but scheduled: the loop looks at its sockets before it runs what was scheduled meanwhile.
+        loop.schedule(() -> closeListener(acceptedNow), 1, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/sagepulley/platform/NodeLinks.java
+++ b/src/main/java/sagepulley/platform/NodeLinks.java
@@ -34,10 +34,17 @@
     private static final int LONGEST_LINE = 512;
     private static final int MOST_ITEMS = 3;
     private static final int BESIDE_VALUE = 2048;
-    /** What comes late behind an answer must meet a connection that carries nothing: it rests so long. */
-    private static final double REST = 5;
+    /** What comes some milliseconds late behind an answer must meet a connection that carries nothing. */
+    private static final double REST = 25;
+    /** A time that a command tells is in whole milliseconds: with less left, nothing is sent. */
+    private static final double LEAST_LEFT = 1;
     private static final double NS = 1e6;
 
+    /** The words of a command to a node that is given so many milliseconds. */
+    interface Command {
+        List<byte[]> words(double left);
+    }
+
     /** Told the end of a call, once: the answer if one could be read, else null, and when it came to the machine. */
     interface Ended {
         void accept(Outcome outcome, Resp answer, double at);
@@ -60,6 +67,8 @@
     private int open;
     long opened;
     long refusedForRoom;
+    /** Free connections that were found to have ended, or to have brought something, when they were wanted. */
+    long foundSpent;
     /** Answers that were no use, by what was wrong with them. */
     final Map<String, Integer> spoilt = new TreeMap<>();
 
@@ -89,8 +98,8 @@
     }
 
     /** Sends a hop's command, and waits so many milliseconds for its answer. */
-    void send(Hop hop, SocketAddress address, List<byte[]> words, double timeout, Ended ended) {
-        Link link = call(address, words, timeout, (outcome, answer, at) -> {
+    void send(Hop hop, SocketAddress address, Command command, double timeout, Ended ended) {
+        Link link = call(address, command, timeout, (outcome, answer, at) -> {
             out.remove(hop);
             ended.accept(outcome, answer, at);
         });
@@ -101,18 +110,26 @@
 
     /** Asks a node something that no client sent. */
     void probe(SocketAddress address, List<byte[]> words, double timeout, Ended ended) {
-        call(address, words, timeout, ended);
+        call(address, left -> words, timeout, ended);
     }
 
-    /** Nobody waits for this hop any longer: its connection ends with it. */
+    /** Nobody waits for this hop any longer: its connection ends with it at once; its outcome is told later. */
     void callOff(Hop hop) {
         Link link = out.get(hop);
         if (link != null) {
-            link.end(Outcome.CALLED_OFF);
+            link.cut(Outcome.CALLED_OFF);
         }
     }
 
-    private Link call(SocketAddress address, List<byte[]> words, double timeout, Ended ended) {
+    /** The same, if the node has not been sent the whole of it. */
+    void callOffUnwritten(Hop hop) {
+        Link link = out.get(hop);
+        if (link != null && !link.written) {
+            link.cut(Outcome.CALLED_OFF);
+        }
+    }
+
+    private Link call(SocketAddress address, Command command, double timeout, Ended ended) {
         Link link = takeFree(address);
         if (link == null && (open < most || closeOneFree())) {
             link = new Link(address);
@@ -122,7 +139,7 @@
             loop.execute(() -> ended.accept(Outcome.NO_CONNECTION, null, clock.getAsDouble()));
             return null;
         }
-        link.start(words, timeout, ended);
+        link.start(command, timeout, ended);
         return link;
     }
 
@@ -136,7 +153,11 @@
             Link link = each.next();
             if (now - link.freeSince >= REST) {
                 each.remove();
-                return link;
+                if (!link.isSpent(now)) {
+                    return link;
+                }
+                foundSpent++;
+                link.close();
             }
         }
         return null;
@@ -178,7 +199,8 @@
         private final SocketAddress address;
         private final RespDecoder decoder = new RespDecoder(limits);
         private Channel channel;
-        private List<byte[]> words;
+        private Command command;
+        private double until;
         private Ended ended;
         private ScheduledFuture<?> timer;
         private ScheduledFuture<?> stall;
@@ -192,9 +214,10 @@
             this.address = address;
         }
 
-        void start(List<byte[]> command, double timeout, Ended whenEnded) {
-            words = command;
+        void start(Command toSend, double timeout, Ended whenEnded) {
+            command = toSend;
             startedAt = clock.getAsDouble();
+            until = startedAt + timeout;
             ended = whenEnded;
             written = false;
             freeSince = Double.NaN;
@@ -227,14 +250,25 @@
             });
         }
 
+        /** The node is told what is left now, however long the connection took to come up. */
         private void write() {
-            channel.writeAndFlush(RespBytes.command(words)).addListener(done -> {
+            double left = until - clock.getAsDouble();
+            if (left < LEAST_LEFT) {
+                cut(Outcome.NO_CONNECTION);
+                return;
+            }
+            channel.writeAndFlush(RespBytes.command(command.words(left))).addListener(done -> {
                 if (done.isSuccess()) {
                     written = true;
                 }
             });
         }
 
+        /** Whether the kernel knows more of it than has been read here: its end, or bytes that nobody asked for. */
+        boolean isSpent(double now) {
+            return !arrival.isQuietSince(channel, now - freeSince);
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             connected = true;
@@ -345,10 +379,19 @@
             }
         }
 
+        /** The same; whoever waits is told from the loop, not from within the call that cuts it. */
+        void cut(Outcome outcome) {
+            Ended call = finish();
+            close();
+            if (call != null) {
+                loop.execute(() -> call.accept(outcome, null, clock.getAsDouble()));
+            }
+        }
+
         private Ended finish() {
             Ended call = ended;
             ended = null;
-            words = null;
+            command = null;
             if (timer != null) {
                 timer.cancel(false);
                 timer = null;
--- a/src/main/java/sagepulley/platform/PlatformGateway.java
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -89,7 +89,7 @@
         this.book = new NodeBook(config.zones(), config.kinds(), clock);
         int sockets = config.sockets() - OWN_SOCKETS;
         int clients = (int) (sockets * CLIENT_PART);
-        this.front = new Front(transport, clients, this);
+        this.front = new Front(transport, clients, longestPatience(config), this);
         this.nodes = new NodeLinks(transport, sockets - clients, config.connectTimeout(),
                 config.idleTime() * IDLE_PART, shortestTarget(config) * STALL_PART, clock::now);
         this.discovery = new DiscoveryLink(transport, config.discovery(), config.known().revision(), this);
@@ -167,6 +167,10 @@
             return;
         }
         connection.asked = true;
+        if (connection.isEnding() || front.isEnding()) {
+            slot.answer(RespBytes.error("BUSY"));
+            return;
+        }
         if (bytesInHand + command.bytes() > mostBytes || host.inHand().size() >= config.mostOpen()) {
             counts.noRoom++;
             slot.answer(RespBytes.error("BUSY"));
@@ -182,7 +186,7 @@
                 command.shard, cameAt, patienceEnds, command.repeat);
         operation.held = new Held(command, slot);
         slot.held = operation;
-        host.arrived(operation, now);
+        host.arrived(operation);
         settle();
     }
 
@@ -193,6 +197,7 @@
         counts.left++;
         release(operation);
         host.left(operation.id, clock.now());
+        operation.hops.forEach(nodes::callOffUnwritten);
         settle();
     }
 
@@ -234,8 +239,9 @@
     public void send(Hop hop, double timeout) {
         counts.hops++;
         SocketAddress address = book.address(hop.node);
-        List<byte[]> words = ((Held) hop.operation.held).command().forNode(timeout);
-        nodes.send(hop, address, words, timeout, (outcome, answer, at) -> hopEnded(hop, outcome, answer, at));
+        BlockCommand command = ((Held) hop.operation.held).command();
+        nodes.send(hop, address, command::forNode, timeout,
+                (outcome, answer, at) -> hopEnded(hop, outcome, answer, at));
     }
 
     private void hopEnded(Hop hop, Outcome outcome, Resp answer, double at) {
@@ -257,9 +263,7 @@
 
     @Override
     public void callOff(Hop hop) {
-        if (hop.outcome == null) {
-            loop.execute(() -> nodes.callOff(hop));
-        }
+        nodes.callOff(hop);
     }
 
     @Override
@@ -340,6 +344,7 @@
         worstLag = Math.max(worstLag, late);
         front.sweep();
         nodes.sweep();
+        checkEnd();
         double now = clock.now();
         counts.waits(host.waiting(now));
     }
@@ -348,7 +353,7 @@
         Runtime runtime = Runtime.getRuntime();
         Log.info("state", "in-hand", host.inHand().size(), "bytes", bytesInHand, "hops-out", nodes.hopsOut(),
                 "node-connections", nodes.open(), "opened", nodes.opened, "no-room-for-hop",
-                nodes.refusedForRoom, "spoilt", nodes.spoilt, "clients",
+                nodes.refusedForRoom, "found-spent", nodes.foundSpent, "spoilt", nodes.spoilt, "clients",
                 front.size(), "accepted", front.accepted,
                 "turned-away", front.turnedAway, "revision", discovery.revision(), "watching",
                 discovery.isWatching(), "lag-ms", Math.round(worstLag), "heap-kb",
--- a/src/main/java/sagepulley/simhost/SimHost.java
+++ b/src/main/java/sagepulley/simhost/SimHost.java
@@ -87,7 +87,7 @@
             case 1 -> gateway.host.probed(batch.u32(record, 5), outcome(record, 9),
                     batch.u64(record, 11) / NS, report(record, 19), now);
             case 4 -> topology(gateway, record, now);
-            case 6 -> gateway.host.arrived(operation(gateway, record, now), now);
+            case 6 -> gateway.host.arrived(operation(gateway, record, now));
             case 7 -> gateway.host.left(batch.u64(record, 5), now);
             case 10 -> gateway.timer(batch.u64(record, 5));
             case 11 -> completed(gateway, record, now);
--- a/src/test/java/sagepulley/host/HostTest.java
+++ b/src/test/java/sagepulley/host/HostTest.java
@@ -74,7 +74,8 @@
         host.listed(List.of(entry(1, 0), entry(2, 1)), true, 0);
         Operation operation = new Operation(1, host.deployment().bands().get(0), host.volume(1, 0), 7, 1, 0, 0, 1000,
                 false);
-        host.arrived(operation, 0);
+        host.arrived(operation);
+        host.settle(0);
         host.settle(0);
         Hop hop = sent.get(0);
         assertEquals(1, hop.node.id);
--- /dev/null
+++ b/src/test/java/sagepulley/platform/Kernel.java
@@ -0,0 +1,57 @@
+package sagepulley.platform;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What the kernel's book of TCP connections says of the reading end, so that a test knows what lies unread there. */
+final class Kernel {
+    private static final List<Path> BOOKS = List.of(Path.of("/proc/net/tcp"), Path.of("/proc/net/tcp6"));
+    private static final int CLOSE_WAIT = 8;
+
+    private Kernel() {
+    }
+
+    /** Until the end that the far port sent lies unread at the near one. */
+    static void awaitEnd(int near, int far) {
+        await().until(() -> lines(near, far).stream()
+                .anyMatch(fields -> Integer.parseInt(fields[3], 16) == CLOSE_WAIT));
+    }
+
+    /** Until bytes lie unread at the near one. */
+    static void awaitUnread(int near, int far) {
+        await().until(() -> lines(near, far).stream()
+                .anyMatch(fields -> Long.parseLong(fields[4].split(":")[1], 16) > 0));
+    }
+
+    /** Until the near one's connection has been reset, or is gone. */
+    static void awaitNone(int near, int far) {
+        await().until(() -> lines(near, far).isEmpty());
+    }
+
+    private static List<String[]> lines(int near, int far) throws IOException {
+        assumeTrue(Files.isReadable(BOOKS.get(0)), "only Linux has this book");
+        List<String[]> found = new ArrayList<>();
+        for (Path book : BOOKS) {
+            if (!Files.isReadable(book)) {
+                continue;
+            }
+            for (String line : Files.readAllLines(book)) {
+                String[] fields = line.trim().split("\\s+");
+                if (fields[1].endsWith(":" + port(near)) && fields[2].endsWith(":" + port(far))) {
+                    found.add(fields);
+                }
+            }
+        }
+        return found;
+    }
+
+    private static String port(int port) {
+        return String.format("%04X", port);
+    }
+}
--- a/src/test/java/sagepulley/platform/PlatformPathTest.java
+++ b/src/test/java/sagepulley/platform/PlatformPathTest.java
@@ -3,10 +3,17 @@
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -203,6 +210,56 @@
         }
     }
 
+    /** Its command and its end lie in the kernel together, and a free connection to the node stands. */
+    @Test
+    void whatAClientAskedThatHasGoneIsNotSent() throws Exception {
+        try (Peers peers = new Peers(SERVES)) {
+            Peers.Talk good = peers.client();
+            good.ask(Peers.read(1));
+            assertEquals("$5 value", good.answer());
+            for (int id = 10; id < 20; id++) {
+                Peers.Talk gone = peers.client();
+                CountDownLatch held = new CountDownLatch(1);
+                CountDownLatch go = new CountDownLatch(1);
+                peers.transport.loops().next().execute(() -> {
+                    held.countDown();
+                    try {
+                        go.await();
+                    } catch (InterruptedException e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+                held.await();
+                int port = gone.socket.getLocalPort();
+                gone.ask(Peers.read(id));
+                gone.socket.close();
+                Kernel.awaitEnd(gone.socket.getPort(), port);
+                go.countDown();
+            }
+            good.ask(Peers.read(2));
+            assertEquals("$5 value", good.answer());
+            assertEquals(List.of(Figures.id(1), Figures.id(2)),
+                    peers.commands.stream().map(words -> words.get(2)).toList());
+        }
+    }
+
+    @Test
+    void aGatewayThatIsToldToEndBeforeItIsReadyNeverListens() throws Exception {
+        Transport transport = Transport.sockets();
+        try {
+            int port = Rehearsal.freePort();
+            InetSocketAddress nobody = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+            InetSocketAddress front = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+            PlatformGateway gateway = new PlatformGateway(Rehearsal.config(front, nobody, nobody), transport);
+            gateway.stop();
+            gateway.start().join();
+            gateway.ended().join();
+            assertThrows(ConnectException.class, () -> new Socket().connect(front));
+        } finally {
+            transport.loops().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+        }
+    }
+
     @Test
     void aNodeThatClosesMidwayGetsTheOperationOnceMore() throws Exception {
         AtomicInteger asked = new AtomicInteger();
