--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -111,11 +111,10 @@
     private static final double COLD_PART = 0.8;
     private static final double COLD_BURST = 2;
     private static final double COLD_LOOK = 20;
-    // Whatever could be had counts as told after 6 s: a call that failed, and one more, must end before that. The
-    // gap before the next call grows to the most, half of it either way by chance, so that a fleet spreads.
+    // What could be had counts as told after 6 s: a call that failed and one more must end before that. The
+    // gap after a failure, half of it by chance, grows to the most; a call tells its end within its patience.
     private static final double ASK_AGAIN = 300;
     private static final double MOST_ASK_GAP = 800;
-    // A call that was asked for tells of its end within this time.
     private static final double ASK_PATIENCE = 2_000;
     // First calls to the list: this far apart, and all of them within a part of the time there is for it.
     private static final double ASK_STAGGER = 250;
@@ -386,7 +385,7 @@
 
     // ---- the rules: every send passes here ----
 
-    private boolean lawful(Operation operation, Seat seat, double now) {
+    boolean lawful(Operation operation, Seat seat, double now) {
         // 1: one final answer, in time, and nothing after it.
         if (operation.over || now >= operation.patienceEnds - lastCall) { return false; }
         // 3: nothing new to a node that drains or is gone.
@@ -395,7 +394,7 @@
         int hops = operation.hops.size();
         if (hops > 0) {
             // 2: no effect twice.
-            if (!mayRepeat(operation, seat, now) || hops >= rules.mostHops()
+            if (!mayRepeat(operation, seat.node, null, now) || hops >= rules.mostHops()
                     || !rules.secondCopies() && operation.isOut()) {
                 return false;
             }
@@ -413,16 +412,22 @@
         return hops > 0 || operation.units <= limitRoom(operation.volume, now);
     }
 
-    private boolean mayRepeat(Operation operation, Seat seat, double now) {
+    /** Whether a hop sent a while ago, of which the node has seen nothing yet, may begin there now. */
+    public boolean mayBegin(Hop hop, double now) {
+        return !hop.operation.over && now < hop.operation.patienceEnds - lastCall
+                && hop.node.standing == Node.Standing.READY && mayRepeat(hop.operation, hop.node, hop, now);
+    }
+
+    private boolean mayRepeat(Operation operation, Node node, Hop itself, double now) {
         Band band = operation.band;
         if (band.repeat() == Band.Repeat.IDEMPOTENT) { return true; }
         for (Hop hop : operation.hops) {
-            if (hop.outcome != null && hop.outcome.provesNotRun) { continue; }
+            if (hop == itself || hop.outcome != null && hop.outcome.provesNotRun) { continue; }
             if (band.repeat() == Band.Repeat.UNREPEATABLE) { return false; }
             boolean same = switch (band.group()) {
                 case ALL -> true;
-                case ZONE -> hop.node.zone == seat.node.zone;
-                case CELL -> hop.node.cell == seat.node.cell;
+                case ZONE -> hop.node.zone == node.zone;
+                case CELL -> hop.node.cell == node.cell;
             };
             if (!same || now > hop.sentAt + band.groupMemory() - lastCall) { return false; }
         }
@@ -446,7 +451,7 @@
      * slowest allowed, at the start of the rule's window), less what chance and a misjudged share may add. It
      * needs no count of gateways, of what they sent or of what was sent before our own start.
      */
-    private boolean borne(Operation operation, Seat seat, double now) {
+    boolean borne(Operation operation, Seat seat, double now) {
         double age = now - seat.startedAt;
         if (!(age < rules.coldTime())) { return true; }
         double ramp = rules.coldShare()
@@ -465,7 +470,7 @@
                 && due(operation.volume, operation.units, seat, now) >= site.shareWorth();
     }
 
-    private boolean isFirstOfKey(Operation operation, double now) {
+    boolean isFirstOfKey(Operation operation, double now) {
         KeyLine line = ((Ticket) operation.kept).line;
         if (line == null) { return true; }
         if (line.operations.get(0) != operation) { return false; }
@@ -476,7 +481,7 @@
         return true;
     }
 
-    private double limitRoom(Volume volume, double now) {
+    double limitRoom(Volume volume, double now) {
         double rate = volume.plan.limit();
         if (!(rate > 0)) { return Double.POSITIVE_INFINITY; }
         Account account = account(volume, now);
@@ -591,7 +596,7 @@
         return fresh == null || !outranks(fresh, picked, seat, now) || lowestScore(fresh, now) != seat;
     }
 
-    private boolean hasRoom(Seat seat, double now) {
+    boolean hasRoom(Seat seat, double now) {
         if (seat.node.standing != Node.Standing.READY) { return false; }
         if (silent(seat, now)) {
             // One operation at a time tries a node that takes work and answers none.
@@ -612,7 +617,7 @@
                 && now - seat.startedAt >= rules.coldTime() && seat.faults <= MOST_FAULTS;
     }
 
-    private boolean silent(Seat seat, double now) {
+    boolean silent(Seat seat, double now) {
         if (seat.distrusted) { return true; }
         if (seat.out.isEmpty()) { return false; }
         double since = Math.max(seat.out.get(0).sentAt, seat.heardAt);
@@ -677,7 +682,7 @@
     }
 
     /** A queue seen holds back what is late, and past part of the bound what is over its level. */
-    private boolean holdsBack(Operation operation, Seat seat, double now) {
+    boolean holdsBack(Operation operation, Seat seat, double now) {
         if (seat.crowd <= CROWDED_LEAST) { return false; }
         if (lateAt(operation) <= now) { return true; }
         if (seat.out.size() < (int) (seat.bound * BEYOND_PART)) { return false; }
@@ -722,7 +727,7 @@
     }
 
     /** The part of its plan that an operation is in, by the level last dealt out. */
-    private Owed owed(Operation operation, Seat seat, double now) {
+    Owed owed(Operation operation, Seat seat, double now) {
         Account account = account(operation.volume, now);
         if (account.reserve >= operation.units) { return Owed.RESERVE; }
         double top = Math.min(HEADROOM * evenLevel(operation.volume), account.weight * seat.fair);
@@ -900,22 +905,6 @@
         return Double.isNaN(old) ? latest : BUSY_KEEP * old + (1 - BUSY_KEEP) * latest;
     }
 
-    /** Why an operation that waits is not sent now; told to whoever accounts for it, and nothing follows. */
-    public Reason why(Operation operation, double now) {
-        Seat seat = ((Ticket) operation.kept).seat;
-        if (seat == null) { return operation.shard < 0 ? Reason.SHARE_FULL : Reason.NO_NODE; }
-        if (seat.node.standing != Node.Standing.READY) { return Reason.NOT_READY; }
-        if (silent(seat, now)) { return Reason.SILENT; }
-        if (!isFirstOfKey(operation, now)) { return Reason.ORDER; }
-        if (!borne(operation, seat, now)) { return Reason.COLD; }
-        boolean first = operation.hops.isEmpty();
-        if (first && operation.units > limitRoom(operation.volume, now)) { return Reason.LIMIT; }
-        if (!lawful(operation, seat, now)) { return Reason.BUDGET; }
-        if (holdsBack(operation, seat, now)) { return Reason.HELD_BACK; }
-        if (hasRoom(seat, now)) { return Reason.RANKS_LATER; }
-        return owed(operation, seat, now).full();
-    }
-
     // ---- what is learned from an outcome ----
 
     private void learn(Hop hop, Seat seat, double now) {
--- /dev/null
+++ b/src/main/java/sagepulley/control/WaitView.java
@@ -0,0 +1,45 @@
+package sagepulley.control;
+
+import sagepulley.model.Node;
+import sagepulley.model.Operation;
+import sagepulley.model.Reason;
+
+/** Why an operation waits, for whoever accounts for it; nothing is decided by it. */
+public final class WaitView {
+    private WaitView() {
+    }
+
+    /** The first of Control's guards that holds it back now. */
+    public static Reason why(Control control, Operation operation, double now) {
+        Seat seat = ((Ticket) operation.kept).seat;
+        if (seat == null) {
+            return operation.shard < 0 ? Reason.SHARE_FULL : Reason.NO_NODE;
+        }
+        if (seat.node.standing != Node.Standing.READY) {
+            return Reason.NOT_READY;
+        }
+        if (control.silent(seat, now)) {
+            return Reason.SILENT;
+        }
+        if (!control.isFirstOfKey(operation, now)) {
+            return Reason.ORDER;
+        }
+        if (!control.borne(operation, seat, now)) {
+            return Reason.COLD;
+        }
+        boolean first = operation.hops.isEmpty();
+        if (first && operation.units > control.limitRoom(operation.volume, now)) {
+            return Reason.LIMIT;
+        }
+        if (!control.lawful(operation, seat, now)) {
+            return Reason.BUDGET;
+        }
+        if (control.holdsBack(operation, seat, now)) {
+            return Reason.HELD_BACK;
+        }
+        if (control.hasRoom(seat, now)) {
+            return Reason.RANKS_LATER;
+        }
+        return control.owed(operation, seat, now).full();
+    }
+}
--- a/src/main/java/sagepulley/gateway/House.java
+++ b/src/main/java/sagepulley/gateway/House.java
@@ -32,6 +32,7 @@
 import sagepulley.accounts.Totals;
 import sagepulley.books.GatewayBook;
 import sagepulley.control.Control;
+import sagepulley.control.WaitView;
 import sagepulley.host.Clock;
 import sagepulley.directory.DirectoryLink;
 import sagepulley.directory.DirectoryWire;
@@ -758,7 +759,7 @@
         if (part.meter == null) {
             return; // no accounts are kept
         }
-        Spent spent = Spent.of(control.why(part.operation, now));
+        Spent spent = Spent.of(WaitView.why(control, part.operation, now));
         accounts.waits(part.meter, spent, nodeOf(part.operation.shard), now);
     }
 
--- a/src/main/java/sagepulley/host/Host.java
+++ b/src/main/java/sagepulley/host/Host.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import sagepulley.control.BandView;
 import sagepulley.control.Control;
+import sagepulley.control.WaitView;
 import sagepulley.model.Deployment;
 import sagepulley.model.Hop;
 import sagepulley.model.Node;
@@ -137,7 +138,7 @@
         Map<Reason, Integer> waiting = new EnumMap<>(Reason.class);
         for (Operation operation : operations.values()) {
             if (!operation.over && !operation.isOut() && !arrivals.contains(operation)) {
-                waiting.merge(control.why(operation, now), 1, Integer::sum);
+                waiting.merge(WaitView.why(control, operation, now), 1, Integer::sum);
             }
         }
         return waiting;
@@ -159,6 +160,11 @@
         forget(operation);
     }
 
+    /** Whether a hop that was held up before its first byte may still go out. */
+    public boolean mayBegin(Hop hop, double now) {
+        return control.mayBegin(hop, now);
+    }
+
     public void left(long id, double now) {
         Operation operation = operations.get(id);
         if (operation != null && !operation.over) {
--- a/src/main/java/sagepulley/platform/NodeLinks.java
+++ b/src/main/java/sagepulley/platform/NodeLinks.java
@@ -7,9 +7,12 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.unix.UnixChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
 import java.net.SocketAddress;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
@@ -40,7 +43,7 @@
     private static final double LEAST_LEFT = 1;
     private static final double NS = 1e6;
 
-    /** The words of a command to a node that is given so many milliseconds. */
+    /** The words of a command to a node that is given so many milliseconds; null if it may not begin any more. */
     interface Command {
         List<byte[]> words(double left);
     }
@@ -62,6 +65,7 @@
     /** Free connections, the one used last first. */
     private final Map<SocketAddress, ArrayDeque<Link>> free = new HashMap<>();
     private final Arrival arrival = new Arrival();
+    private final ByteBuffer oneByte = ByteBuffer.allocateDirect(1);
     private final Map<Hop, Link> out = new IdentityHashMap<>();
     private final Map<SocketAddress, Integer> openTo = new HashMap<>();
     private int open;
@@ -153,7 +157,7 @@
             Link link = each.next();
             if (now - link.freeSince >= REST) {
                 each.remove();
-                if (!link.isSpent(now)) {
+                if (!link.isSpent()) {
                     return link;
                 }
                 foundSpent++;
@@ -253,20 +257,28 @@
         /** The node is told what is left now, however long the connection took to come up. */
         private void write() {
             double left = until - clock.getAsDouble();
-            if (left < LEAST_LEFT) {
-                cut(Outcome.NO_CONNECTION);
+            List<byte[]> words = left < LEAST_LEFT ? null : command.words(left);
+            if (words == null) {
+                cut(left < LEAST_LEFT ? Outcome.NO_CONNECTION : Outcome.MOOT);
                 return;
             }
-            channel.writeAndFlush(RespBytes.command(command.words(left))).addListener(done -> {
+            channel.writeAndFlush(RespBytes.command(words)).addListener(done -> {
                 if (done.isSuccess()) {
                     written = true;
                 }
             });
         }
 
-        /** Whether the kernel knows more of it than has been read here: its end, or bytes that nobody asked for. */
-        boolean isSpent(double now) {
-            return !arrival.isQuietSince(channel, now - freeSince);
+        /** Whether the kernel holds what has not been read here: its end, or bytes that nobody asked for. */
+        boolean isSpent() {
+            if (!(channel instanceof UnixChannel socket)) {
+                return false;
+            }
+            try {
+                return socket.fd().read(oneByte, 0, 1) != 0;
+            } catch (IOException reset) {
+                return true;
+            }
         }
 
         @Override
--- a/src/main/java/sagepulley/platform/PlatformGateway.java
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -240,7 +240,7 @@
         counts.hops++;
         SocketAddress address = book.address(hop.node);
         BlockCommand command = ((Held) hop.operation.held).command();
-        nodes.send(hop, address, command::forNode, timeout,
+        nodes.send(hop, address, left -> host.mayBegin(hop, clock.now()) ? command.forNode(left) : null, timeout,
                 (outcome, answer, at) -> hopEnded(hop, outcome, answer, at));
     }
 
--- a/src/test/java/sagepulley/control/RulesTest.java
+++ b/src/test/java/sagepulley/control/RulesTest.java
@@ -1,6 +1,7 @@
 package sagepulley.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -45,6 +46,35 @@
         }
     }
 
+    /** Between the decision and the first byte a connection has to come up. */
+    @Test
+    void aHopThatIsHeldUpBeginsOnlyWhileTheRulesStillAllowIt() {
+        FakeHost host = new FakeHost(2);
+        Operation drained = host.take(FakeHost.READ, 0);
+        Operation left = host.take(FakeHost.READ, 1);
+        Operation repeated = host.take(FakeHost.DEDUPLICATED, 1);
+        Operation once = host.take(FakeHost.UNREPEATABLE, 0);
+        host.passTime(10);
+        for (Operation operation : List.of(drained, left, repeated, once)) {
+            assertTrue(host.control.mayBegin(host.lastHop(operation), host.now));
+        }
+        host.end(host.lastHop(repeated), Outcome.RESET);
+        assertEquals(2, repeated.hops.size(), "sent again while the node remembers");
+        assertTrue(host.control.mayBegin(host.lastHop(repeated), host.now));
+        double forgets = repeated.hops.get(0).sentAt + repeated.band.groupMemory();
+        assertFalse(host.control.mayBegin(host.lastHop(repeated), forgets), "not when it has forgotten");
+        host.end(host.lastHop(once), Outcome.FULL);
+        assertTrue(host.control.mayBegin(host.lastHop(once), host.now), "the first has proved that it never ran");
+        assertEquals(2, once.hops.size());
+        once.hops.get(0).outcome = Outcome.RESET;
+        assertFalse(host.control.mayBegin(host.lastHop(once), host.now), "or else it may not");
+        host.nodes.get(0).standing = Node.Standing.DRAINING;
+        host.relist();
+        assertFalse(host.control.mayBegin(host.lastHop(drained), host.now));
+        host.leave(left);
+        assertFalse(host.control.mayBegin(host.lastHop(left), host.now));
+    }
+
     @Test
     void aDrainingNodeGetsNothingNew() {
         FakeHost host = new FakeHost(2);
--- a/src/test/java/sagepulley/platform/NodeCrossingsTest.java
+++ b/src/test/java/sagepulley/platform/NodeCrossingsTest.java
@@ -30,7 +30,7 @@
 import sagepulley.model.Outcome;
 import sagepulley.resp.Resp;
 
-/** Calls to a node while its connection ends, comes up late or brings what nobody asked for; the loop is held by hand. */
+/** Calls to a node whose connection ends, comes up late or brings what nobody asked for; the loop is held by hand. */
 @Timeout(60)
 class NodeCrossingsTest {
     private static final double LONG = 600_000;
@@ -201,6 +201,15 @@
         assertNull(taken.take().command(), "closed with nothing sent");
     }
 
+    @Test
+    void whatMayNotBeginAnyMoreWhenTheConnectionIsUpIsNeverSent() throws Exception {
+        CompletableFuture<Outcome> end = new CompletableFuture<>();
+        loop.execute(() -> links.send(hop(), address, left -> null, LONG, (outcome, answer, at) ->
+                end.complete(outcome)));
+        assertEquals(Outcome.MOOT, end.get());
+        assertNull(taken.take().command(), "closed with nothing sent");
+    }
+
     @Test
     void whatIsCalledOffBeforeItIsWrittenIsNeverSent() throws Exception {
         Hop hop = hop();
