Test: a fleet of uneven and restarted gateways keeps a cold node's budget, also under a burst

Need: the standing test counts what all gateways send a cold node together; in words why it holds, over many Controls side by side. Each operation carries a lot drawn once; a cold node takes the same part of the lots at every gateway, so that what passes of any demand is that part of it, however it is spread over gateways, and a restarted gateway needs to know nothing but the node's start. The part is 0.8 of the multiple on the slowest ramp allowed, so that a demand of the node's whole capacity stays a fifth under N, and half as much again still lies within N + 2 root N + 2 at the ramp's start.

--- a/src/test/java/sagepulley/control/FakeHost.java
+++ b/src/test/java/sagepulley/control/FakeHost.java
@@ -42,6 +42,8 @@
     int probes;
     double now = 100_000;
     private long ids;
+    /** Of an operation, as the settings say the usual one has. */
+    static final double UNITS = 2;
 
     FakeHost(int nodeCount) {
         this(nodeCount, 0, 1, false, Double.NaN);
@@ -89,7 +91,7 @@
 
     /** An operation of two units on a shard, of a volume with a reserve and an extent of its own. */
     Operation take(int band, int shard) {
-        return take(band, volume(1), ++ids, 2, shard);
+        return take(band, volume(1), ++ids, UNITS, shard);
     }
 
     Operation take(int band, Volume volume, long extent, double units, int shard) {
--- a/src/test/java/sagepulley/control/RulesTest.java
+++ b/src/test/java/sagepulley/control/RulesTest.java
@@ -6,6 +6,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -119,6 +121,67 @@
         assertEquals(4 * warm, sent[30] + sent[31] + sent[32] + sent[33], warm / 2, "a warm node is no longer held");
     }
 
+    /**
+     * Traffic is uneven, a burst comes on top, and half of the gateways start anew after the node and learn of it from
+     * an old list first: over any window of the rule all of them together stay under what the settings allow then, N,
+     * and what chance may add to that.
+     */
+    @ParameterizedTest
+    @CsvSource({"20, 1", "30, 1", "30, 1.5", "100, 1.5"})
+    void aFleetOfUnevenAndRestartedGatewaysNeverPushesAColdNodeOver(int gateways, double burst) {
+        double warm = 100;
+        double step = 10;
+        RandomGenerator chance = new SplittableRandom(5 * gateways);
+        FakeHost[] hosts = new FakeHost[gateways];
+        double[] weight = new double[gateways];
+        double weights = 0;
+        for (int me = 0; me < gateways; me++) {
+            hosts[me] = new FakeHost(2, me, gateways, false, Double.NaN);
+            weight[me] = 1.0 / (me + 1);
+            weights += weight[me];
+        }
+        double startedAt = 110_000;
+        List<Double> sentAt = new ArrayList<>();
+        for (double now = 100_000; now < 122_000; now += step) {
+            for (int me = 0; me < gateways; me++) {
+                FakeHost host = hosts[me];
+                if (now == startedAt) {
+                    host.nodes.get(0).startedAt = startedAt;
+                    host.relist();
+                } else if (now == startedAt + 100 * (me + 1) && me % 2 == 0) {
+                    host = new FakeHost(2, me, gateways, false, Double.NaN);
+                    host.passTime(now - host.now);
+                    host.nodes.get(0).startedAt = startedAt;
+                    host.relist();
+                    hosts[me] = host;
+                }
+                host.passTime(step);
+            }
+            double rate = warm / FakeHost.UNITS * (now >= startedAt ? burst : 1);
+            for (double due = rate * step / 1000; chance.nextDouble() < due; due--) {
+                double pick = chance.nextDouble() * weights;
+                int me = 0;
+                for (; me < gateways - 1 && pick >= weight[me]; me++) { pick -= weight[me]; }
+                hosts[me].take(FakeHost.READ, 0);
+            }
+            for (FakeHost host : hosts) {
+                for (Hop hop : List.copyOf(host.sent)) {
+                    if (now >= startedAt && hop.node == host.nodes.get(0)) { sentAt.add(now); }
+                    host.sent.remove(hop);
+                    host.end(hop, Outcome.SATISFIED);
+                }
+            }
+        }
+        for (double from = startedAt; from < startedAt + 8_000; from += 100) {
+            double start = from;
+            long sent = sentAt.stream().filter(at -> at >= start && at < start + 2_000).count();
+            double ramp = 0.25 + 0.75 * (start - startedAt) / 10_000;
+            double allowed = 2 * ramp * warm / FakeHost.UNITS * 2;
+            assertTrue(sent <= allowed + 2 * Math.sqrt(allowed) + 2, sent + " sent from " + start + ", N " + allowed);
+            assertTrue(sent > 0, "a cold node is used all the time");
+        }
+    }
+
     @Test
     void aSurgeAtAColdNodeIsCappedAndWhatIsBeyondItsShareGoesToNone() {
         FakeHost host = new FakeHost(2);
