Discovery's announcements (1xx) are passed over; tests of the link no longer depend on its times

Observation, by reading: an HTTP 1xx ahead of the answer failed the call as 'answered 100'; the protocol page allows such forms.

Lines at fault: DiscoveryLink.Call.channelRead0 took any status but 200 for the end; the times were constants.

Change: 1xx responses are skipped; the two times are given to the link, and tests that are not about silence give none.

Tests: anAnswerWithoutLengthOrBehindAnAnnouncementIsRead (fails without the change for 100 and 103).

--- a/src/main/java/sagepulley/platform/DiscoveryLink.java
+++ b/src/main/java/sagepulley/platform/DiscoveryLink.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.json.JsonObjectDecoder;
@@ -56,12 +57,22 @@
     private final Transport transport;
     private final EventLoop loop;
     private final Owner owner;
+    private final long answerMs;
+    private final long silenceMs;
     private SocketAddress address;
     private long revision;
     private Call watch;
     private Call fetch;
 
     DiscoveryLink(Transport transport, SocketAddress address, long revision, Owner owner) {
+        this(transport, address, revision, owner, ANSWER_MS, SILENCE_MS);
+    }
+
+    /** The same with other times for a first list and for a watch that says nothing. */
+    DiscoveryLink(Transport transport, SocketAddress address, long revision, Owner owner, long answerMs,
+                  long silenceMs) {
+        this.answerMs = answerMs;
+        this.silenceMs = silenceMs;
         this.transport = transport;
         this.loop = transport.loops().next();
         this.address = address;
@@ -129,6 +140,7 @@
         private ScheduledFuture<?> silence;
         private boolean over;
         private boolean answered;
+        private boolean announces;
 
         Call(boolean watches) {
             this.watches = watches;
@@ -144,7 +156,7 @@
                         }
                     }).connect(address);
             channel = connecting.channel();
-            failIn(ANSWER_MS);
+            failIn(answerMs);
             connecting.addListener(done -> {
                 if (!done.isSuccess()) {
                     fail("no connection: " + done.cause().getMessage());
@@ -202,9 +214,15 @@
                 fail("an answer that cannot be read");
                 return;
             }
-            if (message instanceof HttpResponse response && !response.status().equals(HttpResponseStatus.OK)) {
-                fail("answered " + response.status().code());
-                return;
+            if (message instanceof HttpResponse response) {
+                announces = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+                if (!announces && !response.status().equals(HttpResponseStatus.OK)) {
+                    fail("answered " + response.status().code());
+                    return;
+                }
+            }
+            if (announces) {
+                return; // the answer itself is yet to come
             }
             if (message instanceof HttpContent content) {
                 boolean endsLine = content.content().indexOf(content.content().readerIndex(),
@@ -212,7 +230,7 @@
                 ctx.fireChannelRead(content.content().retain());
                 // Only a whole list or an empty line is a sign of life: half a list that trickles is silence too.
                 if (!over && answered && endsLine && !values.inMiddle()) {
-                    failIn(SILENCE_MS);
+                    failIn(silenceMs);
                 }
             }
             if (message instanceof LastHttpContent && !over) {
@@ -236,7 +254,7 @@
             boolean first = !answered;
             answered = true;
             if (watches) {
-                failIn(SILENCE_MS);
+                failIn(silenceMs);
             }
             // Lower numbers come from a discovery that started anew, which a new call's first list tells; or from
             // an answer that something newer has overtaken.
--- a/src/test/java/sagepulley/platform/DiscoveryTest.java
+++ b/src/test/java/sagepulley/platform/DiscoveryTest.java
@@ -19,11 +19,16 @@
 @Timeout(60)
 class DiscoveryTest {
     private static final String CHANGE = "{\"revision\":%d,\"complete\":false,\"members\":[%s]}";
+    private static final long NEVER = 600_000;
     private final List<Listing> told = new CopyOnWriteArrayList<>();
     private final List<String> failures = new CopyOnWriteArrayList<>();
     private EventLoop loop;
 
     private DiscoveryLink link(Peers peers) throws Exception {
+        return link(peers, NEVER, NEVER);
+    }
+
+    private DiscoveryLink link(Peers peers, long answerMs, long silenceMs) throws Exception {
         Transport transport = Transport.sockets();
         DiscoveryLink link = new DiscoveryLink(transport, peers.discovery(), 41, new DiscoveryLink.Owner() {
             @Override
@@ -35,7 +40,7 @@
             public void listFailed(String why) {
                 failures.add(why);
             }
-        });
+        }, answerMs, silenceMs);
         loop = transport.loops().next();
         loop.submit(link::subscribe).get(10, TimeUnit.SECONDS);
         return link;
@@ -83,7 +88,7 @@
     void aDiscoveryThatSaysNothingHasFailedAfterAWhile() throws Exception {
         try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
             peers.listing = null;
-            link(peers);
+            link(peers, 100, NEVER);
             await().atMost(20, TimeUnit.SECONDS).until(() -> failures.size() == 1);
         }
     }
@@ -143,10 +148,28 @@
         }
     }
 
+    /** Announced first, then in pieces, with or without a length: all are forms of HTTP. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"})
+    void anAnswerWithoutLengthOrBehindAnAnnouncementIsRead(String ahead) throws Exception {
+        try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
+            await().until(() -> peers.watches.size() == 1);
+            peers.listing = null;
+            link(peers);
+            await().until(() -> peers.silent.size() == 1);
+            String answer = ahead + "HTTP/1.1 200 OK\r\nX-Any: 1\r\n\r\n" + CHANGE.formatted(44, "") + "\n";
+            for (char each : answer.toCharArray()) {
+                peers.silent.get(0).say(String.valueOf(each));
+            }
+            await().until(() -> told.size() == 1);
+            assertEquals(List.of(), failures);
+        }
+    }
+
     @Test
     void halfAListThatTricklesIsSilence() throws Exception {
         try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
-            link(peers);
+            link(peers, NEVER, 2_000);
             await().until(() -> told.size() == 1);
             Peers.Talk watch = lastWatch(peers);
             watch.say("1\r\n{\r\n");
