--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -299,7 +299,7 @@
         boolean mayHop = operation.hops.isEmpty() || mayHopAgain(operation, now);
         Seat seat = mayHop ? turn(operation, now) : null;
         if (seat != null && lawful(operation, seat, now)) { return send(operation, seat, now); }
-        if (!mayHop || now >= operation.patienceEnds - lastCall || lateAt(operation) <= now) {
+        if (!mayHop || now >= operation.deadline - lastCall || lateAt(operation) <= now) {
             return giveUp(operation, now);
         }
         return Placement.NOT_YET;
@@ -362,7 +362,7 @@
             kind.first(kind.byTarget, ticket -> ticket.targetEnds - early, now, late, this::lookAt);
             kind.first(kind.byArrival, ticket -> ticket.operation.arrivedAt + target - early, now, late,
                     this::lookAt);
-            kind.first(kind.byPatience, ticket -> ticket.operation.patienceEnds - lastCall, now, late,
+            kind.first(kind.byPatience, ticket -> ticket.operation.deadline - lastCall, now, late,
                     this::lookAt);
         }
         late.sort(Waits.BY_QUEUE);
@@ -387,7 +387,7 @@
 
     boolean lawful(Operation operation, Seat seat, double now) {
         // 1: one final answer, in time, and nothing after it.
-        if (operation.over || now >= operation.patienceEnds - lastCall) { return false; }
+        if (operation.over || now >= operation.deadline - lastCall) { return false; }
         // 3: nothing new to a node that drains or is gone.
         if (seat.node.standing != Node.Standing.READY) { return false; }
         if (operation.shard >= 0 && operation.shard != seat.node.cell) { return false; }
@@ -414,7 +414,7 @@
 
     /** Whether a hop sent a while ago, of which the node has seen nothing yet, may begin there now. */
     public boolean mayBegin(Hop hop, double now) {
-        return !hop.operation.over && now < hop.operation.patienceEnds - lastCall
+        return !hop.operation.over && now < hop.operation.deadline - lastCall
                 && hop.node.standing == Node.Standing.READY && mayRepeat(hop.operation, hop.node, hop, now);
     }
 
@@ -534,7 +534,7 @@
         if (end <= now || band.lateShare() >= LATE_WORTH) {
             end = Math.max(end, now) + LATE_GRACE * band.targetTime();
         }
-        return Math.min(end, operation.patienceEnds - lastCall) - now;
+        return Math.min(end, operation.deadline - lastCall) - now;
     }
 
     private Placement giveUp(Operation operation, double now) {
@@ -547,7 +547,7 @@
         Seat seat = ((Ticket) operation.kept).seat;
         if (seat == null || sound(seat, now)) { load(seat).declines().add(now, 1); }
         if (!mayDecline(operation)) { return Placement.SCRAPPED; }
-        Reason reason = now >= operation.patienceEnds - lastCall ? Reason.PATIENCE
+        Reason reason = now >= operation.deadline - lastCall ? Reason.PATIENCE
                 : lateAt(operation) <= now ? Reason.LATE : Reason.NO_FURTHER_HOP;
         return Placement.decline(comeBack(seat, now), reason);
     }
@@ -661,7 +661,7 @@
         for (TreeSet<Ticket> alike : queue.alike()) {
             for (Ticket ticket : alike) {
                 Operation operation = ticket.operation;
-                boolean stands = !each && lateAt(operation) > now && now < operation.patienceEnds - lastCall;
+                boolean stands = !each && lateAt(operation) > now && now < operation.deadline - lastCall;
                 if (seat == null || lawful(operation, seat, now) && !holdsBack(operation, seat, now)) {
                     if (best != null && bestTier < 0) { bestTier = tier(best, seat, now); }
                     int tier = best != null || alike.size() > 1 ? tier(operation, seat, now) : -1;
@@ -677,7 +677,7 @@
     }
 
     private static boolean earlier(Ticket one, Operation other) {
-        double apart = one.operation.patienceEnds - other.patienceEnds;
+        double apart = one.operation.deadline - other.deadline;
         return apart < 0 || apart == 0 && one.turn < ((Ticket) other.kept).turn;
     }
 
@@ -702,7 +702,7 @@
     private boolean outranks(Operation one, Operation other, Seat seat, double now) {
         int a = tier(one, seat, now);
         int b = tier(other, seat, now);
-        return a != b ? a < b : one.patienceEnds < other.patienceEnds;
+        return a != b ? a < b : one.deadline < other.deadline;
     }
 
     /** Steps that the utility still due, for the node's time that it takes, lies under the best there is. */
@@ -1001,7 +1001,7 @@
         // A client's repeat keeps the target time of its first try: it names the same extent and has less
         // patience left than others. Any other with little patience is only hurried, its target time has just
         // begun.
-        double left = operation.patienceEnds - now;
+        double left = operation.deadline - now;
         row.patienceSeen = Math.max(row.patienceSeen, left);
         double gone = row.patienceSeen - left;
         boolean shorter = gone > REPEAT_GONE * operation.band.targetTime();
--- a/src/main/java/sagepulley/control/Queue.java
+++ b/src/main/java/sagepulley/control/Queue.java
@@ -13,7 +13,7 @@
 /** Operations that wait in one place, in the order they came; those alike and those of an extent at hand. */
 final class Queue {
     private static final Comparator<Ticket> BY_PATIENCE = Comparator
-            .comparingDouble((Ticket ticket) -> ticket.operation.patienceEnds)
+            .comparingDouble((Ticket ticket) -> ticket.operation.deadline)
             .thenComparingLong(ticket -> ticket.turn);
 
     /** Whoever had a hop, or keeps an order, is like nobody else: its turn tells it apart; others have 0. */
--- a/src/main/java/sagepulley/control/Waits.java
+++ b/src/main/java/sagepulley/control/Waits.java
@@ -40,7 +40,7 @@
         final double units;
         final TreeSet<Ticket> byTarget = sorted(ticket -> ticket.targetEnds);
         final TreeSet<Ticket> byArrival = sorted(ticket -> ticket.operation.arrivedAt);
-        final TreeSet<Ticket> byPatience = sorted(ticket -> ticket.operation.patienceEnds);
+        final TreeSet<Ticket> byPatience = sorted(ticket -> ticket.operation.deadline);
 
         Kind(Band band, double units) {
             this.band = band;
--- a/src/main/java/sagepulley/model/Operation.java
+++ b/src/main/java/sagepulley/model/Operation.java
@@ -15,7 +15,7 @@
     public int shard;
     public final double arrivedAt;
     /** When the client gives up on this try. */
-    public final double patienceEnds;
+    public final double deadline;
     public final boolean clientRepeat;
     public final List<Hop> hops = new ArrayList<>(2);
     /** Set once its one final answer is out, or the client has left. */
@@ -26,7 +26,7 @@
     public Object held;
 
     public Operation(long id, Band band, Volume volume, long extent, double units, int shard,
-                     double arrivedAt, double patienceEnds, boolean clientRepeat) {
+                     double arrivedAt, double deadline, boolean clientRepeat) {
         this.id = id;
         this.band = band;
         this.volume = volume;
@@ -34,7 +34,7 @@
         this.units = units;
         this.shard = shard;
         this.arrivedAt = arrivedAt;
-        this.patienceEnds = patienceEnds;
+        this.deadline = deadline;
         this.clientRepeat = clientRepeat;
     }
 
--- a/src/main/java/sagepulley/platform/PlatformGateway.java
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -181,9 +181,9 @@
         Volume volume = host.volume(command.volume, command.plan.index());
         volume.gateways = command.gateways;
         double cameAt = now - connection.cameAgo(arrival);
-        double patienceEnds = Math.min(cameAt + command.patience, Math.max(now + 1, stopAt));
+        double deadline = Math.min(cameAt + command.patience, Math.max(now + 1, stopAt));
         Operation operation = new Operation(command.id, command.band, volume, command.extent, command.units,
-                command.shard, cameAt, patienceEnds, command.repeat);
+                command.shard, cameAt, deadline, command.repeat);
         operation.held = new Held(command, slot);
         slot.held = operation;
         host.arrived(operation);
