--- a/src/jmh/java/sagepulley/bench/ControlBench.java
+++ b/src/jmh/java/sagepulley/bench/ControlBench.java
@@ -21,7 +21,7 @@
 import sagepulley.control.Control;
 import sagepulley.model.Band;
 import sagepulley.model.Deployment;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -58,7 +58,7 @@
     private List<Volume> volumes;
     private final List<Band> bands = new ArrayList<>();
     private final PriorityQueue<double[]> ends = new PriorityQueue<>((a, b) -> Double.compare(a[0], b[0]));
-    private final List<Hop> out = new ArrayList<>();
+    private final List<Attempt> out = new ArrayList<>();
     private Random random;
     private double now;
     private double wake;
@@ -139,12 +139,12 @@
         settle();
     }
 
-    private void finish(Hop hop) {
-        hop.outcome = Outcome.SATISFIED;
-        hop.took = now - hop.sentAt;
-        hop.operation.over = true;
-        if (control.after(hop, now) == Sequel.PLACE_AGAIN) {
-            answer(hop.operation, control.place(hop.operation, now));
+    private void finish(Attempt attempt) {
+        attempt.outcome = Outcome.SATISFIED;
+        attempt.took = now - attempt.sentAt;
+        attempt.operation.over = true;
+        if (control.after(attempt, now) == Sequel.PLACE_AGAIN) {
+            answer(attempt.operation, control.place(attempt.operation, now));
         }
         settle();
     }
@@ -168,7 +168,7 @@
 
     private void answer(Operation operation, Placement placement) {
         if (placement.kind() == Placement.Kind.SEND) {
-            out.add(operation.hops.get(operation.hops.size() - 1));
+            out.add(operation.attempts.get(operation.attempts.size() - 1));
             ends.add(new double[] {now + SERVICE * (0.5 + random.nextDouble()), out.size() - 1});
         }
     }
--- a/src/main/java/sagepulley/accounts/Accounts.java
+++ b/src/main/java/sagepulley/accounts/Accounts.java
@@ -44,7 +44,7 @@
     private final Map<Integer, NodeLog> nodes = new LinkedHashMap<>();
     private final ArrayDeque<Ahead> spare = new ArrayDeque<>();
     private final Totals totals;
-    /** Units of hops out at any node, and of operations that hold a slot while they wait for a claim. */
+    /** Units of attempts out at any node, and of operations that hold a slot while they wait for a claim. */
     private final Ahead anywhere = new Ahead();
     private double claiming;
     /** Of all nodes that have one, reads and writes: paces summed, and how many; and when that was. */
@@ -122,7 +122,7 @@
         }
     }
 
-    /** A hop of it goes to a node, in this part of its plan. */
+    /** An attempt of it goes to a node, in this part of its plan. */
     public void sent(Meter meter, int node, Owed owed, double now) {
         if (meter == null) {
             return;
@@ -147,8 +147,8 @@
     }
 
     /**
-     * Its hop was answered well: the node told how long it stood in the queue and was worked on, and how many
-     * hops of everybody's were in its queue then (NaN: not told).
+     * Its attempt was answered well: the node told how long it stood in the queue and was worked on, and how many
+     * attempts of everybody's were in its queue then (NaN: not told).
      */
     public void answered(Meter meter, double waited, double worked, double queue, double now) {
         if (meter == null) {
@@ -181,7 +181,7 @@
         start(meter, Spent.RANKS_LATER, 0);
     }
 
-    /** A node answered a hop that had been given up: it stood still, or was long at it, and was not gone. */
+    /** A node answered an attempt that had been given up: it stood still, or was long at it, and was not gone. */
     public void late(int node, double waited, double worked) {
         NodeLog log = nodes.get(node);
         if (log != null && waited + worked > 0) {
@@ -189,7 +189,7 @@
         }
     }
 
-    /** Its hop ended for nothing, in this way. */
+    /** Its attempt ended for nothing, in this way. */
     public void failed(Meter meter, Outcome how, double now) {
         if (meter == null) {
             return;
@@ -218,7 +218,7 @@
     }
 
     /**
-     * No answer came in time. From a node that answered others meanwhile, what its hops usually take is its queue's
+     * No answer came in time. From a node that answered others meanwhile, what its attempts usually take is its queue's
      * doing or its slowness; only what goes beyond that is the node's fault, as all of it is of a quiet node.
      */
     private void unanswered(Meter meter, NodeLog log, double length, double now) {
@@ -229,7 +229,7 @@
         quiet(meter, length - queue, now, false);
     }
 
-    /** Found silent for hops that ended unanswered; but one that is slow and answered lately is that, not silent. */
+    /** Found silent for attempts without an answer; but one that is slow and answered lately is that, not silent. */
     private void silent(Meter meter, double length, double now) {
         NodeLog log = meter.log;
         double slow = log == null || now - log.heardAt > HEARD_LATELY ? 0
@@ -426,7 +426,7 @@
     }
 
     /**
-     * Held here for a slot at a node, or by the queue seen there: its slots turn over as fast as its hops end.
+     * Held here for a slot at a node, or by the queue seen there: its slots turn over as fast as its attempts end.
      * What the node's silence, its coldness, pauses or other gateways' work add is not the doing of those who
      * have the slots; the rest is charged to them.
      */
@@ -477,7 +477,7 @@
     }
 
     /** Waited in the node's queue, as the node told. */
-    private void queued(Meter meter, NodeLog log, double length, double hop, double now) {
+    private void queued(Meter meter, NodeLog log, double length, double attempt, double now) {
         if (log == null) {
             charge(meter, Cause.Kind.CAUTION, meter.node, length, true);
             return;
@@ -507,8 +507,8 @@
             double least = Double.isNaN(usual) ? 0 : mine * own / (own + mostOthers);
             behind(meter, log, mine, least, length, false);
         }
-        if (hop > 0) {
-            log.composed(elsewhere / hop, paused / hop);
+        if (attempt > 0) {
+            log.composed(elsewhere / attempt, paused / attempt);
         }
     }
 
--- a/src/main/java/sagepulley/accounts/Ahead.java
+++ b/src/main/java/sagepulley/accounts/Ahead.java
@@ -2,7 +2,7 @@
 
 import sagepulley.model.Owed;
 
-/** The units of hops that are out at a node, by volume and by part of the plan: what others wait behind. */
+/** The units of attempts that are out at a node, by volume and by part of the plan: what others wait behind. */
 final class Ahead {
     private static final Owed[] OWED = Owed.values();
     static final int MOST = 48;
--- a/src/main/java/sagepulley/accounts/Cause.java
+++ b/src/main/java/sagepulley/accounts/Cause.java
@@ -13,7 +13,7 @@
         NEIGHBOUR, ELSEWHERE,
         /** A node that works slower than the rest, pauses of its own, started lately, or did not do its work. */
         SLOW_NODE, PAUSE, COLD_NODE, FAULT,
-        /** This gateway's caution: a queue seen, the budget of further hops, a rank. */
+        /** This gateway's caution: a queue seen, the budget of further attempts, a rank. */
         CAUTION,
         DIRECTORY, NETWORK
     }
--- a/src/main/java/sagepulley/accounts/Meter.java
+++ b/src/main/java/sagepulley/accounts/Meter.java
@@ -27,7 +27,7 @@
     /** Units ahead that are not this gateway's, by what the node told before: the least and the most. */
     double othersLeast;
     double othersMost;
-    /** What is known of the node it is at or waits for, and of that where a hop is out; null for none. */
+    /** What is known of the node it is at or waits for, and of that where an attempt is out; null for none. */
     NodeLog log;
     NodeLog out;
     long outKey;
--- a/src/main/java/sagepulley/accounts/NodeLog.java
+++ b/src/main/java/sagepulley/accounts/NodeLog.java
@@ -7,8 +7,8 @@
     private static final double ODD = 4;
     /** The wait for a unit ahead is followed towards its low quarter, in steps of this part. */
     private static final double DRAIN_STEP = 0.05;
-    /** A node that says nothing for so many times its usual hop, and so long besides, holds up its hops itself. */
-    private static final double QUIET_HOPS = 4;
+    /** A node that is silent for so many times its usual attempt, and so long besides, holds its attempts up itself. */
+    private static final double QUIET_ATTEMPTS = 4;
     private static final double QUIET_LEAST = 20;
     private static final double SPELL_STEP = 0.4;
     private static final double MOST_OF_SPELL = 0.6;
@@ -20,20 +20,20 @@
     final Timeline<Flow> flows = new Timeline<>(Flow::new);
     /** Units written lately, by volume: what a deferred write makes others wait for. */
     final Lately written = new Lately();
-    int hopsOut;
+    int attemptsOut;
     double claiming;
     double heardAt = Double.NEGATIVE_INFINITY;
     private double firstOutAt;
     /** Milliseconds of work a unit, reads and writes; NaN before the first answer. */
     private final double[] pace = {Double.NaN, Double.NaN};
     private final double[] then = {Double.NaN, Double.NaN};
-    private double hop = Double.NaN;
+    private double attempt = Double.NaN;
     /** Milliseconds of waiting there for each unit of this gateway's ahead, with nobody else's seen. */
     private double drain = Double.NaN;
-    /** Hops in its queue when it last answered, and how many of them can have been this gateway's. */
+    /** Attempts in its queue when it last answered, and how many of them can have been this gateway's. */
     private double queueTold;
     private double queueOwn;
-    /** Of a hop's time, the parts that went to other gateways' work and to pauses of the node's own. */
+    /** Of an attempt's time, the parts that went to other gateways' work and to pauses of the node's own. */
     double elsewhere;
     double paused;
     private double pauses;
@@ -43,16 +43,16 @@
     }
 
     void sent(double now) {
-        if (hopsOut++ == 0) {
+        if (attemptsOut++ == 0) {
             firstOutAt = now;
         }
     }
 
     void ended() {
-        hopsOut--;
+        attemptsOut--;
     }
 
-    /** Hops in its queue that are not this gateway's, when it last answered: the least and the most. */
+    /** Attempts in its queue that are not this gateway's, when it last answered: the least and the most. */
     double othersLeast() {
         return Math.max(0, queueTold - queueOwn);
     }
@@ -75,9 +75,9 @@
         } else {
             pace[at] += STEP * (Math.min(latest, ODD * pace[at] + 1) - pace[at]);
         }
-        hop = Double.isNaN(hop) ? took : hop + STEP * (Math.min(took, ODD * hop + 1) - hop);
+        attempt = Double.isNaN(attempt) ? took : attempt + STEP * (Math.min(took, ODD * attempt + 1) - attempt);
         queueTold = Double.isNaN(queue) ? 0 : queue;
-        queueOwn = hopsOut;
+        queueOwn = attemptsOut;
     }
 
     /** What a wait was with so many units ahead, none of them others'. */
@@ -120,14 +120,14 @@
         return then[kind];
     }
 
-    /** What a hop that was sent at a time may take by the usual; 0 if the node has answered nothing since. */
+    /** What an attempt that was sent at a time may take by the usual; 0 if the node has answered nothing since. */
     double usualSince(double sentAt) {
-        return heardAt <= sentAt || Double.isNaN(hop) ? 0 : QUIET_HOPS * hop + QUIET_LEAST;
+        return heardAt <= sentAt || Double.isNaN(attempt) ? 0 : QUIET_ATTEMPTS * attempt + QUIET_LEAST;
     }
 
     /** Of a wait for this node from one time to another, the milliseconds in which it had fallen quiet. */
     double quiet(double from, double to) {
-        if (hopsOut == 0) {
+        if (attemptsOut == 0) {
             return 0;
         }
         double since = Math.max(heardAt, firstOutAt) + quietFrom();
@@ -135,7 +135,7 @@
     }
 
     private double quietFrom() {
-        return QUIET_HOPS * (Double.isNaN(hop) ? QUIET_LEAST : hop) + QUIET_LEAST;
+        return QUIET_ATTEMPTS * (Double.isNaN(attempt) ? QUIET_LEAST : attempt) + QUIET_LEAST;
     }
 
     void late() {
--- a/src/main/java/sagepulley/accounts/Spent.java
+++ b/src/main/java/sagepulley/accounts/Spent.java
@@ -10,7 +10,7 @@
     DIRECTORY,
     /** Between gateway and node; in the node's queue; worked on there. */
     ON_THE_WAY, NODE_QUEUE, NODE_WORK,
-    /** In hops that ended for nothing. */
+    /** In attempts that ended for nothing. */
     FUTILE;
 
     /** The part that a reason to wait stands for. */
--- a/src/main/java/sagepulley/cli/DrillCommand.java
+++ b/src/main/java/sagepulley/cli/DrillCommand.java
@@ -45,7 +45,7 @@
             System.out.println(new JsonMapper().writeValueAsString(result));
             return result.good() ? Commands.OK : Commands.FAILED;
         }
-        System.out.println(result.day() + ": " + result.requests() + " requests, " + result.hops() + " hops");
+        System.out.println(result.day() + ": " + result.requests() + " requests, " + result.attempts() + " hops");
         for (Verdict verdict : result.verdicts()) {
             System.out.printf("%-6s %-42s %s (bound: %s)%n", verdict.kept() ? "kept" : "BROKEN", verdict.rule(),
                     verdict.figure(), verdict.bound());
--- a/src/main/java/sagepulley/cli/ExplainCommand.java
+++ b/src/main/java/sagepulley/cli/ExplainCommand.java
@@ -70,7 +70,7 @@
         }
         List<JsonNode> children = new ArrayList<>(spans.stream().filter(span -> span.path("trace").asText()
                 .equals(roots.get(0).path("trace").asText()) && span != roots.get(0)).toList());
-        // Hops go before the steps that they brought about.
+        // Attempts go before the steps that they brought about.
         children.sort(Comparator.comparingLong((JsonNode span) -> span.path("start").asLong())
                 .thenComparing(span -> span.path("name").asText()));
         if (json) {
--- a/src/main/java/sagepulley/cli/StartsCommand.java
+++ b/src/main/java/sagepulley/cli/StartsCommand.java
@@ -56,7 +56,7 @@
                 : row.ageHours() < 24 ? Math.round(row.ageHours()) + " h" : Math.round(row.ageHours() / 24) + " d";
         System.out.printf("| %s | %s | %s | %d | %d | %s | %.0f %% | %.0f %% |%n", Words.of(row.way()), age,
                 row.since() == Starts.Since.NOTHING ? "nothing" : row.changed() + " of 8 " + Words.of(row.since()),
-                row.wrongHops(), row.pushedOver(), Double.isNaN(row.firstMs()) ? "never"
+                row.wrongAttempts(), row.pushedOver(), Double.isNaN(row.firstMs()) ? "never"
                         : String.format(java.util.Locale.ROOT, "%.0f ms", row.firstMs()), 100 * row.service(),
                 100 * row.serviceOfAll());
     }
--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -11,7 +11,7 @@
 import java.util.random.RandomGeneratorFactory;
 import sagepulley.model.Band;
 import sagepulley.model.Deployment;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -28,8 +28,8 @@
  * Every decision of one gateway: the Flint placement score, each node's bound, and the guards round them.
  *
  * How it is called (the types are those of sagepulley.model; times are milliseconds on one clock):
- *   place(operation)  where to send it, or not yet, or never; a SEND has already added the operation's hop
- *   after(hop)        what to do for its operation after this outcome
+ *   place(operation)  where to send it, or not yet, or never; a SEND has already added its attempt
+ *   after(attempt)        what to do for its operation after this outcome
  *   pause()           how long to wait, and what is due now: operations to place, probes, list calls;
  *                     asked again until no operation is due
  * and told, with no answer: listed, listFailed, probed, left, found, needless. The caller keeps timers and
@@ -87,7 +87,7 @@
     private static final double TRIAL_SHARE = 0.3;
     // An operation that would need more than this part of its usual time beyond its target time is late.
     private static final double LATE_FACTOR = 0.7;
-    // Hops go on this part of the target time after it, where a late answer is worth this part at least.
+    // Attempts go on this part of the target time after it, where a late answer is worth this part at least.
     private static final double LATE_GRACE = 0.5;
     private static final double LATE_WORTH = 0.5;
     // A client's repeat: sought among this many, and known by this part of the target time gone.
@@ -98,7 +98,7 @@
     private static final double LOST_MEMORY = 5_000;
     // A volume over so many times its level surges; 1.5 of the whole volume did less on two sites.
     private static final double HEADROOM = 2.5;
-    private static final int MOST_FURTHER_HOPS = 2;
+    private static final int MOST_FURTHER_ATTEMPTS = 2;
     private static final double OVERLOAD_WINDOW = 1_000;
     private static final double OVERLOAD_SHARE = 0.03;
     private static final double FAULT_STEP = 0.2;
@@ -131,7 +131,7 @@
     private final Queue fresh = new Queue();
     private final Queue homeless = new Queue();
     private final Waits waits = new Waits();
-    private final List<Hop> unwanted = new ArrayList<>();
+    private final List<Attempt> unwanted = new ArrayList<>();
     private final Map<Long, KeyLine> lines = new HashMap<>();
     /** By extent, when the target time of a first try ends that was lately given up or left. */
     private final Map<Long, Double> unserved = new LinkedHashMap<>() {
@@ -262,8 +262,8 @@
             row.leftAge = row.leftShare == 0 ? age : row.leftAge + LEFT_STEP * (age - row.leftAge);
             row.leftShare += LEFT_STEP * (1 - row.leftShare);
         }
-        for (Hop hop : operation.hops) {
-            if (hop.outcome == null && site.mayCallOff()) { unwanted.add(hop); }
+        for (Attempt attempt : operation.attempts) {
+            if (attempt.outcome == null && site.mayCallOff()) { unwanted.add(attempt); }
         }
     }
 
@@ -291,30 +291,30 @@
         }
         if (!ticket.waits) {
             enqueue(operation);
-            if (operation.hops.isEmpty()) { load(ticket.seat).arrivals().add(now, 1); }
-            if (operation.hops.isEmpty() && ticket.seat != null) {
+            if (operation.attempts.isEmpty()) { load(ticket.seat).arrivals().add(now, 1); }
+            if (operation.attempts.isEmpty() && ticket.seat != null) {
                 use(account(operation.volume, now), ticket.seat).asked.add(now, operation.units);
             }
         }
-        boolean mayHop = operation.hops.isEmpty() || mayHopAgain(operation, now);
-        Seat seat = mayHop ? turn(operation, now) : null;
+        boolean mayAttempt = operation.attempts.isEmpty() || mayAttemptAgain(operation, now);
+        Seat seat = mayAttempt ? turn(operation, now) : null;
         if (seat != null && lawful(operation, seat, now)) { return send(operation, seat, now); }
-        if (!mayHop || now >= operation.deadline - lastCall || lateAt(operation) <= now) {
+        if (!mayAttempt || now >= operation.deadline - lastCall || lateAt(operation) <= now) {
             return giveUp(operation, now);
         }
         return Placement.NOT_YET;
     }
 
     /** What to do for the operation after this outcome. */
-    public Sequel after(Hop hop, double now) {
-        Operation operation = hop.operation;
-        Seat seat = (Seat) hop.node.kept;
-        seat.out.remove(hop);
+    public Sequel after(Attempt attempt, double now) {
+        Operation operation = attempt.operation;
+        Seat seat = (Seat) attempt.node.kept;
+        seat.out.remove(attempt);
         state++;
-        learn(hop, seat, now);
+        learn(attempt, seat, now);
         Ticket ticket = (Ticket) operation.kept;
-        if (ticket.line != null && (hop.outcome == Outcome.TIMED_OUT || hop.outcome == Outcome.RESET
-                || hop.outcome == Outcome.CALLED_OFF)) {
+        if (ticket.line != null && (attempt.outcome == Outcome.TIMED_OUT || attempt.outcome == Outcome.RESET
+                || attempt.outcome == Outcome.CALLED_OFF)) {
             ticket.line.restsUntil = now + rules.keyRest();
         }
         if (operation.over) {
@@ -347,7 +347,7 @@
             askAt = now + Math.max(site.askWithin() / 2, ASK_PATIENCE);
         }
         lookAt(askAt);
-        List<Hop> callOff = List.copyOf(unwanted);
+        List<Attempt> callOff = List.copyOf(unwanted);
         unwanted.clear();
         return new Pause(Math.max(0, nextLook - now), due, List.of(), callOff, call);
     }
@@ -391,14 +391,14 @@
         // 3: nothing new to a node that drains or is gone.
         if (seat.node.standing != Node.Standing.READY) { return false; }
         if (operation.shard >= 0 && operation.shard != seat.node.cell) { return false; }
-        int hops = operation.hops.size();
-        if (hops > 0) {
+        int attempts = operation.attempts.size();
+        if (attempts > 0) {
             // 2: no effect twice.
-            if (!mayRepeat(operation, seat.node, null, now) || hops >= rules.mostHops()
+            if (!mayRepeat(operation, seat.node, null, now) || attempts >= rules.mostAttempts()
                     || !rules.secondCopies() && operation.isOut()) {
                 return false;
             }
-            // 6: the budget of further hops, counted against ourselves where a bucket is cut.
+            // 6: the budget of further attempts, counted against ourselves where a bucket is cut.
             if (rules.hasBudget() && further.sumOver(now) + 1
                     > rules.budgetFree() + rules.budgetShare() * taken.sumWithin(now)) {
                 return false;
@@ -409,27 +409,27 @@
         // 5: order by key.
         if (!isFirstOfKey(operation, now)) { return false; }
         // 7: the volume's limit, of which this gateway spends its own part.
-        return hops > 0 || operation.units <= limitRoom(operation.volume, now);
+        return attempts > 0 || operation.units <= limitRoom(operation.volume, now);
     }
 
-    /** Whether a hop sent a while ago, of which the node has seen nothing yet, may begin there now. */
-    public boolean mayBegin(Hop hop, double now) {
-        return !hop.operation.over && now < hop.operation.deadline - lastCall
-                && hop.node.standing == Node.Standing.READY && mayRepeat(hop.operation, hop.node, hop, now);
+    /** Whether an attempt sent a while ago, of which the node has seen nothing yet, may begin there now. */
+    public boolean mayBegin(Attempt it, double now) {
+        return !it.operation.over && now < it.operation.deadline - lastCall
+                && it.node.standing == Node.Standing.READY && mayRepeat(it.operation, it.node, it, now);
     }
 
-    private boolean mayRepeat(Operation operation, Node node, Hop itself, double now) {
+    private boolean mayRepeat(Operation operation, Node node, Attempt itself, double now) {
         Band band = operation.band;
         if (band.repeat() == Band.Repeat.IDEMPOTENT) { return true; }
-        for (Hop hop : operation.hops) {
-            if (hop == itself || hop.outcome != null && hop.outcome.provesNotRun) { continue; }
+        for (Attempt attempt : operation.attempts) {
+            if (attempt == itself || attempt.outcome != null && attempt.outcome.provesNotRun) { continue; }
             if (band.repeat() == Band.Repeat.UNREPEATABLE) { return false; }
             boolean same = switch (band.group()) {
                 case ALL -> true;
-                case ZONE -> hop.node.zone == node.zone;
-                case CELL -> hop.node.cell == node.cell;
+                case ZONE -> attempt.node.zone == node.zone;
+                case CELL -> attempt.node.cell == node.cell;
             };
-            if (!same || now > hop.sentAt + band.groupMemory() - lastCall) { return false; }
+            if (!same || now > attempt.sentAt + band.groupMemory() - lastCall) { return false; }
         }
         return true;
     }
@@ -441,15 +441,15 @@
                 || band.repeat() == Band.Repeat.DEDUPLICATED && band.group() == Band.Group.ALL) {
             return true;
         }
-        return operation.hops.stream().allMatch(hop -> hop.outcome != null && hop.outcome.provesNotRun);
+        return operation.attempts.stream().allMatch(it -> it.outcome != null && it.outcome.provesNotRun);
     }
 
     /**
-     * A cold node gets only first hops of operations inside their share, and of those a part by lot, the same
-     * at every gateway. What is inside the shares of all volumes together is at most what the node can do
-     * when warm, so that the part that may pass is the multiple of what it can do now on the even ramp (the
-     * slowest allowed, at the start of the rule's window), less what chance and a misjudged share may add. It
-     * needs no count of gateways, of what they sent or of what was sent before our own start.
+     * A cold node gets only first attempts of operations inside their share, and of those a part by lot, the
+     * same at every gateway. What is inside all shares together is at most what the node does when warm, so
+     * that the part that may pass is the multiple of what it does now on the even ramp (the slowest allowed,
+     * at the start of the rule's window), less what chance and a wrong share may add. It needs no count of
+     * gateways, of what they sent or of what was sent before our own start.
      */
     boolean borne(Operation operation, Seat seat, double now) {
         double age = now - seat.startedAt;
@@ -465,7 +465,7 @@
         double windows = Math.max(1, (now - bornAt) / rules.fallTime());
         double usual = servedUnits / windows / seats.size();
         double spent = seat.coldSpent.sumOver(now);
-        return operation.hops.isEmpty()
+        return operation.attempts.isEmpty()
                 && spent + operation.units <= Math.max(site.mostUnits(), COLD_BURST * part * usual)
                 && due(operation.volume, operation.units, seat, now) >= site.shareWorth();
     }
@@ -474,7 +474,7 @@
         KeyLine line = ((Ticket) operation.kept).line;
         if (line == null) { return true; }
         if (line.operations.get(0) != operation) { return false; }
-        if (operation.hops.isEmpty() && now <= line.restsUntil) {
+        if (operation.attempts.isEmpty() && now <= line.restsUntil) {
             lookAt(line.restsUntil + site.tick());
             return false;
         }
@@ -496,11 +496,11 @@
     // ---- sending ----
 
     private Placement send(Operation operation, Seat seat, double now) {
-        boolean first = operation.hops.isEmpty();
+        boolean first = operation.attempts.isEmpty();
         dequeue(operation);
-        Hop hop = new Hop(operation, seat.node, operation.hops.size(), now);
-        operation.hops.add(hop);
-        seat.out.add(hop);
+        Attempt attempt = new Attempt(operation, seat.node, operation.attempts.size(), now);
+        operation.attempts.add(attempt);
+        seat.out.add(attempt);
         seat.sentAt = now;
         seat.coldSpent.add(now, operation.units);
         if (operation.extent != 0 && operation.extent == seat.lastExtent) {
@@ -511,7 +511,7 @@
         }
         if (operation.shard < 0) { seat.placements.add(now, 1); }
         Account account = account(operation.volume, now);
-        hop.owed = owed(operation, seat, now);
+        attempt.owed = owed(operation, seat, now);
         if (first) {
             if (operation.shard < 0) { use(account, seat).asked.add(now, operation.units); }
             account.limit -= operation.units;
@@ -523,8 +523,8 @@
     }
 
     /**
-     * A hop ends with the target time: what is never answered (by a node that loses answers, hangs or is cut
-     * off) must not hold a slot of the bound until the client's patience ends, and work that comes late
+     * An attempt ends with the target time: what is never answered (by a node that loses answers, hangs or is
+     * cut off) must not hold a slot of the bound until the client's patience ends, and work that comes late
      * anyway stands in every gateway's way at the node, which drops what has ended.
      */
     private double timeout(Operation operation, double now) {
@@ -541,9 +541,9 @@
         if (operation.isOut()) { return Placement.NOT_YET; }
         forsake(operation);
         operation.over = true;
-        // A share that only answers wore off would last for good where it forbids every hop.
+        // A share that only answers wore off would last for good where it forbids every attempt.
         rows[operation.band.index()].leftShare *= 1 - LEFT_STEP;
-        // Overload is what is declined though its node serves; an outage must not forbid hops elsewhere.
+        // Overload is what is declined though its node serves; an outage must not forbid attempts elsewhere.
         Seat seat = ((Ticket) operation.kept).seat;
         if (seat == null || sound(seat, now)) { load(seat).declines().add(now, 1); }
         if (!mayDecline(operation)) { return Placement.SCRAPPED; }
@@ -560,14 +560,14 @@
         return Math.min(site.longestAdvice(), queue);
     }
 
-    /** Whether another hop is wanted at all; what the rules say of it is asked elsewhere. */
-    private boolean mayHopAgain(Operation operation, double now) {
-        return operation.hops.size() <= MOST_FURTHER_HOPS && operation.hops.size() < rules.mostHops()
+    /** Whether another attempt is wanted at all; what the rules say of it is asked elsewhere. */
+    private boolean mayAttemptAgain(Operation operation, double now) {
+        return operation.attempts.size() < Math.min(MOST_FURTHER_ATTEMPTS + 1, rules.mostAttempts())
                 && !overloaded(((Ticket) operation.kept).seat, now) && !operation.isOut()
                 && lateAt(operation) > now;
     }
 
-    /** Overload is a node's matter: a surge at one forbids no further hop at another. */
+    /** Overload is a node's matter: a surge at one forbids no further attempt at another. */
     private boolean overloaded(Seat seat, double now) {
         Load load = load(seat);
         return (seat == null ? waiting > seats.size() : seat.waiting.size() > (int) seat.bound)
@@ -907,13 +907,13 @@
 
     // ---- what is learned from an outcome ----
 
-    private void learn(Hop hop, Seat seat, double now) {
-        Operation operation = hop.operation;
-        if (hop.othersUnits > 0) { hear(operation.volume, seat, hop.othersUnits, now); }
-        if (hop.outcome == Outcome.SATISFIED) {
+    private void learn(Attempt attempt, Seat seat, double now) {
+        Operation operation = attempt.operation;
+        if (attempt.othersUnits > 0) { hear(operation.volume, seat, attempt.othersUnits, now); }
+        if (attempt.outcome == Outcome.SATISFIED) {
             use(account(operation.volume, now), seat).toldAt = now;
         }
-        switch (hop.outcome) {
+        switch (attempt.outcome) {
             case SATISFIED -> {
                 seat.heardAt = now;
                 seat.distrusted = false;
@@ -924,24 +924,24 @@
                 seat.faults += FAULT_STEP * (1 - seat.faults);
             }
             // A full node is up, but one that hangs turns work away as well: only an answer restores trust. A
-            // connection that breaks may be the only thing that did: if the node is down, the next hop tells.
-            case NO_CONNECTION -> seat.distrusted |= seat.heardAt < hop.sentAt;
-            // A hop that had little time left tells as little.
-            case TIMED_OUT -> seat.distrusted |= seat.heardAt < hop.sentAt
-                    && hop.took >= SILENCE_SHARE * shortestTarget;
+            // connection that breaks may be the only thing that did: if the node is down, the next one tells.
+            case NO_CONNECTION -> seat.distrusted |= seat.heardAt < attempt.sentAt;
+            // An attempt that had little time left tells as little.
+            case TIMED_OUT -> seat.distrusted |= seat.heardAt < attempt.sentAt
+                    && attempt.took >= SILENCE_SHARE * shortestTarget;
             default -> { }
         }
-        if (hop.outcome == Outcome.FULL) { cut(seat, hop, now); }
+        if (attempt.outcome == Outcome.FULL) { cut(seat, attempt, now); }
         // A time-out shows a queue at least as long, unless its answer was lost: it counts for less.
-        if (hop.outcome == Outcome.TIMED_OUT) { crowd(seat, hop.took, TIMEOUT_PART, now); }
-        if (hop.outcome != Outcome.SATISFIED) { return; }
+        if (attempt.outcome == Outcome.TIMED_OUT) { crowd(seat, attempt.took, TIMEOUT_PART, now); }
+        if (attempt.outcome != Outcome.SATISFIED) { return; }
         BandRow row = rows[operation.band.index()];
         row.leftShare -= LEFT_STEP * row.leftShare;
         servedUnits += operation.units;
         // How long a queue may be before anyone is held back follows how many answers come late.
-        ease = hop.took > LATE_ANSWER * target(operation.band) ? Math.max(LEAST_EASE, ease * (1 - EASE_CUT))
-                : Math.min(MOST_EASE, ease * (1 + EASE_STEP));
-        double pace = hop.took / operation.units;
+        ease = attempt.took > LATE_ANSWER * target(operation.band)
+                ? Math.max(LEAST_EASE, ease * (1 - EASE_CUT)) : Math.min(MOST_EASE, ease * (1 + EASE_STEP));
+        double pace = attempt.took / operation.units;
         if (row.basePace == 0) {
             row.basePace = pace / 2;
             row.meanPace = pace;
@@ -950,12 +950,12 @@
                 : 1 + PACE_STEP * PACE_QUANTILE;
         row.meanPace += PACE_STEP * (Math.min(pace, 4 * row.meanPace) - row.meanPace);
         int way = operation.band.writes() ? 1 : 0;
-        seat.took[way] += hop.took;
+        seat.took[way] += attempt.took;
         seat.units[way] += operation.units;
-        double queued = hop.took - operation.units * row.basePace;
+        double queued = attempt.took - operation.units * row.basePace;
         crowd(seat, queued, 1, now);
         if (queued > QUEUE_SHARE * shortestTarget) {
-            cut(seat, hop, now);
+            cut(seat, attempt, now);
         } else if (seat.bound < MOST_BOUND) {
             seat.bound = Math.min(MOST_BOUND, seat.bound + BOUND_STEP / seat.bound);
         }
@@ -969,8 +969,8 @@
         seat.crowd += part * step * (seen - seat.crowd);
     }
 
-    private void cut(Seat seat, Hop hop, double now) {
-        if (hop.sentAt >= seat.cutAt) {
+    private void cut(Seat seat, Attempt attempt, double now) {
+        if (attempt.sentAt >= seat.cutAt) {
             seat.bound = Math.max(LEAST_BOUND, seat.bound * BOUND_CUT);
             seat.cutAt = now;
         }
@@ -1079,7 +1079,7 @@
         if (operation.extent != 0) { unserved.put(operation.extent, ((Ticket) operation.kept).targetEnds); }
     }
 
-    /** Takes an operation that is over out of every queue; its key moves on once no hop of it is out. */
+    /** Takes an operation that is over out of every queue; its key moves on once no attempt of it is out. */
     private void drop(Operation operation) {
         Ticket ticket = (Ticket) operation.kept;
         dequeue(operation);
--- a/src/main/java/sagepulley/control/Queue.java
+++ b/src/main/java/sagepulley/control/Queue.java
@@ -16,11 +16,11 @@
             .comparingDouble((Ticket ticket) -> ticket.operation.deadline)
             .thenComparingLong(ticket -> ticket.turn);
 
-    /** Whoever had a hop, or keeps an order, is like nobody else: its turn tells it apart; others have 0. */
+    /** Whoever had an attempt, or keeps an order, is like nobody else: its turn tells it apart; others have 0. */
     private record Alike(long volume, int band, double units, long turn) {
         static Alike of(Ticket ticket) {
             Operation operation = ticket.operation;
-            boolean plain = operation.hops.isEmpty() && ticket.line == null;
+            boolean plain = operation.attempts.isEmpty() && ticket.line == null;
             return new Alike(operation.volume.id, operation.band.index(), operation.units,
                     plain ? 0 : ticket.turn);
         }
--- a/src/main/java/sagepulley/control/Seat.java
+++ b/src/main/java/sagepulley/control/Seat.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Ring;
@@ -13,9 +13,9 @@
     final Node node;
     /** Operations whose data lies here, waiting for their turn. */
     final Queue waiting = new Queue();
-    final List<Hop> out = new ArrayList<>();
+    final List<Attempt> out = new ArrayList<>();
 
-    /** How many hops may be out, and when that was last cut. */
+    /** How many attempts may be out, and when that was last cut. */
     double bound;
     double cutAt = Double.NEGATIVE_INFINITY;
     /** The queue that the latest answers showed, against the longest that is wanted. */
--- a/src/main/java/sagepulley/control/WaitView.java
+++ b/src/main/java/sagepulley/control/WaitView.java
@@ -27,7 +27,7 @@
         if (!control.borne(operation, seat, now)) {
             return Reason.COLD;
         }
-        boolean first = operation.hops.isEmpty();
+        boolean first = operation.attempts.isEmpty();
         if (first && operation.units > control.limitRoom(operation.volume, now)) {
             return Reason.LIMIT;
         }
--- a/src/main/java/sagepulley/drill/Drill.java
+++ b/src/main/java/sagepulley/drill/Drill.java
@@ -32,7 +32,7 @@
 
     /** What a day came to. */
     public record Result(String day, List<Verdict> verdicts, Map<String, Double> service, List<String> unmet,
-                         long requests, long hops, double stoodStill) {
+                         long requests, long attempts, double stoodStill) {
         /** Whether every rule and promise was kept, and every expectation met. */
         public boolean good() {
             return unmet.isEmpty() && verdicts.stream().allMatch(Verdict::kept);
--- a/src/main/java/sagepulley/drill/Judge.java
+++ b/src/main/java/sagepulley/drill/Judge.java
@@ -34,7 +34,7 @@
     private final Site site;
     private final List<NodeTraits> traits;
     private final double allowance;
-    private final Map<Op, List<Notebook.Came>> hops = new HashMap<>();
+    private final Map<Op, List<Notebook.Came>> attempts = new HashMap<>();
     private final Map<Op, List<Notebook.Answered>> answers = new HashMap<>();
     private final Map<Op, List<Notebook.CalledOff>> callsOff = new HashMap<>();
 
@@ -45,7 +45,7 @@
         this.traits = traits;
         this.allowance = WAY_MS + still;
         for (Notebook.Came came : notes.came) {
-            hops.computeIfAbsent(new Op(came.gateway(), came.send().mark()), any -> new ArrayList<>()).add(came);
+            attempts.computeIfAbsent(new Op(came.gateway(), came.send().mark()), any -> new ArrayList<>()).add(came);
         }
         for (Notebook.Answered answer : notes.answered) {
             answers.computeIfAbsent(new Op(answer.gateway(), answer.mark()), any -> new ArrayList<>()).add(answer);
@@ -141,7 +141,7 @@
             }
         }
         int further = 0;
-        for (Map.Entry<Op, List<Notebook.Came>> entry : hops.entrySet()) {
+        for (Map.Entry<Op, List<Notebook.Came>> entry : attempts.entrySet()) {
             List<Notebook.Came> sent = entry.getValue();
             for (int i = 1; i < sent.size(); i++) {
                 further++;
@@ -175,13 +175,13 @@
         }
     }
 
-    /** Whether the node of a hop, before a time, started anew; a cut link shows as a hop never answered. */
-    private boolean linkEnded(Notebook.Came hop, long until) {
+    /** Whether the node of an attempt, before a time, started anew; a cut link shows as an attempt never answered. */
+    private boolean linkEnded(Notebook.Came attempt, long until) {
         for (Notebook.Came other : notes.came) {
-            if (other.node() == hop.node() && other.gateway() == hop.gateway() && other.at() > until) {
+            if (other.node() == attempt.node() && other.gateway() == attempt.gateway() && other.at() > until) {
                 // The node was still read from by this gateway later, and never heard of a calling off.
-                return notes.started.stream().anyMatch(start -> start.node() == hop.node()
-                        && start.at() > hop.at() && start.at() < other.at());
+                return notes.started.stream().anyMatch(start -> start.node() == attempt.node()
+                        && start.at() > attempt.at() && start.at() < other.at());
             }
         }
         return true;
@@ -288,7 +288,7 @@
         Findings findings = new Findings();
         Map<String, List<Op>> byKey = new HashMap<>();
         int ordered = 0;
-        for (Map.Entry<Op, List<Notebook.Came>> entry : hops.entrySet()) {
+        for (Map.Entry<Op, List<Notebook.Came>> entry : attempts.entrySet()) {
             StoreWire.Send send = entry.getValue().get(0).send();
             if (band(send).inOrder()) {
                 ordered++;
@@ -299,8 +299,8 @@
         for (List<Op> ops : byKey.values()) {
             ops.sort(Comparator.comparingLong(Op::mark));
             for (int i = 1; i < ops.size(); i++) {
-                Notebook.Came first = hops.get(ops.get(i)).get(0);
-                for (Notebook.Came earlier : hops.get(ops.get(i - 1))) {
+                Notebook.Came first = attempts.get(ops.get(i)).get(0);
+                for (Notebook.Came earlier : attempts.get(ops.get(i - 1))) {
                     Notebook.Answered answer = answerTo(ops.get(i - 1), earlier.send().number());
                     boolean ended = answer != null && answer.at() <= first.at()
                             || callsOff.getOrDefault(ops.get(i - 1), List.of()).stream()
@@ -316,7 +316,7 @@
                 "one at a time");
     }
 
-    // ---- 6: budget of further hops ----
+    // ---- 6: budget of further attempts ----
 
     private Verdict budget() {
         Findings findings = new Findings();
@@ -338,13 +338,13 @@
                         && came.send().number() > 0).map(Notebook.Came::at).sorted().toList();
                 double window = (rules.budgetWindow() + allowance) * NS;
                 for (long at : further) {
-                    long hopsIn = further.stream().filter(one -> one <= at && one > at - rules.budgetWindow() * NS)
+                    long attemptsIn = further.stream().filter(one -> one <= at && one > at - rules.budgetWindow() * NS)
                             .count();
                     long takenIn = taken.stream().filter(one -> one <= at && one > at - window).count();
                     double allowed = rules.budgetFree() + rules.budgetShare() * takenIn;
-                    most = Math.max(most, hopsIn / Math.max(1e-9, allowed));
-                    if (hopsIn > allowed) {
-                        findings.breach("gateway " + life.index + " sent " + hopsIn + " further hops, allowed "
+                    most = Math.max(most, attemptsIn / Math.max(1e-9, allowed));
+                    if (attemptsIn > allowed) {
+                        findings.breach("gateway " + life.index + " sent " + attemptsIn + " further hops, allowed "
                                 + round(allowed));
                     }
                 }
@@ -376,7 +376,7 @@
                 last = came.at();
                 level -= came.send().units();
                 least = Math.min(least, level);
-                // Two hops that left apart may arrive together.
+                // Two attempts that left apart may arrive together.
                 if (level < -plan.limitSlack() - plan.limit() * allowance / 1000) {
                     findings.breach("volume " + volume.name() + " is " + round(-level) + " units past its limit");
                 }
--- a/src/main/java/sagepulley/drill/Notebook.java
+++ b/src/main/java/sagepulley/drill/Notebook.java
@@ -8,7 +8,7 @@
 
 /** What was noted at the sockets of nodes, directory and clients; the gateways' own word is not asked. */
 public final class Notebook implements Witness {
-    /** A hop at a node. */
+    /** An attempt at a node. */
     public record Came(int node, long gateway, StoreWire.Send send, long at) {
     }
 
@@ -16,7 +16,7 @@
     public record Ran(int node, long gateway, StoreWire.Send send, long at) {
     }
 
-    /** A hop's answer, which may have been lost by a fault. */
+    /** An attempt's answer, which may have been lost by a fault. */
     public record Answered(int node, long gateway, long mark, int number, StoreWire.Code code, boolean lost,
                            long at) {
     }
@@ -86,7 +86,7 @@
     final List<Asked> asked = new ArrayList<>();
 
     @Override
-    public synchronized void hopCame(int node, long gateway, StoreWire.Send send, long nanos) {
+    public synchronized void attemptCame(int node, long gateway, StoreWire.Send send, long nanos) {
         came.add(new Came(node, gateway, send, nanos));
     }
 
--- a/src/main/java/sagepulley/drill/SideBySide.java
+++ b/src/main/java/sagepulley/drill/SideBySide.java
@@ -245,7 +245,7 @@
     /** The client's own links to the nodes. */
     private static final class Direct {
         private final List<Peer> peers = new ArrayList<>();
-        private long hops;
+        private long attempts;
 
         Direct(List<StandInNode> nodes, EventLoop loop) {
             for (StandInNode node : nodes) {
@@ -256,11 +256,11 @@
         void ask(boolean reads, int extent, int offset, int bytes, ByteBuf data,
                  java.util.function.Consumer<Boolean> ended) {
             Peer peer = peers.get(extent % peers.size());
-            long hop = ++hops;
-            peer.waiting.put(hop, ended);
+            long attempt = ++attempts;
+            peer.waiting.put(attempt, ended);
             // A volume of its own, so that its pens are not the gateway's.
-            peer.link.send(hop, new StoreWire.Send(reads ? StoreWire.Kind.READ : StoreWire.Kind.WRITE, 0, false, 0,
-                    hop, 0, 2, extent, offset, bytes, 1, 0),
+            peer.link.send(attempt, new StoreWire.Send(reads ? StoreWire.Kind.READ : StoreWire.Kind.WRITE, 0, false, 0,
+                    attempt, 0, 2, extent, offset, bytes, 1, 0),
                     reads ? Unpooled.EMPTY_BUFFER : data.retainedDuplicate());
         }
     }
@@ -275,14 +275,14 @@
         }
 
         @Override
-        public void answered(long hop, StoreWire.Answer answer, ByteBuf payload) {
+        public void answered(long attempt, StoreWire.Answer answer, ByteBuf payload) {
             payload.release();
-            waiting.remove(hop).accept(answer.code() == StoreWire.Code.SATISFIED);
+            waiting.remove(attempt).accept(answer.code() == StoreWire.Code.SATISFIED);
         }
 
         @Override
-        public void broken(long hop, NodeLink.Broken how) {
-            waiting.remove(hop).accept(false);
+        public void broken(long attempt, NodeLink.Broken how) {
+            waiting.remove(attempt).accept(false);
         }
 
         @Override
--- a/src/main/java/sagepulley/drill/Starts.java
+++ b/src/main/java/sagepulley/drill/Starts.java
@@ -47,11 +47,11 @@
     public enum Way { BY_AGE, BLINDLY, WAITING }
 
     /**
-     * One start: hops that reached nodes that drain or have been replaced, and cold nodes pushed over; milliseconds
+     * One start: attempts that reached nodes that drain or have been replaced, and cold nodes pushed over; milliseconds
      * to the first operation satisfied (NaN: none); the share of reads in their target time in the first seconds,
      * among those of extents whose nodes still hold them.
      */
-    public record Row(Way way, double ageHours, Since since, int changed, long wrongHops, int pushedOver,
+    public record Row(Way way, double ageHours, Since since, int changed, long wrongAttempts, int pushedOver,
                       double firstMs, double service, double serviceOfAll) {
     }
 
@@ -83,7 +83,7 @@
         final AtomicInteger fell = new AtomicInteger();
 
         @Override
-        public void hopCame(int node, long gateway, StoreWire.Send send, long nanos) {
+        public void attemptCame(int node, long gateway, StoreWire.Send send, long nanos) {
             synchronized (watched) {
                 if (watched.contains(node)) {
                     wrong.incrementAndGet();
--- a/src/main/java/sagepulley/gateway/House.java
+++ b/src/main/java/sagepulley/gateway/House.java
@@ -43,7 +43,7 @@
 import sagepulley.membership.Returning;
 import sagepulley.membership.Told;
 import sagepulley.lists.HoldersFile;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -103,7 +103,7 @@
     /** The ready node of each cell. */
     private final Map<Integer, Node> byCell = new HashMap<>();
     private final Holders<Part> holders = new Holders<>();
-    /** Parts whose hop is out, by the hop's number on the wire. */
+    /** Parts whose attempt is out, by the attempt's number on the wire. */
     private final Map<Long, Part> out = new HashMap<>();
     private final Map<Session, Set<Request>> requests = new HashMap<>();
     /** Parts in hand whose holder is not known, by extent. */
@@ -120,7 +120,7 @@
     private final Returning returning;
     /** Extents whose holder is known from disk only: the first node that is asked says whether it is so. */
     private final Set<Long> unverified = new HashSet<>();
-    private long hopIds;
+    private long attemptIds;
     private boolean settleDue;
     private final Alarm alarm;
     private ScheduledFuture<?> beat;
@@ -136,7 +136,7 @@
     private Runnable whenReady = () -> { };
     private Runnable whenEmpty;
 
-    /** A node of the list with its link, which is opened when a hop needs it. */
+    /** A node of the list with its link, which is opened when an attempt needs it. */
     private final class Place implements NodeLink.Owner {
         final Node node;
         NodeLink link;
@@ -147,13 +147,13 @@
         }
 
         @Override
-        public void answered(long hop, StoreWire.Answer answer, ByteBuf payload) {
-            House.this.answered(hop, answer, payload);
+        public void answered(long attempt, StoreWire.Answer answer, ByteBuf payload) {
+            House.this.answered(attempt, answer, payload);
         }
 
         @Override
-        public void broken(long hop, NodeLink.Broken how) {
-            Part part = out.remove(hop);
+        public void broken(long attempt, NodeLink.Broken how) {
+            Part part = out.remove(attempt);
             if (part != null) {
                 ended(part, how == NodeLink.Broken.RESET ? Outcome.RESET : Outcome.NO_CONNECTION);
             }
@@ -643,7 +643,7 @@
         for (Map.Entry<Long, Set<Part>> entry : List.copyOf(seeking.entrySet())) {
             refile(entry.getKey(), -1);
             for (Part part : List.copyOf(entry.getValue())) {
-                if (!creates(part) && part.hop == 0 && !part.operation.over) {
+                if (!creates(part) && part.attempt == 0 && !part.operation.over) {
                     lookUp(part);
                 }
             }
@@ -653,7 +653,7 @@
     /** Tells Control anew where the first writes to an extent go that wait with it. */
     private void refile(long key, int shard) {
         for (Part part : seeking.getOrDefault(key, Set.of())) {
-            if (part.shown && part.hop == 0 && part.operation.shard != shard && creates(part)) {
+            if (part.shown && part.attempt == 0 && part.operation.shard != shard && creates(part)) {
                 control.found(part.operation, shard);
             }
         }
@@ -668,12 +668,12 @@
         holders.unpark(key, part);
     }
 
-    private void claim(Part part, Hop hop) {
+    private void claim(Part part, Attempt attempt) {
         long key = part.operation.extent;
         holders.claims(key);
         // Other first writes to the extent wait for this claim, or they would lose theirs against it.
         refile(key, NOT_FOUND_YET);
-        directory.claim(part.request.disk.line.id(), part.extent, hop.node.cell, (cell, failure) -> {
+        directory.claim(part.request.disk.line.id(), part.extent, attempt.node.cell, (cell, failure) -> {
             if (cell != null) {
                 found(key, cell);
             }
@@ -687,15 +687,15 @@
             for (Part waiting : holders.claimed(key)) {
                 handOn(waiting);
             }
-            if (hop.outcome != null) {
+            if (attempt.outcome != null) {
                 settle();
                 return;
             }
-            if (cell != null && cell == hop.node.cell) {
-                hand(part, hop);
+            if (cell != null && cell == attempt.node.cell) {
+                hand(part, attempt);
             } else {
-                // Another node holds it, or nobody can say: the hop never went out.
-                out.remove(part.hop);
+                // Another node holds it, or nobody can say: the attempt never went out.
+                out.remove(part.attempt);
                 ended(part, Outcome.MOOT);
             }
         });
@@ -720,18 +720,18 @@
         waiting.remove(part);
         switch (placement.kind()) {
             case SEND -> {
-                Hop hop = operation.hops.get(operation.hops.size() - 1);
-                part.hop = ++hopIds;
+                Attempt attempt = operation.attempts.get(operation.attempts.size() - 1);
+                part.attempt = ++attemptIds;
                 part.handed = false;
-                out.put(part.hop, part);
-                long number = part.hop;
+                out.put(part.attempt, part);
+                long number = part.attempt;
                 part.timer = loop.schedule(() -> timedOut(number),
                         Math.max(1, (long) (placement.timeout() * NS)), TimeUnit.NANOSECONDS);
                 if (operation.shard < 0) {
-                    accounts.claims(part.meter, hop.node.id, clock.now());
-                    claim(part, hop);
+                    accounts.claims(part.meter, attempt.node.id, clock.now());
+                    claim(part, attempt);
                 } else {
-                    hand(part, hop);
+                    hand(part, attempt);
                 }
             }
             case DECLINE -> {
@@ -784,24 +784,24 @@
         return node == null ? 0 : node.id;
     }
 
-    private void hand(Part part, Hop hop) {
+    private void hand(Part part, Attempt attempt) {
         part.handed = true;
-        accounts.sent(part.meter, hop.node.id, hop.owed, clock.now());
-        Place place = places.get(hop.node.id);
-        tally.hops.increment();
+        accounts.sent(part.meter, attempt.node.id, attempt.owed, clock.now());
+        Place place = places.get(attempt.node.id);
+        tally.attempts.increment();
         boolean durable = (part.request.asked.flags() & Nbd.CMD_FLAG_FUA) != 0;
         StoreWire.Send send = new StoreWire.Send(part.kind, part.operation.band.index(), durable,
-                part.operation.band.repeat().ordinal(), part.operation.id, hop.number,
+                part.operation.band.repeat().ordinal(), part.operation.id, attempt.number,
                 part.request.disk.line.id(), part.extent, part.offset, part.length,
                 (float) part.operation.units, part.since,
                 part.kind != StoreWire.Kind.FLUSH && unverified.contains(part.operation.extent));
-        place.link.send(part.hop, send, part.payload.retainedDuplicate());
+        place.link.send(part.attempt, send, part.payload.retainedDuplicate());
     }
 
-    // ---- ends of hops ----
+    // ---- ends of attempts ----
 
-    private void answered(long hopId, StoreWire.Answer answer, ByteBuf payload) {
-        Part part = out.remove(hopId);
+    private void answered(long attemptId, StoreWire.Answer answer, ByteBuf payload) {
+        Part part = out.remove(attemptId);
         if (part == null) {
             payload.release();
             return;
@@ -814,10 +814,10 @@
             case MOOT, STALE_PEN -> Outcome.MOOT;
             case CALLED_OFF -> Outcome.CALLED_OFF;
         };
-        Hop hop = lastHop(part);
-        hop.usedPercent = answer.used() == 0 ? Double.NaN : answer.used() - 1;
-        hop.othersUnits = answer.others();
-        hop.report = widened(answer.report());
+        Attempt attempt = lastAttempt(part);
+        attempt.usedPercent = answer.used() == 0 ? Double.NaN : answer.used() - 1;
+        attempt.othersUnits = answer.others();
+        attempt.report = widened(answer.report());
         boolean denied = answer.code() == StoreWire.Code.MOOT && unverified.remove(part.operation.extent);
         if (denied) {
             deny(part);
@@ -855,8 +855,8 @@
         }
     }
 
-    private void timedOut(long hopId) {
-        Part part = out.remove(hopId);
+    private void timedOut(long attemptId) {
+        Part part = out.remove(attemptId);
         if (part == null) {
             return;
         }
@@ -864,21 +864,21 @@
             ended(part, Outcome.MOOT);
             return;
         }
-        boolean went = places.get(lastHop(part).node.id).link.giveUp(hopId);
+        boolean went = places.get(lastAttempt(part).node.id).link.giveUp(attemptId);
         ended(part, went ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION);
     }
 
-    private static Hop lastHop(Part part) {
-        return part.operation.hops.get(part.operation.hops.size() - 1);
+    private static Attempt lastAttempt(Part part) {
+        return part.operation.attempts.get(part.operation.attempts.size() - 1);
     }
 
     private void ended(Part part, Outcome outcome) {
         double now = clock.now();
         Operation operation = part.operation;
-        Hop hop = lastHop(part);
-        hop.outcome = outcome;
-        hop.took = now - hop.sentAt;
-        part.hop = 0;
+        Attempt attempt = lastAttempt(part);
+        attempt.outcome = outcome;
+        attempt.took = now - attempt.sentAt;
+        part.attempt = 0;
         if (part.timer != null) {
             part.timer.cancel(false);
             part.timer = null;
@@ -892,9 +892,9 @@
         if (outcome == Outcome.MOOT) {
             tally.moot.increment();
         }
-        Sequel sequel = control.after(hop, now);
+        Sequel sequel = control.after(attempt, now);
         if (first) {
-            note(part, hop);
+            note(part, attempt);
             satisfied(part);
         } else if (sequel == Sequel.PLACE_AGAIN) {
             carryOut(part, control.place(operation, now));
@@ -903,12 +903,12 @@
     }
 
     /** What an acknowledged write or flush means for the next flush. */
-    private void note(Part part, Hop hop) {
+    private void note(Part part, Attempt attempt) {
         Disk disk = part.request.disk;
         if (part.kind == StoreWire.Kind.FLUSH) {
-            disk.flushed(hop.node.cell, part.writesBefore);
+            disk.flushed(attempt.node.cell, part.writesBefore);
         } else if (part.kind.changes() && (part.request.asked.flags() & Nbd.CMD_FLAG_FUA) == 0) {
-            disk.wrote(hop.node.cell, places.get(hop.node.id).startedAt);
+            disk.wrote(attempt.node.cell, places.get(attempt.node.id).startedAt);
         }
     }
 
@@ -940,10 +940,10 @@
         for (int i = 0; i < part.meter.steps(); i++) {
             steps.add(new Story.Step(part.meter.step(i), part.meter.stepNode(i), part.meter.stepLength(i)));
         }
-        List<Story.Hop> hops = new ArrayList<>(operation.hops.size());
-        for (Hop hop : operation.hops) {
-            hops.add(new Story.Hop(hop.number, hop.node.id, hop.owed, hop.sentAt - operation.arrivedAt, hop.took,
-                    hop.outcome));
+        List<Story.Attempt> attempts = new ArrayList<>(operation.attempts.size());
+        for (Attempt attempt : operation.attempts) {
+            attempts.add(new Story.Attempt(attempt.number, attempt.node.id, attempt.owed,
+                    attempt.sentAt - operation.arrivedAt, attempt.took, attempt.outcome));
         }
         Cause cause = part.meter.mainCause();
         String named = cause == null ? "" : word(cause.kind()) + (cause.volume() == 0 ? "" : ", volume "
@@ -951,7 +951,7 @@
                 + (cause.estimate() ? ", estimate" : "");
         return new Story(site.name(), operation.id, part.request.asked.cookie(), part.request.disk.line.name(),
                 operation.band.name(), word(part.kind), part.extent, operation.units,
-                clock.wall(operation.arrivedAt), took, how, reason, named, sampler.why(), standsFor, steps, hops);
+                clock.wall(operation.arrivedAt), took, how, reason, named, sampler.why(), standsFor, steps, attempts);
     }
 
     private void finish(Part part, Accounts.End how, Reason reason, int error, String why) {
@@ -1000,11 +1000,11 @@
         }
         Pause pause = control.pause(now);
         while (true) {
-            for (Hop hop : pause.callOff()) {
-                callOff(hop);
+            for (Attempt attempt : pause.callOff()) {
+                callOff(attempt);
             }
             for (Node node : pause.probes()) {
-                places.get(node.id).link.probe(++hopIds);
+                places.get(node.id).link.probe(++attemptIds);
             }
             switch (pause.call()) {
                 case SUBSCRIBE -> directory.subscribe();
@@ -1030,14 +1030,14 @@
     }
 
     /** Work for nobody is given up; whether it ran, nobody will know. */
-    private void callOff(Hop hop) {
-        Part part = partOf(hop.operation);
-        if (hop.outcome != null || part.hop == 0) {
+    private void callOff(Attempt attempt) {
+        Part part = partOf(attempt.operation);
+        if (attempt.outcome != null || part.attempt == 0) {
             return;
         }
-        out.remove(part.hop);
+        out.remove(part.attempt);
         if (part.handed) {
-            places.get(hop.node.id).link.giveUp(part.hop);
+            places.get(attempt.node.id).link.giveUp(part.attempt);
         }
         ended(part, Outcome.CALLED_OFF);
     }
--- a/src/main/java/sagepulley/gateway/Part.java
+++ b/src/main/java/sagepulley/gateway/Part.java
@@ -18,10 +18,10 @@
     final long at;
     /** What is written; empty for all else. Given back when the part is over. */
     ByteBuf payload;
-    /** The hop that is out: its number on the wire (0: none), and the timer of its end. */
-    long hop;
+    /** The attempt that is out: its number on the wire (0: none), and the timer of its end. */
+    long attempt;
     ScheduledFuture<?> timer;
-    /** Whether the hop has been handed to a link, and not merely waits for a claim. */
+    /** Whether the attempt has been handed to a link, and not merely waits for a claim. */
     boolean handed;
     /** Whether it was shown to Control, or still waits for the directory. */
     boolean shown;
--- a/src/main/java/sagepulley/gateway/Tally.java
+++ b/src/main/java/sagepulley/gateway/Tally.java
@@ -10,7 +10,7 @@
     public final LongAdder scrapped = new LongAdder();
     /** Ended because the client left. */
     public final LongAdder left = new LongAdder();
-    public final LongAdder hops = new LongAdder();
+    public final LongAdder attempts = new LongAdder();
     public final LongAdder moot = new LongAdder();
     public final LongAdder holes = new LongAdder();
     public final LongAdder clients = new LongAdder();
--- a/src/main/java/sagepulley/host/Exit.java
+++ b/src/main/java/sagepulley/host/Exit.java
@@ -1,20 +1,20 @@
 package sagepulley.host;
 
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Placement;
 
 /** Where what Control decides goes out: the simulator's wire, or sockets. */
 public interface Exit {
-    /** Sends the operation's last hop, which ends after so many milliseconds at the latest. */
-    void send(Hop hop, double timeout);
+    /** Sends the operation's last attempt, which ends after so many milliseconds at the latest. */
+    void send(Attempt attempt, double timeout);
 
     /** The final answer to an operation that is given up: declined, or scrapped. */
     void giveUp(Operation operation, Placement placement);
 
-    /** Nobody waits for this hop any longer. */
-    void callOff(Hop hop);
+    /** Nobody waits for this attempt any longer. */
+    void callOff(Attempt attempt);
 
     void probe(Node node);
 
--- a/src/main/java/sagepulley/host/Host.java
+++ b/src/main/java/sagepulley/host/Host.java
@@ -16,7 +16,7 @@
 import sagepulley.control.Control;
 import sagepulley.control.WaitView;
 import sagepulley.model.Deployment;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -75,9 +75,9 @@
     private List<Node> longGone(double now) {
         Set<Node> busy = new HashSet<>();
         for (Operation operation : operations.values()) {
-            for (Hop hop : operation.hops) {
-                if (hop.outcome == null) {
-                    busy.add(hop.node);
+            for (Attempt attempt : operation.attempts) {
+                if (attempt.outcome == null) {
+                    busy.add(attempt.node);
                 }
             }
         }
@@ -144,25 +144,25 @@
         return waiting;
     }
 
-    /** The hop of an outcome; null if it was never sent. */
-    public Hop hop(long operation, int number) {
+    /** The attempt of an outcome; null if it was never sent. */
+    public Attempt attempt(long operation, int number) {
         Operation known = operations.get(operation);
-        return known == null || number >= known.hops.size() ? null : known.hops.get(number);
+        return known == null || number >= known.attempts.size() ? null : known.attempts.get(number);
     }
 
-    /** A hop's outcome is set; settled tells whether its operation is over with it. */
-    public void ended(Hop hop, boolean settled, double now) {
-        Operation operation = hop.operation;
+    /** An attempt's outcome is set; settled tells whether its operation is over with it. */
+    public void ended(Attempt attempt, boolean settled, double now) {
+        Operation operation = attempt.operation;
         operation.over |= settled;
-        if (control.after(hop, now) == Sequel.PLACE_AGAIN) {
+        if (control.after(attempt, now) == Sequel.PLACE_AGAIN) {
             answer(operation, control.place(operation, now));
         }
         forget(operation);
     }
 
-    /** Whether a hop that was held up before its first byte may still go out. */
-    public boolean mayBegin(Hop hop, double now) {
-        return control.mayBegin(hop, now);
+    /** Whether an attempt that was held up before its first byte may still go out. */
+    public boolean mayBegin(Attempt attempt, double now) {
+        return control.mayBegin(attempt, now);
     }
 
     public void left(long id, double now) {
@@ -213,7 +213,7 @@
 
     private void answer(Operation operation, Placement placement) {
         switch (placement.kind()) {
-            case SEND -> exit.send(operation.hops.get(operation.hops.size() - 1), placement.timeout());
+            case SEND -> exit.send(operation.attempts.get(operation.attempts.size() - 1), placement.timeout());
             case DECLINE, SCRAP -> exit.giveUp(operation, placement);
             case WAIT -> { }
         }
--- a/src/main/java/sagepulley/model/Hop.java
+++ b/src/main/java/sagepulley/model/Attempt.java
@@ -1,14 +1,14 @@
 package sagepulley.model;
 
 /** One sending of an operation to a node. */
-public final class Hop {
+public final class Attempt {
     public final Operation operation;
     public final Node node;
     public final int number;
     public final double sentAt;
     /** The part of its plan that the operation was in when it was sent. */
     public Owed owed;
-    /** Null while the hop is out. */
+    /** Null while the attempt is out. */
     public Outcome outcome;
     /** How long it took, once it has an outcome. */
     public double took;
@@ -18,10 +18,10 @@
     public double othersUnits;
     /** The node's load report, in the order of the deployment's report fields; null if none came. */
     public double[] report;
-    /** Whatever the decision module keeps with the hop; nobody else reads it. */
+    /** Whatever the decision module keeps with the attempt; nobody else reads it. */
     public Object kept;
 
-    public Hop(Operation operation, Node node, int number, double sentAt) {
+    public Attempt(Operation operation, Node node, int number, double sentAt) {
         this.operation = operation;
         this.node = node;
         this.number = number;
--- a/src/main/java/sagepulley/model/Node.java
+++ b/src/main/java/sagepulley/model/Node.java
@@ -15,7 +15,7 @@
     public boolean takesNew = true;
     /** When it last started, on the common clock; negative infinity for long ago. */
     public double startedAt = Double.NEGATIVE_INFINITY;
-    /** Set once it is gone for good and none of its hops is out: it never comes back as this node. */
+    /** Set once it is gone for good and none of its attempts is out: it never comes back as this node. */
     public boolean forgotten;
     /** Whatever the decision module keeps with the node; nobody else reads it. */
     public Object kept;
--- a/src/main/java/sagepulley/model/Operation.java
+++ b/src/main/java/sagepulley/model/Operation.java
@@ -17,7 +17,7 @@
     /** When the client gives up on this try. */
     public final double deadline;
     public final boolean clientRepeat;
-    public final List<Hop> hops = new ArrayList<>(2);
+    public final List<Attempt> attempts = new ArrayList<>(2);
     /** Set once its one final answer is out, or the client has left. */
     public boolean over;
     /** Whatever the decision module keeps with the operation; nobody else reads it. */
@@ -38,10 +38,10 @@
         this.clientRepeat = clientRepeat;
     }
 
-    /** Whether a hop of it has no outcome yet. */
+    /** Whether an attempt of it has no outcome yet. */
     public boolean isOut() {
-        for (Hop hop : hops) {
-            if (hop.outcome == null) {
+        for (Attempt attempt : attempts) {
+            if (attempt.outcome == null) {
                 return true;
             }
         }
--- a/src/main/java/sagepulley/model/Outcome.java
+++ b/src/main/java/sagepulley/model/Outcome.java
@@ -1,6 +1,6 @@
 package sagepulley.model;
 
-/** How a hop ended. */
+/** How an attempt ended. */
 public enum Outcome {
     SATISFIED(false),
     FAULT(false),
--- a/src/main/java/sagepulley/model/Pause.java
+++ b/src/main/java/sagepulley/model/Pause.java
@@ -4,9 +4,9 @@
 
 /**
  * How long to wait before asking again, and what is due now: operations to be placed, nodes to be probed,
- * hops to be called off, and a call to the list of nodes.
+ * attempts to be called off, and a call to the list of nodes.
  */
-public record Pause(double length, List<Operation> due, List<Node> probes, List<Hop> callOff, ListCall call) {
+public record Pause(double length, List<Operation> due, List<Node> probes, List<Attempt> callOff, ListCall call) {
     /** A call to the service that keeps the list of nodes. */
     public enum ListCall { NONE, SUBSCRIBE, FETCH }
 }
--- a/src/main/java/sagepulley/model/Placement.java
+++ b/src/main/java/sagepulley/model/Placement.java
@@ -1,7 +1,7 @@
 package sagepulley.model;
 
 /**
- * Where an operation goes: to a node, not yet, or never. A timeout is the hop's longest time in milliseconds,
+ * Where an operation goes: to a node, not yet, or never. A timeout is the attempt's longest time in milliseconds,
  * an advice how long the client should stay away (0 for none). A reason says why it was given up.
  */
 public record Placement(Kind kind, Node node, double timeout, double advice, Reason reason) {
--- a/src/main/java/sagepulley/model/Reason.java
+++ b/src/main/java/sagepulley/model/Reason.java
@@ -10,11 +10,11 @@
     HELD_BACK,
     /** Its node started lately, gives no answers, drains or is gone, or no node holds its cell. */
     COLD, SILENT, NOT_READY, NO_NODE,
-    /** The volume's limit, the budget of further hops, or the order of its key. */
+    /** The volume's limit, the budget of further attempts, or the order of its key. */
     LIMIT, BUDGET, ORDER,
     /** There is room, and somebody who ranks before it takes it. */
     RANKS_LATER,
-    /** Given up: it would miss its target time, its patience ends, or no further hop is allowed. */
+    /** Given up: it would miss its target time, its patience ends, or no further attempt is allowed. */
     LATE, PATIENCE, NO_FURTHER_HOP,
     /** Given up without a promise: it may have run, and must not run again. */
     MAY_HAVE_RUN
--- a/src/main/java/sagepulley/model/Rulebook.java
+++ b/src/main/java/sagepulley/model/Rulebook.java
@@ -13,10 +13,10 @@
         double budgetFree,
         double budgetShare,
         double budgetWindow,
-        int mostHops,
+        int mostAttempts,
         boolean secondCopies) {
 
-    /** Whether further hops are rationed here. */
+    /** Whether further attempts are rationed here. */
     public boolean hasBudget() {
         return !Double.isNaN(budgetWindow);
     }
--- a/src/main/java/sagepulley/platform/Answer.java
+++ b/src/main/java/sagepulley/platform/Answer.java
@@ -1,7 +1,7 @@
 package sagepulley.platform;
 
 import java.util.List;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.resp.Resp;
 
 /** What a node's answer holds beside its value: figures on use, and a report of its load. */
@@ -19,28 +19,28 @@
         return ((Resp.Bulk) ((Resp.Array) answer).items().get(VALUE)).bytes();
     }
 
-    /** Notes with the hop what its answer tells; what cannot be read of it was not told. */
-    static void tell(Hop hop, Resp answer, List<String> reportFields) {
+    /** Notes with the attempt what its answer tells; what cannot be read of it was not told. */
+    static void tell(Attempt attempt, Resp answer, List<String> reportFields) {
         if (answer instanceof Resp.Array array && array.items() != null && array.items().size() > REPORT) {
-            use(hop, text(array.items().get(USE)));
-            hop.report = report(array.items().get(REPORT), reportFields);
+            use(attempt, text(array.items().get(USE)));
+            attempt.report = report(array.items().get(REPORT), reportFields);
         } else if (answer instanceof Resp.Line line && line.isError()) {
             for (String word : line.text().split(" ")) {
-                use(hop, word);
+                use(attempt, word);
                 double[] report = report(word, reportFields);
-                hop.report = report != null ? report : hop.report;
+                attempt.report = report != null ? report : attempt.report;
             }
         }
     }
 
-    private static void use(Hop hop, String text) {
+    private static void use(Attempt attempt, String text) {
         double used = figure(text, "used");
         if (used >= 0) {
-            hop.usedPercent = used;
+            attempt.usedPercent = used;
         }
         double cost = figure(text, "cost");
         if (cost >= 0) {
-            hop.othersUnits = cost;
+            attempt.othersUnits = cost;
         }
     }
 
--- a/src/main/java/sagepulley/platform/Counts.java
+++ b/src/main/java/sagepulley/platform/Counts.java
@@ -16,7 +16,7 @@
     long badCommands;
     long noRoom;
     long left;
-    long hops;
+    long attempts;
     private long onTime;
     private long late;
     private final Map<Outcome, Long> outcomes = new EnumMap<>(Outcome.class);
@@ -46,7 +46,7 @@
         givenUp.merge(band.name() + "/" + reason, 1L, Long::sum);
     }
 
-    /** How hops to a node have ended since this was last asked. */
+    /** How attempts to a node have ended since this was last asked. */
     Map<Outcome, Integer> lately(Node node) {
         Map<Outcome, Integer> outcomes = lately.remove(node.id);
         return outcomes == null ? Map.of() : outcomes;
@@ -55,7 +55,7 @@
     @Override
     public String toString() {
         return "taken=" + taken + " on-time=" + onTime + " late=" + late + " left=" + left + " bad=" + badCommands
-                + " no-room=" + noRoom + " hops=" + hops + " outcomes=" + outcomes + " given-up=" + givenUp
+                + " no-room=" + noRoom + " hops=" + attempts + " outcomes=" + outcomes + " given-up=" + givenUp
                 + " waits=" + waits;
     }
 }
--- a/src/main/java/sagepulley/platform/NodeLinks.java
+++ b/src/main/java/sagepulley/platform/NodeLinks.java
@@ -22,7 +22,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Outcome;
 import sagepulley.resp.Resp;
 import sagepulley.resp.RespBytes;
@@ -66,7 +66,7 @@
     private final Map<SocketAddress, ArrayDeque<Link>> free = new HashMap<>();
     private final Arrival arrival = new Arrival();
     private final ByteBuffer oneByte = ByteBuffer.allocateDirect(1);
-    private final Map<Hop, Link> out = new IdentityHashMap<>();
+    private final Map<Attempt, Link> out = new IdentityHashMap<>();
     private final Map<SocketAddress, Integer> openTo = new HashMap<>();
     private int open;
     long opened;
@@ -97,18 +97,18 @@
         return openTo.getOrDefault(address, 0);
     }
 
-    int hopsOut() {
+    int attemptsOut() {
         return out.size();
     }
 
-    /** Sends a hop's command, and waits so many milliseconds for its answer. */
-    void send(Hop hop, SocketAddress address, Command command, double timeout, Ended ended) {
+    /** Sends an attempt's command, and waits so many milliseconds for its answer. */
+    void send(Attempt attempt, SocketAddress address, Command command, double timeout, Ended ended) {
         Link link = call(address, command, timeout, (outcome, answer, at) -> {
-            out.remove(hop);
+            out.remove(attempt);
             ended.accept(outcome, answer, at);
         });
         if (link != null) {
-            out.put(hop, link);
+            out.put(attempt, link);
         }
     }
 
@@ -117,17 +117,17 @@
         call(address, left -> words, timeout, ended);
     }
 
-    /** Nobody waits for this hop any longer: its connection ends with it at once; its outcome is told later. */
-    void callOff(Hop hop) {
-        Link link = out.get(hop);
+    /** Nobody waits for this attempt any longer: its connection ends with it at once; its outcome is told later. */
+    void callOff(Attempt attempt) {
+        Link link = out.get(attempt);
         if (link != null) {
             link.cut(Outcome.CALLED_OFF);
         }
     }
 
     /** The same, if the node has not been sent the whole of it. */
-    void callOffUnwritten(Hop hop) {
-        Link link = out.get(hop);
+    void callOffUnwritten(Attempt attempt) {
+        Link link = out.get(attempt);
         if (link != null && !link.written) {
             link.cut(Outcome.CALLED_OFF);
         }
@@ -192,7 +192,7 @@
         free.values().removeIf(ArrayDeque::isEmpty);
     }
 
-    /** Closes all connections; hops that are out are called off. */
+    /** Closes all connections; attempts that are out are called off. */
     void close() {
         List.copyOf(out.keySet()).forEach(this::callOff);
         List.copyOf(free.values()).forEach(links -> List.copyOf(links).forEach(Link::close));
--- a/src/main/java/sagepulley/platform/PlatformGateway.java
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -15,7 +15,7 @@
 import sagepulley.host.Exit;
 import sagepulley.host.Host;
 import sagepulley.model.Band;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -43,7 +43,7 @@
     private static final double LAST_TAKEN = 250;
     /** The part of the idle time told after which a free connection to a node is closed. */
     private static final double IDLE_PART = 0.4;
-    /** The part of the shortest target time that an answer may pause inside: it leaves time for another hop. */
+    /** The part of the shortest target time that an answer may pause inside: it leaves time for another attempt. */
     private static final double STALL_PART = 0.3;
     /** Descriptors: some for the program itself, and of the rest this part for clients. */
     private static final int OWN_SOCKETS = 40;
@@ -197,7 +197,7 @@
         counts.left++;
         release(operation);
         host.left(operation.id, clock.now());
-        operation.hops.forEach(nodes::callOffUnwritten);
+        operation.attempts.forEach(nodes::callOffUnwritten);
         settle();
     }
 
@@ -236,34 +236,35 @@
     // ---- nodes ----
 
     @Override
-    public void send(Hop hop, double timeout) {
-        counts.hops++;
-        SocketAddress address = book.address(hop.node);
-        BlockCommand command = ((Held) hop.operation.held).command();
-        nodes.send(hop, address, left -> host.mayBegin(hop, clock.now()) ? command.forNode(left) : null, timeout,
-                (outcome, answer, at) -> hopEnded(hop, outcome, answer, at));
+    public void send(Attempt attempt, double timeout) {
+        counts.attempts++;
+        SocketAddress address = book.address(attempt.node);
+        BlockCommand command = ((Held) attempt.operation.held).command();
+        nodes.send(attempt, address,
+                left -> host.mayBegin(attempt, clock.now()) ? command.forNode(left) : null, timeout,
+                (outcome, answer, at) -> attemptEnded(attempt, outcome, answer, at));
     }
 
-    private void hopEnded(Hop hop, Outcome outcome, Resp answer, double at) {
+    private void attemptEnded(Attempt attempt, Outcome outcome, Resp answer, double at) {
         double now = clock.now();
-        hop.outcome = outcome;
-        hop.took = at - hop.sentAt;
-        counts.ended(outcome, hop.node);
-        Answer.tell(hop, answer, config.deployment().reportFields());
-        boolean settled = hop.operation.over;
+        attempt.outcome = outcome;
+        attempt.took = at - attempt.sentAt;
+        counts.ended(outcome, attempt.node);
+        Answer.tell(attempt, answer, config.deployment().reportFields());
+        boolean settled = attempt.operation.over;
         if (outcome == Outcome.SATISFIED && !settled) {
             settled = true;
-            counts.satisfied(hop.operation, now);
-            hop.operation.over = true;
-            answer(hop.operation, RespBytes.bulk(Answer.value(answer)));
+            counts.satisfied(attempt.operation, now);
+            attempt.operation.over = true;
+            answer(attempt.operation, RespBytes.bulk(Answer.value(answer)));
         }
-        host.ended(hop, settled, now);
+        host.ended(attempt, settled, now);
         settle();
     }
 
     @Override
-    public void callOff(Hop hop) {
-        nodes.callOff(hop);
+    public void callOff(Attempt attempt) {
+        nodes.callOff(attempt);
     }
 
     @Override
@@ -351,7 +352,7 @@
 
     private void report() {
         Runtime runtime = Runtime.getRuntime();
-        Log.info("state", "in-hand", host.inHand().size(), "bytes", bytesInHand, "hops-out", nodes.hopsOut(),
+        Log.info("state", "in-hand", host.inHand().size(), "bytes", bytesInHand, "hops-out", nodes.attemptsOut(),
                 "node-connections", nodes.open(), "opened", nodes.opened, "no-room-for-hop",
                 nodes.refusedForRoom, "found-spent", nodes.foundSpent, "spoilt", nodes.spoilt, "clients",
                 front.size(), "accepted", front.accepted,
--- a/src/main/java/sagepulley/simhost/Gateway.java
+++ b/src/main/java/sagepulley/simhost/Gateway.java
@@ -3,7 +3,7 @@
 import sagepulley.host.Exit;
 import sagepulley.host.Host;
 import sagepulley.model.Deployment;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Placement;
@@ -39,8 +39,8 @@
     }
 
     @Override
-    public void send(Hop hop, double timeout) {
-        reply.send(hop.operation.id, hop.node.id, Math.max(1, (long) (timeout * NS)));
+    public void send(Attempt attempt, double timeout) {
+        reply.send(attempt.operation.id, attempt.node.id, Math.max(1, (long) (timeout * NS)));
     }
 
     @Override
@@ -53,8 +53,8 @@
     }
 
     @Override
-    public void callOff(Hop hop) {
-        reply.callOff(hop.operation.id, hop.number);
+    public void callOff(Attempt attempt) {
+        reply.callOff(attempt.operation.id, attempt.number);
     }
 
     @Override
--- a/src/main/java/sagepulley/simhost/Reply.java
+++ b/src/main/java/sagepulley/simhost/Reply.java
@@ -53,9 +53,9 @@
         records.putLong(record(ERROR) + 5, operation);
     }
 
-    void callOff(long operation, int hop) {
+    void callOff(long operation, int attempt) {
         int at = record(RETRACT);
-        records.putLong(at + 5, operation).put(at + 13, (byte) hop);
+        records.putLong(at + 5, operation).put(at + 13, (byte) attempt);
     }
 
     void wake(long cookie, long offsetNs) {
--- a/src/main/java/sagepulley/simhost/SimHost.java
+++ b/src/main/java/sagepulley/simhost/SimHost.java
@@ -15,7 +15,7 @@
 import sagepulley.host.MissingFigure;
 import sagepulley.model.Band;
 import sagepulley.model.Deployment;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -209,17 +209,17 @@
 
     private void completed(Gateway gateway, int record, double now) throws MalformedFrame {
         Outcome outcome = outcome(record, 18);
-        Hop hop = gateway.host.hop(batch.u64(record, 5), batch.u8(record, 13));
-        if (hop == null || hop.outcome != null) {
+        Attempt attempt = gateway.host.attempt(batch.u64(record, 5), batch.u8(record, 13));
+        if (attempt == null || attempt.outcome != null) {
             return;
         }
-        hop.outcome = outcome;
-        hop.took = batch.u64(record, 20) / NS;
+        attempt.outcome = outcome;
+        attempt.took = batch.u64(record, 20) / NS;
         int used = batch.u16(record, 29);
-        hop.usedPercent = used == 0 ? Double.NaN : used - 1;
-        hop.othersUnits = batch.u16(record, 31);
-        hop.report = report(record, 33);
-        gateway.host.ended(hop, batch.u8(record, 28) != 0, now);
+        attempt.usedPercent = used == 0 ? Double.NaN : used - 1;
+        attempt.othersUnits = batch.u16(record, 31);
+        attempt.report = report(record, 33);
+        gateway.host.ended(attempt, batch.u8(record, 28) != 0, now);
     }
 
     private Outcome outcome(int record, int at) throws MalformedFrame {
--- a/src/main/java/sagepulley/standin/Faults.java
+++ b/src/main/java/sagepulley/standin/Faults.java
@@ -18,7 +18,7 @@
     public volatile boolean unreachable;
     /** The next answer is cut off in its middle, and the link's sending side closed. */
     public volatile boolean halfClose;
-    /** The next answer is garbage, comes twice, or is for a hop that was never sent. */
+    /** The next answer is garbage, comes twice, or is for an attempt that was never sent. */
     public volatile boolean garble;
     public volatile boolean twice;
     public volatile boolean invent;
--- a/src/main/java/sagepulley/standin/StandInNode.java
+++ b/src/main/java/sagepulley/standin/StandInNode.java
@@ -38,7 +38,7 @@
 /**
  * A small storage node: slots, a queue, a cold ramp on which it can be pushed over, writes of which a part is
  * put off, and faults on demand. All of it on one loop. It keeps the node's duties of docs/protocols.md: one
- * answer for each hop, pens, one link for each gateway, repeats dropped where a band asks for it.
+ * answer for each attempt, pens, one link for each gateway, repeats dropped where a band asks for it.
  */
 public final class StandInNode {
     private static final int MARKS_KEPT = 100_000;
@@ -62,10 +62,10 @@
     private record Mark(long gateway, long number) {
     }
 
-    /** A hop that waits, or is worked on. */
+    /** An attempt that waits, or is worked on. */
     private static final class Work {
         final Link link;
-        final long hop;
+        final long attempt;
         final StoreWire.Send send;
         final ByteBuf payload;
         final long came = System.nanoTime();
@@ -73,9 +73,9 @@
         long begun;
         boolean calledOff;
 
-        Work(Link link, long hop, StoreWire.Send send, ByteBuf payload) {
+        Work(Link link, long attempt, StoreWire.Send send, ByteBuf payload) {
             this.link = link;
-            this.hop = hop;
+            this.attempt = attempt;
             this.send = send;
             this.payload = payload;
         }
@@ -453,11 +453,11 @@
             payload.release();
             return;
         }
-        link.open.remove(work.hop);
+        link.open.remove(work.attempt);
         float[] report = {queue.size()};
         long now = System.nanoTime();
         long begun = work.begun == 0 ? now : work.begun;
-        link.write(work.hop, new StoreWire.Answer(code, 0, link.others(work.send.volume()),
+        link.write(work.attempt, new StoreWire.Answer(code, 0, link.others(work.send.volume()),
                 (begun - work.came) / 1e6f, (now - begun) / 1e6f, report), payload);
     }
 
@@ -469,7 +469,7 @@
         /** Units served through this link, and those of all at the last answer, by volume. */
         final Map<Integer, Double> own = new HashMap<>();
         final Map<Integer, Double> told = new HashMap<>();
-        /** Hops without an answer, and what came while the node stood still. */
+        /** Attempts without an answer, and what came while the node stood still. */
         private final Map<Long, StoreWire.Send> open = new HashMap<>();
         private final ArrayDeque<Frame> inbox = new ArrayDeque<>();
         private boolean flushDue;
@@ -486,7 +486,7 @@
             return (float) Math.max(0, all - mine - before);
         }
 
-        void write(long hop, StoreWire.Answer answer, ByteBuf payload) {
+        void write(long attempt, StoreWire.Answer answer, ByteBuf payload) {
             if (faults.garble) {
                 faults.garble = false;
                 payload.release();
@@ -497,18 +497,18 @@
             }
             if (faults.halfClose && payload.isReadable()) {
                 faults.halfClose = false;
-                halfClose(hop, answer, payload);
+                halfClose(attempt, answer, payload);
                 return;
             }
             if (faults.twice) {
                 faults.twice = false;
-                channel.write(StoreWire.answer(hop, answer, payload.copy()));
+                channel.write(StoreWire.answer(attempt, answer, payload.copy()));
             }
             if (faults.invent) {
                 faults.invent = false;
-                channel.write(StoreWire.answer(hop + 1_000_000, answer, Unpooled.EMPTY_BUFFER));
+                channel.write(StoreWire.answer(attempt + 1_000_000, answer, Unpooled.EMPTY_BUFFER));
             }
-            channel.write(StoreWire.answer(hop, answer, payload));
+            channel.write(StoreWire.answer(attempt, answer, payload));
             if (!flushDue) {
                 flushDue = true;
                 loop.execute(() -> {
@@ -519,10 +519,10 @@
         }
 
         /** Half of the frame leaves, then the sending side is closed. */
-        private void halfClose(long hop, StoreWire.Answer answer, ByteBuf payload) {
+        private void halfClose(long attempt, StoreWire.Answer answer, ByteBuf payload) {
             EmbeddedChannel encoder =
                     new EmbeddedChannel(new FrameEncoder());
-            encoder.writeOutbound(StoreWire.answer(hop, answer, payload));
+            encoder.writeOutbound(StoreWire.answer(attempt, answer, payload));
             ByteBuf all = Unpooled.buffer();
             for (ByteBuf part = encoder.readOutbound(); part != null; part = encoder.readOutbound()) {
                 all.writeBytes(part);
@@ -556,7 +556,7 @@
                 StoreWire.Send send = StoreWire.send(new Frame(frame.type(), frame.id(),
                         frame.head().duplicate(), frame.payload()));
                 open.put(frame.id(), send);
-                witness.hopCame(traits.id(), gateway, send, System.nanoTime());
+                witness.attemptCame(traits.id(), gateway, send, System.nanoTime());
             } else if (frame.type() == StoreWire.CALL_OFF) {
                 StoreWire.Send send = open.remove(frame.id());
                 if (send != null) {
@@ -622,10 +622,10 @@
                     traits.zone(), traits.kind(), draining, startedWall)));
         }
 
-        private void callOff(long hop) {
+        private void callOff(long attempt) {
             for (Iterator<Work> at = queue.iterator(); at.hasNext();) {
                 Work work = at.next();
-                if (work.link == this && work.hop == hop) {
+                if (work.link == this && work.attempt == attempt) {
                     at.remove();
                     work.calledOff = true;
                     work.payload.release();
--- a/src/main/java/sagepulley/standin/Witness.java
+++ b/src/main/java/sagepulley/standin/Witness.java
@@ -10,8 +10,8 @@
     Witness NOBODY = new Witness() {
     };
 
-    /** A hop was read from a gateway's link. */
-    default void hopCame(int node, long gateway, StoreWire.Send send, long nanos) {
+    /** An attempt was read from a gateway's link. */
+    default void attemptCame(int node, long gateway, StoreWire.Send send, long nanos) {
     }
 
     /** An operation's work was begun; its effect is there from now on. */
@@ -23,7 +23,7 @@
                           long nanos) {
     }
 
-    /** A hop was called off by its gateway. */
+    /** An attempt was called off by its gateway. */
     default void calledOff(int node, long gateway, long mark, int number, long nanos) {
     }
 
--- a/src/main/java/sagepulley/store/NodeLink.java
+++ b/src/main/java/sagepulley/store/NodeLink.java
@@ -24,30 +24,30 @@
 import sagepulley.wire.FrameEncoder;
 
 /**
- * The link of a gateway to one node: a connection that is opened when a hop needs it. It carries out and
- * decides nothing: it never sends a hop twice, nor opens a connection but when asked. All on one loop.
+ * The link of a gateway to one node: a connection that is opened when an attempt needs it. It carries out and
+ * decides nothing: it never sends an attempt twice, nor opens a connection but when asked. All on one loop.
  *
  * Before a write goes out, the link takes the extent's pen at the node (docs/protocols.md, Pens): a write of
  * another link that comes late is then refused there.
  */
 public final class NodeLink {
-    /** Hops that were given up but never answered; with more the connection is taken for dead. */
+    /** Attempts that were given up but never answered; with more the connection is taken for dead. */
     static final int MOST_UNANSWERED = 10_000;
     private static final int MOST_PENS = 1 << 16;
     private static final int CONNECT_MS = 3_000;
     private static final Logger LOG = LoggerFactory.getLogger(NodeLink.class);
 
-    /** How a hop ended that got no answer. */
+    /** How an attempt ended that got no answer. */
     public enum Broken { NEVER_SENT, RESET }
 
-    /** Told the ends of hops, each once, on the loop. */
+    /** Told the ends of attempts, each once, on the loop. */
     public interface Owner {
         /** The payload changes hands. */
-        void answered(long hop, StoreWire.Answer answer, ByteBuf payload);
+        void answered(long attempt, StoreWire.Answer answer, ByteBuf payload);
 
-        void broken(long hop, Broken how);
+        void broken(long attempt, Broken how);
 
-        /** A hop that was given up was answered after all: all that counts is what the node tells of its time. */
+        /** An attempt that was given up was answered after all: all that counts is what the node tells of its time. */
         default void late(StoreWire.Answer answer) {
         }
 
@@ -68,7 +68,7 @@
     private record PenKey(int volume, long extent) {
     }
 
-    private record Parcel(long hop, StoreWire.Send send, ByteBuf payload) {
+    private record Parcel(long attempt, StoreWire.Send send, ByteBuf payload) {
     }
 
     private static final class Pen {
@@ -83,9 +83,9 @@
     private final SocketAddress address;
     private final StoreWire.Hello hello;
     private final Owner owner;
-    /** Hops not yet written, in order: for the connection, or for a pen. */
+    /** Attempts not yet written, in order: for the connection, or for a pen. */
     private final Map<Long, Parcel> unsent = new LinkedHashMap<>();
-    /** Hops written and not answered; false once given up here. */
+    /** Attempts written and not answered; false once given up here. */
     private final Map<Long, Boolean> out = new HashMap<>();
     private final Map<PenKey, Pen> pens = new HashMap<>();
     private final Map<Long, PenKey> pensAsked = new HashMap<>();
@@ -109,26 +109,26 @@
         return address;
     }
 
-    /** Sends a hop, once a connection stands; its number must be new. The payload changes hands. */
-    public void send(long hop, StoreWire.Send send, ByteBuf payload) {
-        unsent.put(hop, new Parcel(hop, send, payload));
+    /** Sends an attempt, once a connection stands; its number must be new. The payload changes hands. */
+    public void send(long attempt, StoreWire.Send send, ByteBuf payload) {
+        unsent.put(attempt, new Parcel(attempt, send, payload));
         if (channel == null) {
             connect();
         } else if (welcomed) {
-            forward(hop);
+            forward(attempt);
         }
     }
 
-    /** Gives a hop up: it will not be told of any more. Tells whether it may have gone out. */
-    public boolean giveUp(long hop) {
-        Parcel parcel = unsent.remove(hop);
+    /** Gives an attempt up: it will not be told of any more. Tells whether it may have gone out. */
+    public boolean giveUp(long attempt) {
+        Parcel parcel = unsent.remove(attempt);
         if (parcel != null) {
             parcel.payload().release();
             return false;
         }
-        if (Boolean.TRUE.equals(out.get(hop))) {
-            out.put(hop, false);
-            write(new Frame(StoreWire.CALL_OFF, hop));
+        if (Boolean.TRUE.equals(out.get(attempt))) {
+            out.put(attempt, false);
+            write(new Frame(StoreWire.CALL_OFF, attempt));
             if (out.size() > MOST_UNANSWERED) {
                 LOG.atWarn().addKeyValue("node", node).log("too many hops without answer, link closed");
                 close();
@@ -143,7 +143,7 @@
         }
     }
 
-    /** Ends the connection; hops that are out are told as broken. */
+    /** Ends the connection; attempts that are out are told as broken. */
     public void close() {
         if (channel != null) {
             Channel old = channel;
@@ -180,8 +180,8 @@
         });
     }
 
-    private void forward(long hop) {
-        Parcel parcel = unsent.get(hop);
+    private void forward(long attempt) {
+        Parcel parcel = unsent.get(attempt);
         if (parcel.send().kind().changes()) {
             PenKey key = new PenKey(parcel.send().volume(), parcel.send().extent());
             Pen pen = pens.get(key);
@@ -195,13 +195,13 @@
                 write(StoreWire.pen(StoreWire.TAKE_PEN, penIds, key.volume(), key.extent()));
             }
             if (!pen.granted) {
-                pen.waiting.add(hop);
+                pen.waiting.add(attempt);
                 return;
             }
         }
-        unsent.remove(hop);
-        out.put(hop, true);
-        write(StoreWire.send(hop, parcel.send(), parcel.payload()));
+        unsent.remove(attempt);
+        out.put(attempt, true);
+        write(StoreWire.send(attempt, parcel.send(), parcel.payload()));
     }
 
     private void write(Frame frame) {
@@ -232,15 +232,15 @@
         pens.clear();
         pensAsked.clear();
         List<Long> reset = new ArrayList<>();
-        out.forEach((hop, wanted) -> {
+        out.forEach((attempt, wanted) -> {
             if (wanted) {
-                reset.add(hop);
+                reset.add(attempt);
             }
         });
         out.clear();
         returnUnsent();
-        for (long hop : reset) {
-            owner.broken(hop, Broken.RESET);
+        for (long attempt : reset) {
+            owner.broken(attempt, Broken.RESET);
         }
         owner.lost();
     }
@@ -250,7 +250,7 @@
         unsent.clear();
         for (Parcel parcel : never) {
             parcel.payload().release();
-            owner.broken(parcel.hop(), Broken.NEVER_SENT);
+            owner.broken(parcel.attempt(), Broken.NEVER_SENT);
         }
     }
 
@@ -305,8 +305,8 @@
             if (!goesOut) {
                 returnUnsent();
             }
-            for (long hop : List.copyOf(unsent.keySet())) {
-                forward(hop);
+            for (long attempt : List.copyOf(unsent.keySet())) {
+                forward(attempt);
             }
         }
 
@@ -333,9 +333,9 @@
                 throw new BadBytes("a pen that was not asked for");
             }
             pen.granted = true;
-            for (Long hop = pen.waiting.poll(); hop != null; hop = pen.waiting.poll()) {
-                if (unsent.containsKey(hop)) {
-                    forward(hop);
+            for (Long attempt = pen.waiting.poll(); attempt != null; attempt = pen.waiting.poll()) {
+                if (unsent.containsKey(attempt)) {
+                    forward(attempt);
                 }
             }
         }
--- a/src/main/java/sagepulley/store/StoreWire.java
+++ b/src/main/java/sagepulley/store/StoreWire.java
@@ -45,7 +45,7 @@
     }
 
     /**
-     * One hop. The mark names the operation, unique with the gateway's number; offset and length are bytes in
+     * One attempt. The mark names the operation, unique with the gateway's number; offset and length are bytes in
      * the extent. Since is 0, or for a flush the node's start that it must still have. Where the extent must be
      * there already, a node that has none of it answers that it is moot.
      */
@@ -61,7 +61,7 @@
     public enum Code { SATISFIED, FAULT, FULL, DRAINING, MOOT, STALE_PEN, CALLED_OFF }
 
     /**
-     * A hop's end at the node, as WIRE has its figures: used percent is 0 for none, else 1 more. Waited and
+     * An attempt's end at the node, as WIRE has its figures: used percent is 0 for none, else 1 more. Waited and
      * worked are the milliseconds that it stood in the node's queue and was worked on.
      */
     public record Answer(Code code, int used, float others, float waited, float worked, float[] report) {
@@ -97,12 +97,12 @@
                 head.readBoolean(), head.readLong());
     }
 
-    public static Frame send(long hop, Send it, ByteBuf payload) {
+    public static Frame send(long attempt, Send it, ByteBuf payload) {
         ByteBuf head = Unpooled.buffer(SEND_HEAD).writeByte(it.kind().ordinal()).writeByte(it.band())
                 .writeByte((it.durable() ? 1 : 0) | (it.mustBeThere() ? 2 : 0)).writeByte(it.repeat()).writeLong(it.mark()).writeByte(it.number())
                 .writeInt(it.volume()).writeLong(it.extent()).writeInt(it.offset()).writeInt(it.length())
                 .writeFloat(it.units()).writeLong(it.since());
-        return new Frame(SEND, hop, head, payload);
+        return new Frame(SEND, attempt, head, payload);
     }
 
     public static Send send(Frame frame) throws BadBytes {
@@ -128,14 +128,14 @@
         return send;
     }
 
-    public static Frame answer(long hop, Answer it, ByteBuf payload) {
+    public static Frame answer(long attempt, Answer it, ByteBuf payload) {
         ByteBuf head = Unpooled.buffer(32).writeByte(it.code().ordinal()).writeShort(it.used())
                 .writeFloat(it.others()).writeFloat(it.waited()).writeFloat(it.worked())
                 .writeByte(it.report().length);
         for (float value : it.report()) {
             head.writeFloat(value);
         }
-        return new Frame(ANSWER, hop, head, payload);
+        return new Frame(ANSWER, attempt, head, payload);
     }
 
     public static Answer answer(Frame frame) throws BadBytes {
--- a/src/main/java/sagepulley/traces/Tracer.java
+++ b/src/main/java/sagepulley/traces/Tracer.java
@@ -112,13 +112,13 @@
                 .setAttribute("main_cause", story.mainCause()).setAttribute("kept", word(story.kept()))
                 .setAttribute("stands_for", story.standsFor()).startSpan();
         Context within = Context.root().with(root);
-        for (Story.Hop hop : story.hops()) {
+        for (Story.Attempt attempt : story.attempts()) {
             SpanBuilder one = spans.spanBuilder("hop").setParent(within)
-                    .setStartTimestamp(at(story.arrived() + hop.after()), TimeUnit.NANOSECONDS)
-                    .setAttribute("number", hop.number()).setAttribute("node", hop.node())
-                    .setAttribute("owed", hop.owed() == null ? "" : word(hop.owed()))
-                    .setAttribute("result", hop.outcome() == null ? "out" : word(hop.outcome()));
-            double ended = hop.outcome() == null ? end : story.arrived() + hop.after() + hop.took();
+                    .setStartTimestamp(at(story.arrived() + attempt.after()), TimeUnit.NANOSECONDS)
+                    .setAttribute("number", attempt.number()).setAttribute("node", attempt.node())
+                    .setAttribute("owed", attempt.owed() == null ? "" : word(attempt.owed()))
+                    .setAttribute("result", attempt.outcome() == null ? "out" : word(attempt.outcome()));
+            double ended = attempt.outcome() == null ? end : story.arrived() + attempt.after() + attempt.took();
             one.startSpan().end(at(ended), TimeUnit.NANOSECONDS);
         }
         double at = story.arrived();
--- a/src/main/java/sagepulley/watch/Watch.java
+++ b/src/main/java/sagepulley/watch/Watch.java
@@ -160,7 +160,7 @@
             sum("sagepulley.plan.units", "units of operations ended, by part of the plan", "part", part,
                     now -> now.units(part));
         }
-        counter("sagepulley.hops", "hops sent to nodes", gate -> gate.tally().hops.sum());
+        counter("sagepulley.hops", "hops sent to nodes", gate -> gate.tally().attempts.sum());
         counter("sagepulley.hops.moot", "hops to a node that does not hold the extent", gate -> gate.tally().moot.sum());
         counter("sagepulley.clients.connected", "connections taken", gate -> gate.tally().clients.sum());
         counter("sagepulley.clients.bad", "connections ended for what they sent", gate -> gate.tally().badClients.sum());
--- a/src/test/java/sagepulley/accounts/AccountsTest.java
+++ b/src/test/java/sagepulley/accounts/AccountsTest.java
@@ -25,8 +25,8 @@
 
     private final Accounts accounts = new Accounts(Accounts.Bounds.USUAL, 0);
 
-    /** One hop to a node and back. */
-    private Meter hop(Accounts of, long volume, int node, Owed owed, double at, double waited, double worked,
+    /** One attempt to a node and back. */
+    private Meter attempt(Accounts of, long volume, int node, Owed owed, double at, double waited, double worked,
                       double queue) {
         Meter meter = of.begin(volume, BAND, false, 1, at);
         of.sent(meter, node, owed, at);
@@ -64,7 +64,7 @@
                 all.waits(meter, Spent.values()[step], step % 3, now);
             } else if (step < 28) {
                 all.sent(meter, step % 4, Owed.values()[step % 3], now);
-                // A node may tell more than the hop took.
+                // A node may tell more than the attempt took.
                 all.answered(meter, length * (step - 16) / 6, length * (step - 20) / 4, step % 5, now + length);
                 now += length;
             } else {
@@ -98,7 +98,7 @@
     void aSlowNodeIsToldFromANeighbour() {
         for (int i = 0; i < 50; i++) {
             for (int node = 1; node <= 4; node++) {
-                hop(accounts, 1, node, Owed.SHARE, 10 * i, 0, node == 4 ? 80 : 10, 0);
+                attempt(accounts, 1, node, Owed.SHARE, 10 * i, 0, node == 4 ? 80 : 10, 0);
             }
         }
         Meter flood = accounts.begin(9, BAND, false, 3, 600);
@@ -141,7 +141,7 @@
             Meter small = accounts.begin(5, BAND, false, 1, at);
             accounts.sent(small, 1, Owed.SHARE, at);
             // The node tells of a queue that is not this gateway's.
-            hop(accounts, 2, 1, Owed.SHARE, at, 60, 5, 30);
+            attempt(accounts, 2, 1, Owed.SHARE, at, 60, 5, 30);
             accounts.answered(small, 60, 5, 30, at + 66);
             accounts.end(small, Accounts.End.SATISFIED, Reason.NONE, 1, at + 66);
         }
@@ -163,7 +163,7 @@
             Meter before = accounts.begin(3, BAND, false, 1, 20 * i + 6);
             accounts.sent(before, 1, Owed.SHARE, 20 * i + 6);
             // Usually a unit ahead is waited for 5 ms; once in a while for 300.
-            hop(accounts, 2, 1, Owed.SHARE, 20 * i + 6, i % 20 == 19 ? 300 : 5, 5, 0);
+            attempt(accounts, 2, 1, Owed.SHARE, 20 * i + 6, i % 20 == 19 ? 300 : 5, 5, 0);
             accounts.answered(before, 0, 5, 0, 20 * i + 11);
             accounts.end(before, Accounts.End.SATISFIED, Reason.NONE, 1, 20 * i + 11);
         }
@@ -174,9 +174,9 @@
     }
 
     @Test
-    void aNodeThatFellQuietHoldsUpItsHopsItself() {
+    void aNodeThatFellQuietHoldsUpItsAttemptsItself() {
         for (int i = 0; i < 20; i++) {
-            hop(accounts, 3, 1, Owed.SHARE, 10 * i, 0, 5, 0);
+            attempt(accounts, 3, 1, Owed.SHARE, 10 * i, 0, 5, 0);
         }
         for (int i = 0; i < 8; i++) {
             accounts.sent(accounts.begin(3, BAND, false, 1, 200), 1, Owed.SHARE, 200);
@@ -190,21 +190,21 @@
     }
 
     @Test
-    void aHopThatTimedOutInALongQueueIsNotTheNodesFault() {
+    void aAttemptThatTimedOutInALongQueueIsNotTheNodesFault() {
         Meter flood = accounts.begin(9, BAND, false, 20, 0);
         accounts.sent(flood, 1, Owed.EXCESS, 0);
         for (int i = 0; i < 40; i++) {
-            hop(accounts, 9, 1, Owed.EXCESS, 100 * i, 90, 10, 0);
+            attempt(accounts, 9, 1, Owed.EXCESS, 100 * i, 90, 10, 0);
         }
         for (int i = 0; i < 30; i++) {
             Meter late = accounts.begin(2, BAND, false, 1, 3900);
             accounts.sent(late, 1, Owed.SHARE, 3900);
-            hop(accounts, 9, 1, Owed.EXCESS, 3900, 90, 10, 0);
+            attempt(accounts, 9, 1, Owed.EXCESS, 3900, 90, 10, 0);
             accounts.failed(late, Outcome.TIMED_OUT, 4100);
             accounts.end(late, Accounts.End.DECLINED, Reason.LATE, 1, 4100);
             Meter lost = accounts.begin(3, BAND, false, 1, 3900);
             accounts.sent(lost, 1, Owed.SHARE, 3900);
-            hop(accounts, 9, 1, Owed.EXCESS, 3900, 90, 10, 0);
+            attempt(accounts, 9, 1, Owed.EXCESS, 3900, 90, 10, 0);
             accounts.failed(lost, Outcome.TIMED_OUT, 6900);
             accounts.end(lost, Accounts.End.SCRAPPED, Reason.MAY_HAVE_RUN, 1, 6900);
         }
@@ -234,7 +234,7 @@
     @Test
     void tenThousandVolumesOfOneOperationEach() {
         for (int i = 1; i <= 10_000; i++) {
-            hop(accounts, i, 1 + i % 40, Owed.SHARE, i, 1, 1, 0);
+            attempt(accounts, i, 1 + i % 40, Owed.SHARE, i, 1, 1, 0);
         }
         assertEquals(10_000, accounts.volumes().size());
         assertEquals(10_000, accounts.windows());
@@ -243,8 +243,8 @@
 
     @Test
     void partsOfThePlanAreToldApart() {
-        hop(accounts, 2, 1, Owed.RESERVE, 0, 1, 4, 0);
-        hop(accounts, 2, 1, Owed.EXCESS, 0, 300, 10, 0);
+        attempt(accounts, 2, 1, Owed.RESERVE, 0, 1, 4, 0);
+        attempt(accounts, 2, 1, Owed.EXCESS, 0, 300, 10, 0);
         Meter limited = accounts.begin(2, BAND, false, 1, 0);
         accounts.waits(limited, Spent.LIMIT, 0, 0);
         accounts.sent(limited, 1, Owed.SHARE, 50);
@@ -262,12 +262,12 @@
     @Test
     void accountsGoOnAfterARestartThoughTheClockWasSetBack() {
         Accounts before = new Accounts(Accounts.Bounds.USUAL, 5e9);
-        hop(before, 2, 1, Owed.SHARE, 1000, 5, 5, 0);
+        attempt(before, 2, 1, Owed.SHARE, 1000, 5, 5, 0);
         Book kept = Kept.of(before.book()).book();
         Accounts after = new Accounts(Accounts.Bounds.USUAL, 5e9 - 7_200_000);
         after.goOn(kept, 0);
         assertEquals(1, after.report(2, -86_400_000, 0).operations());
-        hop(after, 2, 1, Owed.SHARE, 10, 5, 5, 0);
+        attempt(after, 2, 1, Owed.SHARE, 10, 5, 5, 0);
         assertEquals(2, after.report(2, -86_400_000, 1000).operations());
     }
 
@@ -276,11 +276,11 @@
         // The second gateway's clock is an hour ahead; both note the list's versions 4 and 5.
         Accounts flooder = new Accounts(Accounts.Bounds.USUAL, 1e12 + 3_600_000);
         for (int i = 0; i < 200; i++) {
-            hop(flooder, 9, 1, Owed.EXCESS, 30 * i, 20, 10, 0);
+            attempt(flooder, 9, 1, Owed.EXCESS, 30 * i, 20, 10, 0);
         }
         Accounts victims = new Accounts(Accounts.Bounds.USUAL, 1e12);
         for (int i = 0; i < 60; i++) {
-            hop(victims, 2, 1, Owed.SHARE, 100 * i, 60, 5, 30);
+            attempt(victims, 2, 1, Owed.SHARE, 100 * i, 60, 5, 30);
         }
         assertEquals(Cause.Kind.ELSEWHERE, victims.report(2, 0, 10_000).main().kind());
         Fleet.Merged merged = Fleet.merge(List.of(
--- a/src/test/java/sagepulley/control/FakeHost.java
+++ b/src/test/java/sagepulley/control/FakeHost.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import sagepulley.model.Band;
 import sagepulley.model.Deployment;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -28,11 +28,11 @@
     static final int ORDERED = 5;
 
     final List<Node> nodes = new ArrayList<>();
-    final List<Hop> sent = new ArrayList<>();
-    private final Map<Hop, Double> timeouts = new IdentityHashMap<>();
+    final List<Attempt> sent = new ArrayList<>();
+    private final Map<Attempt, Double> timeouts = new IdentityHashMap<>();
     final List<Operation> declined = new ArrayList<>();
     final List<Operation> scrapped = new ArrayList<>();
-    final List<Hop> calledOff = new ArrayList<>();
+    final List<Attempt> calledOff = new ArrayList<>();
     final List<Operation> held = new ArrayList<>();
     final Control control;
     final Deployment site;
@@ -112,20 +112,21 @@
         return operation;
     }
 
-    /** Ends a hop and carries out what follows. */
-    void end(Hop hop, Outcome outcome) {
-        hop.outcome = outcome;
-        hop.took = now - hop.sentAt;
-        hop.operation.over |= outcome == Outcome.SATISFIED;
-        if (control.after(hop, now) == Sequel.PLACE_AGAIN) {
-            answer(hop.operation, control.place(hop.operation, now));
+    /** Ends an attempt and carries out what follows. */
+    void end(Attempt attempt, Outcome outcome) {
+        attempt.outcome = outcome;
+        attempt.took = now - attempt.sentAt;
+        attempt.operation.over |= outcome == Outcome.SATISFIED;
+        if (control.after(attempt, now) == Sequel.PLACE_AGAIN) {
+            answer(attempt.operation, control.place(attempt.operation, now));
         }
         settle();
     }
 
-    /** Satisfies every hop that is out now. */
+    /** Satisfies every attempt that is out now. */
     void satisfyAllOut() {
-        sent.stream().filter(hop -> hop.outcome == null).toList().forEach(hop -> end(hop, Outcome.SATISFIED));
+        sent.stream().filter(attempt -> attempt.outcome == null).toList()
+                .forEach(attempt -> end(attempt, Outcome.SATISFIED));
     }
 
     void leave(Operation operation) {
@@ -165,20 +166,20 @@
         }
     }
 
-    /** The longest time given to the operation's last hop. */
+    /** The longest time given to the operation's last attempt. */
     double timeoutOf(Operation operation) {
-        return timeouts.get(lastHop(operation));
+        return timeouts.get(lastAttempt(operation));
     }
 
-    Hop lastHop(Operation operation) {
-        return operation.hops.get(operation.hops.size() - 1);
+    Attempt lastAttempt(Operation operation) {
+        return operation.attempts.get(operation.attempts.size() - 1);
     }
 
     private void answer(Operation operation, Placement placement) {
         switch (placement.kind()) {
             case SEND -> {
-                sent.add(lastHop(operation));
-                timeouts.put(lastHop(operation), placement.timeout());
+                sent.add(lastAttempt(operation));
+                timeouts.put(lastAttempt(operation), placement.timeout());
             }
             case DECLINE -> {
                 declined.add(operation);
--- a/src/test/java/sagepulley/control/HealthTest.java
+++ b/src/test/java/sagepulley/control/HealthTest.java
@@ -5,7 +5,7 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -21,7 +21,7 @@
         for (int i = 0; i < 6; i++) {
             host.take(FakeHost.BULK, 0);
             host.take(FakeHost.WRITE, -1);
-            host.end(host.lastHop(host.held.get(host.held.size() - 1)), Outcome.SATISFIED);
+            host.end(host.lastAttempt(host.held.get(host.held.size() - 1)), Outcome.SATISFIED);
         }
         assertEquals(2, sentTo(host, 0), "the hop that found it silent, and one trial");
         host.passTime(70);
@@ -43,9 +43,9 @@
         FakeHost host = new FakeHost(2);
         Operation lost = host.take(FakeHost.BULK, 0);
         host.passTime(500);
-        host.end(host.lastHop(lost), Outcome.TIMED_OUT);
+        host.end(host.lastAttempt(lost), Outcome.TIMED_OUT);
         assertEquals(2, sentTo(host, 0), "it is the trial itself");
-        host.end(host.lastHop(lost), Outcome.FULL);
+        host.end(host.lastAttempt(lost), Outcome.FULL);
         host.take(FakeHost.BULK, 0);
         assertEquals(2, sentTo(host, 0), "the next trial waits for its time");
     }
@@ -54,17 +54,17 @@
     void aFullAnswerMakesNoNodeSilent() {
         FakeHost host = new FakeHost(2);
         Operation refused = host.take(FakeHost.BULK, 0);
-        host.end(host.lastHop(refused), Outcome.FULL);
+        host.end(host.lastAttempt(refused), Outcome.FULL);
         host.take(FakeHost.BULK, 0);
         assertEquals(3, sentTo(host, 0), "the hop refused, the one after it, and the next operation's");
     }
 
     @Test
-    void aHopThatHadLittleTimeLeftMakesNoNodeSilent() {
+    void aAttemptThatHadLittleTimeLeftMakesNoNodeSilent() {
         FakeHost host = new FakeHost(2);
         Operation hurried = host.takeHurried(FakeHost.BULK, 1, 0, 60);
         host.passTime(60);
-        host.end(host.lastHop(hurried), Outcome.TIMED_OUT);
+        host.end(host.lastAttempt(hurried), Outcome.TIMED_OUT);
         host.take(FakeHost.BULK, 0);
         host.take(FakeHost.BULK, 0);
         assertEquals(3, sentTo(host, 0), "none of them is a trial");
@@ -77,7 +77,7 @@
             Operation operation = host.take(FakeHost.BULK, 0);
             host.passTime(60);
             host.leave(operation);
-            host.end(host.lastHop(operation), Outcome.CALLED_OFF);
+            host.end(host.lastAttempt(operation), Outcome.CALLED_OFF);
         }
         assertEquals(8, host.calledOff.size());
         host.passTime(2000);
@@ -97,7 +97,7 @@
             Operation operation = host.take(FakeHost.READ, 0);
             host.passTime(4);
             host.leave(operation);
-            host.end(host.lastHop(operation), Outcome.CALLED_OFF);
+            host.end(host.lastAttempt(operation), Outcome.CALLED_OFF);
         }
         host.nodes.get(0).standing = Node.Standing.DRAINING;
         host.relist();
@@ -107,7 +107,7 @@
     }
 
     @Test
-    void clientsThatLeftOnceDoNotForbidAllHopsForGood() {
+    void clientsThatLeftOnceDoNotForbidAllAttemptsForGood() {
         FakeHost host = new FakeHost(1);
         serve(host, 30, 20);
         for (int i = 0; i < 10; i++) {
@@ -115,7 +115,7 @@
             host.passTime(22);
             if (operation.over) { continue; }
             host.leave(operation);
-            host.end(host.lastHop(operation), Outcome.CALLED_OFF);
+            host.end(host.lastAttempt(operation), Outcome.CALLED_OFF);
             // The node takes long for a while, so that no answer would come in the time that clients stay.
             serve(host, 2, 60);
         }
@@ -123,7 +123,7 @@
         for (int i = 0; i < 200; i++) {
             Operation operation = host.take(FakeHost.READ, 0);
             host.passTime(10);
-            if (!operation.over) { host.end(host.lastHop(operation), Outcome.SATISFIED); }
+            if (!operation.over) { host.end(host.lastAttempt(operation), Outcome.SATISFIED); }
         }
         assertTrue(host.sent.size() - before > 100, "sent " + (host.sent.size() - before));
     }
@@ -133,12 +133,12 @@
         for (int i = 0; i < count; i++) {
             Operation operation = host.take(FakeHost.READ, 0);
             host.passTime(time);
-            if (!operation.over) { host.end(host.lastHop(operation), Outcome.SATISFIED); }
+            if (!operation.over) { host.end(host.lastAttempt(operation), Outcome.SATISFIED); }
         }
     }
 
     @Test
-    void aSurgeAtOneNodeForbidsNoFurtherHopAtAnother() {
+    void aSurgeAtOneNodeForbidsNoFurtherAttemptAtAnother() {
         FakeHost host = new FakeHost(2);
         Volume surging = host.volume(0);
         for (int i = 0; i < 40; i++) {
@@ -148,8 +148,8 @@
         assertTrue(host.declined.size() > 20, "declined at the one " + host.declined.size());
         Operation read = host.take(FakeHost.READ, 1);
         host.passTime(10);
-        host.end(host.lastHop(read), Outcome.FAULT);
-        assertEquals(2, read.hops.size(), "the other is idle");
+        host.end(host.lastAttempt(read), Outcome.FAULT);
+        assertEquals(2, read.attempts.size(), "the other is idle");
     }
 
     @Test
@@ -160,7 +160,7 @@
             Node old = host.nodes.get(0);
             Operation read = host.take(FakeHost.READ, volume, 7 + i, 2, 0);
             host.passTime(20);
-            host.end(host.lastHop(read), Outcome.SATISFIED);
+            host.end(host.lastAttempt(read), Outcome.SATISFIED);
             old.standing = Node.Standing.GONE;
             host.relist();
             old.forgotten = true;
@@ -173,7 +173,7 @@
         }
         assertEquals(2, host.control.seats.size());
         Operation read = host.take(FakeHost.READ, volume, 3, 2, 0);
-        assertEquals(host.nodes.get(0), host.lastHop(read).node);
+        assertEquals(host.nodes.get(0), host.lastAttempt(read).node);
     }
 
     @Test
@@ -182,10 +182,10 @@
         for (int i = 0; i < 40; i++) {
             Operation write = host.take(FakeHost.WRITE, -1);
             host.passTime(6);
-            Hop hop = host.lastHop(write);
-            host.end(hop, hop.node == host.nodes.get(0) ? Outcome.FAULT : Outcome.SATISFIED);
+            Attempt attempt = host.lastAttempt(write);
+            host.end(attempt, attempt.node == host.nodes.get(0) ? Outcome.FAULT : Outcome.SATISFIED);
             while (!write.over) {
-                host.end(host.lastHop(write), Outcome.SATISFIED);
+                host.end(host.lastAttempt(write), Outcome.SATISFIED);
             }
         }
         assertTrue(sentTo(host, 0) < 12, "sent " + sentTo(host, 0));
@@ -197,12 +197,12 @@
         for (int i = 0; i < 40; i++) {
             Operation read = host.take(FakeHost.READ, 0);
             host.passTime(10);
-            host.end(host.lastHop(read), Outcome.SATISFIED);
+            host.end(host.lastAttempt(read), Outcome.SATISFIED);
         }
         for (int i = 0; i < 10; i++) {
             Operation read = host.take(FakeHost.READ, 0);
             host.passTime(110);
-            host.end(host.lastHop(read), Outcome.SATISFIED);
+            host.end(host.lastAttempt(read), Outcome.SATISFIED);
         }
         host.sent.clear();
         for (int i = 0; i < 8; i++) {
@@ -212,7 +212,7 @@
     }
 
     @Test
-    void noFurtherHopUnderOverloadButInAnOutage() {
+    void noFurtherAttemptUnderOverloadButInAnOutage() {
         FakeHost outage = new FakeHost(3);
         outage.nodes.get(0).standing = Node.Standing.DRAINING;
         outage.relist();
@@ -226,8 +226,8 @@
                 assertEquals(8, host.declined.size());
             }
             Operation write = host.take(FakeHost.WRITE, -1);
-            host.end(host.lastHop(write), Outcome.FAULT);
-            assertEquals(host == outage ? 2 : 1, write.hops.size());
+            host.end(host.lastAttempt(write), Outcome.FAULT);
+            assertEquals(host == outage ? 2 : 1, write.attempts.size());
         }
     }
 
@@ -291,7 +291,7 @@
         for (int i = 0; i < 10; i++) {
             Operation read = host.take(FakeHost.READ, 0);
             host.passTime(i < 4 ? 10 : 90);
-            host.end(host.lastHop(read), Outcome.SATISFIED);
+            host.end(host.lastAttempt(read), Outcome.SATISFIED);
         }
         Volume surging = host.volume(0);
         for (int i = 0; i < 8; i++) { host.take(FakeHost.READ, surging, 1000 + i, 6, 0); }
@@ -299,17 +299,17 @@
         host.satisfyAllOut();
         Operation over = host.take(FakeHost.READ, surging, 2000, 6, 0);
         Operation reserved = host.take(FakeHost.READ, 0);
-        assertTrue(over.hops.isEmpty());
-        assertEquals(1, reserved.hops.size());
-        host.end(host.lastHop(reserved), Outcome.SATISFIED);
+        assertTrue(over.attempts.isEmpty());
+        assertEquals(1, reserved.attempts.size());
+        host.end(host.lastAttempt(reserved), Outcome.SATISFIED);
         host.passTime(60_000);
         surging = host.volume(0);
         for (int i = 0; i < 4; i++) { host.take(FakeHost.READ, surging, 3000 + i, 6, 0); }
-        assertEquals(4, host.sent.stream().filter(hop -> hop.outcome == null).count(), "the queue is forgotten");
+        assertEquals(4, host.sent.stream().filter(attempt -> attempt.outcome == null).count(), "the queue is forgotten");
     }
 
     @Test
-    void aHopEndsWithTheTargetTimeWhereLateAnswersAreWorthLittle() {
+    void aAttemptEndsWithTheTargetTimeWhereLateAnswersAreWorthLittle() {
         FakeHost host = new FakeHost(1);
         host.passTime(40);
         Operation read = host.take(FakeHost.READ, 0);
@@ -317,12 +317,12 @@
     }
 
     @Test
-    void whatIsLateGetsNoFurtherHop() {
+    void whatIsLateGetsNoFurtherAttempt() {
         FakeHost host = new FakeHost(1);
         Operation read = host.take(FakeHost.READ, 0);
         host.passTime(250);
-        host.end(host.lastHop(read), Outcome.FAULT);
-        assertEquals(1, read.hops.size());
+        host.end(host.lastAttempt(read), Outcome.FAULT);
+        assertEquals(1, read.attempts.size());
         assertEquals(List.of(read), host.declined, "at once, not near its patience");
     }
 
@@ -331,11 +331,11 @@
         FakeHost host = new FakeHost(1);
         Operation first = host.take(FakeHost.READ, 0);
         host.passTime(250);
-        host.end(host.lastHop(first), Outcome.TIMED_OUT);
+        host.end(host.lastAttempt(first), Outcome.TIMED_OUT);
         host.passTime(15_000);
         Operation hurried = host.takeHurried(FakeHost.READ, first.extent + 1_000, 0, 100);
         assertEquals(98, host.timeoutOf(hurried), 2, "all the patience it has");
-        host.end(host.lastHop(hurried), Outcome.SATISFIED);
+        host.end(host.lastAttempt(hurried), Outcome.SATISFIED);
         host.nodes.get(0).standing = Node.Standing.DRAINING;
         host.relist();
         Operation repeat = host.takeHurried(FakeHost.READ, first.extent, 0, 1700);
@@ -361,6 +361,6 @@
     }
 
     private static long sentTo(FakeHost host, int node) {
-        return host.sent.stream().filter(hop -> hop.node == host.nodes.get(node)).count();
+        return host.sent.stream().filter(attempt -> attempt.node == host.nodes.get(node)).count();
     }
 }
--- a/src/test/java/sagepulley/control/PlacementTest.java
+++ b/src/test/java/sagepulley/control/PlacementTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -25,10 +25,10 @@
         Operation run2 = host.take(FakeHost.READ, volume, 5, 1, 0);
         assertEquals(4, host.sent.size());
         host.end(host.sent.get(0), Outcome.SATISFIED);
-        assertEquals(1, early.hops.size(), "the earliest deadline");
+        assertEquals(1, early.attempts.size(), "the earliest deadline");
         host.end(host.sent.get(1), Outcome.SATISFIED);
-        assertEquals(1, run1.hops.size());
-        assertEquals(1, run2.hops.size(), "the rest of the run goes along, a few over the bound");
+        assertEquals(1, run1.attempts.size());
+        assertEquals(1, run2.attempts.size(), "the rest of the run goes along, a few over the bound");
     }
 
     @Test
@@ -37,9 +37,9 @@
         for (int i = 0; i < 60; i++) {
             Operation read = host.take(FakeHost.READ, i % 2);
             host.passTime(10);
-            Hop slow = i % 2 == 0 ? host.lastHop(read) : null;
+            Attempt slow = i % 2 == 0 ? host.lastAttempt(read) : null;
             if (slow == null) {
-                host.end(host.lastHop(read), Outcome.SATISFIED);
+                host.end(host.lastAttempt(read), Outcome.SATISFIED);
             } else {
                 host.passTime(50);
                 host.end(slow, Outcome.SATISFIED);
@@ -49,10 +49,10 @@
         for (int i = 0; i < 10; i++) {
             Operation write = host.take(FakeHost.WRITE, -1);
             host.passTime(10);
-            host.end(host.lastHop(write), Outcome.SATISFIED);
+            host.end(host.lastAttempt(write), Outcome.SATISFIED);
         }
         Node quick = host.nodes.get(1);
-        assertTrue(host.sent.stream().filter(hop -> hop.node == quick).count() >= 7);
+        assertTrue(host.sent.stream().filter(attempt -> attempt.node == quick).count() >= 7);
     }
 
     @Test
@@ -65,7 +65,7 @@
             host.take(FakeHost.WRITE, -1);
         }
         assertEquals(8, host.sent.size());
-        assertTrue(host.sent.stream().noneMatch(hop -> hop.node == host.nodes.get(2)));
+        assertTrue(host.sent.stream().noneMatch(attempt -> attempt.node == host.nodes.get(2)));
     }
 
     @Test
@@ -77,9 +77,9 @@
         }
         host.passTime(10);
         Operation reserved = host.take(FakeHost.READ, 0);
-        assertTrue(reserved.hops.isEmpty());
+        assertTrue(reserved.attempts.isEmpty());
         host.end(host.sent.get(0), Outcome.SATISFIED);
-        assertEquals(1, reserved.hops.size());
+        assertEquals(1, reserved.attempts.size());
     }
 
     @Test
@@ -87,8 +87,8 @@
         FakeHost host = new FakeHost(1);
         Volume heavyElsewhere = host.volume(1);
         Operation told = host.take(FakeHost.READ, heavyElsewhere, 1, 1, 0);
-        host.lastHop(told).othersUnits = 40;
-        host.end(host.lastHop(told), Outcome.SATISFIED);
+        host.lastAttempt(told).othersUnits = 40;
+        host.end(host.lastAttempt(told), Outcome.SATISFIED);
         for (int i = 0; i < 4; i++) {
             host.take(FakeHost.READ, 0);
         }
@@ -96,8 +96,8 @@
         host.passTime(4);
         Operation due = host.take(FakeHost.READ, 0);
         host.end(host.sent.get(1), Outcome.SATISFIED);
-        assertTrue(spent.hops.isEmpty());
-        assertEquals(1, due.hops.size());
+        assertTrue(spent.attempts.isEmpty());
+        assertEquals(1, due.attempts.size());
     }
 
     @Test
@@ -113,7 +113,7 @@
             host.take(FakeHost.READ, 0);
             host.end(host.sent.get(i), Outcome.SATISFIED);
         }
-        assertTrue(read.hops.isEmpty() && !read.over);
+        assertTrue(read.attempts.isEmpty() && !read.over);
         host.passTime(52);
         assertTrue(read.over, "its target time is past, its patience is not");
         assertEquals(1, host.declined.size());
--- a/src/test/java/sagepulley/control/RulesTest.java
+++ b/src/test/java/sagepulley/control/RulesTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -28,7 +28,7 @@
         Operation homeless = host.take(band, 7);
         host.passTime(sent.band.patience() - 2);
         assertTrue(homeless.over, "an operation whose shard no node holds");
-        host.end(host.lastHop(sent), Outcome.TIMED_OUT);
+        host.end(host.lastAttempt(sent), Outcome.TIMED_OUT);
         assertTrue(sent.over, "an operation whose only hop was never answered");
         assertEquals(2, host.declined.size() + host.scrapped.size());
     }
@@ -38,19 +38,19 @@
     void anUnrepeatableOperationRunsAgainOnlyAfterProof(Outcome outcome) {
         FakeHost host = new FakeHost(2);
         Operation operation = host.take(FakeHost.UNREPEATABLE, -1);
-        host.end(host.lastHop(operation), outcome);
+        host.end(host.lastAttempt(operation), outcome);
         host.passTime(100);
         if (!outcome.provesNotRun) {
-            assertEquals(1, operation.hops.size());
+            assertEquals(1, operation.attempts.size());
             assertTrue(host.declined.isEmpty());
         } else {
-            assertTrue(operation.hops.size() > 1);
+            assertTrue(operation.attempts.size() > 1);
         }
     }
 
     /** Between the decision and the first byte a connection has to come up. */
     @Test
-    void aHopThatIsHeldUpBeginsOnlyWhileTheRulesStillAllowIt() {
+    void aAttemptThatIsHeldUpBeginsOnlyWhileTheRulesStillAllowIt() {
         FakeHost host = new FakeHost(2);
         Operation drained = host.take(FakeHost.READ, 0);
         Operation left = host.take(FakeHost.READ, 1);
@@ -58,23 +58,23 @@
         Operation once = host.take(FakeHost.UNREPEATABLE, 0);
         host.passTime(10);
         for (Operation operation : List.of(drained, left, repeated, once)) {
-            assertTrue(host.control.mayBegin(host.lastHop(operation), host.now));
+            assertTrue(host.control.mayBegin(host.lastAttempt(operation), host.now));
         }
-        host.end(host.lastHop(repeated), Outcome.RESET);
-        assertEquals(2, repeated.hops.size(), "sent again while the node remembers");
-        assertTrue(host.control.mayBegin(host.lastHop(repeated), host.now));
-        double forgets = repeated.hops.get(0).sentAt + repeated.band.groupMemory();
-        assertFalse(host.control.mayBegin(host.lastHop(repeated), forgets), "not when it has forgotten");
-        host.end(host.lastHop(once), Outcome.FULL);
-        assertTrue(host.control.mayBegin(host.lastHop(once), host.now), "the first has proved that it never ran");
-        assertEquals(2, once.hops.size());
-        once.hops.get(0).outcome = Outcome.RESET;
-        assertFalse(host.control.mayBegin(host.lastHop(once), host.now), "or else it may not");
+        host.end(host.lastAttempt(repeated), Outcome.RESET);
+        assertEquals(2, repeated.attempts.size(), "sent again while the node remembers");
+        assertTrue(host.control.mayBegin(host.lastAttempt(repeated), host.now));
+        double forgets = repeated.attempts.get(0).sentAt + repeated.band.groupMemory();
+        assertFalse(host.control.mayBegin(host.lastAttempt(repeated), forgets), "not when it has forgotten");
+        host.end(host.lastAttempt(once), Outcome.FULL);
+        assertTrue(host.control.mayBegin(host.lastAttempt(once), host.now), "the first has proved that it never ran");
+        assertEquals(2, once.attempts.size());
+        once.attempts.get(0).outcome = Outcome.RESET;
+        assertFalse(host.control.mayBegin(host.lastAttempt(once), host.now), "or else it may not");
         host.nodes.get(0).standing = Node.Standing.DRAINING;
         host.relist();
-        assertFalse(host.control.mayBegin(host.lastHop(drained), host.now));
+        assertFalse(host.control.mayBegin(host.lastAttempt(drained), host.now));
         host.leave(left);
-        assertFalse(host.control.mayBegin(host.lastHop(left), host.now));
+        assertFalse(host.control.mayBegin(host.lastAttempt(left), host.now));
     }
 
     @Test
@@ -87,7 +87,7 @@
             host.take(FakeHost.READ, 0);
         }
         assertEquals(4, host.sent.size());
-        assertTrue(host.sent.stream().allMatch(hop -> hop.node == host.nodes.get(1)));
+        assertTrue(host.sent.stream().allMatch(attempt -> attempt.node == host.nodes.get(1)));
     }
 
     /** The even demand of all gateways is all that the node does when warm. */
@@ -105,10 +105,10 @@
                 host.relist();
             }
             host.take(FakeHost.READ, 0);
-            for (Hop hop : List.copyOf(host.sent)) {
-                sent[(int) ((host.now - 100_000) / 500)] += hop.operation.units;
-                host.sent.remove(hop);
-                host.end(hop, Outcome.SATISFIED);
+            for (Attempt attempt : List.copyOf(host.sent)) {
+                sent[(int) ((host.now - 100_000) / 500)] += attempt.operation.units;
+                host.sent.remove(attempt);
+                host.end(attempt, Outcome.SATISFIED);
             }
         }
         double warm = 200 / 2.0;
@@ -165,10 +165,10 @@
                 hosts[me].take(FakeHost.READ, 0);
             }
             for (FakeHost host : hosts) {
-                for (Hop hop : List.copyOf(host.sent)) {
-                    if (now >= startedAt && hop.node == host.nodes.get(0)) { sentAt.add(now); }
-                    host.sent.remove(hop);
-                    host.end(hop, Outcome.SATISFIED);
+                for (Attempt attempt : List.copyOf(host.sent)) {
+                    if (now >= startedAt && attempt.node == host.nodes.get(0)) { sentAt.add(now); }
+                    host.sent.remove(attempt);
+                    host.end(attempt, Outcome.SATISFIED);
                 }
             }
         }
@@ -190,9 +190,9 @@
         double units = 0;
         for (int i = 0; i < 60; i++) {
             Operation read = host.take(FakeHost.READ, 0);
-            if (!read.hops.isEmpty()) {
+            if (!read.attempts.isEmpty()) {
                 units += read.units;
-                host.end(host.lastHop(read), Outcome.SATISFIED);
+                host.end(host.lastAttempt(read), Outcome.SATISFIED);
             }
         }
         assertTrue(units > 0 && units <= host.site.mostUnits(), "sent " + units);
@@ -201,8 +201,8 @@
         int sent = 0;
         for (int i = 0; i < 60; i++) {
             Operation read = host.take(FakeHost.READ, surging, 2000 + i, 1, 0);
-            sent += read.hops.size();
-            if (!read.hops.isEmpty()) { host.end(host.lastHop(read), Outcome.SATISFIED); }
+            sent += read.attempts.size();
+            if (!read.attempts.isEmpty()) { host.end(host.lastAttempt(read), Outcome.SATISFIED); }
         }
         assertTrue(sent > 0 && sent <= 4, "sent " + sent);
     }
@@ -212,7 +212,7 @@
         FakeHost host = new FakeHost(1);
         Operation operation = host.take(FakeHost.UNREPEATABLE, 0);
         host.passTime(100);
-        host.end(host.lastHop(operation), Outcome.RESET);
+        host.end(host.lastAttempt(operation), Outcome.RESET);
         host.passTime(400);
         assertEquals(List.of(operation), host.scrapped);
         assertTrue(host.declined.isEmpty());
@@ -228,12 +228,12 @@
         assertEquals(2, host.sent.size());
         first.over = true;
         host.control.left(first, host.now);
-        host.end(host.lastHop(first), Outcome.TIMED_OUT);
-        host.end(host.lastHop(other), Outcome.SATISFIED);
+        host.end(host.lastAttempt(first), Outcome.TIMED_OUT);
+        host.end(host.lastAttempt(other), Outcome.SATISFIED);
         host.passTime(150);
-        assertTrue(second.hops.isEmpty(), "the key rests");
+        assertTrue(second.attempts.isEmpty(), "the key rests");
         host.passTime(60);
-        assertEquals(1, second.hops.size());
+        assertEquals(1, second.attempts.size());
     }
 
     @Test
@@ -254,51 +254,51 @@
     }
 
     @Test
-    void furtherHopsKeepToTheBudgetOfTheWindow() {
+    void furtherAttemptsKeepToTheBudgetOfTheWindow() {
         FakeHost host = new FakeHost(1, 0, 1, false, 1);
         List<Operation> taken = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
             taken.add(host.take(FakeHost.BULK, 0));
         }
         for (Operation operation : taken) {
-            host.end(host.lastHop(operation), Outcome.NO_CONNECTION);
+            host.end(host.lastAttempt(operation), Outcome.NO_CONNECTION);
             host.passTime(302);
         }
-        assertEquals(1, taken.stream().mapToInt(operation -> operation.hops.size() - 1).sum());
+        assertEquals(1, taken.stream().mapToInt(operation -> operation.attempts.size() - 1).sum());
         host.passTime(200);
-        assertEquals(2, taken.stream().mapToInt(operation -> operation.hops.size() - 1).sum(), "a window later");
+        assertEquals(2, taken.stream().mapToInt(operation -> operation.attempts.size() - 1).sum(), "a window later");
     }
 
     @Test
     void aDeduplicatedOperationThatMayHaveRunStaysInItsGroupAndMemory() {
         FakeHost host = new FakeHost(2);
         Operation kept = host.take(FakeHost.DEDUPLICATED, -1);
-        Node first = host.lastHop(kept).node;
-        host.end(host.lastHop(kept), Outcome.FAULT);
+        Node first = host.lastAttempt(kept).node;
+        host.end(host.lastAttempt(kept), Outcome.FAULT);
         host.passTime(100);
-        assertTrue(kept.hops.stream().allMatch(hop -> hop.node == first));
+        assertTrue(kept.attempts.stream().allMatch(attempt -> attempt.node == first));
         assertTrue(host.declined.isEmpty(), "a decline would promise that asking again is harmless");
         host.passTime(2000);
-        assertTrue(kept.over || kept.hops.get(kept.hops.size() - 1).outcome == null);
+        assertTrue(kept.over || kept.attempts.get(kept.attempts.size() - 1).outcome == null);
         Operation old = host.take(FakeHost.DEDUPLICATED, 0);
         host.passTime(1100);
-        int hops = old.hops.size();
-        host.end(host.lastHop(old), Outcome.TIMED_OUT);
+        int attempts = old.attempts.size();
+        host.end(host.lastAttempt(old), Outcome.TIMED_OUT);
         host.passTime(500);
-        assertEquals(hops, old.hops.size(), "the group no longer remembers it");
+        assertEquals(attempts, old.attempts.size(), "the group no longer remembers it");
     }
 
     @Test
-    void noSecondCopyWhereNoneIsAllowedAndNoThirdFurtherHop() {
+    void noSecondCopyWhereNoneIsAllowedAndNoThirdFurtherAttempt() {
         FakeHost host = new FakeHost(1);
         Operation operation = host.take(FakeHost.BULK, 0);
         for (int i = 0; i < 5 && !operation.over; i++) {
             host.settle();
-            assertTrue(operation.hops.stream().filter(hop -> hop.outcome == null).count() <= 1);
-            host.end(host.lastHop(operation), Outcome.FAULT);
+            assertTrue(operation.attempts.stream().filter(attempt -> attempt.outcome == null).count() <= 1);
+            host.end(host.lastAttempt(operation), Outcome.FAULT);
         }
         assertTrue(operation.over);
-        assertEquals(3, operation.hops.size());
+        assertEquals(3, operation.attempts.size());
         assertEquals(1, host.declined.size());
     }
 
@@ -312,6 +312,6 @@
         host.leave(waiting);
         host.end(host.sent.get(0), Outcome.SATISFIED);
         host.passTime(100);
-        assertTrue(waiting.hops.isEmpty());
+        assertTrue(waiting.attempts.isEmpty());
     }
 }
--- a/src/test/java/sagepulley/drill/JudgeTest.java
+++ b/src/test/java/sagepulley/drill/JudgeTest.java
@@ -96,7 +96,7 @@
         second.ends(40, true);
         ledger.check(1, 0, old, 38, 45); // asked before it was
         assertEquals(0, ledger.breaches().size());
-        ledger.check(1, 0, old, 50, 55); // undone by a late hop
+        ledger.check(1, 0, old, 50, 55); // undone by a late attempt
         assertEquals(1, ledger.breaches().size());
         ledger.check(1, 0, old.setLong(512, 99), 20, 25);
         assertTrue(ledger.breaches().get(1).contains("torn"));
--- a/src/test/java/sagepulley/drill/Rogue.java
+++ b/src/test/java/sagepulley/drill/Rogue.java
@@ -134,17 +134,17 @@
         }
 
         @Override
-        public void answered(long hop, StoreWire.Answer answer, ByteBuf payload) {
+        public void answered(long attempt, StoreWire.Answer answer, ByteBuf payload) {
             boolean good = answer.code() == StoreWire.Code.SATISFIED;
             if (!good) {
                 payload.release();
             }
-            waiting.remove(hop).accept(good ? payload : null);
+            waiting.remove(attempt).accept(good ? payload : null);
         }
 
         @Override
-        public void broken(long hop, NodeLink.Broken how) {
-            waiting.remove(hop).accept(null);
+        public void broken(long attempt, NodeLink.Broken how) {
+            waiting.remove(attempt).accept(null);
         }
 
         @Override
@@ -188,11 +188,11 @@
             ByteBuf payload = Unpooled.wrappedBuffer(ByteBufUtil.getBytes(asked.payload()));
             asked.payload().release();
             java.util.function.IntConsumer send = number -> {
-                long hop = mark * 10 + number;
-                peer.waiting.put(hop, data -> {
+                long attempt = mark * 10 + number;
+                peer.waiting.put(attempt, data -> {
                     boolean last = way != Way.THRICE || number == 2;
                     if (!last) {
-                        again(hop + 1, number + 1, peer, mark, kind, band, repeat, extent, asked, payload, ctx, data);
+                        again(attempt + 1, number + 1, peer, mark, kind, band, repeat, extent, asked, payload, ctx, data);
                     } else if (number == (way == Way.THRICE ? 2 : 0)) {
                         of.later(way == Way.LATE ? 900 : 0, () -> reply(ctx, asked, data));
                     } else if (data != null) {
@@ -200,9 +200,9 @@
                     }
                 });
                 if (way == Way.UNWRITTEN && !reads) {
-                    peer.waiting.remove(hop).accept(Unpooled.EMPTY_BUFFER);
+                    peer.waiting.remove(attempt).accept(Unpooled.EMPTY_BUFFER);
                 } else {
-                    peer.link.send(hop, make(kind, band, repeat, mark, number, extent, asked, extentBytes),
+                    peer.link.send(attempt, make(kind, band, repeat, mark, number, extent, asked, extentBytes),
                             payload.retainedDuplicate());
                 }
             };
@@ -220,19 +220,19 @@
                     (int) (asked.offset() % extentBytes), asked.length(), 1, 0);
         }
 
-        private void again(long hop, int number, Peer peer, long mark, StoreWire.Kind kind, int band, int repeat,
+        private void again(long attempt, int number, Peer peer, long mark, StoreWire.Kind kind, int band, int repeat,
                            long extent, NbdRequest asked, ByteBuf payload, ChannelHandlerContext ctx, ByteBuf old) {
             if (old != null) {
                 old.release();
             }
-            peer.waiting.put(hop, data -> {
+            peer.waiting.put(attempt, data -> {
                 if (number < 2) {
-                    again(hop + 1, number + 1, peer, mark, kind, band, repeat, extent, asked, payload, ctx, data);
+                    again(attempt + 1, number + 1, peer, mark, kind, band, repeat, extent, asked, payload, ctx, data);
                 } else {
                     reply(ctx, asked, data);
                 }
             });
-            peer.link.send(hop, make(kind, band, repeat, mark, number, extent, asked, of.site.extentBytes()),
+            peer.link.send(attempt, make(kind, band, repeat, mark, number, extent, asked, of.site.extentBytes()),
                     payload.retainedDuplicate());
         }
 
--- a/src/test/java/sagepulley/gateway/WithoutDiscoveryTest.java
+++ b/src/test/java/sagepulley/gateway/WithoutDiscoveryTest.java
@@ -91,7 +91,7 @@
             rig.town.nodes().get(0).drain();
             age(60_000);
             Gateway again = start(site, 30);
-            long before = again.tally().hops.sum();
+            long before = again.tally().attempts.sum();
             NbdClient client = rig.client(again, NbdClient.Style.GO);
             List<CompletableFuture<NbdReply>> all = new java.util.ArrayList<>();
             for (int i = 0; i < 6; i++) {
@@ -100,7 +100,7 @@
             for (CompletableFuture<NbdReply> one : all) {
                 Rig.await(one).release();
             }
-            assertTrue(again.tally().hops.sum() > before);
+            assertTrue(again.tally().attempts.sum() > before);
             NodesView view = Rig.await(again.nodes());
             assertEquals(NodeLine.Standing.DRAINING, view.nodes().get(0).use(), view.nodes().get(0).reason());
             Rig.await(again.kill());
@@ -115,9 +115,9 @@
             Gateway again = start(site, 40);
             NbdClient client = rig.client(again, NbdClient.Style.GO);
             assertEquals(Nbd.ENOMEM, Rig.error(client.write(40L * Rig.MIB, Rig.noise(40, 4096))));
-            long hops = again.tally().hops.sum();
+            long attempts = again.tally().attempts.sum();
             assertEquals(0, Rig.error(client.write(0, Rig.noise(0, 4096))), "a known extent is written");
-            assertEquals(hops + 1, again.tally().hops.sum());
+            assertEquals(attempts + 1, again.tally().attempts.sum());
             Rig.await(rig.town.directory().restart());
             await().until(() -> {
                 NbdReply reply = Rig.await(client.write(40L * Rig.MIB, Rig.noise(40, 4096)));
--- a/src/test/java/sagepulley/host/HostTest.java
+++ b/src/test/java/sagepulley/host/HostTest.java
@@ -5,7 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -31,11 +31,11 @@
             limits.mostTries=2
             limits.mayDuplicate=false
             """;
-    private final List<Hop> sent = new ArrayList<>();
+    private final List<Attempt> sent = new ArrayList<>();
     private final Host host = new Host(FirstMessage.ofLines(SETTINGS).deployment(), 1, new Exit() {
         @Override
-        public void send(Hop hop, double timeout) {
-            sent.add(hop);
+        public void send(Attempt attempt, double timeout) {
+            sent.add(attempt);
         }
 
         @Override
@@ -44,7 +44,7 @@
         }
 
         @Override
-        public void callOff(Hop hop) {
+        public void callOff(Attempt attempt) {
             throw new AssertionError("called off");
         }
 
@@ -70,20 +70,20 @@
     });
 
     @Test
-    void nodesThatAreGoneForLongAreForgottenOnceTheirLastHopHasEnded() {
+    void nodesThatAreGoneForLongAreForgottenOnceTheirLastAttemptHasEnded() {
         host.listed(List.of(entry(1, 0), entry(2, 1)), true, 0);
         Operation operation = new Operation(1, host.deployment().bands().get(0), host.volume(1, 0), 7, 1, 0, 0, 1000,
                 false);
         host.arrived(operation);
         host.settle(0);
         host.settle(0);
-        Hop hop = sent.get(0);
-        assertEquals(1, hop.node.id);
+        Attempt attempt = sent.get(0);
+        assertEquals(1, attempt.node.id);
         assertEquals(List.of(), host.listed(List.of(entry(2, 1)), true, 100));
         assertEquals(List.of(), host.listed(List.of(entry(3, 0)), false, 40_000), "its hop is still out");
-        hop.outcome = Outcome.SATISFIED;
-        host.ended(hop, true, 40_000);
-        assertEquals(List.of(hop.node), host.listed(List.of(entry(4, 2)), false, 40_001));
+        attempt.outcome = Outcome.SATISFIED;
+        host.ended(attempt, true, 40_000);
+        assertEquals(List.of(attempt.node), host.listed(List.of(entry(4, 2)), false, 40_001));
         assertEquals(3, host.nodes().size());
     }
 
--- a/src/test/java/sagepulley/platform/NodeCrossingsTest.java
+++ b/src/test/java/sagepulley/platform/NodeCrossingsTest.java
@@ -26,7 +26,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import sagepulley.host.Clock;
-import sagepulley.model.Hop;
+import sagepulley.model.Attempt;
 import sagepulley.model.Outcome;
 import sagepulley.resp.Resp;
 
@@ -75,9 +75,9 @@
     }
 
     /** On the loop; the command tells the time that is left. */
-    private CompletableFuture<End> call(Hop hop, double timeout) {
+    private CompletableFuture<End> call(Attempt attempt, double timeout) {
         CompletableFuture<End> end = new CompletableFuture<>();
-        links.send(hop, address, left -> List.of(Long.toString((long) left).getBytes(StandardCharsets.US_ASCII)),
+        links.send(attempt, address, left -> List.of(Long.toString((long) left).getBytes(StandardCharsets.US_ASCII)),
                 timeout, (outcome, answer, at) -> end.complete(new End(outcome, answer == null ? null
                         : new String(((Resp.Bulk) ((Resp.Array) answer).items().get(0)).bytes(),
                                 StandardCharsets.US_ASCII))));
@@ -85,11 +85,11 @@
     }
 
     private CompletableFuture<End> call() throws Exception {
-        return loop.submit(() -> call(hop(), LONG)).get();
+        return loop.submit(() -> call(attempt(), LONG)).get();
     }
 
-    private static Hop hop() {
-        return new Hop(null, null, 0, 0);
+    private static Attempt attempt() {
+        return new Attempt(null, null, 0, 0);
     }
 
     private static void serve(Peers.Talk talk, String value) throws IOException {
@@ -162,7 +162,7 @@
         return loop.submit(() -> {
             hold();
             step.run(talk);
-            return call(hop(), LONG);
+            return call(attempt(), LONG);
         }).get();
     }
 
@@ -179,7 +179,7 @@
     @Test
     void aNodeIsToldWhatIsLeftThoughTheConnectionComesUpLate() throws Exception {
         CompletableFuture<End> end = loop.submit(() -> {
-            CompletableFuture<End> called = call(hop(), 5_000);
+            CompletableFuture<End> called = call(attempt(), 5_000);
             hold();
             return called;
         }).get();
@@ -193,7 +193,7 @@
     @Test
     void nothingIsSentOnAConnectionThatComesUpWhenTheTimeIsOver() throws Exception {
         CompletableFuture<End> end = loop.submit(() -> {
-            CompletableFuture<End> called = call(hop(), HELD_MS / 2);
+            CompletableFuture<End> called = call(attempt(), HELD_MS / 2);
             hold();
             return called;
         }).get();
@@ -204,7 +204,7 @@
     @Test
     void whatMayNotBeginAnyMoreWhenTheConnectionIsUpIsNeverSent() throws Exception {
         CompletableFuture<Outcome> end = new CompletableFuture<>();
-        loop.execute(() -> links.send(hop(), address, left -> null, LONG, (outcome, answer, at) ->
+        loop.execute(() -> links.send(attempt(), address, left -> null, LONG, (outcome, answer, at) ->
                 end.complete(outcome)));
         assertEquals(Outcome.MOOT, end.get());
         assertNull(taken.take().command(), "closed with nothing sent");
@@ -212,15 +212,15 @@
 
     @Test
     void whatIsCalledOffBeforeItIsWrittenIsNeverSent() throws Exception {
-        Hop hop = hop();
+        Attempt attempt = attempt();
         CompletableFuture<End> end = loop.submit(() -> {
-            CompletableFuture<End> called = call(hop, LONG);
+            CompletableFuture<End> called = call(attempt, LONG);
             hold();
-            links.callOffUnwritten(hop);
+            links.callOffUnwritten(attempt);
             return called;
         }).get();
         assertEquals(Outcome.CALLED_OFF, end.get().outcome());
-        CompletableFuture<End> next = loop.submit(() -> call(hop(), HELD_MS * 100)).get();
+        CompletableFuture<End> next = loop.submit(() -> call(attempt(), HELD_MS * 100)).get();
         List<String> sent = null;
         while (sent == null) {
             Peers.Talk talk = taken.take();
@@ -235,18 +235,18 @@
 
     @Test
     void whatIsWrittenIsLeftToWhoeverMayCallItOff() throws Exception {
-        Hop hop = hop();
-        CompletableFuture<End> end = loop.submit(() -> call(hop, LONG)).get();
+        Attempt attempt = attempt();
+        CompletableFuture<End> end = loop.submit(() -> call(attempt, LONG)).get();
         Peers.Talk talk = taken.take();
         talk.command();
-        loop.submit(() -> links.callOffUnwritten(hop)).get();
+        loop.submit(() -> links.callOffUnwritten(attempt)).get();
         serve(talk, "value");
         assertEquals("value", end.get().value());
     }
 
     @Test
     void anAnswerAndTheTimeOutInOneTurnAreOneEnd() throws Exception {
-        CompletableFuture<End> end = loop.submit(() -> call(hop(), 2 * HELD_MS)).get();
+        CompletableFuture<End> end = loop.submit(() -> call(attempt(), 2 * HELD_MS)).get();
         Peers.Talk talk = taken.take();
         talk.command();
         loop.submit(() -> {
@@ -257,6 +257,6 @@
             return null;
         }).get();
         assertEquals("value", end.get().value());
-        await().until(() -> loop.submit(links::hopsOut).get() == 0);
+        await().until(() -> loop.submit(links::attemptsOut).get() == 0);
     }
 }
--- a/src/test/java/sagepulley/platform/PlatformPathTest.java
+++ b/src/test/java/sagepulley/platform/PlatformPathTest.java
@@ -195,7 +195,7 @@
     }
 
     @Test
-    void aClientThatClosesHasItsHopCalledOff() throws Exception {
+    void aClientThatClosesHasItsAttemptCalledOff() throws Exception {
         CountDownLatch ended = new CountDownLatch(1);
         try (Peers peers = new Peers((words, talk) -> {
             if (talk.line() == null) {
--- a/src/test/java/sagepulley/store/NodeLinkTest.java
+++ b/src/test/java/sagepulley/store/NodeLinkTest.java
@@ -27,12 +27,12 @@
 import sagepulley.wire.FrameEncoder;
 import sagepulley.wire.Loops;
 
-/** Late hops of older writes: the node refuses them, whichever way they come late. */
+/** Late attempts of older writes: the node refuses them, whichever way they come late. */
 class NodeLinkTest {
     private final EventLoopGroup loops = Loops.group(2, "test");
     private StandInNode node;
 
-    /** One gateway's link, and how its hops ended. */
+    /** One gateway's link, and how its attempts ended. */
     private final class Peer implements NodeLink.Owner {
         final Map<Long, String> ends = new ConcurrentHashMap<>();
         final NodeLink link;
@@ -43,38 +43,38 @@
                     new StoreWire.Hello(gateway, "peer"), this);
         }
 
-        void write(long hop, int fill) {
+        void write(long attempt, int fill) {
             byte[] block = new byte[512];
             Arrays.fill(block, (byte) fill);
-            send(hop, StoreWire.Kind.WRITE, Unpooled.wrappedBuffer(block));
+            send(attempt, StoreWire.Kind.WRITE, Unpooled.wrappedBuffer(block));
         }
 
-        void send(long hop, StoreWire.Kind kind, ByteBuf payload) {
-            StoreWire.Send send = new StoreWire.Send(kind, 0, false, 0, hop, 0, 1, 7, 0, 512, 1, 0);
-            run(() -> link.send(hop, send, payload));
+        void send(long attempt, StoreWire.Kind kind, ByteBuf payload) {
+            StoreWire.Send send = new StoreWire.Send(kind, 0, false, 0, attempt, 0, 1, 7, 0, 512, 1, 0);
+            run(() -> link.send(attempt, send, payload));
         }
 
-        String end(long hop) {
-            await().until(() -> ends.containsKey(hop));
-            return ends.get(hop);
+        String end(long attempt) {
+            await().until(() -> ends.containsKey(attempt));
+            return ends.get(attempt);
         }
 
-        int read(long hop) {
-            send(hop, StoreWire.Kind.READ, Unpooled.EMPTY_BUFFER);
-            assertEquals("SATISFIED", end(hop));
+        int read(long attempt) {
+            send(attempt, StoreWire.Kind.READ, Unpooled.EMPTY_BUFFER);
+            assertEquals("SATISFIED", end(attempt));
             return data[0];
         }
 
         @Override
-        public void answered(long hop, StoreWire.Answer answer, ByteBuf payload) {
+        public void answered(long attempt, StoreWire.Answer answer, ByteBuf payload) {
             data = ByteBufUtil.getBytes(payload);
             payload.release();
-            ends.put(hop, answer.code().name());
+            ends.put(attempt, answer.code().name());
         }
 
         @Override
-        public void broken(long hop, NodeLink.Broken how) {
-            ends.put(hop, how.name());
+        public void broken(long attempt, NodeLink.Broken how) {
+            ends.put(attempt, how.name());
         }
 
         @Override
@@ -149,11 +149,11 @@
     void aGatewayThatHeardOfItTakesThePenBack() {
         Peer a = peer(1, 3);
         Peer b = peer(2, 3);
-        for (long hop = 1; hop < 9; hop++) {
-            Peer writer = hop % 2 == 0 ? a : b;
-            writer.write(hop, (int) hop);
-            assertEquals("SATISFIED", writer.end(hop));
-            assertEquals(hop, (hop % 2 == 0 ? b : a).read(100 + hop));
+        for (long attempt = 1; attempt < 9; attempt++) {
+            Peer writer = attempt % 2 == 0 ? a : b;
+            writer.write(attempt, (int) attempt);
+            assertEquals("SATISFIED", writer.end(attempt));
+            assertEquals(attempt, (attempt % 2 == 0 ? b : a).read(100 + attempt));
         }
     }
 
