--- a/src/test/java/sagepulley/platform/PlatformPathTest.java
+++ b/src/test/java/sagepulley/platform/PlatformPathTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import sagepulley.model.Node;
 
 /** The whole way on sockets: a client, the gateway, a scripted node and a scripted discovery. */
 @Timeout(60)
@@ -260,6 +261,26 @@
         }
     }
 
+    /** Control asks for none yet; what is written, and that any answer or none harms nobody. */
+    @ParameterizedTest
+    @ValueSource(strings = {"+PONG\r\n", "-ERR busy\r\n", "$9\r\nmean_ms=7\r\n", "$-1\r\n", "$3\r\n???\r\n",
+        "noise\r\n"})
+    void aProbeIsWrittenAsTheSettingsSayAndItsAnswerIsNotTakenForAnother(String answer) throws Exception {
+        for (String fields : List.of("[]", "[\"mean_ms\"]")) {
+            try (Peers peers = new Peers((words, talk) ->
+                    talk.say(words.get(0).startsWith("BLK") ? Peers.VALUE : answer),
+                    text -> text.replace("\"how\": \"silent\", \"fields\": []",
+                            "\"how\": \"pull\", \"fields\": " + fields))) {
+                peers.transport.loops().next().submit(() -> peers.gateway.probe(new Node(1))).get();
+                await().until(() -> peers.commands.size() == 1);
+                assertEquals(fields.equals("[]") ? List.of("PING") : List.of("INFO", "load"), peers.commands.get(0));
+                Peers.Talk client = peers.client();
+                client.ask(Peers.read(1));
+                assertEquals("$5 value", client.answer());
+            }
+        }
+    }
+
     @Test
     void aNodeThatClosesMidwayGetsTheOperationOnceMore() throws Exception {
         AtomicInteger asked = new AtomicInteger();
