A first list is waited for 2.2 s and silence taken after 2.5 s; the log tells how long a call took

Whoever gives up first asks again sooner and adds to the callers. Ruled out: the network (connections came up, nothing was reset while it was up).

Lines at fault: DiscoveryLink.ANSWER_MS (1.5 s) was shorter than what an overloaded discovery takes to say no.

Change: 2.2 s for a first list, 2.5 s of silence, gaps of 0.3, 0.45, 0.6 ... 0.8 s: 5.9 s with one call that is never answered. 'discovery answers' and the failure's line tell the call's length. Tests of the link pick its own calls by address: with the gateway's own beside them two had failed once each under load.

--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -115,7 +115,7 @@
     // gap after a failure, half of it by chance, grows to the most; a call tells its end within its patience.
     private static final double ASK_AGAIN = 300;
     private static final double MOST_ASK_GAP = 800;
-    private static final double ASK_PATIENCE = 2_000;
+    private static final double ASK_PATIENCE = 2_500;
     // First calls to the list: this far apart, and all of them within a part of the time there is for it.
     private static final double ASK_STAGGER = 250;
     private static final double ASK_SPREAD = 0.8;
@@ -236,7 +236,7 @@
     public void listFailed(double now) {
         if (site.mustAsk()) {
             askAt = now + askGap * (0.5 + chance.nextDouble());
-            askGap = Math.min(askGap * 2, MOST_ASK_GAP);
+            askGap = Math.min(askGap + ASK_AGAIN / 2, MOST_ASK_GAP);
         }
     }
 
--- a/src/main/java/sagepulley/platform/DiscoveryLink.java
+++ b/src/main/java/sagepulley/platform/DiscoveryLink.java
@@ -42,8 +42,8 @@
      * brings none for this long is gone; a call's first list comes at once, or not at all. Both together leave time
      * for a call that fails and one more.
      */
-    private static final long SILENCE_MS = 2_700;
-    private static final long ANSWER_MS = 1_500;
+    private static final long SILENCE_MS = 2_500;
+    private static final long ANSWER_MS = 2_200;
     private static final int LONGEST_LIST = 1 << 20;
 
     /** Told what discovery says, on the loop. */
@@ -140,6 +140,7 @@
         private final Values values = new Values();
         /** The revision that was held when this call was opened. */
         private final long after = revision;
+        private final long openedAt = System.nanoTime();
         private Channel channel;
         private ScheduledFuture<?> silence;
         private boolean over;
@@ -181,7 +182,11 @@
             }
             drop();
             leave();
-            owner.listFailed(why);
+            owner.listFailed(why + (answered ? "" : ", called for " + openMs() + " ms"));
+        }
+
+        private long openMs() {
+            return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - openedAt);
         }
 
         private void leave() {
@@ -256,6 +261,9 @@
                 return;
             }
             boolean first = !answered;
+            if (first) {
+                Log.info("discovery answers", "after-ms", openMs());
+            }
             answered = true;
             if (watches) {
                 failIn(silenceMs);
--- a/src/test/java/sagepulley/platform/DiscoveryTest.java
+++ b/src/test/java/sagepulley/platform/DiscoveryTest.java
@@ -7,6 +7,7 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -23,6 +24,8 @@
     private final List<Listing> told = new CopyOnWriteArrayList<>();
     private final List<String> failures = new CopyOnWriteArrayList<>();
     private EventLoop loop;
+    /** Where the link asks; the gateway of the peers has a discovery of its own. */
+    private SocketAddress discovery;
 
     private DiscoveryLink link(Peers peers) throws Exception {
         return link(peers, NEVER, NEVER);
@@ -30,7 +33,8 @@
 
     private DiscoveryLink link(Peers peers, long answerMs, long silenceMs) throws Exception {
         Transport transport = Transport.sockets();
-        DiscoveryLink link = new DiscoveryLink(transport, peers.discovery(), 41, new DiscoveryLink.Owner() {
+        discovery = peers.discovery();
+        DiscoveryLink link = new DiscoveryLink(transport, discovery, 41, new DiscoveryLink.Owner() {
             @Override
             public void listed(Listing listing) {
                 told.add(listing);
@@ -153,13 +157,12 @@
     @ValueSource(strings = {"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"})
     void anAnswerWithoutLengthOrBehindAnAnnouncementIsRead(String ahead) throws Exception {
         try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
-            await().until(() -> peers.watches.size() == 1);
             peers.listing = null;
             link(peers);
-            await().until(() -> peers.silent.size() == 1);
+            await().until(() -> isSilent(peers));
             String answer = ahead + "HTTP/1.1 200 OK\r\nX-Any: 1\r\n\r\n" + CHANGE.formatted(44, "") + "\n";
             for (char each : answer.toCharArray()) {
-                peers.silent.get(0).say(String.valueOf(each));
+                last(peers.silent).say(String.valueOf(each));
             }
             await().until(() -> told.size() == 1);
             assertEquals(List.of(), failures);
@@ -213,12 +216,11 @@
             await().until(() -> told.size() == 1);
             Peers.Talk watch = lastWatch(peers);
             peers.listing = null;
-            int calls = peers.calls.size();
             loop.submit(link::fetch).get(10, TimeUnit.SECONDS);
-            await().until(() -> peers.calls.size() > calls);
+            await().until(() -> isSilent(peers));
             Peers.tell(watch, CHANGE.formatted(70, ""));
             await().until(() -> told.size() == 2);
-            Peers.Talk late = peers.silent.get(peers.silent.size() - 1);
+            Peers.Talk late = last(peers.silent);
             String whole = "{\"revision\":8,\"complete\":true,\"members\":[]}";
             late.say("HTTP/1.1 200 OK\r\nContent-Length: " + whole.length() + "\r\n\r\n" + whole);
             assertEquals(-1, late.in.read(), "the call is over");
@@ -235,10 +237,9 @@
             DiscoveryLink link = link(peers);
             await().until(() -> told.size() == 1);
             peers.listing = null;
-            int calls = peers.calls.size();
             loop.submit(link::fetch).get(10, TimeUnit.SECONDS);
-            await().until(() -> peers.calls.size() > calls);
-            Peers.Talk talk = peers.silent.get(peers.silent.size() - 1);
+            await().until(() -> isSilent(peers));
+            Peers.Talk talk = last(peers.silent);
             talk.say("HTTP/1.1 200 OK\r\n\r\n{\"revision\":90,\"complete\":true,\"members\":[");
             talk.socket.setSoLinger(true, 0);
             talk.socket.close();
@@ -256,7 +257,18 @@
         }
     }
 
-    private static Peers.Talk lastWatch(Peers peers) {
-        return peers.watches.get(peers.watches.size() - 1);
+    private Peers.Talk lastWatch(Peers peers) {
+        return last(peers.watches);
+    }
+
+    /** The last that the link opened. */
+    private Peers.Talk last(List<Peers.Talk> talks) {
+        List<Peers.Talk> own = talks.stream().filter(talk -> talk.socket.getLocalSocketAddress().equals(discovery))
+                .toList();
+        return own.get(own.size() - 1);
+    }
+
+    private boolean isSilent(Peers peers) {
+        return peers.silent.stream().anyMatch(talk -> talk.socket.getLocalSocketAddress().equals(discovery));
     }
 }
--- a/src/test/java/sagepulley/platform/Peers.java
+++ b/src/test/java/sagepulley/platform/Peers.java
@@ -134,8 +134,8 @@
                 talk.say(listing);
             } else {
                 talk.say(LIST);
-                tell(talk, listing);
                 watches.add(talk);
+                tell(talk, listing);
                 talk.in.read();
             }
         }).getLocalSocketAddress();
