One way to end a call to a node: the connection at once, whoever waits a task later

Need: a time-out, a break, a failed connect and a call-off ended a call in two ways (told from within, or a task later), with a wrapper at one of the callers; one mechanism removes the question which caller may be inside the settle loop.

Change: NodeLinks.Link.end always tells a task later, with the time of the end; cut() is gone. Front's local names no longer hide a field.

--- a/src/main/java/sagepulley/platform/Front.java
+++ b/src/main/java/sagepulley/platform/Front.java
@@ -104,19 +104,19 @@
 
     /** Whether one more can be held, if need be by ending another. */
     private boolean hasRoom() {
-        ClientConnection oldestEnding = null;
-        int ending = 0;
+        ClientConnection oldestLingering = null;
+        int lingering = 0;
         for (ClientConnection connection : connections) {
             if (connection.isEnding() && !connection.hasOpen()) {
-                oldestEnding = oldestEnding == null ? connection : oldestEnding;
-                ending++;
+                oldestLingering = oldestLingering == null ? connection : oldestLingering;
+                lingering++;
             }
         }
-        if (connections.size() - ending < most) {
+        if (connections.size() - lingering < most) {
             return true;
         }
-        if (ending >= MOST_LINGERING) {
-            oldestEnding.close();
+        if (lingering >= MOST_LINGERING) {
+            oldestLingering.close();
         }
         return makeRoom();
     }
--- a/src/main/java/sagepulley/platform/NodeLinks.java
+++ b/src/main/java/sagepulley/platform/NodeLinks.java
@@ -121,7 +121,7 @@
     void callOff(Attempt attempt) {
         Link link = out.get(attempt);
         if (link != null) {
-            link.cut(Outcome.CALLED_OFF);
+            link.end(Outcome.CALLED_OFF);
         }
     }
 
@@ -129,7 +129,7 @@
     void callOffUnwritten(Attempt attempt) {
         Link link = out.get(attempt);
         if (link != null && !link.written) {
-            link.cut(Outcome.CALLED_OFF);
+            link.end(Outcome.CALLED_OFF);
         }
     }
 
@@ -248,8 +248,7 @@
             channel = connecting.channel();
             connecting.addListener(done -> {
                 if (!done.isSuccess()) {
-                    // Not from within the call that asked for the connection.
-                    loop.execute(() -> end(Outcome.NO_CONNECTION));
+                    end(Outcome.NO_CONNECTION);
                 }
             });
         }
@@ -259,7 +258,7 @@
             double left = until - clock.getAsDouble();
             List<byte[]> words = left < LEAST_LEFT ? null : command.words(left);
             if (words == null) {
-                cut(left < LEAST_LEFT ? Outcome.NO_CONNECTION : Outcome.MOOT);
+                end(left < LEAST_LEFT ? Outcome.NO_CONNECTION : Outcome.MOOT);
                 return;
             }
             channel.writeAndFlush(RespBytes.command(words)).addListener(done -> {
@@ -382,21 +381,16 @@
             end(written ? Outcome.RESET : Outcome.NO_CONNECTION);
         }
 
-        /** Ends the call that is out, if any, without an answer, and the connection. */
+        /**
+         * Ends the connection, and the call that is out, if any, without an answer. Whoever waits is told a task later,
+         * never from within the call that ends it.
+         */
         void end(Outcome outcome) {
             Ended call = finish();
             close();
             if (call != null) {
-                call.accept(outcome, null, clock.getAsDouble());
-            }
-        }
-
-        /** The same; whoever waits is told from the loop, not from within the call that cuts it. */
-        void cut(Outcome outcome) {
-            Ended call = finish();
-            close();
-            if (call != null) {
-                loop.execute(() -> call.accept(outcome, null, clock.getAsDouble()));
+                double at = clock.getAsDouble();
+                loop.execute(() -> call.accept(outcome, null, at));
             }
         }
 
