A gateway listens once it has a first list, and asks for it before it rehearses

The node's drain was listed at 14.17 s; it counted as told at 20.17 s to a process that was ready at 17.2 s and had no list until 21 s or later. So the 6 s run from the change, whenever the process began.

Line at fault: PlatformGateway.start listened before discovery had told anything (only a pushed list was waited for).

Change: begin() opens the watch before the rehearsal; start() listens with the first list, or 4 s after begin(). Until then nobody is taken, and clients turn elsewhere, which is harmless; restarts stay under 6 s.

Test: nobodyIsServedBeforeTheFirstList, pushed and asked for.

--- a/src/main/java/sagepulley/platform/Config.java
+++ b/src/main/java/sagepulley/platform/Config.java
@@ -24,7 +24,6 @@
         double memoryMb,
         Listing known,
         Deployment deployment,
-        boolean listPushed,
         List<String> zones,
         List<String> kinds,
         double connectTimeout,
@@ -60,8 +59,7 @@
 
     /** The same at other addresses, with all nodes known at one. */
     Config at(SocketAddress front, SocketAddress list, SocketAddress node) {
-        return new Config(name, front, list, seed, sockets, memoryMb, known.at(node), deployment, listPushed,
-                zones, kinds,
+        return new Config(name, front, list, seed, sockets, memoryMb, known.at(node), deployment, zones, kinds,
                 connectTimeout, idleTime, mostOpen);
     }
 
@@ -75,12 +73,11 @@
         Map<String, String> pairs = new HashMap<>();
         flatten("", settings, pairs);
         FirstMessage first = new FirstMessage(pairs);
-        Deployment deployment = first.deployment();
         return new Config(name, listen, discovery, seed(file.get("seed")),
                 (int) atLeast(limits, "sockets", LEAST_SOCKETS), atLeast(limits, "memory_mb", LEAST_MEMORY_MB),
                 file.get("known") instanceof Map<?, ?> known ? Listing.read(named(known))
                         : new Listing(0, true, List.of(), List.of()),
-                deployment.onWatch(), !deployment.mustAsk(), names(settings.get("zones")), names(settings.get("kinds")),
+                first.deployment().onWatch(), names(settings.get("zones")), names(settings.get("kinds")),
                 first.time("limits.dialTimeoutNs", 250), first.time("limits.connIdleNs", 15_000),
                 (int) Math.min(Integer.MAX_VALUE, first.optionalNumber("limits.maxOpen", 20_000)));
     }
--- a/src/main/java/sagepulley/platform/PlatformGateway.java
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -51,8 +51,11 @@
     /** The part of the memory that clients' bytes in hand may take. */
     private static final double BYTES_PART = 0.1;
     private static final double PROBE_TIMEOUT = 250;
-    /** A first list that is pushed is waited for so long, while nobody is served. */
-    private static final long FIRST_LIST_MS = 1_000;
+    /**
+     * A first list is waited for so long, while nobody is served: what could be had 6 s ago counts as told from the
+     * first moment. A fleet's first calls come within 2.5 s, and a call waits for a second or two.
+     */
+    private static final long FIRST_LIST_MS = 4_000;
 
     private final Config config;
     private final Clock clock = new Clock();
@@ -74,8 +77,8 @@
     private volatile int reloads;
     private boolean listening;
     private boolean stopping;
-    /** Completes with the end of the first call to discovery. */
-    private final CompletableFuture<Void> firstCall = new CompletableFuture<>();
+    /** Completes with the first list that discovery tells, or when it has been waited for long enough. */
+    private final CompletableFuture<Void> firstList = new CompletableFuture<>();
     private double stopAt = Double.POSITIVE_INFINITY;
 
     /** What is kept of an operation in hand: its command, and where its answer goes. */
@@ -105,21 +108,22 @@
         return config.deployment().bands().stream().mapToDouble(Band::patience).max().orElse(0);
     }
 
-    /** Completes with the address once clients can connect there. */
-    CompletableFuture<SocketAddress> start() {
-        CompletableFuture<SocketAddress> ready = new CompletableFuture<>();
+    /** Asks for the list, and nothing else yet. */
+    void begin() {
         loop.execute(() -> {
             listed(config.known());
             settleNow();
+            loop.schedule(() -> firstList.complete(null), FIRST_LIST_MS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    /** Completes with the address once clients can connect there; it has begun. */
+    CompletableFuture<SocketAddress> start() {
+        CompletableFuture<SocketAddress> ready = new CompletableFuture<>();
+        loop.execute(() -> {
             loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
             loop.scheduleWithFixedDelay(this::report, REPORT_MS, REPORT_MS, TimeUnit.MILLISECONDS);
-            // A list that is pushed counts as told from the first moment on: the first answer is waited for.
-            if (config.listPushed()) {
-                loop.schedule(() -> firstCall.complete(null), FIRST_LIST_MS, TimeUnit.MILLISECONDS);
-            } else {
-                firstCall.complete(null);
-            }
-            firstCall.thenRun(() -> listen(ready));
+            firstList.thenRun(() -> listen(ready));
         });
         return ready;
     }
@@ -305,7 +309,7 @@
         }
         host.listed(book.entries(listing), listing.whole(), clock.now()).forEach(book::forget);
         if (discovery.isWatching()) {
-            firstCall.complete(null);
+            firstList.complete(null);
         }
         settle();
     }
@@ -314,7 +318,6 @@
     public void listFailed(String why) {
         Log.warn("the list of nodes failed", "why", why);
         host.listFailed(clock.now());
-        firstCall.complete(null);
         settle();
     }
 
@@ -401,7 +404,7 @@
             }
             stopping = true;
             if (!listening) {
-                firstCall.complete(null);
+                firstList.complete(null);
                 return;
             }
             double left = Math.min(longestPatience(config), LONGEST_STOP) + KILL_AFTER - ANSWERED_BEFORE;
--- a/src/main/java/sagepulley/platform/Rehearsal.java
+++ b/src/main/java/sagepulley/platform/Rehearsal.java
@@ -113,6 +113,7 @@
             SocketAddress nodeAt = server(others, node, Rehearsal::node);
             SocketAddress discoveryAt = server(others, discovery, Rehearsal::discovery);
             PlatformGateway gateway = new PlatformGateway(config(listen, discoveryAt, nodeAt), own);
+            gateway.begin();
             Rehearsal rehearsal = new Rehearsal(others, gateway.start().join(), operations);
             for (int i = 0; i < CLIENTS; i++) {
                 rehearsal.client();
--- a/src/main/java/sagepulley/platform/Serve.java
+++ b/src/main/java/sagepulley/platform/Serve.java
@@ -34,6 +34,7 @@
         // One after the other: the last to read the file is the last to be heard.
         ExecutorService reloads = Executors.newSingleThreadExecutor(new DefaultThreadFactory("reload", true));
         Signals.on("HUP", () -> reloads.execute(() -> reload(gateway, environment)));
+        gateway.begin();
         Log.quiet(true);
         Rehearsal.inside(REHEARSED, REHEARSAL_MS);
         Log.quiet(false);
--- a/src/test/java/sagepulley/platform/DiscoveryTest.java
+++ b/src/test/java/sagepulley/platform/DiscoveryTest.java
@@ -7,8 +7,15 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -248,6 +255,30 @@
         }
     }
 
+    /** Pushed or asked for, it counts as told 6 s after it could be had, to a process that has just begun too. */
+    @ParameterizedTest
+    @ValueSource(strings = {"subscribe", "automatic"})
+    void nobodyIsServedBeforeTheFirstList(String how) throws Exception {
+        Transport transport = Transport.sockets();
+        try (ServerSocket late = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            Config config = Config.of(Json.object(Rehearsal.text().replace("\"subscribe\"", "\"" + how + "\"")
+                    .getBytes(StandardCharsets.UTF_8)), Map.of()).at(new InetSocketAddress(
+                    InetAddress.getLoopbackAddress(), 0), late.getLocalSocketAddress(), late.getLocalSocketAddress());
+            PlatformGateway gateway = new PlatformGateway(config, transport);
+            gateway.begin();
+            CompletableFuture<SocketAddress> ready = gateway.start();
+            Peers.Talk call = new Peers.Talk(late.accept());
+            assertTrue(call.line().contains("watch=1"));
+            assertFalse(ready.isDone());
+            call.say("HTTP/1.1 200 OK\r\n\r\n" + CHANGE.formatted(44, "") + "\n");
+            new Socket().connect(ready.get());
+            gateway.finish();
+            gateway.ended().join();
+        } finally {
+            transport.loops().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+        }
+    }
+
     @Test
     void aListThatIsPushedIsWatchedAndKnownBeforeAnybodyIsServed() throws Exception {
         try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE),
--- a/src/test/java/sagepulley/platform/Peers.java
+++ b/src/test/java/sagepulley/platform/Peers.java
@@ -114,6 +114,7 @@
                 Map.of());
         gateway = new PlatformGateway(config.at(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 discovery, node.getLocalSocketAddress()), transport);
+        gateway.begin();
         front = gateway.start().get(PATIENCE_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/src/test/java/sagepulley/platform/PlatformPathTest.java
+++ b/src/test/java/sagepulley/platform/PlatformPathTest.java
@@ -253,6 +253,7 @@
             InetSocketAddress front = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
             PlatformGateway gateway = new PlatformGateway(Rehearsal.config(front, nobody, nobody), transport);
             gateway.stop();
+            gateway.begin();
             gateway.start().join();
             gateway.ended().join();
             assertThrows(ConnectException.class, () -> new Socket().connect(front));
