--- a/src/test/java/sagepulley/platform/ServeTest.java
+++ b/src/test/java/sagepulley/platform/ServeTest.java
@@ -31,13 +31,7 @@
             Path file = folder.resolve("config.json");
             Files.writeString(file, config(port, peers.discovery()));
             CompletableFuture<PlatformGateway> ready = new CompletableFuture<>();
-            CompletableFuture<Void> ended = CompletableFuture.runAsync(() -> {
-                try {
-                    Serve.run(Map.of("GW_CONFIG", file.toString()), ready::complete);
-                } catch (ConfigError bad) {
-                    throw new IllegalStateException(bad);
-                }
-            });
+            CompletableFuture<Void> ended = serve(Map.of("GW_CONFIG", file.toString()), ready);
             PlatformGateway gateway = ready.get();
             await().until(() -> peers.watches.size() == 2);
 
@@ -64,6 +58,18 @@
         }
     }
 
+    /** Runs one on a thread of its own; completes when it has ended. */
+    private static CompletableFuture<Void> serve(Map<String, String> environment,
+                                                 CompletableFuture<PlatformGateway> ready) {
+        return CompletableFuture.runAsync(() -> {
+            try {
+                Serve.run(environment, ready::complete);
+            } catch (ConfigError bad) {
+                throw new IllegalStateException(bad);
+            }
+        });
+    }
+
     private static boolean watched(Peers peers, SocketAddress discovery) {
         return peers.watches.stream().anyMatch(watch -> watch.socket.getLocalSocketAddress().equals(discovery));
     }
@@ -76,13 +82,7 @@
             Files.writeString(file, config(port, peers.discovery()));
             Map<String, String> environment = Map.of("GW_CONFIG", file.toString());
             CompletableFuture<PlatformGateway> ready = new CompletableFuture<>();
-            CompletableFuture<Void> ended = CompletableFuture.runAsync(() -> {
-                try {
-                    Serve.run(environment, ready::complete);
-                } catch (ConfigError bad) {
-                    throw new IllegalStateException(bad);
-                }
-            });
+            CompletableFuture<Void> ended = serve(environment, ready);
             PlatformGateway gateway = ready.get();
             await().until(() -> peers.watches.size() == 2);
 
