--- a/src/test/java/sagepulley/platform/NodeCrossingsTest.java
+++ b/src/test/java/sagepulley/platform/NodeCrossingsTest.java
@@ -106,50 +106,44 @@
 
     @Test
     void aSecondAnswerThatLiesUnreadIsNotTakenForTheNextOne() throws Exception {
-        List<Peers.Talk> first = new ArrayList<>();
-        CompletableFuture<End> second = secondCallOn(first, talk -> {
+        assertServedOnAnotherConnectionAfter(talk -> {
             serve(talk, "stale");
             Kernel.awaitUnread(talk.socket.getPort(), talk.socket.getLocalPort());
         });
-        Peers.Talk fresh = taken.take();
-        fresh.command();
-        serve(fresh, "two");
-        assertEquals("two", second.get().value());
     }
 
     @Test
     void aConnectionThatTheNodeHasClosedIsNotUsedAgain() throws Exception {
-        List<Peers.Talk> first = new ArrayList<>();
-        CompletableFuture<End> second = secondCallOn(first, talk -> {
+        assertServedOnAnotherConnectionAfter(talk -> {
             int port = talk.socket.getPort();
             talk.socket.close();
             Kernel.awaitEnd(port, node.getLocalPort());
         });
-        Peers.Talk fresh = taken.take();
-        fresh.command();
-        serve(fresh, "two");
-        assertEquals(new End(Outcome.SATISFIED, "two"), second.get());
     }
 
     @Test
     void aConnectionThatTheNodeHasResetIsNotUsedAgain() throws Exception {
-        List<Peers.Talk> first = new ArrayList<>();
-        CompletableFuture<End> second = secondCallOn(first, talk -> {
+        assertServedOnAnotherConnectionAfter(talk -> {
             int port = talk.socket.getPort();
             talk.socket.setSoLinger(true, 0);
             talk.socket.close();
             Kernel.awaitNone(port, node.getLocalPort());
         });
-        Peers.Talk fresh = taken.take();
-        fresh.command();
-        serve(fresh, "two");
-        assertEquals(new End(Outcome.SATISFIED, "two"), second.get());
     }
 
     private interface Step {
         void run(Peers.Talk talk) throws IOException;
     }
 
+    /** What the step does to the free connection must not reach the second call. */
+    private void assertServedOnAnotherConnectionAfter(Step step) throws Exception {
+        CompletableFuture<End> second = secondCallOn(new ArrayList<>(), step);
+        Peers.Talk fresh = taken.take();
+        fresh.command();
+        serve(fresh, "two");
+        assertEquals(new End(Outcome.SATISFIED, "two"), second.get());
+    }
+
     /** One call is served and its connection free; then, before the loop looks again, the step and a second call. */
     private CompletableFuture<End> secondCallOn(List<Peers.Talk> kept, Step step) throws Exception {
         CompletableFuture<End> first = call();
