serve logs each list call's begin, bytes and end, endpoint states, refusals, retries and closes

Need: in the incident's logs nothing told when a list call began, how much had come, why a request was refused or which endpoint states a process held; what failed while a start rehearsed was not logged at all, for the quiet was the whole program's. Change: EventLog (at most 100 lines a second, the rest counted) for requests and connections; list calls are numbered; the quiet is the rehearsal's threads' own.

--- a/src/main/java/sagepulley/host/Host.java
+++ b/src/main/java/sagepulley/host/Host.java
@@ -124,6 +124,11 @@
         return Collections.unmodifiableCollection(operations.values());
     }
 
+    /** The endpoint with this number; null if none is known. */
+    public Node node(int id) {
+        return nodes.get(id);
+    }
+
     public Collection<Node> nodes() {
         return Collections.unmodifiableCollection(nodes.values());
     }
--- a/src/main/java/sagepulley/platform/ClientConnection.java
+++ b/src/main/java/sagepulley/platform/ClientConnection.java
@@ -75,6 +75,8 @@
     double doneSince = Double.POSITIVE_INFINITY;
     /** Whether a whole command that could be read has come. */
     boolean asked;
+    /** Why this side ended it; null while it has not. */
+    private String endReason;
 
     ClientConnection(Owner owner, RespDecoder decoder) {
         this.owner = owner;
@@ -99,17 +101,23 @@
         return arrival.ago(channel, activeAt - connectedAt);
     }
 
+    String endReason() {
+        return endReason;
+    }
+
     /** Answers what was taken, then shuts the output, and closes with the peer's end. */
-    void end() {
+    void end(String why) {
         if (phase == Phase.OPEN) {
+            endReason = why;
             phase = Phase.DRAINING;
             advance();
         }
     }
 
     /** Ends without waiting for anybody. */
-    void close() {
+    void close(String why) {
         if (channel != null) {
+            endReason = endReason == null ? why : endReason + ", " + why;
             channel.close();
         }
     }
@@ -229,6 +237,7 @@
             Slot slot = new Slot(this);
             unanswered.add(slot);
             phase = Phase.DRAINING;
+            endReason = "protocol error";
             slot.answer(RespBytes.error("ERR protocol error: " + cause.getMessage()));
         } else if (!(cause instanceof DecoderException)) {
             // A reset is how many clients leave; anything else is worth a line.
--- a/src/main/java/sagepulley/platform/DiscoveryLink.java
+++ b/src/main/java/sagepulley/platform/DiscoveryLink.java
@@ -63,6 +63,7 @@
     private long revision;
     private Call watch;
     private Call fetch;
+    private int calls;
 
     DiscoveryLink(Transport transport, SocketAddress address, long revision, Owner owner) {
         this(transport, address, revision, owner, ANSWER_MS, SILENCE_MS);
@@ -95,7 +96,7 @@
     /** Opens a watch in place of one that stands. */
     void subscribe() {
         if (watch != null) {
-            watch.drop();
+            watch.drop("replaced");
         }
         watch = new Call(true);
         watch.open();
@@ -103,7 +104,7 @@
 
     void fetch() {
         if (fetch != null) {
-            fetch.drop();
+            fetch.drop("replaced");
         }
         fetch = new Call(false);
         fetch.open();
@@ -121,11 +122,11 @@
 
     void close() {
         if (watch != null) {
-            watch.drop();
+            watch.drop("closed");
             watch = null;
         }
         if (fetch != null) {
-            fetch.drop();
+            fetch.drop("closed");
             fetch = null;
         }
     }
@@ -141,8 +142,11 @@
         /** The revision that was held when this call was opened. */
         private final long after = revision;
         private final long openedAt = System.nanoTime();
+        private final int number = ++calls;
         private Channel channel;
         private ScheduledFuture<?> silence;
+        private long bytes;
+        private int lists;
         private boolean over;
         private boolean answered;
         private boolean announces;
@@ -152,6 +156,7 @@
         }
 
         void open() {
+            Log.info("list call begins", "call", number, "watches", watches, "after", after, "address", address);
             ChannelFuture connecting = transport.connector()
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                     .handler(new ChannelInitializer<Channel>() {
@@ -170,7 +175,9 @@
         }
 
         /** Ends the call, and nobody is told. */
-        void drop() {
+        void drop(String why) {
+            Log.info("list call ends", "call", number, "after-ms", openMs(), "bytes", bytes, "lists", lists, "why",
+                    why);
             over = true;
             silence.cancel(false);
             channel.close();
@@ -180,7 +187,7 @@
             if (over) {
                 return;
             }
-            drop();
+            drop(why);
             leave();
             owner.listFailed(why + (answered ? "" : ", called for " + openMs() + " ms"));
         }
@@ -234,6 +241,7 @@
                 return; // the answer itself is yet to come
             }
             if (message instanceof HttpContent content) {
+                bytes += content.content().readableBytes();
                 boolean endsLine = content.content().indexOf(content.content().readerIndex(),
                         content.content().writerIndex(), (byte) '\n') >= 0;
                 ctx.fireChannelRead(content.content().retain());
@@ -246,7 +254,7 @@
                 if (watches || !answered || values.inMiddle()) {
                     fail(watches ? "the watch ended" : "an answer without a whole list");
                 } else {
-                    drop();
+                    drop("answered");
                     leave();
                 }
             }
@@ -265,6 +273,7 @@
                 Log.info("discovery answers", "after-ms", openMs());
             }
             answered = true;
+            lists++;
             if (watches) {
                 failIn(silenceMs);
             }
--- /dev/null
+++ b/src/main/java/sagepulley/platform/EventLog.java
@@ -0,0 +1,39 @@
+package sagepulley.platform;
+
+import java.util.function.DoubleSupplier;
+
+/**
+ * Log lines about single requests, connections and endpoints: at most a fixed number each second, so that an overload
+ * does not log itself to death. What is left out is counted, and told with the next second's first line.
+ */
+final class EventLog {
+    private static final int MOST_A_SECOND = 100;
+    private static final double SECOND = 1_000;
+
+    private final DoubleSupplier clock;
+    private double secondBegan = Double.NEGATIVE_INFINITY;
+    private int written;
+    private long suppressed;
+
+    EventLog(DoubleSupplier clock) {
+        this.clock = clock;
+    }
+
+    void line(String what, Object... namesAndValues) {
+        double now = clock.getAsDouble();
+        if (now - secondBegan >= SECOND) {
+            secondBegan = now;
+            written = 0;
+            if (suppressed > 0) {
+                Log.info("event lines suppressed", "count", suppressed);
+                suppressed = 0;
+            }
+        }
+        if (written >= MOST_A_SECOND) {
+            suppressed++;
+            return;
+        }
+        written++;
+        Log.info(what, namesAndValues);
+    }
+}
--- a/src/main/java/sagepulley/platform/Front.java
+++ b/src/main/java/sagepulley/platform/Front.java
@@ -116,7 +116,7 @@
             return true;
         }
         if (lingering >= MOST_LINGERING) {
-            oldestLingering.close();
+            oldestLingering.close("room");
         }
         return makeRoom();
     }
@@ -142,7 +142,7 @@
             }
         }
         if (worst != null) {
-            worst.end();
+            worst.end("room");
         }
         return worst != null;
     }
@@ -155,15 +155,15 @@
             double quiet = now - connection.activeAt;
             double silent = now - connection.heardAt;
             if (now - connection.stuckSince > STUCK_TIME || now - connection.doneSince > LINGER_TIME) {
-                connection.close();
+                connection.close(now - connection.stuckSince > STUCK_TIME ? "reads nothing" : "peer never ends");
             } else if (connection.hasOpen()) {
                 continue;
             } else if (connection.inMiddle() ? silent > SILENT_TIME || now - connection.partialSince > slowest
                     : !connection.asked ? now - connection.connectedAt > SILENT_TIME
                     : !keeping && quiet > (crowded ? UNUSED_TIME : LONG_UNUSED_TIME)) {
-                connection.end();
+                connection.end("unused");
             } else if (ending && now - connection.connectedAt > FIRST_COMMAND_TIME) {
-                connection.end();
+                connection.end("stop");
             }
         }
     }
@@ -192,7 +192,7 @@
         double now = owner.now();
         for (ClientConnection connection : new ArrayList<>(connections)) {
             if (connection.asked || now - connection.connectedAt > FIRST_COMMAND_TIME) {
-                connection.end();
+                connection.end("stop");
             }
         }
     }
--- a/src/main/java/sagepulley/platform/Log.java
+++ b/src/main/java/sagepulley/platform/Log.java
@@ -23,24 +23,24 @@
         writer.start();
     }
 
-    private static volatile boolean quiet;
-
     private Log() {
     }
 
-    /** While quiet, nothing is written but warnings. */
-    static void quiet(boolean now) {
-        quiet = now;
-    }
-
     static void info(String what, Object... namesAndValues) {
-        if (!quiet) {
+        if (!isRehearsal()) {
             offer("INFO", what, namesAndValues);
         }
     }
 
     static void warn(String what, Object... namesAndValues) {
-        offer("WARN", what, namesAndValues);
+        if (!isRehearsal()) {
+            offer("WARN", what, namesAndValues);
+        }
+    }
+
+    /** A gateway that rehearses inside the program is quiet; the real one beside it is not. */
+    private static boolean isRehearsal() {
+        return Thread.currentThread().getName().startsWith(Transport.REHEARSAL_THREADS);
     }
 
     private static void offer(String level, String what, Object... namesAndValues) {
--- a/src/main/java/sagepulley/platform/NodeBook.java
+++ b/src/main/java/sagepulley/platform/NodeBook.java
@@ -1,9 +1,11 @@
 package sagepulley.platform;
 
 import java.net.SocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import sagepulley.host.Clock;
 import sagepulley.host.ListEntry;
 import sagepulley.model.Node;
@@ -30,6 +32,20 @@
                 || numbers.containsKey(member.id())).map(this::entry).toList();
     }
 
+    /** What of a list differs from what is known of these endpoints, for the log. */
+    List<String> changes(Listing listing, Function<Integer, Node> known) {
+        List<String> changes = new ArrayList<>();
+        for (Listing.Member member : listing.members()) {
+            Integer number = numbers.get(member.id());
+            Node node = number == null ? null : known.apply(number);
+            Object before = node == null ? "unknown" : node.standing;
+            if (before != member.standing()) {
+                changes.add(member.id() + ":" + before + "->" + member.standing());
+            }
+        }
+        return changes;
+    }
+
     private ListEntry entry(Listing.Member member) {
         int number = numbers.computeIfAbsent(member.id(), any -> ++lastNumber);
         names.put(number, member.id());
--- a/src/main/java/sagepulley/platform/NodeLinks.java
+++ b/src/main/java/sagepulley/platform/NodeLinks.java
@@ -21,6 +21,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.DoubleSupplier;
 import sagepulley.model.Attempt;
 import sagepulley.model.Outcome;
@@ -69,6 +70,7 @@
     private final Map<Attempt, Link> out = new IdentityHashMap<>();
     private final Map<SocketAddress, Integer> openTo = new HashMap<>();
     private int open;
+    private BiConsumer<SocketAddress, String> closeListener = (address, why) -> { };
     long opened;
     long refusedForRoom;
     /** Free connections that were found to have ended, or to have brought something, when they were wanted. */
@@ -88,6 +90,11 @@
         this.clock = clock;
     }
 
+    /** Told the reason of each connection's end. */
+    void onClose(BiConsumer<SocketAddress, String> listener) {
+        closeListener = listener;
+    }
+
     int open() {
         return open;
     }
@@ -161,7 +168,7 @@
                     return link;
                 }
                 foundSpent++;
-                link.close();
+                link.close("ended by the endpoint while free");
             }
         }
         return null;
@@ -176,7 +183,7 @@
             }
         }
         if (oldest != null) {
-            oldest.close();
+            oldest.close("room");
         }
         return oldest != null;
     }
@@ -186,7 +193,7 @@
         double now = clock.getAsDouble();
         for (ArrayDeque<Link> links : List.copyOf(free.values())) {
             while (!links.isEmpty() && now - links.peekLast().freeSince > idleTime) {
-                links.peekLast().close();
+                links.peekLast().close("idle");
             }
         }
         free.values().removeIf(ArrayDeque::isEmpty);
@@ -195,7 +202,7 @@
     /** Closes all connections; attempts that are out are called off. */
     void close() {
         List.copyOf(out.keySet()).forEach(this::callOff);
-        List.copyOf(free.values()).forEach(links -> List.copyOf(links).forEach(Link::close));
+        List.copyOf(free.values()).forEach(links -> List.copyOf(links).forEach(link -> link.close("stop")));
     }
 
     /** One connection. */
@@ -291,7 +298,7 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             if (ended == null) {
-                close(); // more than belongs to an answer: nothing of it may meet the next call
+                close("bytes that belong to no answer"); // more than belongs to an answer: nothing of it may meet the next call
                 return;
             }
             Resp answer = (Resp) message;
@@ -311,7 +318,7 @@
                 return;
             }
             if (decoder.inMiddle()) {
-                close();
+                close("bytes behind an answer");
             } else if (!isOffered()) {
                 free.computeIfAbsent(address, any -> new ArrayDeque<>()).addFirst(this);
             }
@@ -387,7 +394,7 @@
          */
         void end(Outcome outcome) {
             Ended call = finish();
-            close();
+            close(outcome.name());
             if (call != null) {
                 double at = clock.getAsDouble();
                 loop.execute(() -> call.accept(outcome, null, at));
@@ -409,11 +416,12 @@
             return call;
         }
 
-        void close() {
+        void close(String why) {
             if (closed) {
                 return;
             }
             closed = true;
+            closeListener.accept(address, why);
             open--;
             openTo.computeIfPresent(address, (any, count) -> count == 1 ? null : count - 1);
             ArrayDeque<Link> links = free.get(address);
--- a/src/main/java/sagepulley/platform/PlatformGateway.java
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -69,6 +69,7 @@
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private final Counts counts = new Counts();
     private final Arrival arrival = new Arrival();
+    private final EventLog events = new EventLog(clock::now);
     private final long mostBytes;
     private long bytesInHand;
     private boolean settleDue;
@@ -96,6 +97,7 @@
         this.front = new Front(transport, clients, longestPatience(config), this);
         this.nodes = new NodeLinks(transport, sockets - clients, config.connectTimeout(),
                 config.idleTime() * IDLE_PART, shortestTarget(config) * STALL_PART, clock::now);
+        this.nodes.onClose((address, why) -> events.line("endpoint connection closed", "address", address, "why", why));
         this.discovery = new DiscoveryLink(transport, config.discovery(), config.known().revision(), this);
         this.mostBytes = (long) (config.memoryMb() * (1 << 20) * BYTES_PART);
     }
@@ -173,11 +175,13 @@
         }
         connection.asked = true;
         if (connection.isEnding() || front.isEnding()) {
+            events.line("request refused", "id", Figures.id(command.id), "why", "STOPPING");
             slot.answer(RespBytes.error("BUSY"));
             return;
         }
         if (bytesInHand + command.bytes() > mostBytes || host.inHand().size() >= config.mostOpen()) {
             counts.noRoom++;
+            events.line("request refused", "id", Figures.id(command.id), "why", "NO_ROOM");
             slot.answer(RespBytes.error("BUSY"));
             return;
         }
@@ -208,6 +212,10 @@
 
     @Override
     public void closed(ClientConnection connection) {
+        if (connection.endReason() != null) {
+            events.line("client connection closed", "why", connection.endReason(), "age-ms",
+                    Math.round(clock.now() - connection.connectedAt), "asked", connection.asked);
+        }
         front.closed(connection);
         checkEnd();
     }
@@ -215,6 +223,9 @@
     @Override
     public void giveUp(Operation operation, Placement placement) {
         boolean declined = placement.kind() == Placement.Kind.DECLINE;
+        events.line(declined ? "request refused" : "request failed", "id", Figures.id(operation.id), "band",
+                operation.band.name(), "why", placement.reason(), "after-ms",
+                Math.round(clock.now() - operation.arrivedAt), "attempts", attempts(operation));
         counts.gaveUp(operation.band, placement.reason());
         if (!declined) {
             answer(operation, RespBytes.error("ERR failed"));
@@ -225,6 +236,16 @@
         }
     }
 
+    /** Where an operation was sent and how that ended, for the log. */
+    private String attempts(Operation operation) {
+        StringBuilder text = new StringBuilder();
+        for (Attempt attempt : operation.attempts) {
+            text.append(text.isEmpty() ? "" : ",").append(book.name(attempt.node)).append(':')
+                    .append(attempt.outcome == null ? "OUT" : attempt.outcome);
+        }
+        return text.toString();
+    }
+
     private void answer(Operation operation, ByteBuf bytes) {
         Held held = release(operation);
         held.slot().answer(bytes);
@@ -243,6 +264,10 @@
     @Override
     public void send(Attempt attempt, double timeout) {
         counts.attempts++;
+        if (attempt.number > 0) {
+            events.line("request retried", "id", Figures.id(attempt.operation.id), "attempts",
+                    attempts(attempt.operation));
+        }
         SocketAddress address = book.address(attempt.node);
         BlockCommand command = ((Held) attempt.operation.held).command();
         nodes.send(attempt, address,
@@ -304,6 +329,10 @@
     public void listed(Listing listing) {
         Log.info("list of nodes", "revision", listing.revision(), "whole", listing.whole(), "entries",
                 listing.members().size());
+        List<String> changes = book.changes(listing, host::node);
+        if (!changes.isEmpty()) {
+            Log.info("endpoint states", "revision", listing.revision(), "changes", changes);
+        }
         for (String entry : listing.unreadable()) {
             Log.warn("an entry of the list cannot be read", "entry", entry);
         }
@@ -423,6 +452,8 @@
     private void giveUpAll() {
         for (Operation operation : new ArrayList<>(host.inHand())) {
             if (operation.held != null) {
+                events.line("request failed", "id", Figures.id(operation.id), "why", "STOPPING", "attempts",
+                        attempts(operation));
                 answer(operation, RespBytes.error("ERR the gateway stops"));
                 host.left(operation.id, clock.now());
             }
--- a/src/main/java/sagepulley/platform/Serve.java
+++ b/src/main/java/sagepulley/platform/Serve.java
@@ -35,9 +35,7 @@
         ExecutorService reloads = Executors.newSingleThreadExecutor(new DefaultThreadFactory("reload", true));
         Signals.on("HUP", () -> reloads.execute(() -> reload(gateway, environment)));
         gateway.begin();
-        Log.quiet(true);
         Rehearsal.inside(REHEARSED, REHEARSAL_MS);
-        Log.quiet(false);
         try {
             gateway.start().join();
         } catch (CompletionException e) {
--- a/src/main/java/sagepulley/platform/Transport.java
+++ b/src/main/java/sagepulley/platform/Transport.java
@@ -15,6 +15,9 @@
 
 /** One loop, and the channels that a gateway opens on it: sockets, or pipes inside the program. */
 record Transport(EventLoopGroup loops, Class<? extends Channel> socket, Class<? extends ServerChannel> server) {
+    /** How the names of the threads begin on which a gateway rehearses inside the program. */
+    static final String REHEARSAL_THREADS = "rehearsal";
+
     static Transport sockets() {
         return new Transport(Loops.group(1, "gateway"), Loops.socket(), Loops.server());
     }
@@ -27,7 +30,7 @@
     }
 
     static Transport local() {
-        return new Transport(new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("rehearsal", true),
+        return new Transport(new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory(REHEARSAL_THREADS, true),
                 LocalIoHandler.newFactory()), LocalChannel.class, LocalServerChannel.class);
     }
 }
