Failing test: commands begin at drained endpoints while discovery cannot get its list across

StaleEndpointsTest starts serve processes over loopback between stand-ins of its own (discovery with a port for each gateway, storage endpoints, clients) and judges the drain rule from what passed on the sockets.

--- /dev/null
+++ b/src/test/java/sagepulley/faults/Background.java
@@ -0,0 +1,49 @@
+package sagepulley.faults;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.Socket;
+
+/** Work of the stand-ins on threads of its own, which ends quietly with the connection that it serves. */
+final class Background {
+    private Background() {
+    }
+
+    /** What a stand-in does on one thread. */
+    interface Work {
+        void run() throws IOException, InterruptedException;
+    }
+
+    static Thread run(String name, Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (IOException ended) {
+                // The other end, or the test, has closed it.
+            } catch (InterruptedException stopped) {
+                Thread.currentThread().interrupt();
+            }
+        }, name);
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    static void close(Closeable socket) {
+        try {
+            socket.close();
+        } catch (IOException alreadyClosed) {
+            // There is nothing left to close.
+        }
+    }
+
+    /** Ends a connection by a reset. */
+    static void reset(Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+        } catch (IOException alreadyClosed) {
+            // It cannot be reset any more.
+        }
+        close(socket);
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/faults/ClientLoad.java
@@ -0,0 +1,126 @@
+package sagepulley.faults;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Clients of one gateway: each has one connection, asks one thing after the other and goes on using its connection
+ * for as long as it stays open.
+ */
+final class ClientLoad implements Closeable {
+    /** What they do: pause between requests, the longest deadline, and the share that leaves before its answer. */
+    record Habits(long pauseMs, long deadlineMs, double leavingShare) {
+        static final Habits STEADY = new Habits(40, 1_500, 0);
+    }
+
+    private static final long ANSWER_SLACK_MS = 1_500;
+    private static final long RECONNECT_MS = 50;
+    private static final long LEAVES_WITHIN_MS = 30;
+    private static final AtomicLong NEXT_ID = new AtomicLong(1);
+
+    final Queue<Request> requests = new ConcurrentLinkedQueue<>();
+    private final int gateway;
+    private final InetSocketAddress address;
+    private final int shards;
+    private final Habits habits;
+    private volatile boolean stopped;
+
+    ClientLoad(int gateway, InetSocketAddress address, int shards, int clients, Habits habits, long seed) {
+        this.gateway = gateway;
+        this.address = address;
+        this.shards = shards;
+        this.habits = habits;
+        for (int i = 0; i < clients; i++) {
+            Random random = new Random(seed * 1_000 + i);
+            Background.run("client", () -> ask(random));
+        }
+    }
+
+    private void ask(Random random) throws InterruptedException {
+        while (!stopped) {
+            try (Socket socket = new Socket()) {
+                socket.connect(address, 1_000);
+                RespPeer peer = new RespPeer(socket);
+                for (int asked = 0; !stopped && askOnce(peer, random, asked); asked++) {
+                    Thread.sleep((long) (habits.pauseMs() * (0.5 + random.nextDouble())));
+                }
+            } catch (IOException refused) {
+                Thread.sleep(RECONNECT_MS);
+            }
+        }
+    }
+
+    /** Whether the connection can be used again. */
+    private boolean askOnce(RespPeer peer, Random random, int asked) throws InterruptedException {
+        boolean writes = random.nextInt(4) == 0;
+        long deadline = habits.deadlineMs() - random.nextInt((int) (habits.deadlineMs() / 2));
+        Request request = new Request(String.format("%016x", NEXT_ID.getAndIncrement()), gateway,
+                random.nextInt(shards), deadline, !writes);
+        request.onConnection = asked;
+        boolean leaves = random.nextDouble() < habits.leavingShare();
+        try {
+            peer.socket.setSoTimeout((int) (deadline + ANSWER_SLACK_MS));
+            request.sentAt = System.nanoTime();
+            peer.send(text(request));
+            requests.add(request);
+            if (leaves) {
+                Thread.sleep(random.nextInt((int) LEAVES_WITHIN_MS));
+                request.endedAt = System.nanoTime();
+                request.end = Request.End.LEFT;
+                return false;
+            }
+            String answer = peer.readAnswer();
+            request.endedAt = System.nanoTime();
+            request.end = endOf(request, answer);
+            return answer != null;
+        } catch (SocketTimeoutException silent) {
+            request.endedAt = System.nanoTime();
+            request.end = Request.End.SILENT;
+        } catch (IOException reset) {
+            request.endedAt = System.nanoTime();
+            request.end = Request.End.CLOSED;
+        }
+        return false;
+    }
+
+    private static Request.End endOf(Request request, String answer) {
+        if (answer == null) {
+            return Request.End.CLOSED;
+        }
+        if (answer.startsWith("$")) {
+            return answer.equals("$" + request.id) ? Request.End.SERVED : Request.End.WRONG_VALUE;
+        }
+        return answer.startsWith("-BUSY") ? Request.End.REFUSED : Request.End.FAILED;
+    }
+
+    private static String text(Request request) {
+        String fields = "c=" + (request.repeatable ? "get" : "put") + ",t=any,d=" + request.deadlineMs
+                + ",volume=00000000000000" + String.format("%02x", request.shard % 16) + ",units=1,shard="
+                + request.shard + ",hosts=1";
+        String extent = String.format("%016x", 1 + request.shard);
+        return request.repeatable ? RespPeer.command("BLK.READ", extent, request.id, fields)
+                : RespPeer.command("BLK.WRITE", extent, request.id, fields, "bytes");
+    }
+
+    /** Asks nothing new from now on; what was asked is waited for. */
+    void stop() throws InterruptedException {
+        stopped = true;
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(habits.deadlineMs() + ANSWER_SLACK_MS + 500);
+        while (requests.stream().anyMatch(request -> request.end == null) && System.nanoTime() < until) {
+            Thread.sleep(20);
+        }
+    }
+
+    @Override
+    public void close() {
+        stopped = true;
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/faults/DrainRule.java
@@ -0,0 +1,91 @@
+package sagepulley.faults;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * The rule on draining and removed endpoints, judged from what passed on the sockets: no command may begin at an
+ * endpoint later than the grace after the gateway was notified that it drains or is gone. A gateway counts as notified
+ * once discovery has written the change to it, and at the latest 6 s after discovery had it and could be reached.
+ */
+final class DrainRule {
+    private static final long NOTIFIED_MS = 6_000;
+    private static final long RELOAD_NOTIFIED_MS = 4_000;
+    /** What the page allows each time limit, and what a busy machine adds between the two sockets. */
+    private static final long SLACK_MS = 50 + 150;
+
+    private final DiscoveryServer discovery;
+    /** When each gateway was sent SIGHUP with a new address of discovery. */
+    private final Map<Integer, List<Long>> reloads;
+
+    DrainRule(DiscoveryServer discovery, Map<Integer, List<Long>> reloads) {
+        this.discovery = discovery;
+        this.reloads = reloads;
+    }
+
+    /** Sentences for the commands that broke it. */
+    List<String> broken(List<StoreServer.Arrival> arrivals, List<Request> requests) {
+        Map<String, Request> byId = requests.stream().collect(Collectors.toMap(request -> request.id,
+                Function.identity()));
+        Map<String, List<DiscoveryServer.Change>> changes = discovery.changes().stream()
+                .collect(Collectors.groupingBy(change -> change.endpoint().id()));
+        List<DiscoveryServer.Written> written = discovery.written();
+        List<long[]> unreachable = discovery.unreachable();
+        List<String> broken = new ArrayList<>();
+        for (StoreServer.Arrival arrival : arrivals) {
+            Request request = byId.get(arrival.requestId());
+            if (request == null) {
+                continue;
+            }
+            for (DiscoveryServer.Change change : changes.getOrDefault(arrival.endpoint(), List.of())) {
+                if (change.endpoint().state() == Endpoint.State.SERVING
+                        || servesAgain(changes.get(arrival.endpoint()), change, arrival.firstByteAt())) {
+                    continue;
+                }
+                long notified = notifiedAt(change, request.gateway, written, unreachable);
+                long late = TimeUnit.NANOSECONDS.toMillis(arrival.firstByteAt() - notified);
+                if (late > TestFleet.DRAIN_GRACE_MS + SLACK_MS) {
+                    broken.add(request + " began at " + arrival.endpoint() + " " + late + " ms after gateway "
+                            + request.gateway + " counted as notified that it is " + change.endpoint().state());
+                    break;
+                }
+            }
+        }
+        return broken;
+    }
+
+    /** Whether it was listed as serving at some time between the change and the command. */
+    private static boolean servesAgain(List<DiscoveryServer.Change> changes, DiscoveryServer.Change from, long until) {
+        return changes.stream().anyMatch(change -> change.revision() > from.revision() && change.at() <= until
+                && change.endpoint().state() == Endpoint.State.SERVING);
+    }
+
+    private long notifiedAt(DiscoveryServer.Change change, int gateway, List<DiscoveryServer.Written> written,
+                            List<long[]> unreachable) {
+        long notified = reachableFor(change.at(), NOTIFIED_MS, unreachable);
+        for (long reload : reloads.getOrDefault(gateway, List.of())) {
+            notified = Math.min(notified, reachableFor(Math.max(reload, change.at()), RELOAD_NOTIFIED_MS, unreachable));
+        }
+        for (DiscoveryServer.Written each : written) {
+            if (each.gateway() == gateway && each.revision() >= change.revision() && each.at() >= change.at()) {
+                notified = Math.min(notified, each.at());
+            }
+        }
+        return notified;
+    }
+
+    /** When discovery has been reachable for so long at a stretch since a time. */
+    private static long reachableFor(long from, long ms, List<long[]> unreachable) {
+        long since = from;
+        for (long[] outage : unreachable) {
+            if (outage[1] > since && outage[0] < since + TimeUnit.MILLISECONDS.toNanos(ms)) {
+                since = outage[1];
+            }
+        }
+        return since == Long.MAX_VALUE ? since : since + TimeUnit.MILLISECONDS.toNanos(ms);
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/faults/GatewayProcess.java
@@ -0,0 +1,97 @@
+package sagepulley.faults;
+
+import static org.awaitility.Awaitility.await;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** One `serve` process as it runs in service: its own JVM, a configuration file, signals. */
+final class GatewayProcess implements Closeable {
+    private static final long START_S = 30;
+
+    final int number;
+    final Path log;
+    final long startedAt = System.nanoTime();
+    final InetSocketAddress listen;
+    private final Process process;
+
+    GatewayProcess(int number, InetSocketAddress listen, Path config, Path log, Map<String, String> environment)
+            throws IOException {
+        this.number = number;
+        this.listen = listen;
+        this.log = log;
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Xss256k", "-cp",
+                System.getProperty("java.class.path"), "sagepulley.Main", "serve");
+        builder.environment().put("GW_CONFIG", config.toString());
+        builder.environment().putAll(environment);
+        process = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .start();
+    }
+
+    GatewayProcess awaitReady() {
+        await().atMost(START_S, TimeUnit.SECONDS).until(this::answersPing);
+        return this;
+    }
+
+    boolean answersPing() {
+        if (!process.isAlive()) {
+            throw new IllegalStateException("the gateway ended with " + process.exitValue() + ": " + logText());
+        }
+        try (Socket socket = new Socket()) {
+            socket.connect(listen, 200);
+            socket.setSoTimeout(500);
+            RespPeer peer = new RespPeer(socket);
+            peer.send(RespPeer.command("PING"));
+            return "+PONG".equals(peer.readAnswer());
+        } catch (IOException notYet) {
+            return false;
+        }
+    }
+
+    String logText() {
+        try {
+            return Files.readString(log);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
+    /** SIGKILL, and waits until it is gone. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    int exitCode() throws InterruptedException {
+        return process.waitFor();
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+
+    /** A port that was free just now. */
+    static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/faults/Request.java
@@ -0,0 +1,42 @@
+package sagepulley.faults;
+
+/** One client's request and how it ended, as seen at the client's socket. Times are System.nanoTime. */
+final class Request {
+    /** How a request ended for its client. */
+    enum End {
+        /** The value that a store made for it. */
+        SERVED,
+        /** A value that no store made for it. */
+        WRONG_VALUE, REFUSED, FAILED,
+        /** The connection ended without an answer. */
+        CLOSED,
+        /** No answer came until well after the deadline. */
+        SILENT,
+        /** The client went away first. */
+        LEFT
+    }
+
+    final String id;
+    final int gateway;
+    final int shard;
+    final long deadlineMs;
+    final boolean repeatable;
+    long sentAt;
+    /** Number of requests answered on its connection before. */
+    int onConnection;
+    volatile long endedAt;
+    volatile End end;
+
+    Request(String id, int gateway, int shard, long deadlineMs, boolean repeatable) {
+        this.id = id;
+        this.gateway = gateway;
+        this.shard = shard;
+        this.deadlineMs = deadlineMs;
+        this.repeatable = repeatable;
+    }
+
+    @Override
+    public String toString() {
+        return "request " + id + " of gateway " + gateway + " for shard " + shard + " (" + end + ")";
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/faults/RespPeer.java
@@ -0,0 +1,88 @@
+package sagepulley.faults;
+
+import java.io.BufferedInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One RESP connection, seen from either end. */
+final class RespPeer {
+    private static final int MOST_WORDS = 64;
+
+    final Socket socket;
+    private final InputStream in;
+    /** When the first byte of the command or answer that was read last came. */
+    long firstByteAt;
+
+    RespPeer(Socket socket) throws IOException {
+        socket.setTcpNoDelay(true);
+        this.socket = socket;
+        this.in = new BufferedInputStream(socket.getInputStream());
+    }
+
+    void send(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    static String command(String... words) {
+        StringBuilder text = new StringBuilder("*" + words.length + "\r\n");
+        for (String word : words) {
+            text.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+        }
+        return text.toString();
+    }
+
+    /** The words of the next command; null at the end of the connection. */
+    List<String> readCommand() throws IOException {
+        int first = in.read();
+        firstByteAt = System.nanoTime();
+        if (first < 0) {
+            return null;
+        }
+        int count = Integer.parseInt(line());
+        if (first != '*' || count > MOST_WORDS) {
+            throw new IOException("not a command");
+        }
+        List<String> words = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            words.add(bulk(line()));
+        }
+        return words;
+    }
+
+    /** The next answer: a line with its first character, or a bulk string behind '$'; null at the connection's end. */
+    String readAnswer() throws IOException {
+        int first = in.read();
+        firstByteAt = System.nanoTime();
+        if (first < 0) {
+            return null;
+        }
+        String line = line();
+        return first == '$' ? "$" + bulk("$" + line) : (char) first + line;
+    }
+
+    private String bulk(String head) throws IOException {
+        int length = Integer.parseInt(head.substring(1));
+        byte[] bytes = in.readNBytes(length + 2);
+        if (bytes.length < length + 2) {
+            throw new EOFException("ended inside a value");
+        }
+        return new String(bytes, 0, length, StandardCharsets.ISO_8859_1);
+    }
+
+    private String line() throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int next = in.read(); next != '\n'; next = in.read()) {
+            if (next < 0) {
+                throw new EOFException("ended inside a line");
+            }
+            line.append((char) next);
+        }
+        return line.toString().trim();
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/faults/StaleEndpointsTest.java
@@ -0,0 +1,152 @@
+package sagepulley.faults;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * The incident of issue 26 on real processes: discovery can be reached, and does not get its list to a gateway. What it
+ * has counts as told 6 s later all the same, so that nothing may go to an endpoint that has drained by then.
+ */
+@Timeout(90)
+@Execution(ExecutionMode.CONCURRENT)
+class StaleEndpointsTest {
+    private static final long WATCHED_MS = 13_000;
+
+    @TempDir
+    Path folder;
+
+    static Stream<Arguments> unhelpfulDiscoveries() {
+        DiscoveryServer.Behaviour healthy = DiscoveryServer.Behaviour.HEALTHY;
+        return Stream.of(
+                Arguments.of("rejects every call", healthy.rejectsAll()),
+                Arguments.of("accepts calls and says nothing", healthy.saysNothing()),
+                Arguments.of("keeps calls waiting and then rejects them", healthy.inTurn(60_000, 2_000, 100)));
+    }
+
+    /** As n44 of the incident: killed, started anew, and no call of it is ever answered. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("unhelpfulDiscoveries")
+    void aRestartedProcessWithoutAListSendsNothingToWhatHasDrained(String what, DiscoveryServer.Behaviour behaviour)
+            throws Exception {
+        try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
+            fleet.start(0).awaitReady().kill();
+            GatewayProcess restarted = fleet.start(0);
+            fleet.discovery.behaviour = behaviour;
+            drain(fleet, 0);
+            restarted.awaitReady();
+            fleet.load(0, 6, ClientLoad.Habits.STEADY, 1);
+            Thread.sleep(WATCHED_MS);
+            assertNoSendAfterGrace(fleet);
+        }
+    }
+
+    /** A process that had a list, lost its watch, and is not answered any more. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("unhelpfulDiscoveries")
+    void aProcessThatLostItsWatchSendsNothingToWhatHasDrained(String what, DiscoveryServer.Behaviour behaviour)
+            throws Exception {
+        try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
+            fleet.start(0).awaitReady();
+            fleet.load(0, 6, ClientLoad.Habits.STEADY, 2);
+            Thread.sleep(1_000);
+            fleet.discovery.behaviour = behaviour;
+            fleet.discovery.resetAll();
+            drain(fleet, 0);
+            Thread.sleep(WATCHED_MS);
+            assertNoSendAfterGrace(fleet);
+            fleet.discovery.behaviour = DiscoveryServer.Behaviour.HEALTHY;
+            assertServedAgain(fleet);
+        }
+    }
+
+    /** A watch that stands and is silent, while new calls are not answered. */
+    @Test
+    void aProcessWhoseWatchFellSilentSendsNothingToWhatHasDrained() throws Exception {
+        try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
+            fleet.start(0).awaitReady();
+            fleet.load(0, 6, ClientLoad.Habits.STEADY, 3);
+            Thread.sleep(1_000);
+            fleet.discovery.behaviour = DiscoveryServer.Behaviour.HEALTHY.saysNothing();
+            fleet.discovery.watchesSilent = true;
+            drain(fleet, 0);
+            Thread.sleep(WATCHED_MS);
+            assertNoSendAfterGrace(fleet);
+        }
+    }
+
+    static Stream<Arguments> slowDiscoveries() {
+        DiscoveryServer.Behaviour healthy = DiscoveryServer.Behaviour.HEALTHY;
+        return Stream.of(
+                Arguments.of("first byte after 3 s", healthy.firstByteAfter(3_000)),
+                Arguments.of("a list that takes 3 s", healthy.tricklingFor(3_000)),
+                Arguments.of("one call at a time of 2.5 s", healthy.inTurn(2_500, 20_000, 100)));
+    }
+
+    /** However slow its answers are, they come: the list has to be taken, and service goes on. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("slowDiscoveries")
+    void aDiscoveryThatAnswersSlowlyIsHeard(String what, DiscoveryServer.Behaviour behaviour) throws Exception {
+        try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
+            fleet.start(0).awaitReady();
+            fleet.load(0, 6, ClientLoad.Habits.STEADY, 4);
+            Thread.sleep(1_000);
+            fleet.discovery.behaviour = behaviour;
+            fleet.discovery.resetAll();
+            drain(fleet, 0);
+            Thread.sleep(WATCHED_MS);
+            assertNoSendAfterGrace(fleet);
+            assertServedAgain(fleet);
+        }
+    }
+
+    /** While nothing can be told, nothing counts as told: an outage alone stops no service. */
+    @Test
+    void aDiscoveryThatIsDownStopsNoService() throws Exception {
+        try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
+            fleet.start(0).awaitReady();
+            fleet.load(0, 6, ClientLoad.Habits.STEADY, 5);
+            Thread.sleep(1_000);
+            fleet.discovery.goDown();
+            Thread.sleep(WATCHED_MS);
+            assertServedAgain(fleet);
+            drain(fleet, 0);
+            fleet.discovery.comeBack();
+            Thread.sleep(WATCHED_MS);
+            assertNoSendAfterGrace(fleet);
+        }
+    }
+
+    private static void drain(TestFleet fleet, int store) {
+        fleet.discovery.set(fleet.stores.get(store).endpoint(Endpoint.State.DRAINING, 0));
+    }
+
+    private static void assertNoSendAfterGrace(TestFleet fleet) throws IOException {
+        List<Request> requests = fleet.requests();
+        List<String> broken = new DrainRule(fleet.discovery, Map.of()).broken(fleet.arrivals(), requests);
+        assertTrue(!requests.isEmpty(), "no request was made");
+        assertEquals(0, broken.size(), () -> broken.size() + " of " + requests.size() + " requests; the last: "
+                + broken.get(broken.size() - 1) + "\n" + fleet.gateways.get(fleet.gateways.size() - 1).logText());
+    }
+
+    private static void assertServedAgain(TestFleet fleet) {
+        long from = System.nanoTime();
+        await().atMost(10, TimeUnit.SECONDS).until(() -> fleet.requests().stream()
+                .anyMatch(request -> request.sentAt > from && request.end == Request.End.SERVED));
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/faults/StoreServer.java
@@ -0,0 +1,88 @@
+package sagepulley.faults;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A storage endpoint on loopback that records every command and serves it, or hangs. */
+final class StoreServer implements Closeable {
+    private static final Pattern DEADLINE = Pattern.compile("(?:^|,)d=(\\d+)(?:,|$)");
+    private static final int BACKLOG = 500;
+
+    /** One command as it came: when its first and its last byte were there, and the deadline that it told, in ms. */
+    record Arrival(String endpoint, String requestId, long firstByteAt, long lastByteAt, long deadlineMs) {
+    }
+
+    final String id;
+    final int cell;
+    final int port;
+    final Queue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
+    volatile boolean hangs;
+    volatile long workMs = 2;
+    private final ServerSocket listener;
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+
+    StoreServer(String id, int cell) throws IOException {
+        this(id, cell, 0);
+    }
+
+    /** At a port that another had before. */
+    StoreServer(String id, int cell, int port) throws IOException {
+        this.id = id;
+        this.cell = cell;
+        listener = new ServerSocket();
+        listener.setReuseAddress(true);
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
+        this.port = listener.getLocalPort();
+        Background.run("store-" + id, () -> {
+            while (true) {
+                Socket socket = listener.accept();
+                connections.add(socket);
+                Background.run("store-call", () -> {
+                    try (socket) {
+                        serve(new RespPeer(socket));
+                    } finally {
+                        connections.remove(socket);
+                    }
+                });
+            }
+        });
+    }
+
+    Endpoint endpoint(Endpoint.State state, long startedAtWallMs) {
+        return new Endpoint(id, port, cell, state, startedAtWallMs);
+    }
+
+    private void serve(RespPeer peer) throws IOException, InterruptedException {
+        for (List<String> words = peer.readCommand(); words != null; words = peer.readCommand()) {
+            if (!words.get(0).startsWith("BLK.")) {
+                peer.send("+PONG\r\n");
+                continue;
+            }
+            Matcher deadline = DEADLINE.matcher(words.get(3));
+            arrivals.add(new Arrival(id, words.get(2), peer.firstByteAt, System.nanoTime(),
+                    deadline.find() ? Long.parseLong(deadline.group(1)) : -1));
+            while (hangs) {
+                Thread.sleep(20);
+            }
+            Thread.sleep(workMs);
+            peer.send("*3\r\n$16\r\n" + words.get(2) + "\r\n$-1\r\n$-1\r\n");
+        }
+    }
+
+    @Override
+    public void close() {
+        Background.close(listener);
+        connections.forEach(Background::reset);
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/faults/TestFleet.java
@@ -0,0 +1,141 @@
+package sagepulley.faults;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** Real gateway processes between stand-ins for clients, storage endpoints and discovery, all on loopback. */
+final class TestFleet implements Closeable {
+    static final long DRAIN_GRACE_MS = 1_000;
+    static final long LONGEST_DEADLINE_MS = 1_500;
+    private static final int SOCKETS = 256;
+
+    final DiscoveryServer discovery = new DiscoveryServer();
+    final List<StoreServer> stores = new ArrayList<>();
+    final List<GatewayProcess> gateways = new ArrayList<>();
+    final List<ClientLoad> loads = new ArrayList<>();
+    private final Path folder;
+    private final int size;
+    private final Map<Integer, InetSocketAddress> listenAddresses = new HashMap<>();
+    private final Map<Integer, InetSocketAddress> discoveryAddresses = new HashMap<>();
+    private final Map<String, String> environment = new HashMap<>();
+    private final boolean pushed;
+
+    /** So many gateways, and as many endpoints as there are shards, all listed. */
+    TestFleet(Path folder, int size, int shards) throws IOException {
+        this(folder, size, shards, false);
+    }
+
+    /** The same where lists are said to be pushed. */
+    TestFleet(Path folder, int size, int shards, boolean pushed) throws IOException {
+        this.folder = folder;
+        this.size = size;
+        this.pushed = pushed;
+        for (int i = 0; i < shards; i++) {
+            StoreServer store = new StoreServer("s-" + i, i);
+            stores.add(store);
+            discovery.set(store.endpoint(Endpoint.State.SERVING, 0));
+        }
+        for (int i = 0; i < size; i++) {
+            listenAddresses.put(i, GatewayProcess.freeAddress());
+            discoveryAddresses.put(i, discovery.listenFor(i));
+        }
+    }
+
+    /** Variables for each gateway process that starts from now on. */
+    void environment(String name, String value) {
+        environment.put(name, value);
+    }
+
+    /** Starts one; it knows the list as it is now, as if it had had it before. */
+    GatewayProcess start(int number) throws IOException {
+        writeConfig(number);
+        GatewayProcess gateway = new GatewayProcess(number, listenAddresses.get(number), configFile(number),
+                folder.resolve("gateway-" + number + ".log"), environment);
+        gateways.add(gateway);
+        return gateway;
+    }
+
+    List<GatewayProcess> startAll() throws IOException {
+        for (int i = 0; i < size; i++) {
+            start(i);
+        }
+        gateways.forEach(GatewayProcess::awaitReady);
+        return gateways;
+    }
+
+    ClientLoad load(int gateway, int clients, ClientLoad.Habits habits, long seed) {
+        ClientLoad load = new ClientLoad(gateway, listenAddresses.get(gateway), stores.size(), clients, habits, seed);
+        loads.add(load);
+        return load;
+    }
+
+    /** Discovery has another address for this gateway, told by its file from now on. */
+    void moveDiscovery(int number) throws IOException {
+        discoveryAddresses.put(number, discovery.listenFor(number));
+        writeConfig(number);
+    }
+
+    private Path configFile(int number) {
+        return folder.resolve("gateway-" + number + ".json");
+    }
+
+    void writeConfig(int number) throws IOException {
+        Files.writeString(configFile(number), config(number));
+    }
+
+    private String config(int number) {
+        String known = discovery.listed().stream().map(endpoint -> endpoint.json(false))
+                .collect(Collectors.joining(","));
+        return """
+                {"name": "n%d", "listen": "%s", "discovery": "%s", "seed": "%x",
+                 "limits": {"cores": 1, "memory_mb": 256, "sockets": %d},
+                 "known": {"revision": %d, "complete": true, "members": [%s]},
+                 "settings": {
+                  "me": %d, "balancers": %d, "az": 0, "tickNs": 1000000, "discovery": "%s",
+                  "zones": ["here"], "kinds": ["plain"],
+                  "classes": [
+                   {"name": "get", "effect": "retryable", "sloNs": 500000000, "hardLimitNs": %d000000, "worth": 1.0},
+                   {"name": "put", "effect": "fragile", "sloNs": 500000000, "hardLimitNs": %d000000, "worth": 1.0}],
+                  "plans": [{"name": "any", "rate": 1000.0, "guaranteed": 100.0, "weight": 1.0, "price": 1.0}],
+                  "contract": {"graceToAnswerNs": 50000000, "drainGraceNs": %d000000, "coldFrom": 0.5,
+                   "coldNs": 3000000000, "fallMultiple": 2.0, "overloadForNs": 1000000000,
+                   "askEveryNs": 10000000000},
+                  "domain": {"changesData": [false, true], "maxUnits": 4, "usualUnits": 1, "coldBears": 20,
+                   "shards": %d, "saysOthers": false},
+                  "limits": {"mostTries": 2, "mayDuplicate": false, "mayProbe": false, "cancel": true,
+                   "dialTimeoutNs": 250000000, "connIdleNs": 10000000000},
+                  "report": {"how": "silent", "fields": []}}}
+                """.formatted(number, text(listenAddresses.get(number)), text(discoveryAddresses.get(number)),
+                number + 1, SOCKETS, discovery.revision(), known, number, size,
+                pushed ? "automatic" : "subscribe", LONGEST_DEADLINE_MS, LONGEST_DEADLINE_MS, DRAIN_GRACE_MS,
+                stores.size());
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    List<Request> requests() {
+        return loads.stream().flatMap(load -> load.requests.stream()).toList();
+    }
+
+    List<StoreServer.Arrival> arrivals() {
+        return stores.stream().flatMap(store -> store.arrivals.stream()).toList();
+    }
+
+    @Override
+    public void close() {
+        loads.forEach(ClientLoad::close);
+        gateways.forEach(GatewayProcess::close);
+        discovery.close();
+        stores.forEach(StoreServer::close);
+    }
+}
