Endpoint list has a lease: nothing is sent by a list that discovery may have outdated

Cause: a list was believed without limit while calls failed, from the first moment of a process on (Control.lawful knew no age, PlatformGateway.listen served by the configuration's list after 4 s); and a call that took over 2.2 s was thrown away with what had come (DiscoveryLink.failIn). Class of defect: state of another party used without a bound on its age. Change: EndpointLease (control, pure): renewed by what proves the list current, counted from when the answer was asked for; by an outage (connection refused) only while nothing unknown can count as notified; shortened when discovery moves. Without it nothing begins, first byte included; clients get BUSY. Overdue calls stay open beside the next one and are taken if they answer. Lists up to 8 MiB.

--- a/src/jmh/java/sagepulley/bench/ControlBench.java
+++ b/src/jmh/java/sagepulley/bench/ControlBench.java
@@ -81,7 +81,7 @@
                 new Plan(1, "reserved", 60, 30, 3, 1, 0, 0, 0));
         Rulebook rules = new Rulebook(8, 1000, 0.25, 10_000, 2, 2000, 6, 200, Double.NaN, 0, Double.NaN, 3, false);
         Deployment site = new Deployment(0, 1, 0, bands, plans, rules, 2, nodeCount, 2, 6, 0.35, 0.05, 1000, true,
-                false, Double.POSITIVE_INFINITY, false, true, true, 1000, 0, 0, 0.05, false, List.of());
+                false, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY, false, true, true, 1000, 0, 0, 0.05, false, List.of());
         control = new Control(site, 7);
         List<Node> nodes = new ArrayList<>();
         for (int i = 0; i < nodeCount; i++) {
--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -145,6 +145,7 @@
     private final Load freshLoad = Load.over(OVERLOAD_WINDOW);
     private double shortestTarget;
     private final double lastCall;
+    final EndpointLease lease;
     private int waiting;
     /** Counts what may change whose turn it is. */
     private long state;
@@ -177,6 +178,7 @@
         this.rows = new BandRow[site.bands().size()];
         for (Band band : site.bands()) { rows[band.index()] = new BandRow(); }
         this.lastCall = 1.5 * site.tick();
+        this.lease = new EndpointLease(site.notifiedWithin(), rules.drainGrace());
         double window = rules.hasBudget() ? rules.budgetWindow() : 1;
         this.taken = new Ring(window, 50);
         this.further = new Ring(window, 50);
@@ -232,6 +234,21 @@
         }
     }
 
+    /** The list held is known to have been current at a time. */
+    public void listConfirmed(double asOf) {
+        lease.confirmed(asOf);
+        state++;
+        if (asked) {
+            askGap = ASK_AGAIN;
+            askAt = Double.POSITIVE_INFINITY;
+        }
+    }
+
+    /** Nobody could reach discovery at a time. */
+    public void discoveryUnreachable(double at) {
+        lease.unreachable(at);
+    }
+
     /** A list call failed, or the subscription dropped. */
     public void listFailed(double now) {
         if (site.mustAsk()) {
@@ -242,6 +259,7 @@
 
     /** The list is kept elsewhere from now on, and nobody has been asked there. */
     public void listMoved(double now) {
+        lease.moved(now);
         askGap = ASK_AGAIN;
         askAt = now + chance.nextDouble() * ASK_AGAIN;
     }
@@ -388,7 +406,8 @@
     boolean lawful(Operation operation, Seat seat, double now) {
         // 1: one final answer, in time, and nothing after it.
         if (operation.over || now >= operation.deadline - lastCall) { return false; }
-        // 3: nothing new to a node that drains or is gone.
+        // 3: nothing new to a node that drains or is gone, or may be without our knowing.
+        if (!lease.holds(now)) { return false; }
         if (seat.node.standing != Node.Standing.READY) { return false; }
         if (operation.shard >= 0 && operation.shard != seat.node.cell) { return false; }
         int attempts = operation.attempts.size();
@@ -414,7 +433,7 @@
 
     /** Whether an attempt sent a while ago, of which the node has seen nothing yet, may begin there now. */
     public boolean mayBegin(Attempt it, double now) {
-        return !it.operation.over && now < it.operation.deadline - lastCall
+        return !it.operation.over && now < it.operation.deadline - lastCall && lease.holds(now)
                 && it.node.standing == Node.Standing.READY && mayRepeat(it.operation, it.node, it, now);
     }
 
@@ -547,7 +566,7 @@
         Seat seat = ((Ticket) operation.kept).seat;
         if (seat == null || sound(seat, now)) { load(seat).declines().add(now, 1); }
         if (!mayDecline(operation)) { return Placement.SCRAPPED; }
-        Reason reason = now >= operation.deadline - lastCall ? Reason.PATIENCE
+        Reason reason = !lease.holds(now) ? Reason.NO_LEASE : now >= operation.deadline - lastCall ? Reason.PATIENCE
                 : lateAt(operation) <= now ? Reason.LATE : Reason.NO_FURTHER_HOP;
         return Placement.decline(comeBack(seat, now), reason);
     }
--- /dev/null
+++ b/src/main/java/sagepulley/control/EndpointLease.java
@@ -0,0 +1,62 @@
+package sagepulley.control;
+
+/**
+ * How long the endpoint list may be relied on. A change of the list counts as notified a fixed span after discovery had
+ * it, whether or not it arrived here; for the drain grace after that its endpoint may still be used. So the lease is
+ * renewed by whatever proves the list current, and ends one span and the grace after the latest such proof. A process
+ * that has had no proof since its start holds no lease. Times are milliseconds on the monotonic clock.
+ */
+final class EndpointLease {
+    /** A process may be held up between reading its clock and writing; and what the sender's timers add. */
+    private static final double HOLD_UP = 150;
+    private static final double TIMER_SLACK = 50;
+    /** What discovery has to tell counts as notified so long after it moved to another address. */
+    private static final double NOTIFIED_AFTER_MOVE = 4_000;
+
+    private final double notifiedWithin;
+    private final double usableAfter;
+    /** Until then no change that is unknown here can count as notified. */
+    private double currentUntil;
+
+    /** An infinite span is that of a host to which nothing arrives late: its lease always holds. */
+    EndpointLease(double notifiedWithin, double drainGrace) {
+        this.notifiedWithin = notifiedWithin;
+        this.usableAfter = drainGrace - HOLD_UP - TIMER_SLACK;
+        this.currentUntil = isBounded() ? Double.NEGATIVE_INFINITY : Double.POSITIVE_INFINITY;
+    }
+
+    boolean isBounded() {
+        return notifiedWithin < Double.POSITIVE_INFINITY;
+    }
+
+    /** The list held is known to have been current at a time. */
+    void confirmed(double asOf) {
+        currentUntil = Math.max(currentUntil, asOf + notifiedWithin);
+    }
+
+    /**
+     * Nobody could reach discovery at a time: what it has counts as notified only when it has been reachable for the
+     * whole span again. That renews a lease under which nothing unknown counts as notified yet, and no other.
+     */
+    void unreachable(double at) {
+        if (at < currentUntil) {
+            confirmed(at);
+        }
+    }
+
+    /** Discovery has moved to another address, which has confirmed nothing yet. */
+    void moved(double now) {
+        if (isBounded()) {
+            currentUntil = Math.min(currentUntil, now + NOTIFIED_AFTER_MOVE);
+        }
+    }
+
+    /** Whether endpoints may be sent to by the list held. */
+    boolean holds(double now) {
+        return now < expiresAt();
+    }
+
+    double expiresAt() {
+        return currentUntil + usableAfter;
+    }
+}
--- a/src/main/java/sagepulley/control/WaitView.java
+++ b/src/main/java/sagepulley/control/WaitView.java
@@ -11,6 +11,9 @@
 
     /** The first of Control's guards that holds it back now. */
     public static Reason why(Control control, Operation operation, double now) {
+        if (!control.lease.holds(now)) {
+            return Reason.NO_LEASE;
+        }
         Seat seat = ((Ticket) operation.kept).seat;
         if (seat == null) {
             return operation.shard < 0 ? Reason.SHARE_FULL : Reason.NO_NODE;
--- a/src/main/java/sagepulley/host/FirstMessage.java
+++ b/src/main/java/sagepulley/host/FirstMessage.java
@@ -62,7 +62,7 @@
                 optionalNumber("domain.shareWorth", 1), optionalNumber("domain.beyondShare", 0),
                 time("domain.usePeriodNs", 0), flag("domain.saysOthers"),
                 mustAsk, mustAsk ? number("contract.askEveryNs") / NS : Double.POSITIVE_INFINITY,
-                flag("limits.mayProbe"), flag("limits.cancel"), flag("limits.retryAfter"),
+                Double.POSITIVE_INFINITY, flag("limits.mayProbe"), flag("limits.cancel"), flag("limits.retryAfter"),
                 time("limits.maxRetryAfterNs", 0), optionalNumber("charges.crossZone", 0),
                 optionalNumber("charges.probe", 0), optionalNumber("charges.waste", 0),
                 !optional("weights", "silent").equals("silent"),
--- a/src/main/java/sagepulley/host/Host.java
+++ b/src/main/java/sagepulley/host/Host.java
@@ -97,6 +97,16 @@
         return forgotten;
     }
 
+    /** The list held is known to have been current at a time. */
+    public void listConfirmed(double asOf) {
+        control.listConfirmed(asOf);
+    }
+
+    /** Nobody could reach discovery at a time. */
+    public void discoveryUnreachable(double at) {
+        control.discoveryUnreachable(at);
+    }
+
     public void listFailed(double now) {
         control.listFailed(now);
     }
--- a/src/main/java/sagepulley/model/Reason.java
+++ b/src/main/java/sagepulley/model/Reason.java
@@ -10,6 +10,8 @@
     HELD_BACK,
     /** Its node started lately, gives no answers, drains or is gone, or no node holds its cell. */
     COLD, SILENT, NOT_READY, NO_NODE,
+    /** The endpoint list is too old to be relied on. */
+    NO_LEASE,
     /** The volume's limit, the budget of further attempts, or the order of its key. */
     LIMIT, BUDGET, ORDER,
     /** There is room, and somebody who ranks before it takes it. */
--- a/src/main/java/sagepulley/platform/Config.java
+++ b/src/main/java/sagepulley/platform/Config.java
@@ -30,6 +30,8 @@
         double idleTime,
         int mostOpen) {
     private static final long LARGEST_FILE = 16 << 20;
+    /** A change of the endpoint list counts as notified so long after discovery had it, arrived or not. */
+    private static final double NOTIFIED_WITHIN_MS = 6_000;
     private static final int LEAST_SOCKETS = 64;
     private static final int LEAST_MEMORY_MB = 16;
 
@@ -77,7 +79,7 @@
                 (int) atLeast(limits, "sockets", LEAST_SOCKETS), atLeast(limits, "memory_mb", LEAST_MEMORY_MB),
                 file.get("known") instanceof Map<?, ?> known ? Listing.read(named(known))
                         : new Listing(0, true, List.of(), List.of()),
-                first.deployment().onWatch(), names(settings.get("zones")), names(settings.get("kinds")),
+                first.deployment().onWatch(NOTIFIED_WITHIN_MS), names(settings.get("zones")), names(settings.get("kinds")),
                 first.time("limits.dialTimeoutNs", 250), first.time("limits.connIdleNs", 15_000),
                 (int) Math.min(Integer.MAX_VALUE, first.optionalNumber("limits.maxOpen", 20_000)));
     }
--- a/src/main/java/sagepulley/platform/DiscoveryLink.java
+++ b/src/main/java/sagepulley/platform/DiscoveryLink.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -25,14 +26,19 @@
 import io.netty.util.NetUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 
 /**
  * The calls to discovery: one watch, and now and then the whole list. It asks nothing again by itself; each
- * call or watch that fails is told once. All on one loop.
+ * call or watch that fails is told once. A call that is overdue counts as failed, but is kept open beside the next one:
+ * discovery may be slow, and what it still answers is taken. All on one loop.
  */
 final class DiscoveryLink {
     private static final String PATH = "/v1/endpoints";
@@ -44,34 +50,50 @@
      */
     private static final long SILENCE_MS = 2_500;
     private static final long ANSWER_MS = 2_200;
-    private static final int LONGEST_LIST = 1 << 20;
+    /** A list of 3,200 endpoints, indented, takes a little over 1 MB. */
+    private static final int LONGEST_LIST = 8 << 20;
+    /** Overdue calls that are kept open, and for how long one is kept of which not a byte has come. */
+    private static final int MOST_OVERDUE = 1;
+    private static final double OVERDUE_SILENT_MS = 12_000;
+    /** A line on a watch was written at most so long before it came, or as long as the watch's first list took. */
+    private static final double LONGEST_LINE_DELAY_MS = 1_000;
 
     /** Told what discovery says, on the loop. */
     interface Owner {
         void listed(Listing listing);
 
-        /** A call failed, or the watch has ended. */
+        /** What has been listed by now was all that discovery had at this time. */
+        void listConfirmed(double asOf);
+
+        /** A call that began at this time was refused: no process listens where discovery should be. */
+        void discoveryUnreachable(double at);
+
+        /** A call failed or is overdue, or the watch has ended. */
         void listFailed(String why);
     }
 
     private final Transport transport;
     private final EventLoop loop;
     private final Owner owner;
+    private final DoubleSupplier clock;
     private final long answerMs;
     private final long silenceMs;
     private SocketAddress address;
     private long revision;
     private Call watch;
     private Call fetch;
+    /** Calls that are overdue and kept open, the oldest first. */
+    private final Deque<Call> overdue = new ArrayDeque<>();
     private int calls;
 
-    DiscoveryLink(Transport transport, SocketAddress address, long revision, Owner owner) {
-        this(transport, address, revision, owner, ANSWER_MS, SILENCE_MS);
+    DiscoveryLink(Transport transport, SocketAddress address, long revision, Owner owner, DoubleSupplier clock) {
+        this(transport, address, revision, owner, clock, ANSWER_MS, SILENCE_MS);
     }
 
     /** The same with other times for a first list and for a watch that says nothing. */
-    DiscoveryLink(Transport transport, SocketAddress address, long revision, Owner owner, long answerMs,
-                  long silenceMs) {
+    DiscoveryLink(Transport transport, SocketAddress address, long revision, Owner owner, DoubleSupplier clock,
+                  long answerMs, long silenceMs) {
+        this.clock = clock;
         this.answerMs = answerMs;
         this.silenceMs = silenceMs;
         this.transport = transport;
@@ -93,15 +115,42 @@
         return watch != null && watch.answered;
     }
 
-    /** Opens a watch in place of one that stands. */
+    /** Opens a watch in place of one that stands; that one goes on until one of the two has told a list. */
     void subscribe() {
         if (watch != null) {
-            watch.drop("replaced");
+            keepOverdue(watch);
         }
         watch = new Call(true);
         watch.open();
     }
 
+    /**
+     * Keeps an overdue call open. The oldest stays, for it is the first in discovery's queue, unless not a byte has come
+     * of it for long.
+     */
+    private void keepOverdue(Call call) {
+        call.isOverdue = true;
+        overdue.add(call);
+        if (overdue.size() > MOST_OVERDUE) {
+            Call oldest = overdue.peekFirst();
+            Call dropped = oldest.bytes == 0 && oldest.openMs() > OVERDUE_SILENT_MS ? oldest : overdue.peekLast();
+            overdue.remove(dropped);
+            dropped.drop("overdue");
+        }
+    }
+
+    /** A call has told a list, or lives on: it is the watch, and all others are needless. */
+    private void relyOn(Call call) {
+        if (watch != null && watch != call) {
+            watch.drop("another call was answered");
+        }
+        overdue.remove(call);
+        overdue.forEach(each -> each.drop("another call was answered"));
+        overdue.clear();
+        call.isOverdue = false;
+        watch = call;
+    }
+
     void fetch() {
         if (fetch != null) {
             fetch.drop("replaced");
@@ -121,6 +170,8 @@
     }
 
     void close() {
+        overdue.forEach(call -> call.drop("closed"));
+        overdue.clear();
         if (watch != null) {
             watch.drop("closed");
             watch = null;
@@ -131,6 +182,11 @@
         }
     }
 
+    private static boolean isRefused(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException)
+                && String.valueOf(cause.getMessage()).contains("refused");
+    }
+
     private static String hostOf(SocketAddress address) {
         return address instanceof InetSocketAddress socket ? NetUtil.toSocketAddressString(socket) : "here";
     }
@@ -142,6 +198,10 @@
         /** The revision that was held when this call was opened. */
         private final long after = revision;
         private final long openedAt = System.nanoTime();
+        /** By the clock: when it was opened, when its request was written, and how long its first list took. */
+        private final double beganAt = clock.getAsDouble();
+        private double requestedAt = Double.NaN;
+        private double firstListTook;
         private final int number = ++calls;
         private Channel channel;
         private ScheduledFuture<?> silence;
@@ -150,6 +210,8 @@
         private boolean over;
         private boolean answered;
         private boolean announces;
+        /** It counts as failed, and is kept open all the same. */
+        private boolean isOverdue;
 
         Call(boolean watches) {
             this.watches = watches;
@@ -169,6 +231,10 @@
             failIn(answerMs);
             connecting.addListener(done -> {
                 if (!done.isSuccess()) {
+                    boolean refused = isRefused(done.cause());
+                    if (!over && refused) {
+                        owner.discoveryUnreachable(beganAt);
+                    }
                     fail("no connection: " + done.cause().getMessage());
                 }
             });
@@ -189,6 +255,22 @@
             }
             drop(why);
             leave();
+            if (!isOverdue) {
+                tellFailure(why);
+            }
+        }
+
+        /** Nothing came in time: that counts as a failure, but the answer is taken if it comes after all. */
+        private void beOverdue(String why) {
+            if (isOverdue) {
+                return;
+            }
+            leave();
+            keepOverdue(this);
+            tellFailure(why);
+        }
+
+        private void tellFailure(String why) {
             owner.listFailed(why + (answered ? "" : ", called for " + openMs() + " ms"));
         }
 
@@ -203,17 +285,20 @@
             if (fetch == this) {
                 fetch = null;
             }
+            overdue.remove(this);
         }
 
         private void failIn(long most) {
             if (silence != null) {
                 silence.cancel(false);
             }
-            silence = loop.schedule(() -> fail("nothing came for " + most + " ms"), most, TimeUnit.MILLISECONDS);
+            silence = loop.schedule(() -> beOverdue("nothing came for " + most + " ms"), most,
+                    TimeUnit.MILLISECONDS);
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
+            requestedAt = clock.getAsDouble();
             String query = watches ? "?watch=1&after=" + after : "";
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     PATH + query);
@@ -247,19 +332,28 @@
                 ctx.fireChannelRead(content.content().retain());
                 // Only a whole list or an empty line is a sign of life: half a list that trickles is silence too.
                 if (!over && answered && endsLine && !values.inMiddle()) {
-                    failIn(silenceMs);
+                    livesOn();
                 }
             }
             if (message instanceof LastHttpContent && !over) {
                 if (watches || !answered || values.inMiddle()) {
                     fail(watches ? "the watch ended" : "an answer without a whole list");
                 } else {
-                    drop("answered");
                     leave();
+                    drop("answered");
                 }
             }
         }
 
+        /** All that discovery had to tell when it wrote this has come. */
+        private void livesOn() {
+            if (watches) {
+                relyOn(this);
+                failIn(silenceMs);
+            }
+            owner.listConfirmed(clock.getAsDouble() - Math.min(firstListTook, LONGEST_LINE_DELAY_MS));
+        }
+
         private void told(ByteBuf text) {
             Listing listing;
             try {
@@ -270,11 +364,13 @@
             }
             boolean first = !answered;
             if (first) {
-                Log.info("discovery answers", "after-ms", openMs());
+                Log.info("discovery answers", "call", number, "after-ms", openMs());
+                firstListTook = clock.getAsDouble() - requestedAt;
             }
             answered = true;
             lists++;
             if (watches) {
+                relyOn(this);
                 failIn(silenceMs);
             }
             // Lower numbers come from a discovery that started anew, which a new call's first list tells; or from
@@ -284,6 +380,9 @@
             }
             revision = listing.revision();
             owner.listed(listing);
+            // The first list is what discovery had at some time after it was asked, however long it was on its way.
+            owner.listConfirmed(first ? requestedAt
+                    : clock.getAsDouble() - Math.min(firstListTook, LONGEST_LINE_DELAY_MS));
         }
 
         @Override
--- a/src/main/java/sagepulley/platform/PlatformGateway.java
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -98,7 +98,8 @@
         this.nodes = new NodeLinks(transport, sockets - clients, config.connectTimeout(),
                 config.idleTime() * IDLE_PART, shortestTarget(config) * STALL_PART, clock::now);
         this.nodes.onClose((address, why) -> events.line("endpoint connection closed", "address", address, "why", why));
-        this.discovery = new DiscoveryLink(transport, config.discovery(), config.known().revision(), this);
+        this.discovery = new DiscoveryLink(transport, config.discovery(), config.known().revision(), this,
+                clock::now);
         this.mostBytes = (long) (config.memoryMb() * (1 << 20) * BYTES_PART);
     }
 
@@ -337,12 +338,21 @@
             Log.warn("an entry of the list cannot be read", "entry", entry);
         }
         host.listed(book.entries(listing), listing.whole(), clock.now()).forEach(book::forget);
-        if (discovery.isWatching()) {
-            firstList.complete(null);
-        }
         settle();
     }
 
+    @Override
+    public void listConfirmed(double asOf) {
+        host.listConfirmed(asOf);
+        firstList.complete(null);
+        settle();
+    }
+
+    @Override
+    public void discoveryUnreachable(double at) {
+        host.discoveryUnreachable(at);
+    }
+
     @Override
     public void listFailed(String why) {
         Log.warn("the list of nodes failed", "why", why);
--- a/src/main/java/sagepulley/site/Site.java
+++ b/src/main/java/sagepulley/site/Site.java
@@ -157,7 +157,7 @@
                     ini.number("site", "share-worth", 0.35, 0, 1),
                     ini.number("site", "beyond-worth", 0.05, 0, 1),
                     ini.time("site", "use-period", "1 s", 0, DAY), true, true,
-                    ini.time("site", "ask-within", "10 s", 100, DAY), false, true, true,
+                    ini.time("site", "ask-within", "10 s", 100, DAY), Double.POSITIVE_INFINITY, false, true, true,
                     ini.time("site", "longest-advice", "1 s", 0, DAY),
                     ini.number("site", "cross-zone-price", 0.0, 0, MANY), 0, 0,
                     ini.truth("site", "weighs-nodes", false), List.of("queue"));
--- /dev/null
+++ b/src/test/java/sagepulley/control/EndpointLeaseTest.java
@@ -0,0 +1,99 @@
+package sagepulley.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import sagepulley.model.Operation;
+import sagepulley.model.Reason;
+
+/** How long a list of endpoints may be relied on, and what routing does once that time is over. */
+class EndpointLeaseTest {
+    private static final double SPAN = 6_000;
+    private static final double GRACE = 1_000;
+    /** What the lease keeps back of the grace, for a process that is held up before it writes. */
+    private static final double RESERVED = 200;
+
+    private final EndpointLease lease = new EndpointLease(SPAN, GRACE);
+
+    @Test
+    void aProcessWithoutAnyConfirmationHoldsNoLease() {
+        assertFalse(lease.holds(0));
+    }
+
+    @Test
+    void itEndsOneSpanAndTheGraceAfterTheLatestConfirmation() {
+        lease.confirmed(100);
+        lease.confirmed(50);
+        assertTrue(lease.holds(100 + SPAN + GRACE - RESERVED - 1));
+        assertFalse(lease.holds(100 + SPAN + GRACE - RESERVED));
+    }
+
+    @Test
+    void anOutageRenewsALeaseUnderWhichNothingUnknownCountsAsNotified() {
+        lease.confirmed(0);
+        lease.unreachable(SPAN - 1);
+        assertTrue(lease.holds(2 * SPAN));
+    }
+
+    @Test
+    void anOutageRenewsNoLeaseUnderWhichSomethingMayCountAsNotifiedAlready() {
+        lease.confirmed(0);
+        lease.unreachable(SPAN + 1);
+        assertFalse(lease.holds(SPAN + GRACE));
+        lease.unreachable(SPAN + GRACE);
+        assertFalse(lease.holds(SPAN + GRACE));
+    }
+
+    @Test
+    void aRefusalRenewsNothingForAProcessThatNeverHadAList() {
+        lease.unreachable(0);
+        assertFalse(lease.holds(1));
+    }
+
+    @Test
+    void aMoveOfDiscoveryShortensItUntilTheNewAddressConfirms() {
+        lease.confirmed(0);
+        lease.moved(100);
+        assertFalse(lease.holds(100 + 4_000 + GRACE));
+        lease.confirmed(300);
+        assertTrue(lease.holds(100 + 4_000 + GRACE));
+    }
+
+    @Test
+    void whereNothingArrivesLateItAlwaysHolds() {
+        EndpointLease unbounded = new EndpointLease(Double.POSITIVE_INFINITY, GRACE);
+        unbounded.moved(5);
+        assertTrue(unbounded.holds(1e12));
+    }
+
+    @Test
+    void withoutALeaseNothingIsSentAndTheClientIsToldThatItMayComeAgain() {
+        FakeHost host = new FakeHost(1, 0, 1, true, Double.NaN, SPAN);
+        host.control.listConfirmed(host.now);
+        assertEquals(1, host.take(FakeHost.READ, 0).attempts.size());
+        host.satisfyAllOut();
+        host.passTime(SPAN + GRACE);
+        Operation waiting = host.take(FakeHost.READ, 0);
+        assertEquals(0, waiting.attempts.size());
+        assertEquals(Reason.NO_LEASE, WaitView.why(host.control, waiting, host.now));
+        host.passTime(260);
+        assertTrue(host.declined.contains(waiting));
+        Operation next = host.take(FakeHost.READ, 0);
+        host.control.listConfirmed(host.now);
+        host.passTime(2);
+        assertEquals(1, next.attempts.size(), "with the next confirmation it goes");
+    }
+
+    /** Its connection comes up only when the lease has ended. */
+    @Test
+    void anAttemptThatIsHeldUpBeyondTheLeaseDoesNotBegin() {
+        FakeHost host = new FakeHost(1, 0, 1, true, Double.NaN, SPAN);
+        host.control.listConfirmed(host.now - SPAN);
+        Operation read = host.take(FakeHost.BULK, 0);
+        assertEquals(1, read.attempts.size());
+        assertTrue(host.control.mayBegin(host.lastAttempt(read), host.now));
+        assertFalse(host.control.mayBegin(host.lastAttempt(read), host.now + GRACE));
+    }
+}
--- a/src/test/java/sagepulley/control/FakeHost.java
+++ b/src/test/java/sagepulley/control/FakeHost.java
@@ -50,6 +50,11 @@
     }
 
     FakeHost(int nodeCount, int me, int gateways, boolean mustAsk, double budgetFree) {
+        this(nodeCount, me, gateways, mustAsk, budgetFree, Double.POSITIVE_INFINITY);
+    }
+
+    /** The same where a change of the list counts as notified within a span. */
+    FakeHost(int nodeCount, int me, int gateways, boolean mustAsk, double budgetFree, double notifiedWithin) {
         List<Band> bands = List.of(
                 band(READ, Band.Repeat.IDEMPOTENT, false, 250, 2000, 3),
                 band(WRITE, Band.Repeat.IDEMPOTENT, false, 300, 2000, 3),
@@ -64,7 +69,7 @@
         Rulebook rules = new Rulebook(8, 1000, 0.25, 10_000, 2, 2000, 6, 200,
                 budgetFree, 0.1, Double.isNaN(budgetFree) ? Double.NaN : 1000, 4, false);
         site = new Deployment(me, gateways, 0, bands, plans, rules, 2, 99, 2, 6, 0.35, 0.05, 1000, true,
-                mustAsk, 10_000, true, true, true, 1000, 0, 0, 0.05, false, List.of());
+                mustAsk, 10_000, notifiedWithin, true, true, true, 1000, 0, 0, 0.05, false, List.of());
         control = new Control(site, 7 + me);
         for (int i = 0; i < nodeCount; i++) {
             nodes.add(node(i));
--- a/src/test/java/sagepulley/platform/DiscoveryTest.java
+++ b/src/test/java/sagepulley/platform/DiscoveryTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import sagepulley.host.Clock;
 
 /** Calls to discovery: what is told, and that each failure is told once. */
 @Timeout(60)
@@ -30,6 +31,9 @@
     private static final long NEVER = 600_000;
     private final List<Listing> told = new CopyOnWriteArrayList<>();
     private final List<String> failures = new CopyOnWriteArrayList<>();
+    private final List<Double> confirmations = new CopyOnWriteArrayList<>();
+    private final List<Double> refusals = new CopyOnWriteArrayList<>();
+    private final Clock clock = new Clock();
     private EventLoop loop;
     /** Where the link asks; the gateway of the peers has a discovery of its own. */
     private SocketAddress discovery;
@@ -47,11 +51,21 @@
                 told.add(listing);
             }
 
+            @Override
+            public void listConfirmed(double asOf) {
+                confirmations.add(asOf);
+            }
+
+            @Override
+            public void discoveryUnreachable(double at) {
+                refusals.add(at);
+            }
+
             @Override
             public void listFailed(String why) {
                 failures.add(why);
             }
-        }, answerMs, silenceMs);
+        }, clock::now, answerMs, silenceMs);
         loop = transport.loops().next();
         loop.submit(link::subscribe).get(10, TimeUnit.SECONDS);
         return link;
