--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -111,6 +111,8 @@
     private static final double COLD_PART = 0.8;
     private static final double COLD_BURST = 2;
     private static final double COLD_LOOK = 20;
+    /** A start that is longer ago is told as long ago: one that looks older was told by another clock. */
+    private static final double LONGEST_TOLD_AGE = 3_000_000;
     // What could be had counts as told after 6 s: a call that failed and one more must end before that. The
     // gap after a failure, half of it by chance, grows to the most; a call tells its end within its patience.
     private static final double ASK_AGAIN = 300;
@@ -197,13 +199,15 @@
                         Load.over(OVERLOAD_WINDOW), new Ring(PLACEMENTS_WINDOW, 10),
                         new Ring(rules.fallTime(), 20));
                 node.kept = seat;
+                seat.startedAt = possibleStart(node.startedAt, now);
                 if (old == null) { seats.add(seat); } else { seats.set(old.index, seat); }
                 // A node that turns up later has just started, whatever its line says of its start.
                 if (knowsList && node.startedAt < now - rules.coldTime()) {
                     seat.startedAt = now;
                 }
-            } else if (node.startedAt > seat.startedAt) {
-                seat.startedAt = node.startedAt;
+            } else if (lease.isBounded() ? node.startedAt != seat.toldStart : node.startedAt > seat.startedAt) {
+                seat.toldStart = node.startedAt;
+                seat.startedAt = possibleStart(node.startedAt, now);
                 seat.bound = LEAST_BOUND;
             }
         }
@@ -227,6 +231,16 @@
         }
     }
 
+    /**
+     * The start that is told of a node by the wall clock, which may be off here or there: never later than now, and, once
+     * a list was confirmed, not before that list, which knew nothing of it. A start that is told at all was lately.
+     */
+    private double possibleStart(double told, double now) {
+        if (!lease.isBounded() || told == Double.NEGATIVE_INFINITY) { return told; }
+        if (now - told > LONGEST_TOLD_AGE) { return now; }
+        return Math.min(now, Math.max(told, lease.confirmedAt()));
+    }
+
     private void queueAnew(Queue queue) {
         for (Operation operation : queue.inOrder()) {
             dequeue(operation);
--- a/src/main/java/sagepulley/control/EndpointLease.java
+++ b/src/main/java/sagepulley/control/EndpointLease.java
@@ -17,6 +17,7 @@
     private final double usableAfter;
     /** Until then no change that is unknown here can count as notified. */
     private double currentUntil;
+    private double confirmedAt = Double.NEGATIVE_INFINITY;
 
     /** An infinite span is that of a host to which nothing arrives late: its lease always holds. */
     EndpointLease(double notifiedWithin, double drainGrace) {
@@ -31,6 +32,11 @@
 
     /** The list held is known to have been current at a time. */
     void confirmed(double asOf) {
+        confirmedAt = Math.max(confirmedAt, asOf);
+        renew(asOf);
+    }
+
+    private void renew(double asOf) {
         currentUntil = Math.max(currentUntil, asOf + notifiedWithin);
     }
 
@@ -40,7 +46,7 @@
      */
     void unreachable(double at) {
         if (at < currentUntil) {
-            confirmed(at);
+            renew(at);
         }
     }
 
@@ -51,6 +57,11 @@
         }
     }
 
+    /** The latest time as of which the list is known to have been current; negative infinity if there is none. */
+    double confirmedAt() {
+        return confirmedAt;
+    }
+
     /** Whether endpoints may be sent to by the list held. */
     boolean holds(double now) {
         return now < expiresAt();
--- a/src/main/java/sagepulley/control/Seat.java
+++ b/src/main/java/sagepulley/control/Seat.java
@@ -36,7 +36,8 @@
     double fair = Double.POSITIVE_INFINITY;
     double fairUntil = Double.NEGATIVE_INFINITY;
 
-    /** When it started, and what it was sent within the time of the rule on cold nodes. */
+    /** When it started, as it was told, as far as that is possible; and what it was sent while it was cold. */
+    double toldStart;
     double startedAt;
     final Ring coldSpent;
 
@@ -66,6 +67,7 @@
         this.load = load;
         this.placements = placements;
         this.coldSpent = coldSpent;
+        this.toldStart = node.startedAt;
         this.startedAt = node.startedAt;
     }
 
--- /dev/null
+++ b/src/test/java/sagepulley/control/StartTimesTest.java
@@ -0,0 +1,55 @@
+package sagepulley.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import sagepulley.model.Node;
+
+/** A node's start is told by a wall clock that may be off, by seconds or by an hour. */
+class StartTimesTest {
+    private static final double HOUR = 3_600_000;
+    private static final double SPAN = 6_000;
+
+    /** Off by so much, a node that has just restarted still counts as cold from when that is first seen. */
+    @ParameterizedTest
+    @ValueSource(doubles = {-HOUR, -30_000, -11_000, 0, 5_000, HOUR})
+    void aRestartCountsFromWhenItIsFirstSeen(double clockError) {
+        FakeHost host = new FakeHost(2, 0, 1, true, Double.NaN, SPAN);
+        host.control.listConfirmed(host.now);
+        host.passTime(2_000);
+        host.control.listConfirmed(host.now);
+        host.passTime(500);
+        Node node = host.nodes.get(0);
+        node.startedAt = host.now - 100 + clockError;
+        host.relist();
+        double age = host.now - ((Seat) node.kept).startedAt;
+        assertTrue(age >= 0 && age <= 500, "counts as started " + age + " ms ago");
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {-HOUR, HOUR})
+    void whatTheFirstListTellsIsNeitherInTheFutureNorLongAgo(double clockError) {
+        FakeHost host = new FakeHost(1, 0, 1, true, Double.NaN, SPAN);
+        Node fresh = new Node(77);
+        fresh.startedAt = host.now + clockError;
+        host.nodes.add(fresh);
+        host.relist();
+        assertEquals(host.now, ((Seat) fresh.kept).startedAt);
+    }
+
+    @Test
+    void aStartThatIsToldAgainIsNoRestart() {
+        FakeHost host = new FakeHost(1, 0, 1, true, Double.NaN, SPAN);
+        host.control.listConfirmed(host.now);
+        Node node = host.nodes.get(0);
+        node.startedAt = host.now + HOUR;
+        host.relist();
+        double startedAt = ((Seat) node.kept).startedAt;
+        host.passTime(3_000);
+        host.relist();
+        assertEquals(startedAt, ((Seat) node.kept).startedAt);
+    }
+}
--- a/src/test/java/sagepulley/faults/ClientLoad.java
+++ b/src/test/java/sagepulley/faults/ClientLoad.java
@@ -32,6 +32,8 @@
     private final int shards;
     private final Habits habits;
     private volatile boolean stopped;
+    /** Clients that have no connection make none while this is set. */
+    private volatile boolean staysAway;
 
     ClientLoad(int gateway, InetSocketAddress address, int shards, int clients, Habits habits, long seed) {
         this.gateway = gateway;
@@ -46,6 +48,10 @@
 
     private void ask(Random random) throws InterruptedException {
         while (!stopped) {
+            if (staysAway) {
+                Thread.sleep(RECONNECT_MS);
+                continue;
+            }
             try (Socket socket = new Socket()) {
                 socket.connect(address, 1_000);
                 RespPeer peer = new RespPeer(socket);
@@ -110,6 +116,11 @@
                 : RespPeer.command("BLK.WRITE", extent, request.id, fields, "bytes");
     }
 
+    /** Whether clients go elsewhere for new connections, as they do soon after a gateway was told to end. */
+    void stayAway(boolean away) {
+        staysAway = away;
+    }
+
     /** Asks nothing new from now on; what was asked is waited for. */
     void stop() throws InterruptedException {
         stopped = true;
--- a/src/test/java/sagepulley/faults/DiscoveryServer.java
+++ b/src/test/java/sagepulley/faults/DiscoveryServer.java
@@ -96,14 +96,12 @@
 
     /** Begins to listen for one gateway; the address stays the same for good. */
     synchronized InetSocketAddress listenFor(int gateway) throws IOException {
-        bind(gateway, 0, BACKLOG);
+        bind(gateway, Ports.free().getPort(), BACKLOG);
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.get(gateway));
     }
 
     private void bind(int gateway, int port, int backlog) throws IOException {
-        ServerSocket listener = new ServerSocket();
-        listener.setReuseAddress(true);
-        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), backlog);
+        ServerSocket listener = Ports.listen(port, backlog);
         listeners.put(gateway, listener);
         ports.put(gateway, listener.getLocalPort());
         Background.run("discovery", () -> accept(gateway, listener));
@@ -190,10 +188,7 @@
         watchesSilent = true;
         for (Map.Entry<Integer, ServerSocket> each : List.copyOf(listeners.entrySet())) {
             Background.close(each.getValue());
-            ServerSocket full = new ServerSocket();
-            full.setReuseAddress(true);
-            full.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.get(each.getKey())), 1);
-            listeners.put(each.getKey(), full);
+            listeners.put(each.getKey(), Ports.listen(ports.get(each.getKey()), 1));
             List<Socket> filling = new ArrayList<>();
             for (int i = 0; i < 2; i++) {
                 filling.add(new Socket(InetAddress.getLoopbackAddress(), ports.get(each.getKey())));
--- a/src/test/java/sagepulley/faults/DrainRule.java
+++ b/src/test/java/sagepulley/faults/DrainRule.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 
 /**
@@ -43,7 +44,8 @@
             }
             for (DiscoveryServer.Change change : changes.getOrDefault(arrival.endpoint(), List.of())) {
                 if (change.endpoint().state() == Endpoint.State.SERVING
-                        || servesAgain(changes.get(arrival.endpoint()), change, arrival.firstByteAt())) {
+                        || servesAgain(changes.get(arrival.endpoint()), change, arrival.firstByteAt(),
+                                each -> notifiedAt(each, request.gateway, written, unreachable))) {
                     continue;
                 }
                 long notified = notifiedAt(change, request.gateway, written, unreachable);
@@ -58,10 +60,12 @@
         return broken;
     }
 
-    /** Whether it was listed as serving at some time between the change and the command. */
-    private static boolean servesAgain(List<DiscoveryServer.Change> changes, DiscoveryServer.Change from, long until) {
-        return changes.stream().anyMatch(change -> change.revision() > from.revision() && change.at() <= until
-                && change.endpoint().state() == Endpoint.State.SERVING);
+    /** Whether the gateway had been notified, by the time of the command, that the endpoint serves again. */
+    private boolean servesAgain(List<DiscoveryServer.Change> changes, DiscoveryServer.Change from, long until,
+                                ToLongFunction<DiscoveryServer.Change> notifiedAt) {
+        return changes.stream().anyMatch(change -> change.revision() > from.revision()
+                && change.endpoint().state() == Endpoint.State.SERVING
+                && notifiedAt.applyAsLong(change) <= until + TimeUnit.MILLISECONDS.toNanos(SLACK_MS));
     }
 
     private long notifiedAt(DiscoveryServer.Change change, int gateway, List<DiscoveryServer.Written> written,
--- a/src/test/java/sagepulley/faults/GatewayProcess.java
+++ b/src/test/java/sagepulley/faults/GatewayProcess.java
@@ -5,9 +5,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -87,11 +85,4 @@
     public void close() {
         process.destroyForcibly();
     }
-
-    /** A port that was free just now. */
-    static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
-        }
-    }
 }
--- /dev/null
+++ b/src/test/java/sagepulley/faults/Ports.java
@@ -0,0 +1,69 @@
+package sagepulley.faults;
+
+import java.io.IOException;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * Ports on loopback for listeners that are closed and opened again: below the range from which the system gives
+ * connections theirs, and none twice in one program.
+ */
+final class Ports {
+    private static final int FIRST = 12_000;
+    private static final int COUNT = 18_000;
+    private static final int BIND_TRIES = 100;
+    private static final long BIND_PAUSE_MS = 10;
+    private static final Random RANDOM = new Random();
+    private static final Set<Integer> TAKEN = new HashSet<>();
+
+    private Ports() {
+    }
+
+    static synchronized InetSocketAddress free() {
+        while (true) {
+            int port = FIRST + RANDOM.nextInt(COUNT);
+            if (TAKEN.add(port) && isFree(port)) {
+                return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+            }
+        }
+    }
+
+    /** Listens where another listener was just closed: the system may need a moment to let the port go. */
+    static ServerSocket listen(int port, int backlog) throws IOException {
+        for (int tries = 0;; tries++) {
+            ServerSocket listener = new ServerSocket();
+            try {
+                listener.setReuseAddress(true);
+                listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), backlog);
+                return listener;
+            } catch (BindException inUse) {
+                listener.close();
+                if (tries == BIND_TRIES) {
+                    throw inUse;
+                }
+                pause();
+            }
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(BIND_PAUSE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return probe.isBound();
+        } catch (IOException taken) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/faults/Shim.java
@@ -0,0 +1,61 @@
+package sagepulley.faults;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Map;
+
+/** The library of shim.c: failing system calls and a wall clock that steps, for the processes that load it. */
+final class Shim {
+    private static Path library;
+
+    private final Path clock;
+    private final Path built;
+
+    private Shim(Path built, Path clock) throws IOException {
+        this.built = built;
+        this.clock = clock;
+        step(0);
+    }
+
+    /** Compiled once; null on a machine without a C compiler. */
+    static synchronized Shim in(Path folder) throws IOException, InterruptedException {
+        if (library == null) {
+            Path source = Files.createTempFile("shim", ".c");
+            Path target = Files.createTempFile("shim", ".so");
+            try (InputStream text = Shim.class.getResourceAsStream("/faults/shim.c")) {
+                Files.write(source, text.readAllBytes());
+            }
+            try {
+                int result = new ProcessBuilder("cc", "-shared", "-fPIC", "-O2", "-o", target.toString(),
+                        source.toString(), "-ldl").inheritIO().start().waitFor();
+                library = result == 0 ? target : null;
+            } catch (IOException noCompiler) {
+                library = null;
+            } finally {
+                Files.deleteIfExists(source);
+                target.toFile().deleteOnExit();
+            }
+        }
+        return library == null ? null : new Shim(library, folder.resolve("wall-clock"));
+    }
+
+    /** Moves the wall clock of all processes that load it, in milliseconds against the true one. */
+    void step(long ms) throws IOException {
+        ByteBuffer offset = ByteBuffer.allocate(Long.BYTES).order(ByteOrder.nativeOrder());
+        offset.putLong(ms * 1_000_000).flip();
+        try (FileChannel file = FileChannel.open(clock, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            file.write(offset, 0);
+        }
+    }
+
+    Map<String, String> environment(long seed, int failuresInTenThousand) {
+        return Map.of("LD_PRELOAD", built.toString(), "SHIM_SEED", Long.toString(seed), "SHIM_FAILURES",
+                Integer.toString(failuresInTenThousand), "SHIM_CLOCK", clock.toString());
+    }
+}
--- /dev/null
+++ b/src/test/java/sagepulley/faults/SoakRun.java
@@ -0,0 +1,355 @@
+package sagepulley.faults;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One run of a small fleet of real processes under faults that follow from one seed: trouble of discovery, of storage
+ * endpoints, of gateway processes, of the system's calls and clock, overlapping. What it judges is what passed on the
+ * sockets; what it did is kept as a journal, for whoever looks for the cause.
+ */
+final class SoakRun implements Closeable {
+    private static final int SHARDS = 6;
+    private static final int CLIENTS = 4;
+    private static final int CROWD = 130;
+    private static final long QUIET_MS = 1_500;
+    private static final long LONGEST_OUTAGE_MS = 12_000;
+    private static final long HOLD_UP_MS = 120;
+    private static final long HOUR_MS = 3_600_000;
+    /** SIGKILL comes no sooner after SIGTERM than the longest deadline and this. */
+    private static final long KILL_AFTER_MS = 700;
+    /** So long after SIGTERM new connections keep coming. */
+    private static final long NEW_CONNECTIONS_MS = 400;
+
+    /** Something that happens at a time of the run. */
+    private record Event(long atMs, long order, String what, Action action) {
+    }
+
+    private interface Action {
+        void run() throws IOException, InterruptedException;
+    }
+
+    private final long seed;
+    private final long lengthMs;
+    private final int gateways;
+    private final Random random;
+    private final TestFleet fleet;
+    private final Shim shim;
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.atMs() != b.atMs()
+            ? Long.compare(a.atMs(), b.atMs()) : Long.compare(a.order(), b.order()));
+    private final List<String> journal = new CopyOnWriteArrayList<>();
+    private final List<AnswerRule.Ending> endings = new CopyOnWriteArrayList<>();
+    private final Map<Integer, List<Long>> reloads = new HashMap<>();
+    private final Map<Integer, GatewayProcess> running = new ConcurrentHashMap<>();
+    private final Map<Integer, Boolean> busy = new ConcurrentHashMap<>();
+    private final List<Socket> crowd = new CopyOnWriteArrayList<>();
+    private final List<String> troubles = new CopyOnWriteArrayList<>();
+    private long startedAt;
+    private long order;
+
+    SoakRun(long seed, Path folder, long lengthMs) throws IOException, InterruptedException {
+        this.seed = seed;
+        this.lengthMs = lengthMs;
+        this.random = new Random(seed);
+        this.gateways = 2 + random.nextInt(3);
+        this.fleet = new TestFleet(folder, gateways, SHARDS, random.nextInt(4) == 0);
+        this.shim = random.nextInt(2) == 0 ? Shim.in(folder) : null;
+        if (shim != null) {
+            int failures = random.nextInt(2) == 0 ? 0 : 5 + random.nextInt(40);
+            shim.environment(seed, failures).forEach(fleet::environment);
+            note("system calls fail " + failures + " in 10,000");
+        }
+    }
+
+    /** Runs it to its end, and gives what broke a rule. */
+    List<String> violations() throws IOException, InterruptedException {
+        for (int i = 0; i < gateways; i++) {
+            running.put(i, fleet.start(i));
+        }
+        running.values().forEach(GatewayProcess::awaitReady);
+        startedAt = System.nanoTime();
+        for (int i = 0; i < gateways; i++) {
+            fleet.load(i, CLIENTS, new ClientLoad.Habits(45, TestFleet.LONGEST_DEADLINE_MS, 0.08), seed * 10 + i);
+        }
+        plan();
+        while (!events.isEmpty()) {
+            Event next = events.poll();
+            long wait = next.atMs() - elapsedMs();
+            if (wait > 0) {
+                Thread.sleep(wait);
+            }
+            note(next.what());
+            next.action().run();
+        }
+        Thread.sleep(Math.max(0, lengthMs - elapsedMs()));
+        while (busy.containsValue(true)) {
+            Thread.sleep(50);
+        }
+        for (ClientLoad load : fleet.loads) {
+            load.stop();
+        }
+        return judge();
+    }
+
+    private List<String> judge() {
+        List<Request> requests = fleet.requests();
+        List<StoreServer.Arrival> arrivals = fleet.arrivals();
+        List<String> broken = new ArrayList<>(troubles);
+        broken.addAll(new DrainRule(fleet.discovery, reloads).broken(arrivals, requests));
+        broken.addAll(new AnswerRule(endings).broken(arrivals, requests));
+        return broken;
+    }
+
+    /** What happened when, and how many requests ended how. */
+    String story() {
+        Map<Request.End, Integer> ends = new HashMap<>();
+        fleet.requests().forEach(request -> ends.merge(request.end == null ? Request.End.SILENT : request.end, 1,
+                Integer::sum));
+        return "seed " + seed + ", " + gateways + " gateways, ends " + ends + "\n  " + String.join("\n  ", journal);
+    }
+
+    long served() {
+        return fleet.requests().stream().filter(request -> request.end == Request.End.SERVED).count();
+    }
+
+    private void note(String what) {
+        journal.add((startedAt == 0 ? "start" : elapsedMs() + " ms") + ": " + what);
+    }
+
+    private long elapsedMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt);
+    }
+
+    private void at(long ms, String what, Action action) {
+        events.add(new Event(ms, order++, what, action));
+    }
+
+    // ---- the plan ----
+
+    private void plan() {
+        for (long at = QUIET_MS; at < lengthMs - 4_000;) {
+            long length = 1_000 + random.nextInt(9_000);
+            planDiscoveryTrouble(at, length);
+            at += length + random.nextInt(3_000);
+        }
+        for (long at = QUIET_MS + random.nextInt(2_000); at < lengthMs - 3_000; at += 700 + random.nextInt(2_500)) {
+            planEndpointEvent(at);
+        }
+        for (long at = QUIET_MS + random.nextInt(3_000); at < lengthMs - 8_000; at += 2_000 + random.nextInt(5_000)) {
+            planGatewayEvent(at);
+        }
+        for (long at = QUIET_MS; at < lengthMs; at += 1_000 + random.nextInt(4_000)) {
+            int gateway = random.nextInt(gateways);
+            at(at, "gateway " + gateway + " is held up", () -> holdUp(gateway));
+        }
+        if (shim != null) {
+            for (long at = QUIET_MS; at < lengthMs; at += 3_000 + random.nextInt(6_000)) {
+                long offset = random.nextBoolean() ? random.nextInt(10_000) - 5_000
+                        : random.nextBoolean() ? HOUR_MS : -HOUR_MS;
+                at(at, "wall clock off by " + offset + " ms", () -> shim.step(offset));
+            }
+        }
+        if (random.nextInt(3) == 0) {
+            at(QUIET_MS + random.nextInt(3_000), "a crowd of idle connections", this::crowd);
+        }
+    }
+
+    private void planDiscoveryTrouble(long at, long length) {
+        DiscoveryServer.Behaviour healthy = DiscoveryServer.Behaviour.HEALTHY;
+        long slow = 500 + random.nextInt(4_000);
+        boolean cutsWatches = random.nextInt(3) > 0;
+        switch (random.nextInt(8)) {
+            case 0 -> planBehaviour(at, length, healthy.firstByteAfter(slow), cutsWatches, "first byte after " + slow);
+            case 1 -> planBehaviour(at, length, healthy.tricklingFor(slow), cutsWatches, "lists trickle for " + slow);
+            case 2 -> {
+                long service = 100 + random.nextInt(1_500);
+                long timeout = 1_000 + random.nextInt(2_000);
+                int limit = 1 + random.nextInt(6);
+                planBehaviour(at, length, healthy.inTurn(service, timeout, limit), cutsWatches, "crowded: " + service
+                        + " ms a call, 503 after " + timeout + " ms or behind " + limit);
+            }
+            case 3 -> planBehaviour(at, length, healthy.rejectsAll(), cutsWatches, "every call is rejected");
+            case 4 -> planBehaviour(at, length, healthy.saysNothing(), cutsWatches, "calls get no answer");
+            case 5 -> {
+                at(at, "discovery: watches fall silent", () -> fleet.discovery.watchesSilent = true);
+                at(at + length, "discovery: watches speak", () -> fleet.discovery.watchesSilent = false);
+            }
+            case 6 -> {
+                at(at, "discovery: down", fleet.discovery::goDown);
+                at(at + Math.min(length, LONGEST_OUTAGE_MS), "discovery: up", fleet.discovery::comeBack);
+            }
+            default -> {
+                at(at, "discovery: cut off", fleet.discovery::cutOff);
+                at(at + Math.min(length, LONGEST_OUTAGE_MS), "discovery: reachable", fleet.discovery::comeBack);
+            }
+        }
+    }
+
+    private void planBehaviour(long at, long length, DiscoveryServer.Behaviour behaviour, boolean cutsWatches,
+                               String what) {
+        DiscoveryServer.Behaviour form = random.nextBoolean() ? behaviour.withWhiteSpace() : behaviour;
+        at(at, "discovery: " + what, () -> {
+            fleet.discovery.behaviour = form;
+            if (cutsWatches) {
+                fleet.discovery.resetAll();
+            }
+        });
+        at(at + length, "discovery: healthy", () -> fleet.discovery.behaviour = DiscoveryServer.Behaviour.HEALTHY);
+    }
+
+    private void planEndpointEvent(long at) {
+        int shard = random.nextInt(SHARDS);
+        StoreServer store = fleet.stores.get(shard);
+        switch (random.nextInt(4)) {
+            case 0, 1 -> {
+                long back = at + 6_000 + random.nextInt(6_000);
+                boolean vanishes = random.nextBoolean();
+                at(at, store.id + " drains", () -> list(store, Endpoint.State.DRAINING));
+                if (vanishes) {
+                    at(at + 1_000 + random.nextInt(3_000), store.id + " is gone",
+                            () -> list(store, Endpoint.State.DELETED));
+                }
+                at(back, store.id + " serves again", () -> list(store, Endpoint.State.SERVING));
+            }
+            case 2 -> {
+                long hang = 500 + random.nextInt(6_000);
+                at(at, store.id + " hangs", () -> store.hangs = true);
+                at(at + hang, store.id + " goes on", () -> store.hangs = false);
+            }
+            default -> at(at, store.id + " resets its connections", store::resetAll);
+        }
+    }
+
+    private void list(StoreServer store, Endpoint.State state) {
+        long startedAt = state == Endpoint.State.SERVING ? System.currentTimeMillis() : 0;
+        fleet.discovery.set(store.endpoint(state, startedAt));
+    }
+
+    private void planGatewayEvent(long at) {
+        int gateway = random.nextInt(gateways);
+        switch (random.nextInt(5)) {
+            case 0 -> at(at, "gateway " + gateway + " is killed", () -> inBackground(gateway, () -> restart(gateway,
+                    false)));
+            case 1, 2 -> at(at, "gateway " + gateway + " is told to end", () -> inBackground(gateway,
+                    () -> restart(gateway, true)));
+            case 3 -> at(at, "discovery moves for gateway " + gateway, () -> reload(gateway));
+            default -> {
+                at(at, "discovery moves for gateway " + gateway, () -> reload(gateway));
+                at(at + 150, "and again", () -> reload(gateway));
+                at(at + 300, "gateway " + gateway + " is told to end", () -> inBackground(gateway,
+                        () -> restart(gateway, true)));
+            }
+        }
+    }
+
+    // ---- what happens to gateways ----
+
+    private void inBackground(int gateway, Action action) {
+        if (busy.put(gateway, true) == Boolean.TRUE) {
+            return; // it is on its way down already
+        }
+        Background.run("operator", () -> {
+            try {
+                action.run();
+            } finally {
+                busy.put(gateway, false);
+            }
+        });
+    }
+
+    /** SIGKILL at the earliest moment that the page allows, or at once; then the same gateway starts anew. */
+    private void restart(int gateway, boolean planned) throws IOException, InterruptedException {
+        GatewayProcess process = running.get(gateway);
+        long toldAt = 0;
+        if (planned) {
+            toldAt = System.nanoTime();
+            process.signal("TERM");
+            long killAfter = TestFleet.LONGEST_DEADLINE_MS + KILL_AFTER_MS;
+            if (random(gateway).nextInt(3) == 0) {
+                process.signal("TERM");
+            }
+            Thread.sleep(NEW_CONNECTIONS_MS);
+            loadOf(gateway).stayAway(true);
+            Thread.sleep(Math.max(0, killAfter - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - toldAt)));
+        } else if (!process.isAlive()) {
+            troubles.add("gateway " + gateway + " has crashed: " + tail(process));
+        }
+        long killedAt = System.nanoTime();
+        endings.add(new AnswerRule.Ending(gateway, toldAt, killedAt));
+        process.kill();
+        GatewayProcess fresh = fleet.start(gateway);
+        running.put(gateway, fresh);
+        loadOf(gateway).stayAway(false);
+        long since = System.nanoTime();
+        while (!fresh.answersPing()) {
+            if (TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - since) > 10) {
+                troubles.add("gateway " + gateway + " is not ready 10 s after its restart: " + tail(fresh));
+                return;
+            }
+            Thread.sleep(100);
+        }
+    }
+
+    private ClientLoad loadOf(int gateway) {
+        return fleet.loads.get(gateway);
+    }
+
+    private Random random(int gateway) {
+        return new Random(seed * 31 + gateway + elapsedMs() / 1_000);
+    }
+
+    private static String tail(GatewayProcess process) {
+        List<String> lines = process.logText().lines().toList();
+        return String.join("\n", lines.subList(Math.max(0, lines.size() - 15), lines.size()));
+    }
+
+    private void reload(int gateway) throws IOException, InterruptedException {
+        if (busy.get(gateway) == Boolean.TRUE) {
+            return;
+        }
+        fleet.moveDiscovery(gateway);
+        reloads.computeIfAbsent(gateway, any -> new ArrayList<>()).add(System.nanoTime());
+        running.get(gateway).signal("HUP");
+    }
+
+    private void holdUp(int gateway) throws IOException, InterruptedException {
+        GatewayProcess process = running.get(gateway);
+        if (process.isAlive()) {
+            process.signal("STOP");
+            Thread.sleep(HOLD_UP_MS);
+            process.signal("CONT");
+        }
+    }
+
+    /** Connections to every gateway that ask nothing. */
+    private void crowd() {
+        for (GatewayProcess process : running.values()) {
+            for (int i = 0; i < CROWD; i++) {
+                try {
+                    Socket idle = new Socket();
+                    crowd.add(idle);
+                    idle.connect(process.listen, 200);
+                } catch (IOException full) {
+                    break;
+                }
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        crowd.forEach(Background::close);
+        fleet.close();
+    }
+}
--- a/src/test/java/sagepulley/faults/StoreServer.java
+++ b/src/test/java/sagepulley/faults/StoreServer.java
@@ -80,6 +80,11 @@
         }
     }
 
+    /** Ends all connections that stand by a reset, and goes on. */
+    void resetAll() {
+        connections.forEach(Background::reset);
+    }
+
     @Override
     public void close() {
         Background.close(listener);
--- a/src/test/java/sagepulley/faults/TestFleet.java
+++ b/src/test/java/sagepulley/faults/TestFleet.java
@@ -44,7 +44,7 @@
             discovery.set(store.endpoint(Endpoint.State.SERVING, 0));
         }
         for (int i = 0; i < size; i++) {
-            listenAddresses.put(i, GatewayProcess.freeAddress());
+            listenAddresses.put(i, Ports.free());
             discoveryAddresses.put(i, discovery.listenFor(i));
         }
     }
--- /dev/null
+++ b/src/test/resources/faults/shim.c
@@ -0,0 +1,166 @@
+/*
+ * Loaded into a process under test with LD_PRELOAD: makes system calls fail now and then, as Linux documents, and moves
+ * the wall clock. Configured by the environment:
+ *   SHIM_SEED     seeds the chance
+ *   SHIM_FAILURES failing calls in 10,000
+ *   SHIM_CLOCK    a file of one signed 64-bit number, nanoseconds that the wall clock is off; read at each call
+ */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+
+static uint64_t state;
+static unsigned failures;
+static volatile int64_t *offset;
+
+__attribute__((constructor)) static void configure(void)
+{
+    const char *seed = getenv("SHIM_SEED");
+    const char *rate = getenv("SHIM_FAILURES");
+    const char *clock_file = getenv("SHIM_CLOCK");
+    state = seed ? strtoull(seed, NULL, 10) * 2 + 1 : 1;
+    failures = rate ? (unsigned) strtoul(rate, NULL, 10) : 0;
+    if (clock_file) {
+        int fd = open(clock_file, O_RDONLY);
+        if (fd >= 0) {
+            void *page = mmap(NULL, sizeof(int64_t), PROT_READ, MAP_SHARED, fd, 0);
+            offset = page == MAP_FAILED ? NULL : page;
+            close(fd);
+        }
+    }
+}
+
+static uint64_t next_random(void)
+{
+    uint64_t x = __atomic_add_fetch(&state, 0x9e3779b97f4a7c15u, __ATOMIC_RELAXED);
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
+    return x ^ (x >> 31);
+}
+
+/* One of the errors, or 0 for a call that is to go through. */
+static int chosen_error(const int *errors, unsigned count)
+{
+    uint64_t chance = next_random();
+    return chance % 10000 < failures ? errors[(chance >> 32) % count] : 0;
+}
+
+#define REAL(name) \
+    static __typeof__(&name) real; \
+    if (!real) { real = (__typeof__(&name)) dlsym(RTLD_NEXT, #name); }
+
+#define FAIL_BY(...) \
+    do { \
+        static const int errors[] = {__VA_ARGS__}; \
+        int error = chosen_error(errors, sizeof errors / sizeof *errors); \
+        if (error) { errno = error; return -1; } \
+    } while (0)
+
+static int is_stream(int fd)
+{
+    int kind;
+    socklen_t size = sizeof kind;
+    return getsockopt(fd, SOL_SOCKET, SO_TYPE, &kind, &size) == 0 && kind == SOCK_STREAM;
+}
+
+int socket(int domain, int type, int protocol)
+{
+    REAL(socket)
+    if (domain == AF_INET || domain == AF_INET6) { FAIL_BY(ENFILE, ENOBUFS, EMFILE, ENOMEM); }
+    return real(domain, type, protocol);
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t size)
+{
+    REAL(connect)
+    FAIL_BY(EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT);
+    return real(fd, address, size);
+}
+
+int accept4(int fd, struct sockaddr *address, socklen_t *size, int flags)
+{
+    REAL(accept4)
+    FAIL_BY(ECONNABORTED, ENFILE, ENOBUFS, EINTR);
+    return real(fd, address, size, flags);
+}
+
+ssize_t read(int fd, void *buffer, size_t count)
+{
+    REAL(read)
+    if (failures && count > 1 && is_stream(fd)) {
+        FAIL_BY(EINTR);
+        if (next_random() % 10000 < failures * 10) { count = 1 + next_random() % 16 % count; }
+    }
+    return real(fd, buffer, count);
+}
+
+ssize_t recv(int fd, void *buffer, size_t count, int flags)
+{
+    REAL(recv)
+    if (failures && count > 1) {
+        FAIL_BY(EINTR);
+        if (next_random() % 10000 < failures * 10) { count = 1 + next_random() % 16 % count; }
+    }
+    return real(fd, buffer, count, flags);
+}
+
+ssize_t write(int fd, const void *buffer, size_t count)
+{
+    REAL(write)
+    if (failures && count > 1 && is_stream(fd)) {
+        FAIL_BY(EINTR);
+        if (next_random() % 10000 < failures * 10) { count = 1 + next_random() % 16 % count; }
+    }
+    return real(fd, buffer, count);
+}
+
+ssize_t writev(int fd, const struct iovec *parts, int count)
+{
+    REAL(writev)
+    if (failures && is_stream(fd)) {
+        FAIL_BY(EINTR);
+        if (count > 1 && next_random() % 10000 < failures * 10) { count = 1; }
+    }
+    return real(fd, parts, count);
+}
+
+ssize_t send(int fd, const void *buffer, size_t count, int flags)
+{
+    REAL(send)
+    if (failures && count > 1) {
+        FAIL_BY(EINTR);
+        if (next_random() % 10000 < failures * 10) { count = 1 + next_random() % 16 % count; }
+    }
+    return real(fd, buffer, count, flags);
+}
+
+int clock_gettime(clockid_t clock, struct timespec *time)
+{
+    REAL(clock_gettime)
+    int result = real(clock, time);
+    if (result == 0 && offset && (clock == CLOCK_REALTIME || clock == CLOCK_REALTIME_COARSE)) {
+        int64_t now = (int64_t) time->tv_sec * 1000000000 + time->tv_nsec + *offset;
+        time->tv_sec = now / 1000000000;
+        time->tv_nsec = now % 1000000000;
+    }
+    return result;
+}
+
+int gettimeofday(struct timeval *time, void *zone)
+{
+    (void) zone;
+    struct timespec now;
+    int result = clock_gettime(CLOCK_REALTIME, &now);
+    time->tv_sec = now.tv_sec;
+    time->tv_usec = now.tv_nsec / 1000;
+    return result;
+}
