Control looks only at endpoints where something waits, and finds a cell's endpoints by an index

Change: a bit set of the seats with waiting operations, in the order of the seats as before, and an index by cell that each list rebuilds.

--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -130,6 +131,9 @@
     private final RandomGenerator chance;
     final BandRow[] rows;
     final List<Seat> seats = new ArrayList<>();
+    /** The indexes of the seats at which an operation waits: with thousands of seats most have none. */
+    private final BitSet waitingSeats = new BitSet();
+    private final Map<Integer, List<Seat>> seatsByCell = new HashMap<>();
     private final Queue fresh = new Queue();
     private final Queue homeless = new Queue();
     private final Waits waits = new Waits();
@@ -211,6 +215,10 @@
                 seat.bound = LEAST_BOUND;
             }
         }
+        seatsByCell.clear();
+        for (Seat seat : seats) {
+            seatsByCell.computeIfAbsent(seat.node.cell, any -> new ArrayList<>(1)).add(seat);
+        }
         state++;
         if (!knowsList) {
             knowsList = true;
@@ -365,7 +373,8 @@
         List<Operation> late = overdue(now);
         Operation newest = first(fresh, null, now);
         int at = 0;
-        for (Seat seat : seats) {
+        for (int i = waitingSeats.nextSetBit(0); i >= 0; i = waitingSeats.nextSetBit(i + 1)) {
+            Seat seat = seats.get(i);
             Operation next = pick(seat, now);
             if (next != null && goesFirst(next, newest, seat, now)) { due.add(next); }
             at = addLate(late, at, seat, due);
@@ -1079,15 +1088,19 @@
             fresh.add(ticket);
             return;
         }
-        for (Seat seat : seats) {
-            if (seat.node.cell == operation.shard && (ticket.seat == null
-                    || ticket.seat.node.standing != Node.Standing.READY
-                    && seat.node.standing == Node.Standing.READY)) {
+        for (Seat seat : seatsByCell.getOrDefault(operation.shard, List.of())) {
+            if (ticket.seat == null || ticket.seat.node.standing != Node.Standing.READY
+                    && seat.node.standing == Node.Standing.READY) {
                 ticket.seat = seat;
             }
         }
-        // A shard that no listed node holds waits apart until its node turns up.
-        (ticket.seat != null ? ticket.seat.waiting : homeless).add(ticket);
+        if (ticket.seat == null) {
+            // A shard that no listed node holds waits apart until its node turns up.
+            homeless.add(ticket);
+            return;
+        }
+        ticket.seat.waiting.add(ticket);
+        waitingSeats.set(ticket.seat.index);
     }
 
     private void dequeue(Operation operation) {
@@ -1101,6 +1114,7 @@
             fresh.remove(ticket);
         } else if (ticket.seat != null) {
             ticket.seat.waiting.remove(ticket);
+            if (ticket.seat.waiting.isEmpty()) { waitingSeats.clear(ticket.seat.index); }
         } else {
             homeless.remove(ticket);
         }
