Failed list calls are made again ever later, so that a crowd of callers comes to its end

Change: the gap doubles from 0.3 s to 3 s, half of it by chance; with 4.5 s at most, refused calls still renew the lease in time. A line read late on a watch counts from when the kernel got it.

--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -114,10 +114,12 @@
     private static final double COLD_LOOK = 20;
     /** A start that is longer ago is told as long ago: one that looks older was told by another clock. */
     private static final double LONGEST_TOLD_AGE = 3_000_000;
-    // What could be had counts as told after 6 s: a call that failed and one more must end before that. The
-    // gap after a failure, half of it by chance, grows to the most; a call tells its end within its patience.
+    // The gap after a failed call, half of it by chance, doubles up to the most: a discovery that many call at once,
+    // and that works on calls which nobody waits for any more, must get to the end of them (800 at most kept a
+    // fleet's queue full for ten seconds). The lease keeps the rules meanwhile. A call tells its end within its patience.
     private static final double ASK_AGAIN = 300;
-    private static final double MOST_ASK_GAP = 800;
+    private static final double ASK_GAP_GROWTH = 2;
+    private static final double MOST_ASK_GAP = 3_000;
     private static final double ASK_PATIENCE = 2_500;
     // First calls: so far apart, all within a part of the time for it, and soon: the 6 s run for all.
     private static final double ASK_STAGGER = 250;
@@ -275,7 +277,7 @@
     public void listFailed(double now) {
         if (site.mustAsk()) {
             askAt = now + askGap * (0.5 + chance.nextDouble());
-            askGap = Math.min(askGap + ASK_AGAIN / 2, MOST_ASK_GAP);
+            askGap = Math.min(askGap * ASK_GAP_GROWTH, MOST_ASK_GAP);
         }
     }
 
--- a/src/main/java/sagepulley/platform/DiscoveryLink.java
+++ b/src/main/java/sagepulley/platform/DiscoveryLink.java
@@ -76,6 +76,7 @@
     private final EventLoop loop;
     private final Owner owner;
     private final DoubleSupplier clock;
+    private final Arrival arrival = new Arrival();
     private final long answerMs;
     private final long silenceMs;
     private SocketAddress address;
@@ -350,7 +351,13 @@
                 relyOn(this);
                 failIn(silenceMs);
             }
-            owner.listConfirmed(clock.getAsDouble() - Math.min(firstListTook, LONGEST_LINE_DELAY_MS));
+            owner.listConfirmed(lineWrittenAt());
+        }
+
+        /** A time at which the line that was read now had not been written yet, as far as that can be told. */
+        private double lineWrittenAt() {
+            return clock.getAsDouble() - arrival.ago(channel, silenceMs)
+                    - Math.min(firstListTook, LONGEST_LINE_DELAY_MS);
         }
 
         private void told(ByteBuf text) {
@@ -380,8 +387,7 @@
             revision = listing.revision();
             owner.listed(listing);
             // The first list is what discovery had at some time after it was asked, however long it was on its way.
-            owner.listConfirmed(first ? requestedAt
-                    : clock.getAsDouble() - Math.min(firstListTook, LONGEST_LINE_DELAY_MS));
+            owner.listConfirmed(first ? requestedAt : lineWrittenAt());
         }
 
         @Override
