When discovery is asked is a module of its own, DiscoverySchedule

Need: Control held the schedule of list calls among all other decisions; the lease made it touch both.

--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -114,17 +114,6 @@
     private static final double COLD_LOOK = 20;
     /** A start that is longer ago is told as long ago: one that looks older was told by another clock. */
     private static final double LONGEST_TOLD_AGE = 3_000_000;
-    // The gap after a failed call, half of it by chance, doubles up to the most: a discovery that many call at once,
-    // and that works on calls which nobody waits for any more, must get to the end of them (800 at most kept a
-    // fleet's queue full for ten seconds). The lease keeps the rules meanwhile. A call tells its end within its patience.
-    private static final double ASK_AGAIN = 300;
-    private static final double ASK_GAP_GROWTH = 2;
-    private static final double MOST_ASK_GAP = 3_000;
-    private static final double ASK_PATIENCE = 2_500;
-    // First calls: so far apart, all within a part of the time for it, and soon: the 6 s run for all.
-    private static final double ASK_STAGGER = 250;
-    private static final double ASK_SPREAD = 0.8;
-    private static final double FIRST_ASKED = 2_500;
     private static final double TIER_STEP = 2;
     private static final int LATE = 1000;
 
@@ -166,9 +155,7 @@
     private double nextLook;
     private double refreshAt = Double.NEGATIVE_INFINITY;
     private boolean knowsList;
-    private double askAt = Double.POSITIVE_INFINITY;
-    private double askGap = ASK_AGAIN;
-    private boolean asked;
+    private final DiscoverySchedule discovery;
 
     /** What differs by band. */
     static final class BandRow {
@@ -186,6 +173,7 @@
         this.rows = new BandRow[site.bands().size()];
         for (Band band : site.bands()) { rows[band.index()] = new BandRow(); }
         this.lastCall = 1.5 * site.tick();
+        this.discovery = new DiscoverySchedule(site, chance);
         this.lease = new EndpointLease(site.notifiedWithin(), rules.drainGrace());
         double window = rules.hasBudget() ? rules.budgetWindow() : 1;
         this.taken = new Ring(window, 50);
@@ -225,14 +213,9 @@
         if (!knowsList) {
             knowsList = true;
             bornAt = now;
-            // The last of many gateways must still have asked before it counts as told.
-            if (site.mustAsk()) {
-                double spread = Math.min(ASK_SPREAD * site.askWithin(), FIRST_ASKED);
-                askAt = now + site.me() * Math.min(ASK_STAGGER, spread / site.gateways());
-            }
-        } else if (asked) {
-            askGap = ASK_AGAIN;
-            askAt = Double.POSITIVE_INFINITY;
+            discovery.started(now);
+        } else {
+            discovery.answered();
         }
         // Whoever waits for a node that drains, or for a shard that moved, is looked at anew.
         queueAnew(homeless);
@@ -262,10 +245,7 @@
     public void listConfirmed(double asOf) {
         lease.confirmed(asOf);
         state++;
-        if (asked) {
-            askGap = ASK_AGAIN;
-            askAt = Double.POSITIVE_INFINITY;
-        }
+        discovery.answered();
     }
 
     /** Nobody could reach discovery at a time. */
@@ -275,17 +255,13 @@
 
     /** A list call failed, or the subscription dropped. */
     public void listFailed(double now) {
-        if (site.mustAsk()) {
-            askAt = now + askGap * (0.5 + chance.nextDouble());
-            askGap = Math.min(askGap * ASK_GAP_GROWTH, MOST_ASK_GAP);
-        }
+        discovery.failed(now);
     }
 
     /** The list is kept elsewhere from now on, and nobody has been asked there. */
     public void listMoved(double now) {
         lease.moved(now);
-        askGap = ASK_AGAIN;
-        askAt = now + chance.nextDouble() * ASK_AGAIN;
+        discovery.moved(now);
     }
 
     /** What a probe found. */
@@ -383,13 +359,8 @@
         }
         if (newest != null && lowestScore(newest, now) != null) { due.add(newest); }
         addLate(late, at, null, due);
-        Pause.ListCall call = Pause.ListCall.NONE;
-        if (askAt <= now) {
-            call = Pause.ListCall.SUBSCRIBE;
-            asked = true;
-            askAt = now + Math.max(site.askWithin() / 2, ASK_PATIENCE);
-        }
-        lookAt(askAt);
+        Pause.ListCall call = discovery.takeDue(now) ? Pause.ListCall.SUBSCRIBE : Pause.ListCall.NONE;
+        lookAt(discovery.nextAt());
         List<Attempt> callOff = List.copyOf(unwanted);
         unwanted.clear();
         return new Pause(Math.max(0, nextLook - now), due, List.of(), callOff, call);
