A list that comes slowly confirms only what discovery had when it was begun

Change: a list counts from its first bytes (the first one from its request), and a line's end within 0.5 s behind a list is that list's.

--- a/src/main/java/sagepulley/platform/DiscoveryLink.java
+++ b/src/main/java/sagepulley/platform/DiscoveryLink.java
@@ -57,6 +57,8 @@
     private static final double OVERDUE_SILENT_MS = 12_000;
     /** A line on a watch was written at most so long before it came, or as long as the watch's first list took. */
     private static final double LONGEST_LINE_DELAY_MS = 1_000;
+    /** A line's end that comes so soon behind a list belongs to that list, and is no empty line. */
+    private static final double LIST_END_MS = 500;
 
     /** Told what discovery says, on the loop. */
     interface Owner {
@@ -203,6 +205,9 @@
         private final double beganAt = clock.getAsDouble();
         private double requestedAt = Double.NaN;
         private double firstListTook;
+        /** By the clock: when the first bytes of the list under way came, and when the last list was whole. */
+        private double listBeganAt = Double.NaN;
+        private double listEndedAt = Double.NEGATIVE_INFINITY;
         private final int number = ++calls;
         private Channel channel;
         private ScheduledFuture<?> silence;
@@ -329,10 +334,18 @@
                 bytes += content.content().readableBytes();
                 boolean endsLine = content.content().indexOf(content.content().readerIndex(),
                         content.content().writerIndex(), (byte) '\n') >= 0;
+                double cameAt = clock.getAsDouble() - arrival.ago(channel, silenceMs);
+                if (!values.inMiddle()) {
+                    listBeganAt = cameAt;
+                }
+                int listsBefore = lists;
                 ctx.fireChannelRead(content.content().retain());
+                if (lists > listsBefore) {
+                    listBeganAt = cameAt; // of the next one, if it is under way
+                }
                 // Only a whole list or an empty line is a sign of life: half a list that trickles is silence too.
-                if (!over && answered && endsLine && !values.inMiddle()) {
-                    livesOn();
+                if (!over && answered && endsLine && !values.inMiddle() && cameAt - listEndedAt > LIST_END_MS) {
+                    livesOn(cameAt);
                 }
             }
             if (message instanceof LastHttpContent && !over) {
@@ -345,19 +358,18 @@
             }
         }
 
-        /** All that discovery had to tell when it wrote this has come. */
-        private void livesOn() {
+        /** An empty line: all that discovery had to tell when it wrote it has come. */
+        private void livesOn(double cameAt) {
             if (watches) {
                 relyOn(this);
                 failIn(silenceMs);
             }
-            owner.listConfirmed(lineWrittenAt());
+            owner.listConfirmed(writtenAt(cameAt));
         }
 
-        /** A time at which the line that was read now had not been written yet, as far as that can be told. */
-        private double lineWrittenAt() {
-            return clock.getAsDouble() - arrival.ago(channel, silenceMs)
-                    - Math.min(firstListTook, LONGEST_LINE_DELAY_MS);
+        /** A time at which a line had not been written yet whose first bytes came then, as far as that can be told. */
+        private double writtenAt(double cameAt) {
+            return cameAt - Math.min(firstListTook, LONGEST_LINE_DELAY_MS);
         }
 
         private void told(ByteBuf text) {
@@ -375,6 +387,7 @@
             }
             answered = true;
             lists++;
+            listEndedAt = clock.getAsDouble();
             if (watches) {
                 relyOn(this);
                 failIn(silenceMs);
@@ -387,7 +400,7 @@
             revision = listing.revision();
             owner.listed(listing);
             // The first list is what discovery had at some time after it was asked, however long it was on its way.
-            owner.listConfirmed(first ? requestedAt : lineWrittenAt());
+            owner.listConfirmed(first ? requestedAt : writtenAt(listBeganAt));
         }
 
         @Override
--- a/src/test/java/sagepulley/platform/DiscoveryTest.java
+++ b/src/test/java/sagepulley/platform/DiscoveryTest.java
@@ -210,6 +210,41 @@
         }
     }
 
+    /** However long a list is on its way, it tells what discovery had when it was begun, and its line's end no more. */
+    @Test
+    void aListThatComesSlowlyConfirmsNoMoreThanWhatWasKnownWhenItWasBegun() throws Exception {
+        try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
+            peers.listing = null;
+            link(peers);
+            await().until(() -> isSilent(peers));
+            double asked = clock.now();
+            Peers.Talk talk = last(peers.silent);
+            slowly(talk, "HTTP/1.1 200 OK\r\n\r\n", CHANGE.formatted(44, "") + "\n");
+            await().until(() -> told.size() == 1);
+            Thread.sleep(100);
+            assertTrue(confirmations.stream().allMatch(asOf -> asOf <= asked), "as of " + confirmations);
+            double begun = clock.now();
+            slowly(talk, "", CHANGE.formatted(45, "") + "\n\n");
+            await().until(() -> told.size() == 2);
+            assertTrue(confirmations.stream().allMatch(asOf -> asOf <= begun + 100), "as of " + confirmations);
+            Thread.sleep(700);
+            double resting = clock.now();
+            talk.say("\n");
+            await().until(() -> confirmations.stream().anyMatch(asOf -> asOf > resting - 1_100));
+        }
+    }
+
+    /** Half of a list, a pause, and the rest with its line's end by itself. */
+    private static void slowly(Peers.Talk talk, String head, String list) throws Exception {
+        int middle = list.length() / 2;
+        int end = list.lastIndexOf('}') + 1;
+        talk.say(head + list.substring(0, middle));
+        Thread.sleep(1_500);
+        talk.say(list.substring(middle, end));
+        Thread.sleep(50);
+        talk.say(list.substring(end));
+    }
+
     @Test
     void whatIsOlderThanWhatIsHeldIsNotToldAndADiscoveryThatStartsAnewIs() throws Exception {
         try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
