An answer survives a send that the system refuses for want of buffers

Change: ClientOutput gives answers to the system itself, what there is no room for to Netty, and asks again after 1 ms where there are no buffers; the shim refuses sends again. What Netty holds back for a slow reader is still sent by Netty.

--- a/src/main/java/sagepulley/platform/ClientConnection.java
+++ b/src/main/java/sagepulley/platform/ClientConnection.java
@@ -62,6 +62,7 @@
     private final RespDecoder decoder;
     private final ArrayDeque<Slot> unanswered = new ArrayDeque<>();
     private Channel channel;
+    private ClientOutput output;
     private Phase phase = Phase.OPEN;
     private boolean shutting;
     /** When it connected, when it last asked or was answered, and when it last sent a byte. */
@@ -125,6 +126,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
+        output = new ClientOutput(channel, this::pace);
         connectedAt = owner.now();
         activeAt = connectedAt;
         heardAt = connectedAt;
@@ -166,7 +168,7 @@
             if (phase == Phase.CLOSED) {
                 bytes.release();
             } else {
-                channel.write(bytes, channel.voidPromise());
+                output.write(bytes);
                 wrote = true;
             }
         }
@@ -175,12 +177,13 @@
         }
         if (wrote) {
             activeAt = owner.now();
-            channel.flush();
+            output.flush();
         }
         if (phase == Phase.DRAINING && unanswered.isEmpty() && !shutting) {
             shutting = true;
             doneSince = owner.now();
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(flushed -> shutOutput());
+            output.afterAll(() -> channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
+                    .addListener(flushed -> shutOutput()));
         }
         pace();
     }
@@ -201,7 +204,7 @@
     private void pace() {
         if (phase != Phase.CLOSED) {
             channel.config().setAutoRead(shutting || unanswered.size() < MOST_UNANSWERED
-                    && channel.isWritable());
+                    && channel.isWritable() && !output.isWaiting());
         }
     }
 
@@ -228,6 +231,7 @@
             }
         }
         unanswered.clear();
+        output.release();
         owner.closed(this);
     }
 
--- /dev/null
+++ b/src/main/java/sagepulley/platform/ClientOutput.java
@@ -0,0 +1,130 @@
+package sagepulley.platform;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.unix.Errors.NativeIoException;
+import io.netty.channel.unix.FileDescriptor;
+import io.netty.channel.unix.UnixChannel;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Writes answers to one client's socket. They are given to the system at once, and what it has no room for to Netty, which
+ * waits until there is. A system without buffers (ENOBUFS, ENOMEM) is asked again a moment later: Netty would close the
+ * connection, and the answer would be lost. On the loop.
+ */
+final class ClientOutput {
+    private static final long RETRY_MS = 1;
+    private static final int ENOMEM = -12;
+    private static final int ENOBUFS = -105;
+
+    private final Channel channel;
+    private final Runnable resumed;
+    private final ArrayDeque<ByteBuf> waiting = new ArrayDeque<>();
+    private Runnable whenPassed = () -> { };
+    private boolean retries;
+
+    /** The task runs when what had to wait has been passed on. */
+    ClientOutput(Channel channel, Runnable resumed) {
+        this.channel = channel;
+        this.resumed = resumed;
+    }
+
+    /** Whether some answer could be given neither to the system nor to Netty yet. */
+    boolean isWaiting() {
+        return !waiting.isEmpty();
+    }
+
+    void write(ByteBuf bytes) {
+        waiting.add(bytes);
+    }
+
+    /** Runs the task once all that was written by now has been passed on. */
+    void afterAll(Runnable task) {
+        whenPassed = task;
+        flush();
+    }
+
+    void flush() {
+        if (retries) {
+            return;
+        }
+        while (!waiting.isEmpty()) {
+            if (!isNettyIdle() || !(channel instanceof UnixChannel socket)) {
+                passToNetty();
+                break;
+            }
+            try {
+                if (!passToSystem(socket.fd())) {
+                    passToNetty();
+                    break;
+                }
+            } catch (NativeIoException failed) {
+                if (failed.expectedErr() == ENOBUFS || failed.expectedErr() == ENOMEM) {
+                    retryLater();
+                    return;
+                }
+                passToNetty(); // which ends the connection
+                break;
+            } catch (IOException failed) {
+                passToNetty();
+                break;
+            }
+        }
+        Runnable task = whenPassed;
+        whenPassed = () -> { };
+        task.run();
+    }
+
+    /** Drops what waits: the connection is gone. */
+    void release() {
+        waiting.forEach(ByteBuf::release);
+        waiting.clear();
+    }
+
+    private boolean isNettyIdle() {
+        ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
+        return pending != null && pending.isEmpty();
+    }
+
+    /** Whether the system took all of the first answer. */
+    private boolean passToSystem(FileDescriptor socket) throws IOException {
+        ByteBuf first = waiting.peek();
+        if (!first.isDirect() || first.nioBufferCount() != 1) {
+            ByteBuf direct = channel.alloc().directBuffer(first.readableBytes());
+            direct.writeBytes(first);
+            first.release();
+            waiting.poll();
+            waiting.addFirst(direct);
+            first = direct;
+        }
+        ByteBuffer bytes = first.nioBuffer();
+        first.skipBytes(socket.write(bytes, bytes.position(), bytes.limit()));
+        if (first.isReadable()) {
+            return false;
+        }
+        waiting.poll().release();
+        return true;
+    }
+
+    private void passToNetty() {
+        for (ByteBuf next = waiting.poll(); next != null; next = waiting.poll()) {
+            channel.write(next, channel.voidPromise());
+        }
+        channel.flush();
+    }
+
+    private void retryLater() {
+        retries = true;
+        channel.eventLoop().schedule(() -> {
+            retries = false;
+            if (channel.isOpen()) {
+                flush();
+                resumed.run();
+            }
+        }, RETRY_MS, TimeUnit.MILLISECONDS);
+    }
+}
--- a/src/test/resources/faults/shim.c
+++ b/src/test/resources/faults/shim.c
@@ -117,7 +117,7 @@
 {
     REAL(write)
     if (failures && count > 1 && is_stream(fd)) {
-        FAIL_BY(EINTR);
+        FAIL_BY(EINTR, ENOBUFS);
         if (next_random() % 10000 < failures * 10) { count = 1 + next_random() % 16 % count; }
     }
     return real(fd, buffer, count);
@@ -137,7 +137,7 @@
 {
     REAL(send)
     if (failures && count > 1) {
-        FAIL_BY(EINTR);
+        FAIL_BY(EINTR, ENOBUFS);
         if (next_random() % 10000 < failures * 10) { count = 1 + next_random() % 16 % count; }
     }
     return real(fd, buffer, count, flags);
