--- a/src/test/java/sagepulley/faults/GatewayProcess.java
+++ b/src/test/java/sagepulley/faults/GatewayProcess.java
@@ -68,6 +68,13 @@
         new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
     }
 
+    /** Stops it for a while, as a machine does that has no processor for it. */
+    void holdUp(String seconds) throws IOException, InterruptedException {
+        String pid = Long.toString(process.pid());
+        new ProcessBuilder("sh", "-c", "kill -STOP " + pid + "; sleep " + seconds + "; kill -CONT " + pid).start()
+                .waitFor();
+    }
+
     /** SIGKILL, and waits until it is gone. */
     void kill() throws InterruptedException {
         process.destroyForcibly().waitFor();
