A new configuration shortens the lease from the signal on, moved or not

Need: what discovery has counts as notified 4 s after SIGHUP; the lease counted from when the file had been read, and not at all where the address stayed. Change: the time is taken in the signal's handler and handed through; the lease is shortened for every file that can be used.

--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -258,9 +258,13 @@
         discovery.failed(now);
     }
 
+    /** A new configuration was told at a time, which may move discovery. */
+    public void reloaded(double toldAt) {
+        lease.reloaded(toldAt);
+    }
+
     /** The list is kept elsewhere from now on, and nobody has been asked there. */
     public void listMoved(double now) {
-        lease.moved(now);
         discovery.moved(now);
     }
 
--- a/src/main/java/sagepulley/control/EndpointLease.java
+++ b/src/main/java/sagepulley/control/EndpointLease.java
@@ -10,8 +10,8 @@
     /** A process may be held up between reading its clock and writing; and what the sender's timers add. */
     private static final double HOLD_UP = 150;
     private static final double TIMER_SLACK = 50;
-    /** What discovery has to tell counts as notified so long after it moved to another address. */
-    private static final double NOTIFIED_AFTER_MOVE = 4_000;
+    /** What discovery has to tell counts as notified so long after a new configuration was told. */
+    private static final double NOTIFIED_AFTER_RELOAD = 4_000;
 
     private final double notifiedWithin;
     private final double usableAfter;
@@ -50,10 +50,10 @@
         }
     }
 
-    /** Discovery has moved to another address, which has confirmed nothing yet. */
-    void moved(double now) {
+    /** A new configuration was told at a time: discovery may be elsewhere, and has confirmed nothing there yet. */
+    void reloaded(double toldAt) {
         if (isBounded()) {
-            currentUntil = Math.min(currentUntil, now + NOTIFIED_AFTER_MOVE);
+            currentUntil = Math.min(currentUntil, toldAt + NOTIFIED_AFTER_RELOAD);
         }
     }
 
--- a/src/main/java/sagepulley/host/Host.java
+++ b/src/main/java/sagepulley/host/Host.java
@@ -111,6 +111,11 @@
         control.listFailed(now);
     }
 
+    /** A new configuration was told at a time, which may move discovery. */
+    public void reloaded(double toldAt) {
+        control.reloaded(toldAt);
+    }
+
     public void listMoved(double now) {
         control.listMoved(now);
     }
--- a/src/main/java/sagepulley/platform/PlatformGateway.java
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -426,11 +426,17 @@
         return discovery.address();
     }
 
-    /** The file was read anew: discovery moves; what else differs holds from the next start on. */
-    void reload(Config fresh) {
+    /**
+     * The file was read anew, as was told at a time: discovery moves; what else differs holds from the next start on. What
+     * discovery has counts as notified some seconds after that time, however long the file took to read.
+     */
+    void reload(Config fresh, double toldAt) {
         loop.execute(() -> {
-            Log.info("configuration read anew", "discovery", fresh.discovery());
-            if (discovery.moveTo(fresh.discovery())) {
+            Log.info("configuration read anew", "discovery", fresh.discovery(), "after-ms",
+                    Math.round(clock.now() - toldAt));
+            boolean moved = discovery.moveTo(fresh.discovery());
+            host.reloaded(toldAt);
+            if (moved) {
                 host.listMoved(clock.now());
                 settle();
             }
--- a/src/main/java/sagepulley/platform/Serve.java
+++ b/src/main/java/sagepulley/platform/Serve.java
@@ -33,7 +33,10 @@
         Signals.on("INT", gateway::stop);
         // One after the other: the last to read the file is the last to be heard.
         ExecutorService reloads = Executors.newSingleThreadExecutor(new DefaultThreadFactory("reload", true));
-        Signals.on("HUP", () -> reloads.execute(() -> reload(gateway, environment)));
+        Signals.on("HUP", () -> {
+            double toldAt = gateway.now();
+            reloads.execute(() -> reload(gateway, environment, toldAt));
+        });
         gateway.begin();
         Rehearsal.inside(REHEARSED, REHEARSAL_MS);
         try {
@@ -58,10 +61,10 @@
         return all.toString();
     }
 
-    /** Reads the configuration anew; one that cannot be used leaves all as it was. */
-    static void reload(PlatformGateway gateway, Map<String, String> environment) {
+    /** Reads the configuration anew, as was told at a time; one that cannot be used leaves all as it was. */
+    static void reload(PlatformGateway gateway, Map<String, String> environment, double toldAt) {
         try {
-            gateway.reload(Config.read(environment));
+            gateway.reload(Config.read(environment), toldAt);
         } catch (ConfigError bad) {
             Log.warn("the new configuration cannot be used", "why", bad.getMessage());
         }
--- a/src/test/java/sagepulley/control/EndpointLeaseTest.java
+++ b/src/test/java/sagepulley/control/EndpointLeaseTest.java
@@ -53,9 +53,9 @@
     }
 
     @Test
-    void aMoveOfDiscoveryShortensItUntilTheNewAddressConfirms() {
+    void aNewConfigurationShortensItUntilDiscoveryConfirms() {
         lease.confirmed(0);
-        lease.moved(100);
+        lease.reloaded(100);
         assertFalse(lease.holds(100 + 4_000 + GRACE));
         lease.confirmed(300);
         assertTrue(lease.holds(100 + 4_000 + GRACE));
@@ -64,7 +64,7 @@
     @Test
     void whereNothingArrivesLateItAlwaysHolds() {
         EndpointLease unbounded = new EndpointLease(Double.POSITIVE_INFINITY, GRACE);
-        unbounded.moved(5);
+        unbounded.reloaded(5);
         assertTrue(unbounded.holds(1e12));
     }
 
--- a/src/test/java/sagepulley/platform/DiscoveryTest.java
+++ b/src/test/java/sagepulley/platform/DiscoveryTest.java
@@ -145,8 +145,8 @@
             peers.listing = "{\"revision\":7,\"complete\":false,\"members\":[]}";
             var first = peers.discovery();
             var second = peers.discovery();
-            peers.gateway.reload(peers.configAt(first));
-            peers.gateway.reload(peers.configAt(second));
+            peers.gateway.reload(peers.configAt(first), peers.gateway.now());
+            peers.gateway.reload(peers.configAt(second), peers.gateway.now());
             await().until(() -> peers.watches.stream().anyMatch(watch ->
                     watch.socket.getLocalSocketAddress().equals(second)));
         }
--- a/src/test/java/sagepulley/platform/ServeTest.java
+++ b/src/test/java/sagepulley/platform/ServeTest.java
@@ -91,7 +91,7 @@
             await().until(() -> peers.watches.size() == 3);
 
             Files.writeString(file, "{\"listen\":");
-            Serve.reload(gateway, environment);
+            Serve.reload(gateway, environment, gateway.now());
             Peers.Talk client = new Peers.Talk(new Socket(InetAddress.getLoopbackAddress(), port));
             client.ask("PING");
             assertEquals("+PONG", client.answer());
