The soak is a command; its stand-ins and judges are the package faults

Need: the plan has a package faults for scripted and seeded trouble; as test code the soak could only be run through Maven. No check changes.

--- a/src/main/java/sagepulley/cli/Commands.java
+++ b/src/main/java/sagepulley/cli/Commands.java
@@ -16,8 +16,8 @@
         synopsisSubcommandLabel = "COMMAND", sortOptions = false,
         subcommands = {GatewayCommand.class, NodeCommand.class, DirectoryCommand.class, DemoCommand.class,
             ReportCommand.class, ExplainCommand.class, TopCommand.class, NodesCommand.class,
-            ListFileCommand.class, DrillCommand.class, TruthCommand.class, StartsCommand.class,
-            MeasureCommand.class, CheckSiteCommand.class},
+            ListFileCommand.class, DrillCommand.class, SoakCommand.class, TruthCommand.class,
+            StartsCommand.class, MeasureCommand.class, CheckSiteCommand.class},
         footer = {"", "  simhost      the decisions on the bench's wire, on standard input and output"})
 public final class Commands implements Runnable {
     public static final int OK = 0;
--- /dev/null
+++ b/src/main/java/sagepulley/cli/SoakCommand.java
@@ -0,0 +1,91 @@
+package sagepulley.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import sagepulley.faults.SoakRun;
+
+/** Runs the seeded soak by hand. */
+@Command(name = "soak", mixinStandardHelpOptions = true,
+        description = "Runs small fleets of 'serve' processes on loopback under overlapping faults that follow from a "
+                + "seed, and judges the rules by what passed on the sockets; exits with 1 if one was broken.")
+final class SoakCommand implements Callable<Integer> {
+    private static final int SHOWN = 5;
+
+    @Option(names = "--first", paramLabel = "SEED", defaultValue = "1", description = "the first seed (${DEFAULT-VALUE})")
+    private long first;
+
+    @Option(names = "--seeds", paramLabel = "N", defaultValue = "8", description = "how many seeds (${DEFAULT-VALUE})")
+    private int seeds;
+
+    @Option(names = "--seconds", paramLabel = "N", defaultValue = "24",
+            description = "length of a run (${DEFAULT-VALUE})")
+    private int seconds;
+
+    @Option(names = "--at-once", paramLabel = "N", defaultValue = "4",
+            description = "runs side by side, of two to four processes each (${DEFAULT-VALUE})")
+    private int atOnce;
+
+    @Option(names = "--logs", paramLabel = "FOLDER", required = true,
+            description = "keeps configurations and logs of each run there")
+    private Path logs;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    /** What came of one seed. */
+    private record Outcome(long seed, List<String> broken, long served, String story) {
+    }
+
+    @Override
+    public Integer call() throws InterruptedException, ExecutionException {
+        ExecutorService runners = Executors.newFixedThreadPool(atOnce);
+        try {
+            List<Future<Outcome>> runs = new ArrayList<>();
+            for (long seed = first; seed < first + seeds; seed++) {
+                long each = seed;
+                runs.add(runners.submit(() -> run(each)));
+            }
+            int failed = 0;
+            for (Future<Outcome> run : runs) {
+                failed += print(run.get());
+            }
+            spec.commandLine().getOut().println(seeds - failed + " passed, " + failed + " failed");
+            return failed == 0 ? Commands.OK : Commands.FAILED;
+        } finally {
+            runners.shutdownNow();
+        }
+    }
+
+    private Outcome run(long seed) throws IOException, InterruptedException {
+        Path folder = Files.createDirectories(logs.resolve("seed-" + seed));
+        try (SoakRun run = new SoakRun(seed, folder, seconds * 1_000L)) {
+            List<String> broken = run.violations();
+            return new Outcome(seed, broken, run.served(), run.story());
+        }
+    }
+
+    /** Prints a line, and for a run that broke a rule what it broke and what happened; gives 1 for such a run. */
+    private int print(Outcome outcome) {
+        PrintWriter out = spec.commandLine().getOut();
+        if (outcome.broken().isEmpty()) {
+            out.println("seed " + outcome.seed() + ": passed, served " + outcome.served());
+            return 0;
+        }
+        out.println("seed " + outcome.seed() + ": FAILED, " + outcome.broken().size() + " violations");
+        outcome.broken().stream().limit(SHOWN).forEach(each -> out.println("  " + each));
+        out.println(outcome.story());
+        return 1;
+    }
+}
--- a/src/test/java/sagepulley/faults/GatewayProcess.java
+++ b/src/main/java/sagepulley/faults/GatewayProcess.java
@@ -1,7 +1,5 @@
 package sagepulley.faults;
 
-import static org.awaitility.Awaitility.await;
-
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -15,6 +13,7 @@
 /** One `serve` process as it runs in service: its own JVM, a configuration file, signals. */
 final class GatewayProcess implements Closeable {
     private static final long START_S = 30;
+    private static final long PING_PAUSE_MS = 50;
 
     final int number;
     final Path log;
@@ -36,8 +35,14 @@
                 .start();
     }
 
-    GatewayProcess awaitReady() {
-        await().atMost(START_S, TimeUnit.SECONDS).until(this::answersPing);
+    GatewayProcess awaitReady() throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_S);
+        while (!answersPing()) {
+            if (System.nanoTime() > until) {
+                throw new IllegalStateException("the gateway is not ready after " + START_S + " s: " + logText());
+            }
+            Thread.sleep(PING_PAUSE_MS);
+        }
         return this;
     }
 
--- a/src/test/java/sagepulley/faults/SoakRun.java
+++ b/src/main/java/sagepulley/faults/SoakRun.java
@@ -20,7 +20,7 @@
  * endpoints, of gateway processes, of the system's calls and clock, overlapping. What it judges is what passed on the
  * sockets; what it did is kept as a journal, for whoever looks for the cause.
  */
-final class SoakRun implements Closeable {
+public final class SoakRun implements Closeable {
     private static final int SHARDS = 6;
     private static final int CLIENTS = 4;
     private static final int CROWD = 130;
@@ -59,7 +59,7 @@
     private long startedAt;
     private long order;
 
-    SoakRun(long seed, Path folder, long lengthMs) throws IOException, InterruptedException {
+    public SoakRun(long seed, Path folder, long lengthMs) throws IOException, InterruptedException {
         this.seed = seed;
         this.lengthMs = lengthMs;
         this.random = new Random(seed);
@@ -74,11 +74,13 @@
     }
 
     /** Runs it to its end, and gives what broke a rule. */
-    List<String> violations() throws IOException, InterruptedException {
+    public List<String> violations() throws IOException, InterruptedException {
         for (int i = 0; i < gateways; i++) {
             running.put(i, fleet.start(i));
         }
-        running.values().forEach(GatewayProcess::awaitReady);
+        for (GatewayProcess gateway : running.values()) {
+            gateway.awaitReady();
+        }
         startedAt = System.nanoTime();
         note("on the clock of the requests " + startedAt / 1_000_000 % 10_000_000 + " ms, wall "
                 + Instant.now());
@@ -115,14 +117,14 @@
     }
 
     /** What happened when, and how many requests ended how. */
-    String story() {
+    public String story() {
         Map<Request.End, Integer> ends = new HashMap<>();
         fleet.requests().forEach(request -> ends.merge(request.end == null ? Request.End.SILENT : request.end, 1,
                 Integer::sum));
         return "seed " + seed + ", " + gateways + " gateways, ends " + ends + "\n  " + String.join("\n  ", journal);
     }
 
-    long served() {
+    public long served() {
         return fleet.requests().stream().filter(request -> request.end == Request.End.SERVED).count();
     }
 
--- a/src/test/java/sagepulley/faults/TestFleet.java
+++ b/src/main/java/sagepulley/faults/TestFleet.java
@@ -63,11 +63,13 @@
         return gateway;
     }
 
-    List<GatewayProcess> startAll() throws IOException {
+    List<GatewayProcess> startAll() throws IOException, InterruptedException {
         for (int i = 0; i < size; i++) {
             start(i);
         }
-        gateways.forEach(GatewayProcess::awaitReady);
+        for (GatewayProcess gateway : gateways) {
+            gateway.awaitReady();
+        }
         return gateways;
     }
 
--- a/src/test/java/sagepulley/faults/StaleEndpointsTest.java
+++ b/src/test/java/sagepulley/faults/StaleEndpointsTest.java
@@ -62,14 +62,7 @@
     void aProcessThatLostItsWatchSendsNothingToWhatHasDrained(String what, DiscoveryServer.Behaviour behaviour)
             throws Exception {
         try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
-            fleet.start(0).awaitReady();
-            fleet.load(0, 6, ClientLoad.Habits.STEADY, 2);
-            Thread.sleep(1_000);
-            fleet.discovery.behaviour = behaviour;
-            fleet.discovery.resetAll();
-            drain(fleet, 0);
-            Thread.sleep(WATCHED_MS);
-            assertNoSendAfterGrace(fleet);
+            drainAfterTheWatchIsLost(fleet, behaviour, 2);
             fleet.discovery.behaviour = DiscoveryServer.Behaviour.HEALTHY;
             assertServedAgain(fleet);
         }
@@ -103,14 +96,7 @@
     @MethodSource("slowDiscoveries")
     void aDiscoveryThatAnswersSlowlyIsHeard(String what, DiscoveryServer.Behaviour behaviour) throws Exception {
         try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
-            fleet.start(0).awaitReady();
-            fleet.load(0, 6, ClientLoad.Habits.STEADY, 4);
-            Thread.sleep(1_000);
-            fleet.discovery.behaviour = behaviour;
-            fleet.discovery.resetAll();
-            drain(fleet, 0);
-            Thread.sleep(WATCHED_MS);
-            assertNoSendAfterGrace(fleet);
+            drainAfterTheWatchIsLost(fleet, behaviour, 4);
             assertServedAgain(fleet);
         }
     }
@@ -132,6 +118,18 @@
         }
     }
 
+    private static void drainAfterTheWatchIsLost(TestFleet fleet, DiscoveryServer.Behaviour behaviour, long seed)
+            throws Exception {
+        fleet.start(0).awaitReady();
+        fleet.load(0, 6, ClientLoad.Habits.STEADY, seed);
+        Thread.sleep(1_000);
+        fleet.discovery.behaviour = behaviour;
+        fleet.discovery.resetAll();
+        drain(fleet, 0);
+        Thread.sleep(WATCHED_MS);
+        assertNoSendAfterGrace(fleet);
+    }
+
     private static void drain(TestFleet fleet, int store) {
         fleet.discovery.set(fleet.stores.get(store).endpoint(Endpoint.State.DRAINING, 0));
     }
