Answers are asked to be taken again after a short write, before Netty has them

Change: only a system that takes nothing is out of room; a client's connection that fails says why in the log.

--- a/src/main/java/sagepulley/platform/ClientConnection.java
+++ b/src/main/java/sagepulley/platform/ClientConnection.java
@@ -245,6 +245,7 @@
             slot.answer(RespBytes.error("ERR protocol error: " + cause.getMessage()));
         } else if (!(cause instanceof DecoderException)) {
             // A reset is how many clients leave; anything else is worth a line.
+            endReason = String.valueOf(cause.getMessage());
             if (!(cause instanceof IOException)) {
                 Log.warn("a client's connection failed", "why", cause, "unanswered", unanswered.size());
             }
--- a/src/main/java/sagepulley/platform/ClientOutput.java
+++ b/src/main/java/sagepulley/platform/ClientOutput.java
@@ -101,10 +101,13 @@
             waiting.addFirst(direct);
             first = direct;
         }
-        ByteBuffer bytes = first.nioBuffer();
-        first.skipBytes(socket.write(bytes, bytes.position(), bytes.limit()));
-        if (first.isReadable()) {
-            return false;
+        while (first.isReadable()) {
+            ByteBuffer bytes = first.nioBuffer();
+            int taken = socket.write(bytes, bytes.position(), bytes.limit());
+            if (taken <= 0) {
+                return false;
+            }
+            first.skipBytes(taken); // less than asked for is no sign that there is no room
         }
         waiting.poll().release();
         return true;
