What the old address of discovery still writes is taken until the new one has told a list

Change: the old watch is heard until the new address has told a list; it confirms nothing, and its end is no failure. DiscoveryTest has the case. DiscoveryTest, ServeTest, StopTest, ArrowsTest pass.

--- a/src/main/java/sagepulley/platform/DiscoveryLink.java
+++ b/src/main/java/sagepulley/platform/DiscoveryLink.java
@@ -136,7 +136,7 @@
         overdue.add(call);
         if (overdue.size() > MOST_OVERDUE) {
             Call oldest = overdue.peekFirst();
-            Call dropped = oldest.bytes == 0 && oldest.openMs() > OVERDUE_SILENT_MS ? oldest : overdue.peekLast();
+            Call dropped = oldest.isFormer || oldest.bytes == 0 && oldest.openMs() > OVERDUE_SILENT_MS ? oldest : overdue.peekLast();
             overdue.remove(dropped);
             dropped.drop("overdue");
         }
@@ -162,16 +162,37 @@
         fetch.open();
     }
 
-    /** Discovery has another address from now on; the old one is not listened to any more. Whether it moved. */
+    /**
+     * Discovery has another address from now on. What the old one still tells on its watch counts as told and is taken,
+     * until the new one has told a list; it confirms nothing any more, and its end is no failure. Whether it moved.
+     */
     boolean moveTo(SocketAddress fresh) {
         if (fresh.equals(address)) {
             return false;
         }
         address = fresh;
+        Call former = takeAnswered();
         close();
+        if (former != null) {
+            former.isOverdue = true;
+            former.isFormer = true;
+            overdue.add(former);
+        }
         return true;
     }
 
+    /** The watch that last told something, taken out of the others; null if none has. */
+    private Call takeAnswered() {
+        if (watch != null && watch.answered) {
+            Call taken = watch;
+            watch = null;
+            return taken;
+        }
+        Call taken = overdue.stream().filter(call -> call.answered).findFirst().orElse(null);
+        overdue.remove(taken);
+        return taken;
+    }
+
     void close() {
         overdue.forEach(call -> call.drop("closed"));
         overdue.clear();
@@ -218,6 +239,8 @@
         private boolean announces;
         /** It counts as failed, and is kept open all the same. */
         private boolean isOverdue;
+        /** It was the watch at an address that discovery has left. */
+        private boolean isFormer;
 
         Call(boolean watches) {
             this.watches = watches;
@@ -360,6 +383,9 @@
 
         /** An empty line: all that discovery had to tell when it wrote it has come. */
         private void livesOn(double cameAt) {
+            if (isFormer) {
+                return;
+            }
             if (watches) {
                 relyOn(this);
                 failIn(silenceMs);
@@ -388,7 +414,7 @@
             answered = true;
             lists++;
             listEndedAt = clock.getAsDouble();
-            if (watches) {
+            if (watches && !isFormer) {
                 relyOn(this);
                 failIn(silenceMs);
             }
@@ -399,6 +425,9 @@
             }
             revision = listing.revision();
             owner.listed(listing);
+            if (isFormer) {
+                return;
+            }
             // The first list is what discovery had at some time after it was asked, however long it was on its way.
             owner.listConfirmed(first ? requestedAt : writtenAt(listBeganAt));
         }
--- /dev/null
+++ b/src/test/java/sagepulley/faults/StopTest.java
@@ -0,0 +1,63 @@
+package sagepulley.faults;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A planned stop on a real process: clients go on using their connections, a store hangs, the process is held up. */
+@Timeout(60)
+class StopTest {
+    private static final long KILL_AFTER_MS = TestFleet.LONGEST_DEADLINE_MS + 700;
+    private static final String HOLD_UP_SECONDS = "0.14";
+    /** When no more is taken, and just before the kill. */
+    private static final long[] HELD_UP_BEFORE_KILL_MS = {620, 160};
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void allIsAnsweredAndTheProcessHasEndedBeforeTheEarliestKillThoughItIsHeldUp() throws Exception {
+        try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
+            GatewayProcess gateway = fleet.start(0).awaitReady();
+            ClientLoad load = fleet.load(0, 12, ClientLoad.Habits.STEADY, 6);
+            Thread.sleep(1_500);
+            fleet.stores.get(0).hangs = true;
+            long toldAt = System.nanoTime();
+            gateway.signal("TERM");
+            Thread.sleep(400);
+            load.stayAway(true);
+            for (long beforeKill : HELD_UP_BEFORE_KILL_MS) {
+                sleepUntil(toldAt, KILL_AFTER_MS - beforeKill);
+                if (gateway.isAlive()) {
+                    gateway.holdUp(HOLD_UP_SECONDS);
+                }
+            }
+            sleepUntil(toldAt, KILL_AFTER_MS);
+            boolean alive = gateway.isAlive();
+            long killedAt = System.nanoTime();
+            gateway.kill();
+            load.stop();
+            List<Request> requests = fleet.requests();
+            List<String> broken = new AnswerRule(List.of(new AnswerRule.Ending(0, toldAt, killedAt, System.nanoTime())),
+                    false).broken(fleet.arrivals(), requests);
+            assertEquals(List.of(), broken);
+            assertFalse(alive, "it had not ended by the earliest kill");
+            assertEquals(0, gateway.exitCode(), gateway::logText);
+            long lastSent = requests.stream().filter(each -> each.end == Request.End.SERVED)
+                    .mapToLong(each -> each.sentAt - toldAt).max().orElse(0);
+            assertTrue(TimeUnit.NANOSECONDS.toMillis(lastSent) > TestFleet.LONGEST_DEADLINE_MS - 200,
+                    "clients were served nearly to the end, the last asked after " + lastSent);
+        }
+    }
+
+    private static void sleepUntil(long from, long ms) throws InterruptedException {
+        Thread.sleep(Math.max(0, ms - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from)));
+    }
+}
--- a/src/test/java/sagepulley/platform/DiscoveryTest.java
+++ b/src/test/java/sagepulley/platform/DiscoveryTest.java
@@ -134,7 +134,35 @@
         }
     }
 
-    /** What the old address still says, or its end, is nobody's business once it has moved. */
+    /** What the old address still writes counts as told; it proves nothing any more once discovery has moved. */
+    @Test
+    void theOldAddressIsHeardAndConfirmsNothingUntilTheNewOneHasToldAList() throws Exception {
+        try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
+            DiscoveryLink link = link(peers);
+            await().until(() -> told.size() == 1);
+            Peers.Talk former = lastWatch(peers);
+            peers.listing = null;
+            var second = peers.discovery();
+            loop.submit(() -> {
+                assertTrue(link.moveTo(second));
+                link.subscribe();
+            }).get(10, TimeUnit.SECONDS);
+            int confirmed = confirmations.size();
+            Peers.tell(former, CHANGE.formatted(60, ""));
+            await().until(() -> told.size() == 2);
+            assertEquals(confirmed, confirmations.size());
+            await().until(() -> peers.silent.stream().anyMatch(talk ->
+                    talk.socket.getLocalSocketAddress().equals(second)));
+            Peers.Talk fresh = peers.silent.get(peers.silent.size() - 1);
+            fresh.say("HTTP/1.1 200 OK\r\n\r\n" + CHANGE.formatted(61, "") + "\n");
+            await().until(() -> told.size() == 3);
+            assertTrue(confirmations.size() > confirmed);
+            assertEquals(-1, former.in.read(), "the old watch is needless now");
+            assertEquals(List.of(), failures);
+        }
+    }
+
+    /** A gateway whose calls fail asks the new address soon. */
     @Test
     void aGatewayAsksTheNewAddressSoonThoughNoCallWasOut() throws Exception {
         try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
@@ -210,6 +238,27 @@
         }
     }
 
+    /** The largest fleet that is promised, in either form; indented it takes over 1 MiB. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "\n                              "})
+    void aListOf3200EndpointsIsTakenCompactAndIndented(String space) throws Exception {
+        StringBuilder members = new StringBuilder();
+        for (int i = 0; i < 3_200; i++) {
+            members.append(i == 0 ? "" : ",").append("{%s\"id\":\"s-%08x\",%s\"host_port\":\"10.1.%d.%d:6379\",".formatted(
+                    space, i, space, i / 256, i % 256)).append(("%s\"locality\":\"a\",%s\"flavor\":\"m2\",%s\"cell\":%d,"
+                    + "%s\"phase\":\"SERVING\",%s\"size\":1.0,%s\"up_since_ms\":0}").formatted(space, space, space, i,
+                    space, space, space));
+        }
+        try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
+            peers.listing = "{\"revision\":44,\"complete\":true,\"members\":[" + members + "]}";
+            assertEquals(space.isEmpty(), peers.listing.length() < 1 << 20, "bytes " + peers.listing.length());
+            link(peers);
+            await().until(() -> told.size() == 1);
+            assertEquals(3_200, told.get(0).members().size());
+            assertEquals(List.of(), failures);
+        }
+    }
+
     /** However long a list is on its way, it tells what discovery had when it was begun, and its line's end no more. */
     @Test
     void aListThatComesSlowlyConfirmsNoMoreThanWhatWasKnownWhenItWasBegun() throws Exception {
