--- a/src/main/java/sagepulley/faults/DrainRule.java
+++ b/src/main/java/sagepulley/faults/DrainRule.java
@@ -11,7 +11,8 @@
 /**
  * The rule on draining and removed endpoints, judged from what passed on the sockets: no command may begin at an
  * endpoint later than the grace after the gateway was notified that it drains or is gone. A gateway counts as notified
- * once discovery has written the change to it, and at the latest 6 s after discovery had it and could be reached.
+ * once discovery has written the change to it, and at the latest 6 s after discovery had it and could be reached, or 4 s
+ * after a new configuration of which discovery had the change already.
  */
 final class DrainRule {
     private static final long NOTIFIED_MS = 6_000;
@@ -72,7 +73,9 @@
                             List<long[]> unreachable) {
         long notified = reachableFor(change.at(), NOTIFIED_MS, unreachable);
         for (long reload : reloads.getOrDefault(gateway, List.of())) {
-            notified = Math.min(notified, reachableFor(Math.max(reload, change.at()), RELOAD_NOTIFIED_MS, unreachable));
+            if (change.at() <= reload) {
+                notified = Math.min(notified, reachableFor(reload, RELOAD_NOTIFIED_MS, unreachable));
+            }
         }
         for (DiscoveryServer.Written each : written) {
             if (each.gateway() == gateway && each.revision() >= change.revision() && each.at() >= change.at()) {
