A silent watch gives way to a later call that is still to be answered

Cause, found by reading: one overdue call was kept, the oldest, also a watch that had fallen silent; where new calls took over 2.2 s each was then dropped for it, and a slow discovery never heard. Change: an overdue call that has brought nothing for 2.5 s (12 s where not a byte has come yet) gives way. DiscoveryTest has the case; it fails without the change and passes with it.

--- a/src/main/java/sagepulley/platform/DiscoveryLink.java
+++ b/src/main/java/sagepulley/platform/DiscoveryLink.java
@@ -44,17 +44,18 @@
     private static final String PATH = "/v1/endpoints";
     private static final int CONNECT_MS = 1_000;
     /**
-     * Whatever discovery has to tell counts as told after 6 s. An empty line is due every 2 s, so that a watch that
-     * brings none for this long is gone; a call's first list comes at once, or not at all. Both together leave time
-     * for a call that fails and one more.
+     * An empty line is due every 2 s, so that a watch that brings none for this long is overdue, and so is a call whose
+     * first list does not come. Both together leave time for one more call before the lease of the list ends.
      */
     private static final long SILENCE_MS = 2_500;
     private static final long ANSWER_MS = 2_200;
     /** A list of 3,200 endpoints, indented, takes a little over 1 MB. */
     private static final int LONGEST_LIST = 8 << 20;
-    /** Overdue calls that are kept open, and for how long one is kept of which not a byte has come. */
+    /** Overdue calls that are kept open. */
     private static final int MOST_OVERDUE = 1;
-    private static final double OVERDUE_SILENT_MS = 12_000;
+    /** One gives way to a later one that has brought nothing for so long, or not a byte for so much longer. */
+    private static final double STALLED_MS = 2_500;
+    private static final double UNANSWERED_MS = 12_000;
     /** A line on a watch was written at most so long before it came, or as long as the watch's first list took. */
     private static final double LONGEST_LINE_DELAY_MS = 1_000;
     /** A line's end that comes so soon behind a list belongs to that list, and is no empty line. */
@@ -127,16 +128,13 @@
         watch.open();
     }
 
-    /**
-     * Keeps an overdue call open. The oldest stays, for it is the first in discovery's queue, unless not a byte has come
-     * of it for long.
-     */
+    /** Keeps an overdue call open. The oldest stays, for it is the first in discovery's queue, unless it has stalled. */
     private void keepOverdue(Call call) {
         call.isOverdue = true;
         overdue.add(call);
         if (overdue.size() > MOST_OVERDUE) {
             Call oldest = overdue.peekFirst();
-            Call dropped = oldest.isFormer || oldest.bytes == 0 && oldest.openMs() > OVERDUE_SILENT_MS ? oldest : overdue.peekLast();
+            Call dropped = oldest.isFormer || oldest.hasStalled() ? oldest : overdue.peekLast();
             overdue.remove(dropped);
             dropped.drop("overdue");
         }
@@ -229,6 +227,7 @@
         /** By the clock: when the first bytes of the list under way came, and when the last list was whole. */
         private double listBeganAt = Double.NaN;
         private double listEndedAt = Double.NEGATIVE_INFINITY;
+        private double lastByteAt;
         private final int number = ++calls;
         private Channel channel;
         private ScheduledFuture<?> silence;
@@ -302,6 +301,11 @@
             owner.listFailed(why + (answered ? "" : ", called for " + openMs() + " ms"));
         }
 
+        /** Whether it goes on no more, or has waited for its answer for very long. */
+        private boolean hasStalled() {
+            return bytes > 0 ? clock.getAsDouble() - lastByteAt > STALLED_MS : openMs() > UNANSWERED_MS;
+        }
+
         private long openMs() {
             return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - openedAt);
         }
@@ -355,6 +359,7 @@
             }
             if (message instanceof HttpContent content) {
                 bytes += content.content().readableBytes();
+                lastByteAt = clock.getAsDouble();
                 boolean endsLine = content.content().indexOf(content.content().readerIndex(),
                         content.content().writerIndex(), (byte) '\n') >= 0;
                 double cameAt = clock.getAsDouble() - arrival.ago(channel, silenceMs);
--- a/src/test/java/sagepulley/platform/DiscoveryTest.java
+++ b/src/test/java/sagepulley/platform/DiscoveryTest.java
@@ -134,6 +134,24 @@
         }
     }
 
+    /** The watch stands and is silent, and each new call takes longer than its time: the one that answers is heard. */
+    @Test
+    void aSlowAnswerIsTakenThoughASilentWatchStands() throws Exception {
+        try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
+            DiscoveryLink link = link(peers, 300, 200);
+            await().until(() -> failures.size() == 1);
+            peers.listing = null;
+            Thread.sleep(2_600);
+            loop.submit(link::subscribe).get(10, TimeUnit.SECONDS);
+            await().until(() -> failures.size() == 2);
+            Peers.Talk slow = last(peers.silent);
+            loop.submit(link::subscribe).get(10, TimeUnit.SECONDS);
+            slow.say("HTTP/1.1 200 OK\r\n\r\n" + CHANGE.formatted(44, "") + "\n");
+            await().until(() -> told.size() == 2);
+            assertEquals(44, link.revision());
+        }
+    }
+
     /** What the old address still writes counts as told; it proves nothing any more once discovery has moved. */
     @Test
     void theOldAddressIsHeardAndConfirmsNothingUntilTheNewOneHasToldAList() throws Exception {
