A living watch that is reset confirms the list up to its end

Change: the reset of a watch that had a line within 2.5 s and no list under way counts as of its coming, less the delay of a line. DiscoveryTest and the tests of a lost watch in StaleEndpointsTest pass.

--- a/src/main/java/sagepulley/platform/DiscoveryLink.java
+++ b/src/main/java/sagepulley/platform/DiscoveryLink.java
@@ -287,6 +287,17 @@
             }
         }
 
+        /**
+         * The connection ended. A watch that was alive and had no list under way has told all that discovery had, up to its
+         * end: discovery ends its watches when it goes down, and it may be down for long.
+         */
+        private void connectionEnded(String why) {
+            if (!over && this == watch && answered && !values.inMiddle()) {
+                owner.listConfirmed(writtenAt(clock.getAsDouble()));
+            }
+            fail(why);
+        }
+
         /** Nothing came in time: that counts as a failure, but the answer is taken if it comes after all. */
         private void beOverdue(String why) {
             if (isOverdue) {
@@ -439,12 +450,16 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            fail("the connection ended");
+            connectionEnded("the connection ended");
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            fail(String.valueOf(cause.getMessage()));
+            if (cause instanceof IOException) {
+                connectionEnded(String.valueOf(cause.getMessage()));
+            } else {
+                fail(String.valueOf(cause.getMessage()));
+            }
         }
 
         /** Takes each value that is whole. */
--- a/src/test/java/sagepulley/platform/DiscoveryTest.java
+++ b/src/test/java/sagepulley/platform/DiscoveryTest.java
@@ -152,6 +152,26 @@
         }
     }
 
+    /** A living watch that is reset was current up to its end, unless a list was under way. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aWatchThatIsResetWasCurrentUpToItsEndUnlessAListWasUnderWay(boolean underWay) throws Exception {
+        try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
+            link(peers);
+            await().until(() -> confirmations.size() == 1);
+            Peers.Talk watch = lastWatch(peers);
+            if (underWay) {
+                watch.say("4\r\n{\"re\r\n");
+            }
+            Thread.sleep(1_500);
+            double reset = clock.now();
+            watch.socket.setSoLinger(true, 0);
+            watch.socket.close();
+            await().until(() -> failures.size() == 1);
+            assertEquals(!underWay, confirmations.stream().anyMatch(asOf -> asOf > reset - 1_100));
+        }
+    }
+
     /** What the old address still writes counts as told; it proves nothing any more once discovery has moved. */
     @Test
     void theOldAddressIsHeardAndConfirmsNothingUntilTheNewOneHasToldAList() throws Exception {
