--- a/src/main/java/sagepulley/faults/GatewayProcess.java
+++ b/src/main/java/sagepulley/faults/GatewayProcess.java
@@ -33,6 +33,8 @@
         builder.environment().putAll(environment);
         process = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
                 .start();
+        // A run that is ended from outside leaves no gateway behind.
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     }
 
     GatewayProcess awaitReady() throws InterruptedException {
