The test peers take a call that ends before its request is whole

The stand-in's thread then read null in Peers.discovery (Talk.line() at isEmpty), and Awaitility reports what any thread throws. Change: a call without a whole request is no call. No check is changed.

--- a/src/test/java/sagepulley/platform/Peers.java
+++ b/src/test/java/sagepulley/platform/Peers.java
@@ -59,6 +59,16 @@
             return line.toString().trim();
         }
 
+        /** The first line of an HTTP request, read to its end; null where the caller left before that. */
+        String requestLine() throws IOException {
+            String request = line();
+            String header = request;
+            while (header != null && !header.isEmpty()) {
+                header = line();
+            }
+            return header == null ? null : request;
+        }
+
         List<String> command() throws IOException {
             String head = line();
             if (head == null) {
@@ -121,9 +131,9 @@
     /** One more discovery; it answers as the listing says, and keeps the watch open. */
     SocketAddress discovery() throws IOException {
         return serve(talk -> {
-            String call = talk.line();
-            while (!talk.line().isEmpty()) {
-                continue;
+            String call = talk.requestLine();
+            if (call == null) {
+                return;
             }
             if (listing == null) {
                 silent.add(talk);
