--- a/src/main/java/sagepulley/faults/DiscoveryServer.java
+++ b/src/main/java/sagepulley/faults/DiscoveryServer.java
@@ -33,6 +33,13 @@
     private static final long HEARTBEAT_MS = 2_000;
     private static final long POLL_MS = 10;
     private static final int BACKLOG = 200;
+    /** A backlog of one is full with two connections that nobody accepts. */
+    private static final int FULL_BACKLOG = 1;
+    private static final int FILLERS = 2;
+    /** A former address closes the connections that it has so long after the move. */
+    private static final long FORMER_ADDRESS_MS = 1_500;
+
+    private enum Reachability { REACHABLE, DOWN, CUT_OFF }
 
     /** How calls are answered from now on. */
     record Behaviour(long firstByteDelayMs, long trickleMs, long serviceMs, long queueTimeoutMs, int queueLimit,
@@ -80,6 +87,7 @@
     private final Map<Integer, ServerSocket> listeners = new ConcurrentHashMap<>();
     private final Map<Integer, Integer> ports = new ConcurrentHashMap<>();
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    private Reachability reachability = Reachability.REACHABLE;
     private final Map<Integer, List<Socket>> fillers = new ConcurrentHashMap<>();
     private final TreeMap<Long, Change> changes = new TreeMap<>();
     private final List<Written> written = new ArrayList<>();
@@ -94,19 +102,46 @@
     volatile boolean watchesSilent;
     private volatile boolean closed;
 
-    /** Begins to listen for one gateway; the address stays the same for good. */
+    /** An address for one gateway, which is listened at while discovery can be reached. */
     synchronized InetSocketAddress listenFor(int gateway) throws IOException {
-        bind(gateway, Ports.free().getPort(), BACKLOG);
-        return new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.get(gateway));
+        int port = Ports.free().getPort();
+        ports.put(gateway, port);
+        switch (reachability) {
+            case REACHABLE -> bind(gateway, port);
+            case DOWN -> { }
+            case CUT_OFF -> bindUnreachable(gateway, port);
+        }
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    /** Another address for one gateway. The former one accepts nothing more, and soon closes what it has. */
+    synchronized InetSocketAddress moveFor(int gateway) throws IOException {
+        Background.close(listeners.get(gateway));
+        fillers.getOrDefault(gateway, List.of()).forEach(Background::reset);
+        int former = ports.get(gateway);
+        InetSocketAddress fresh = listenFor(gateway);
+        Background.run("discovery-move", () -> {
+            Thread.sleep(FORMER_ADDRESS_MS);
+            connections.stream().filter(socket -> socket.getLocalPort() == former).forEach(Background::close);
+        });
+        return fresh;
     }
 
-    private void bind(int gateway, int port, int backlog) throws IOException {
-        ServerSocket listener = Ports.listen(port, backlog);
+    private void bind(int gateway, int port) throws IOException {
+        ServerSocket listener = Ports.listen(port, BACKLOG);
         listeners.put(gateway, listener);
-        ports.put(gateway, listener.getLocalPort());
         Background.run("discovery", () -> accept(gateway, listener));
     }
 
+    private void bindUnreachable(int gateway, int port) throws IOException {
+        listeners.put(gateway, Ports.listen(port, FULL_BACKLOG));
+        List<Socket> filling = new ArrayList<>();
+        for (int i = 0; i < FILLERS; i++) {
+            filling.add(new Socket(InetAddress.getLoopbackAddress(), port));
+        }
+        fillers.put(gateway, filling);
+    }
+
     private void accept(int gateway, ServerSocket listener) throws IOException {
         while (!closed) {
             Socket socket = listener.accept();
@@ -178,6 +213,7 @@
     /** Its process has ended: connections are reset, new ones refused. */
     synchronized void goDown() {
         unreachable.add(new long[] {System.nanoTime(), Long.MAX_VALUE});
+        reachability = Reachability.DOWN;
         listeners.values().forEach(Background::close);
         connections.forEach(Background::reset);
     }
@@ -185,26 +221,23 @@
     /** It is cut off: connections stay open and silent, new ones never come up. */
     synchronized void cutOff() throws IOException {
         unreachable.add(new long[] {System.nanoTime(), Long.MAX_VALUE});
+        reachability = Reachability.CUT_OFF;
         watchesSilent = true;
         for (Map.Entry<Integer, ServerSocket> each : List.copyOf(listeners.entrySet())) {
             Background.close(each.getValue());
-            listeners.put(each.getKey(), Ports.listen(ports.get(each.getKey()), 1));
-            List<Socket> filling = new ArrayList<>();
-            for (int i = 0; i < 2; i++) {
-                filling.add(new Socket(InetAddress.getLoopbackAddress(), ports.get(each.getKey())));
-            }
-            fillers.put(each.getKey(), filling);
+            bindUnreachable(each.getKey(), ports.get(each.getKey()));
         }
     }
 
     /** It can be reached again; connections that were cut are reset. */
     synchronized void comeBack() throws IOException {
         connections.forEach(Background::reset);
+        reachability = Reachability.REACHABLE;
         watchesSilent = false;
         for (Map.Entry<Integer, Integer> each : ports.entrySet()) {
             Background.close(listeners.get(each.getKey()));
             fillers.getOrDefault(each.getKey(), List.of()).forEach(Background::reset);
-            bind(each.getKey(), each.getValue(), BACKLOG);
+            bind(each.getKey(), each.getValue());
         }
         fillers.clear();
         unreachable.get(unreachable.size() - 1)[1] = System.nanoTime();
--- a/src/main/java/sagepulley/faults/GatewayProcess.java
+++ b/src/main/java/sagepulley/faults/GatewayProcess.java
@@ -7,6 +7,8 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -21,14 +23,17 @@
     final InetSocketAddress listen;
     private final Process process;
 
-    GatewayProcess(int number, InetSocketAddress listen, Path config, Path log, Map<String, String> environment)
-            throws IOException {
+    /** The launcher is a command in front of it, which becomes the process itself; it may be empty. */
+    GatewayProcess(int number, InetSocketAddress listen, Path config, Path log, Map<String, String> environment,
+                   List<String> launcher) throws IOException {
         this.number = number;
         this.listen = listen;
         this.log = log;
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        List<String> command = new ArrayList<>(launcher);
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Xss256k", "-cp",
-                System.getProperty("java.class.path"), "sagepulley.Main", "serve");
+                System.getProperty("java.class.path"), "sagepulley.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("GW_CONFIG", config.toString());
         builder.environment().putAll(environment);
         process = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
@@ -72,7 +77,10 @@
     }
 
     void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        int result = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        if (result != 0 && process.isAlive()) {
+            throw new IOException("SIG" + name + " to process " + process.pid() + " failed: " + result);
+        }
     }
 
     /** Stops it for a while, as a machine does that has no processor for it. */
--- a/src/main/java/sagepulley/faults/SoakRun.java
+++ b/src/main/java/sagepulley/faults/SoakRun.java
@@ -51,7 +51,6 @@
             ? Long.compare(a.atMs(), b.atMs()) : Long.compare(a.order(), b.order()));
     private final List<String> journal = new CopyOnWriteArrayList<>();
     private final List<AnswerRule.Ending> endings = new CopyOnWriteArrayList<>();
-    private final Map<Integer, List<Long>> reloads = new HashMap<>();
     private final Map<Integer, GatewayProcess> running = new ConcurrentHashMap<>();
     private final Map<Integer, Boolean> busy = new ConcurrentHashMap<>();
     private final List<Socket> crowd = new CopyOnWriteArrayList<>();
@@ -111,7 +110,7 @@
         List<Request> requests = fleet.requests();
         List<StoreServer.Arrival> arrivals = fleet.arrivals();
         List<String> broken = new ArrayList<>(troubles);
-        broken.addAll(new DrainRule(fleet.discovery, reloads).broken(arrivals, requests));
+        broken.addAll(new DrainRule(fleet.discovery, fleet.reloads()).broken(arrivals, requests));
         broken.addAll(new AnswerRule(endings, !crowd.isEmpty()).broken(arrivals, requests));
         return broken;
     }
@@ -277,7 +276,9 @@
     private void restart(int gateway, boolean planned) throws IOException, InterruptedException {
         GatewayProcess process = running.get(gateway);
         long toldAt = 0;
-        if (planned) {
+        if (!process.isAlive()) {
+            troubles.add("gateway " + gateway + " has crashed: " + tail(process));
+        } else if (planned) {
             toldAt = System.nanoTime();
             process.signal("TERM");
             long killAfter = TestFleet.LONGEST_DEADLINE_MS + KILL_AFTER_MS;
@@ -287,8 +288,6 @@
             Thread.sleep(NEW_CONNECTIONS_MS);
             loadOf(gateway).stayAway(true);
             Thread.sleep(Math.max(0, killAfter - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - toldAt)));
-        } else if (!process.isAlive()) {
-            troubles.add("gateway " + gateway + " has crashed: " + tail(process));
         }
         long killedAt = System.nanoTime();
         process.kill();
@@ -323,9 +322,7 @@
         if (busy.get(gateway) == Boolean.TRUE) {
             return;
         }
-        fleet.moveDiscovery(gateway);
-        reloads.computeIfAbsent(gateway, any -> new ArrayList<>()).add(System.nanoTime());
-        running.get(gateway).signal("HUP");
+        fleet.moveDiscovery(running.get(gateway));
     }
 
     private void holdUp(int gateway) throws IOException, InterruptedException {
--- a/src/main/java/sagepulley/faults/TestFleet.java
+++ b/src/main/java/sagepulley/faults/TestFleet.java
@@ -26,6 +26,8 @@
     private final Map<Integer, InetSocketAddress> listenAddresses = new HashMap<>();
     private final Map<Integer, InetSocketAddress> discoveryAddresses = new HashMap<>();
     private final Map<String, String> environment = new HashMap<>();
+    private final Map<Integer, List<Long>> reloads = new HashMap<>();
+    private final List<String> launcher = new ArrayList<>();
     private final boolean pushed;
 
     /** So many gateways, and as many endpoints as there are shards, all listed. */
@@ -54,11 +56,17 @@
         environment.put(name, value);
     }
 
+    /** A command in front of each gateway process that starts from now on. */
+    void launchThrough(String... words) {
+        launcher.clear();
+        launcher.addAll(List.of(words));
+    }
+
     /** Starts one; it knows the list as it is now, as if it had had it before. */
     GatewayProcess start(int number) throws IOException {
         writeConfig(number);
         GatewayProcess gateway = new GatewayProcess(number, listenAddresses.get(number), configFile(number),
-                folder.resolve("gateway-" + number + ".log"), environment);
+                folder.resolve("gateway-" + number + ".log"), environment, launcher);
         gateways.add(gateway);
         return gateway;
     }
@@ -81,11 +89,33 @@
 
     /** Discovery has another address for this gateway, told by its file from now on. */
     void moveDiscovery(int number) throws IOException {
-        discoveryAddresses.put(number, discovery.listenFor(number));
+        discoveryAddresses.put(number, discovery.moveFor(number));
         writeConfig(number);
     }
 
-    private Path configFile(int number) {
+    /** The same, and SIGHUP to the process right behind. */
+    void moveDiscovery(GatewayProcess gateway) throws IOException, InterruptedException {
+        moveDiscovery(gateway.number);
+        toldToReload(gateway);
+    }
+
+    /** SIGHUP, and the time of it for the rules. */
+    void toldToReload(GatewayProcess gateway) throws IOException, InterruptedException {
+        reloads.computeIfAbsent(gateway.number, any -> new ArrayList<>()).add(System.nanoTime());
+        gateway.signal("HUP");
+    }
+
+    /** When each gateway was sent SIGHUP with a new configuration. */
+    Map<Integer, List<Long>> reloads() {
+        return reloads;
+    }
+
+    /** Where discovery is for this gateway by its file. */
+    InetSocketAddress discoveryAddress(int number) {
+        return discoveryAddresses.get(number);
+    }
+
+    Path configFile(int number) {
         return folder.resolve("gateway-" + number + ".json");
     }
 
--- /dev/null
+++ b/src/test/java/sagepulley/faults/FleetChecks.java
@@ -0,0 +1,36 @@
+package sagepulley.faults;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** What several tests on a fleet of real processes do and check. */
+final class FleetChecks {
+    private static final long SERVED_WITHIN_S = 10;
+
+    private FleetChecks() {
+    }
+
+    /** The store is listed as draining from now on. */
+    static void drain(TestFleet fleet, int store) {
+        fleet.discovery.set(fleet.stores.get(store).endpoint(Endpoint.State.DRAINING, 0));
+    }
+
+    static void assertNoSendAfterGrace(TestFleet fleet) {
+        List<Request> requests = fleet.requests();
+        List<String> broken = new DrainRule(fleet.discovery, fleet.reloads()).broken(fleet.arrivals(), requests);
+        assertTrue(!requests.isEmpty(), "no request was made");
+        assertEquals(0, broken.size(), () -> broken.size() + " of " + requests.size() + " requests; the last: "
+                + broken.get(broken.size() - 1) + "\n" + fleet.gateways.get(fleet.gateways.size() - 1).logText());
+    }
+
+    /** Some request that is sent from now on is served. */
+    static void assertServedAgain(TestFleet fleet) {
+        long from = System.nanoTime();
+        await().atMost(SERVED_WITHIN_S, TimeUnit.SECONDS).until(() -> fleet.requests().stream()
+                .anyMatch(request -> request.sentAt > from && request.end == Request.End.SERVED));
+    }
+}
--- a/src/test/java/sagepulley/faults/StaleEndpointsTest.java
+++ b/src/test/java/sagepulley/faults/StaleEndpointsTest.java
@@ -1,14 +1,6 @@
 package sagepulley.faults;
 
-import static org.awaitility.Awaitility.await;
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
-import java.io.IOException;
 import java.nio.file.Path;
-import java.util.List;
-import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -48,11 +40,11 @@
             fleet.start(0).awaitReady().kill();
             GatewayProcess restarted = fleet.start(0);
             fleet.discovery.behaviour = behaviour;
-            drain(fleet, 0);
+            FleetChecks.drain(fleet, 0);
             restarted.awaitReady();
             fleet.load(0, 6, ClientLoad.Habits.STEADY, 1);
             Thread.sleep(WATCHED_MS);
-            assertNoSendAfterGrace(fleet);
+            FleetChecks.assertNoSendAfterGrace(fleet);
         }
     }
 
@@ -64,7 +56,7 @@
         try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
             drainAfterTheWatchIsLost(fleet, behaviour, 2);
             fleet.discovery.behaviour = DiscoveryServer.Behaviour.HEALTHY;
-            assertServedAgain(fleet);
+            FleetChecks.assertServedAgain(fleet);
         }
     }
 
@@ -77,9 +69,9 @@
             Thread.sleep(1_000);
             fleet.discovery.behaviour = DiscoveryServer.Behaviour.HEALTHY.saysNothing();
             fleet.discovery.watchesSilent = true;
-            drain(fleet, 0);
+            FleetChecks.drain(fleet, 0);
             Thread.sleep(WATCHED_MS);
-            assertNoSendAfterGrace(fleet);
+            FleetChecks.assertNoSendAfterGrace(fleet);
         }
     }
 
@@ -97,7 +89,7 @@
     void aDiscoveryThatAnswersSlowlyIsHeard(String what, DiscoveryServer.Behaviour behaviour) throws Exception {
         try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
             drainAfterTheWatchIsLost(fleet, behaviour, 4);
-            assertServedAgain(fleet);
+            FleetChecks.assertServedAgain(fleet);
         }
     }
 
@@ -110,11 +102,11 @@
             Thread.sleep(1_000);
             fleet.discovery.goDown();
             Thread.sleep(WATCHED_MS);
-            assertServedAgain(fleet);
-            drain(fleet, 0);
+            FleetChecks.assertServedAgain(fleet);
+            FleetChecks.drain(fleet, 0);
             fleet.discovery.comeBack();
             Thread.sleep(WATCHED_MS);
-            assertNoSendAfterGrace(fleet);
+            FleetChecks.assertNoSendAfterGrace(fleet);
         }
     }
 
@@ -125,26 +117,8 @@
         Thread.sleep(1_000);
         fleet.discovery.behaviour = behaviour;
         fleet.discovery.resetAll();
-        drain(fleet, 0);
+        FleetChecks.drain(fleet, 0);
         Thread.sleep(WATCHED_MS);
-        assertNoSendAfterGrace(fleet);
-    }
-
-    private static void drain(TestFleet fleet, int store) {
-        fleet.discovery.set(fleet.stores.get(store).endpoint(Endpoint.State.DRAINING, 0));
-    }
-
-    private static void assertNoSendAfterGrace(TestFleet fleet) throws IOException {
-        List<Request> requests = fleet.requests();
-        List<String> broken = new DrainRule(fleet.discovery, Map.of()).broken(fleet.arrivals(), requests);
-        assertTrue(!requests.isEmpty(), "no request was made");
-        assertEquals(0, broken.size(), () -> broken.size() + " of " + requests.size() + " requests; the last: "
-                + broken.get(broken.size() - 1) + "\n" + fleet.gateways.get(fleet.gateways.size() - 1).logText());
-    }
-
-    private static void assertServedAgain(TestFleet fleet) {
-        long from = System.nanoTime();
-        await().atMost(10, TimeUnit.SECONDS).until(() -> fleet.requests().stream()
-                .anyMatch(request -> request.sentAt > from && request.end == Request.End.SERVED));
+        FleetChecks.assertNoSendAfterGrace(fleet);
     }
 }
