A new configuration is acted on though SIGHUP is ignored or the file unreadable at first

Change: Reloads reads again each 0.5 s while the file cannot be used, and looks at the file where SIGHUP is ignored. The lease is cut as soon as the signal comes, and nothing renews it until the file has been read (EndpointLease.reloadTold, reloadRead); a file that is readable and wrong leaves all as it was. Unchecked exceptions in reading are configuration errors.

--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -259,8 +259,13 @@
     }
 
     /** A new configuration was told at a time, which may move discovery. */
-    public void reloaded(double toldAt) {
-        lease.reloaded(toldAt);
+    public void reloadTold(double toldAt) {
+        lease.reloadTold(toldAt);
+    }
+
+    /** A configuration whose reading began at a time is known, or known to be of no use. */
+    public void reloadRead(double readAt) {
+        lease.reloadRead(readAt);
     }
 
     /** The list is kept elsewhere from now on, and nobody has been asked there. */
--- a/src/main/java/sagepulley/control/EndpointLease.java
+++ b/src/main/java/sagepulley/control/EndpointLease.java
@@ -18,6 +18,8 @@
     /** Until then no change that is unknown here can count as notified. */
     private double currentUntil;
     private double confirmedAt = Double.NEGATIVE_INFINITY;
+    /** When a new configuration was told that has not been read yet; infinite if there is none. */
+    private double unreadSince = Double.POSITIVE_INFINITY;
 
     /** An infinite span is that of a host to which nothing arrives late: its lease always holds. */
     EndpointLease(double notifiedWithin, double drainGrace) {
@@ -37,6 +39,9 @@
     }
 
     private void renew(double asOf) {
+        if (unreadSince < Double.POSITIVE_INFINITY) {
+            return; // whoever proved it may be no discovery of ours any more
+        }
         currentUntil = Math.max(currentUntil, asOf + notifiedWithin);
     }
 
@@ -50,10 +55,21 @@
         }
     }
 
-    /** A new configuration was told at a time: discovery may be elsewhere, and has confirmed nothing there yet. */
-    void reloaded(double toldAt) {
+    /**
+     * A new configuration was told at a time: discovery may be elsewhere, and has confirmed nothing there yet. Until the
+     * configuration has been read nobody knows where that is, and nothing renews the lease.
+     */
+    void reloadTold(double toldAt) {
         if (isBounded()) {
             currentUntil = Math.min(currentUntil, toldAt + NOTIFIED_AFTER_RELOAD);
+            unreadSince = toldAt;
+        }
+    }
+
+    /** A configuration whose reading began at a time is known, or known to be of no use. */
+    void reloadRead(double readAt) {
+        if (readAt >= unreadSince) {
+            unreadSince = Double.POSITIVE_INFINITY;
         }
     }
 
--- a/src/main/java/sagepulley/host/Host.java
+++ b/src/main/java/sagepulley/host/Host.java
@@ -112,8 +112,13 @@
     }
 
     /** A new configuration was told at a time, which may move discovery. */
-    public void reloaded(double toldAt) {
-        control.reloaded(toldAt);
+    public void reloadTold(double toldAt) {
+        control.reloadTold(toldAt);
+    }
+
+    /** A configuration whose reading began at a time is known, or known to be of no use. */
+    public void reloadRead(double readAt) {
+        control.reloadRead(readAt);
     }
 
     public void listMoved(double now) {
--- a/src/main/java/sagepulley/platform/Config.java
+++ b/src/main/java/sagepulley/platform/Config.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -11,7 +12,6 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import sagepulley.host.FirstMessage;
-import sagepulley.host.MissingFigure;
 import sagepulley.model.Deployment;
 
 /** What a gateway is told at its start, and again at SIGHUP: the file named by GW_CONFIG, and GW_* beside it. */
@@ -40,16 +40,27 @@
         if (file == null || file.isEmpty()) {
             throw new ConfigError("GW_CONFIG is not set");
         }
+        byte[] bytes = bytes(file);
+        try {
+            return of(Json.object(bytes), environment);
+        } catch (ConfigError bad) {
+            throw new ConfigError(file + ": " + bad.getMessage());
+        } catch (IOException | RuntimeException bad) {
+            throw new ConfigError(file + ": " + oneLine(bad));
+        }
+    }
+
+    private static byte[] bytes(String file) throws ConfigError {
         try {
             Path path = Path.of(file);
             if (Files.size(path) > LARGEST_FILE) {
-                throw new ConfigError("over " + LARGEST_FILE + " bytes");
+                throw new ConfigError(file + ": over " + LARGEST_FILE + " bytes");
             }
-            return of(Json.object(Files.readAllBytes(path)), environment);
-        } catch (ConfigError bad) {
-            throw new ConfigError(file + ": " + bad.getMessage());
-        } catch (IOException | MissingFigure bad) {
+            return Files.readAllBytes(path);
+        } catch (NoSuchFileException | InvalidPathException bad) {
             throw new ConfigError(file + ": " + oneLine(bad));
+        } catch (IOException bad) {
+            throw new UnreadableConfig(file + ": " + oneLine(bad));
         }
     }
 
--- a/src/main/java/sagepulley/platform/ConfigError.java
+++ b/src/main/java/sagepulley/platform/ConfigError.java
@@ -1,7 +1,7 @@
 package sagepulley.platform;
 
 /** The configuration cannot be used; the message names what is wrong, in one line. */
-public final class ConfigError extends Exception {
+public class ConfigError extends Exception {
     private static final long serialVersionUID = 1L;
 
     ConfigError(String what) {
--- a/src/main/java/sagepulley/platform/PlatformGateway.java
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -427,15 +427,23 @@
     }
 
     /**
-     * The file was read anew, as was told at a time: discovery moves; what else differs holds from the next start on. What
-     * discovery has counts as notified some seconds after that time, however long the file took to read.
+     * A new configuration was told at a time. What discovery has counts as notified some seconds after that, however long
+     * the file takes to read.
      */
-    void reload(Config fresh, double toldAt) {
+    void reloadTold(double toldAt) {
+        loop.execute(() -> {
+            Log.info("a new configuration is told", "ago-ms", Math.round(clock.now() - toldAt));
+            host.reloadTold(toldAt);
+        });
+    }
+
+    /** The file was read, beginning at a time: discovery moves; what else differs holds from the next start on. */
+    void reload(Config fresh, double readAt) {
         loop.execute(() -> {
             Log.info("configuration read anew", "discovery", fresh.discovery(), "after-ms",
-                    Math.round(clock.now() - toldAt));
+                    Math.round(clock.now() - readAt));
             boolean moved = discovery.moveTo(fresh.discovery());
-            host.reloaded(toldAt);
+            host.reloadRead(readAt);
             if (moved) {
                 host.listMoved(clock.now());
                 settle();
@@ -444,6 +452,11 @@
         });
     }
 
+    /** The file was read, beginning at a time, and cannot be used: all stays as it was. */
+    void reloadUnusable(double readAt) {
+        loop.execute(() -> host.reloadRead(readAt));
+    }
+
     /** Goes on serving while clients still come, then answers what it has and ends. */
     void stop() {
         double toldAt = clock.now();
--- /dev/null
+++ b/src/main/java/sagepulley/platform/Reloads.java
@@ -0,0 +1,118 @@
+package sagepulley.platform;
+
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * New configurations. The file is read anew at SIGHUP, and again after a pause for as long as it cannot be used. A process
+ * that was started with SIGHUP ignored, as nohup does, is never told: it looks at its file instead, and a change counts as
+ * told. All on one thread, so that the last to read the file is the last to be heard.
+ */
+final class Reloads implements Closeable {
+    private static final String HANG_UP = "HUP";
+    private static final long RETRY_MS = 500;
+    private static final long LOOK_MS = 500;
+
+    private final Map<String, String> environment;
+    private final PlatformGateway gateway;
+    private final ScheduledExecutorService executor =
+            Executors.newSingleThreadScheduledExecutor(new DefaultThreadFactory("reload", true));
+    /** What the file held when it was last looked at, and when that was; empty where it could not be read. */
+    private byte[] contents = {};
+    private double lookedAt;
+    /** Why the file could not be used, as it was last logged; null if it could. */
+    private String failure;
+    private boolean retries;
+
+    Reloads(Map<String, String> environment, PlatformGateway gateway) {
+        this.environment = environment;
+        this.gateway = gateway;
+    }
+
+    /** From now on new configurations are acted on. */
+    void begin() {
+        if (!Signals.isIgnored(HANG_UP)) {
+            Signals.on(HANG_UP, () -> told(gateway.now()));
+            return;
+        }
+        Log.warn("SIGHUP has been ignored since before the start, the configuration file is looked at instead");
+        contents = contents();
+        lookedAt = gateway.now();
+        told(lookedAt); // the file may have changed since the start read it
+        executor.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void told(double at) {
+        gateway.reloadTold(at);
+        try {
+            executor.execute(this::read);
+        } catch (RejectedExecutionException ended) {
+            Log.info("a new configuration is told to a gateway that has ended");
+        }
+    }
+
+    private void look() {
+        double before = lookedAt;
+        lookedAt = gateway.now();
+        byte[] fresh = contents();
+        if (!Arrays.equals(fresh, contents)) {
+            contents = fresh;
+            told(before);
+        }
+    }
+
+    private byte[] contents() {
+        try {
+            return Files.readAllBytes(Path.of(environment.getOrDefault("GW_CONFIG", "")));
+        } catch (IOException | InvalidPathException unreadable) {
+            return new byte[0];
+        }
+    }
+
+    /** Reads the file now; one that cannot be used leaves all as it was, and is read again later. */
+    void read() {
+        double readAt = gateway.now();
+        try {
+            gateway.reload(Config.read(environment), readAt);
+            failure = null;
+        } catch (UnreadableConfig unknown) {
+            retryAfter(unknown);
+        } catch (ConfigError bad) {
+            gateway.reloadUnusable(readAt);
+            retryAfter(bad);
+        }
+    }
+
+    private void retryAfter(ConfigError bad) {
+        if (!bad.getMessage().equals(failure)) {
+            failure = bad.getMessage();
+            Log.warn("the new configuration cannot be used", "why", failure);
+        }
+        if (!retries) {
+            retries = true;
+            executor.schedule(this::retry, RETRY_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void retry() {
+        retries = false;
+        if (failure != null) {
+            read();
+        }
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+}
--- a/src/main/java/sagepulley/platform/Serve.java
+++ b/src/main/java/sagepulley/platform/Serve.java
@@ -1,12 +1,9 @@
 package sagepulley.platform;
 
-import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.function.Consumer;
 import sagepulley.model.Band;
 
@@ -31,13 +28,9 @@
         PlatformGateway gateway = new PlatformGateway(config, Transport.sockets());
         Signals.on("TERM", gateway::stop);
         Signals.on("INT", gateway::stop);
-        // One after the other: the last to read the file is the last to be heard.
-        ExecutorService reloads = Executors.newSingleThreadExecutor(new DefaultThreadFactory("reload", true));
-        Signals.on("HUP", () -> {
-            double toldAt = gateway.now();
-            reloads.execute(() -> reload(gateway, environment, toldAt));
-        });
+        Reloads reloads = new Reloads(environment, gateway);
         gateway.begin();
+        reloads.begin();
         Rehearsal.inside(REHEARSED, REHEARSAL_MS);
         try {
             gateway.start().join();
@@ -48,6 +41,7 @@
                 "idle-time", config.idleTime(), "connect-timeout", config.connectTimeout());
         whenReady.accept(gateway);
         gateway.ended().join();
+        reloads.close();
         Log.flush(LAST_LINES_MS);
     }
 
@@ -60,13 +54,4 @@
         }
         return all.toString();
     }
-
-    /** Reads the configuration anew, as was told at a time; one that cannot be used leaves all as it was. */
-    static void reload(PlatformGateway gateway, Map<String, String> environment, double toldAt) {
-        try {
-            gateway.reload(Config.read(environment), toldAt);
-        } catch (ConfigError bad) {
-            Log.warn("the new configuration cannot be used", "why", bad.getMessage());
-        }
-    }
 }
--- a/src/main/java/sagepulley/platform/Signals.java
+++ b/src/main/java/sagepulley/platform/Signals.java
@@ -1,12 +1,34 @@
 package sagepulley.platform;
 
+import java.io.IOException;
 import java.lang.reflect.Proxy;
+import java.nio.file.Files;
+import java.nio.file.Path;
 
 /** Signals of the operating system. The JDK's class for them is reached by name: it has no public one. */
 final class Signals {
+    private static final Path PROCESS_STATUS = Path.of("/proc/self/status");
+    private static final String IGNORED_SIGNALS = "SigIgn:";
+
     private Signals() {
     }
 
+    /** Whether the process was started with this signal ignored: the JVM leaves it so, whoever asks for it. */
+    static boolean isIgnored(String name) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            int number = (Integer) signal.getMethod("getNumber")
+                    .invoke(signal.getConstructor(String.class).newInstance(name));
+            return Files.readAllLines(PROCESS_STATUS).stream().filter(line -> line.startsWith(IGNORED_SIGNALS))
+                    .map(line -> Long.parseUnsignedLong(line.substring(IGNORED_SIGNALS.length()).trim(), 16))
+                    .anyMatch(ignored -> (ignored >>> (number - 1) & 1) == 1);
+        } catch (IOException notLinux) {
+            return false;
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("signal " + name + " has no number", e);
+        }
+    }
+
     /** Runs the task on a thread of its own at each signal of this name, in place of what the JDK does. */
     static void on(String name, Runnable task) {
         try {
--- a/src/test/java/sagepulley/control/EndpointLeaseTest.java
+++ b/src/test/java/sagepulley/control/EndpointLeaseTest.java
@@ -55,16 +55,33 @@
     @Test
     void aNewConfigurationShortensItUntilDiscoveryConfirms() {
         lease.confirmed(0);
-        lease.reloaded(100);
+        lease.reloadTold(100);
+        lease.reloadRead(110);
         assertFalse(lease.holds(100 + 4_000 + GRACE));
         lease.confirmed(300);
         assertTrue(lease.holds(100 + 4_000 + GRACE));
     }
 
+    @Test
+    void nothingRenewsItWhileANewConfigurationIsNotRead() {
+        lease.confirmed(0);
+        lease.reloadTold(100);
+        lease.confirmed(200);
+        lease.unreachable(250);
+        assertFalse(lease.holds(100 + 4_000 + GRACE));
+        lease.reloadTold(300);
+        lease.reloadRead(299);
+        lease.confirmed(400);
+        assertFalse(lease.holds(100 + 4_000 + GRACE), "what was read is older than what was told last");
+        lease.reloadRead(500);
+        lease.confirmed(600);
+        assertTrue(lease.holds(100 + 4_000 + GRACE));
+    }
+
     @Test
     void whereNothingArrivesLateItAlwaysHolds() {
         EndpointLease unbounded = new EndpointLease(Double.POSITIVE_INFINITY, GRACE);
-        unbounded.reloaded(5);
+        unbounded.reloadTold(5);
         assertTrue(unbounded.holds(1e12));
     }
 
--- a/src/test/java/sagepulley/platform/ServeTest.java
+++ b/src/test/java/sagepulley/platform/ServeTest.java
@@ -91,7 +91,9 @@
             await().until(() -> peers.watches.size() == 3);
 
             Files.writeString(file, "{\"listen\":");
-            Serve.reload(gateway, environment, gateway.now());
+            try (Reloads reloads = new Reloads(environment, gateway)) {
+                reloads.read();
+            }
             Peers.Talk client = new Peers.Talk(new Socket(InetAddress.getLoopbackAddress(), port));
             client.ask("PING");
             assertEquals("+PONG", client.answer());
