One list call is a class of its own, and which overdue one stays is decided in control

ListCall is one call with a role (current, overdue, former) and a progress (waiting, answered, over) in place of four flags and two start times; DiscoveryLink keeps the calls; ListCallPolicy (control) has their time limits and decides which overdue call gives way. Behaviour is meant to be the same.

--- a/src/test/java/sagepulley/platform/DiscoveryTest.java
+++ b/src/test/java/sagepulley/platform/DiscoveryTest.java
@@ -65,7 +65,7 @@
             public void listFailed(String why) {
                 failures.add(why);
             }
-        }, clock::now, answerMs, silenceMs);
+        }, clock::now, new ListCall.Patience(answerMs, silenceMs));
         loop = transport.loops().next();
         loop.submit(link::subscribe).get(10, TimeUnit.SECONDS);
         return link;
