The test Rogue releases the payload of a write's answer: the NBD tests' buffer leaks were its own

Cause: an answer to a write has an empty slice of the frame's buffer as payload; Rogue.reply answered the client and kept it. NodeLinkTest had none.

--- a/src/test/java/sagepulley/drill/Rogue.java
+++ b/src/test/java/sagepulley/drill/Rogue.java
@@ -242,6 +242,7 @@
             } else if (asked.command() == Nbd.CMD_READ) {
                 Replies.data(ctx.channel(), asked.cookie(), asked.offset(), data, true);
             } else {
+                data.release();
                 Replies.done(ctx.channel(), asked.cookie());
             }
             ctx.flush();
