Test: descriptors run out while discovery is down and moves; list calls log the system's own error

A process with 160 descriptors, all held by idle clients: at SIGHUP the configuration cannot be read (Too many open files), nothing renews the lease until it can, and it is read once descriptors are free. The log of a list call said 'Unable to create Channel', it says what the system refused now.

--- a/src/main/java/sagepulley/platform/ListCall.java
+++ b/src/main/java/sagepulley/platform/ListCall.java
@@ -147,7 +147,7 @@
             if (!isOver() && isRefused(cause)) {
                 owner.refused(this);
             }
-            fail("no connection: " + cause.getMessage());
+            fail("no connection: " + rootOf(cause).getMessage());
         });
     }
 
@@ -214,6 +214,15 @@
                 && String.valueOf(cause.getMessage()).contains("refused");
     }
 
+    /** What the system said, below what Netty makes of it. */
+    private static Throwable rootOf(Throwable failure) {
+        Throwable root = failure;
+        while (root.getCause() != null) {
+            root = root.getCause();
+        }
+        return root;
+    }
+
     private void fail(String why) {
         if (!isOver()) {
             String described = described(why);
--- /dev/null
+++ b/src/test/java/sagepulley/faults/DescriptorsTest.java
@@ -0,0 +1,72 @@
+package sagepulley.faults;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
+
+/** A process whose descriptors run out: it may have fewer than its configuration says, and idle clients take them all. */
+@Timeout(120)
+@Execution(ExecutionMode.CONCURRENT)
+class DescriptorsTest {
+    /** The program's own files take some 90 where its libraries are files of their own. */
+    private static final int DESCRIPTORS = 160;
+    private static final int IDLE_CLIENTS = 150;
+    /** Longer than 6 s, the grace of 1 s, and some seconds of sending. */
+    private static final long WATCHED_MS = 12_000;
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void whileIdleClientsHoldThemAllTheListIsStillBoundedAndANewConfigurationIsStillActedOn() throws Exception {
+        List<Socket> idle = new ArrayList<>();
+        try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
+            fleet.launchThrough("sh", "-c", "ulimit -n " + DESCRIPTORS + "; exec \"$0\" \"$@\"");
+            GatewayProcess gateway = fleet.start(0).awaitReady();
+            fleet.load(0, 6, ClientLoad.Habits.STEADY, 11);
+            Thread.sleep(1_000);
+            fillWith(idle, gateway);
+            fleet.discovery.goDown();
+            FleetChecks.drain(fleet, 0);
+            Thread.sleep(1_000);
+            fleet.moveDiscovery(gateway);
+            await().until(() -> gateway.logText().contains("Too many open files"));
+            fleet.discovery.comeBack();
+            FleetChecks.drain(fleet, 1);
+            Thread.sleep(WATCHED_MS);
+            FleetChecks.assertNoSendAfterGrace(fleet);
+            idle.forEach(Background::close);
+            Thread.sleep(3_000);
+            FleetChecks.assertServedAgain(fleet);
+            FleetChecks.drain(fleet, 2);
+            Thread.sleep(WATCHED_MS);
+            FleetChecks.assertNoSendAfterGrace(fleet);
+            assertTrue(gateway.isAlive(), gateway::logText);
+        } finally {
+            idle.forEach(Background::close);
+        }
+    }
+
+    private static void fillWith(List<Socket> idle, GatewayProcess gateway) throws InterruptedException {
+        for (int i = 0; i < IDLE_CLIENTS; i++) {
+            Socket socket = new Socket();
+            idle.add(socket);
+            try {
+                socket.connect(gateway.listen, 200);
+            } catch (IOException full) {
+                return;
+            }
+            Thread.sleep(5);
+        }
+    }
+}
