--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -194,7 +194,11 @@
                         new Ring(rules.fallTime(), 20));
                 node.kept = seat;
                 seat.startedAt = possibleStart(node.startedAt, now);
-                if (old == null) { seats.add(seat); } else { seats.set(old.index, seat); }
+                if (old == null) {
+                    seats.add(seat);
+                } else {
+                    seats.set(old.index, seat);
+                }
                 // A node that turns up later has just started, whatever its line says of its start.
                 if (knowsList && node.startedAt < now - rules.coldTime()) {
                     seat.startedAt = now;
@@ -229,8 +233,12 @@
      * a list was confirmed, not before that list, which knew nothing of it. A start that is told at all was lately.
      */
     private double possibleStart(double told, double now) {
-        if (!lease.isBounded() || told == Double.NEGATIVE_INFINITY) { return told; }
-        if (now - told > LONGEST_TOLD_AGE) { return now; }
+        if (!lease.isBounded() || told == Double.NEGATIVE_INFINITY) {
+            return told;
+        }
+        if (now - told > LONGEST_TOLD_AGE) {
+            return now;
+        }
         return Math.min(now, Math.max(told, lease.confirmedAt()));
     }
 
--- a/src/main/java/sagepulley/drill/Notebook.java
+++ b/src/main/java/sagepulley/drill/Notebook.java
@@ -21,6 +21,7 @@
                            long at) {
     }
 
+    /** An attempt that its gateway gave up, as the node heard it. */
     public record CalledOff(int node, long gateway, long mark, int number, long at) {
     }
 
@@ -28,6 +29,7 @@
     public record Started(int node, double unitsPerSecond, long at) {
     }
 
+    /** A node ended without notice. */
     public record Fell(int node, long at) {
     }
 
--- a/src/main/java/sagepulley/faults/SoakRun.java
+++ b/src/main/java/sagepulley/faults/SoakRun.java
@@ -260,7 +260,7 @@
     // ---- what happens to gateways ----
 
     private void inBackground(int gateway, Action action) {
-        if (busy.put(gateway, true) == Boolean.TRUE) {
+        if (Boolean.TRUE.equals(busy.put(gateway, true))) {
             return; // it is on its way down already
         }
         Background.run("operator", () -> {
@@ -319,7 +319,7 @@
     }
 
     private void reload(int gateway) throws IOException, InterruptedException {
-        if (busy.get(gateway) == Boolean.TRUE) {
+        if (Boolean.TRUE.equals(busy.get(gateway))) {
             return;
         }
         fleet.moveDiscovery(running.get(gateway));
--- a/src/test/java/sagepulley/ArrowsTest.java
+++ b/src/test/java/sagepulley/ArrowsTest.java
@@ -10,7 +10,10 @@
 
 /** The packages' arrows point down only, and decisions know neither sockets, threads nor clocks. */
 @AnalyzeClasses(packages = "sagepulley", importOptions = ImportOption.DoNotIncludeTests.class)
-class ArrowsTest {
+final class ArrowsTest {
+    private ArrowsTest() {
+    }
+
     @ArchTest
     static final ArchRule NO_CYCLES = slices().matching("sagepulley.(*)..").should().beFreeOfCycles();
 
--- a/src/test/java/sagepulley/accounts/AccountsTest.java
+++ b/src/test/java/sagepulley/accounts/AccountsTest.java
@@ -18,6 +18,7 @@
 import sagepulley.model.Owed;
 import sagepulley.model.Reason;
 
+/** Where the time of operations went, by part. */
 class AccountsTest {
     private static final Band BAND = new Band(0, "read", Band.Repeat.IDEMPOTENT, Band.Group.CELL, 0, false, false,
             200, 0, 1000, 3, 0.2);
--- a/src/test/java/sagepulley/books/BookFileTest.java
+++ b/src/test/java/sagepulley/books/BookFileTest.java
@@ -23,6 +23,7 @@
 import sagepulley.model.Owed;
 import sagepulley.model.Reason;
 
+/** Files of accounts: what is written is read again, and what is damaged is told. */
 class BookFileTest {
     private static final Band BAND = new Band(0, "read", Band.Repeat.IDEMPOTENT, Band.Group.CELL, 0, false, false,
             200, 0, 1000, 3, 0.2);
--- a/src/test/java/sagepulley/keep/GenerationsTest.java
+++ b/src/test/java/sagepulley/keep/GenerationsTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+/** Files in generations: the newest that is whole is read. */
 class GenerationsTest {
     @TempDir
     private Path folder;
--- a/src/test/java/sagepulley/membership/MembershipTest.java
+++ b/src/test/java/sagepulley/membership/MembershipTest.java
@@ -15,6 +15,7 @@
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 
+/** What membership makes of lists, contacts and time. */
 class MembershipTest {
     private static final double MINUTE = 60_000;
     private static final double DAY = 86_400_000;
@@ -158,8 +159,10 @@
         long version = 1;
         of.told(whole(version, ready(1), ready(2)), now);
         for (int i = 0; i < 3; i++) {
-            of.told(whole(++version, line(1, NodeLine.Standing.DRAINING), ready(2)), now += 100);
-            of.told(whole(++version, ready(1), ready(2)), now += 100);
+            now += 100;
+            of.told(whole(++version, line(1, NodeLine.Standing.DRAINING), ready(2)), now);
+            now += 100;
+            of.told(whole(++version, ready(1), ready(2)), now);
         }
         assertEquals(NodeLine.Standing.DRAINING, use(of, 1, now));
         assertFalse(of.pass(now + 4_000));
--- a/src/test/java/sagepulley/nbd/NbdCodecTest.java
+++ b/src/test/java/sagepulley/nbd/NbdCodecTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.api.Test;
 import sagepulley.wire.BadBytes;
 
+/** The NBD handshake and commands, however their bytes are split. */
 class NbdCodecTest {
     private static final Export EXPORT = new Export("vol", "a volume", 1 << 20, false, true, 512, 4096, 65536);
 
--- a/src/test/java/sagepulley/platform/FrontTest.java
+++ b/src/test/java/sagepulley/platform/FrontTest.java
@@ -190,6 +190,7 @@
         await().until(() -> front.hasEnded());
     }
 
+    /** How a client ends its connection. */
     enum Way { FIN, HALF_CLOSE, RESET }
 
     @ParameterizedTest
--- a/src/test/java/sagepulley/site/SiteTest.java
+++ b/src/test/java/sagepulley/site/SiteTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import sagepulley.drill.Town;
 
+/** Site files: what is read, and the error of each that is wrong. */
 class SiteTest {
     private static final String GOOD = Town.demoSite("gw-1", 1, 3, 0, new InetSocketAddress("127.0.0.1", 9));
 
--- a/src/test/java/sagepulley/traces/TailSamplerTest.java
+++ b/src/test/java/sagepulley/traces/TailSamplerTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import sagepulley.accounts.Accounts.End;
 
+/** Which operations a tail sampler keeps. */
 class TailSamplerTest {
     /** Whatever comes, no stretch of time holds more than its budget and what was saved up before. */
     @Property(tries = 40, seed = "3")
--- a/src/test/java/sagepulley/wire/FrameTest.java
+++ b/src/test/java/sagepulley/wire/FrameTest.java
@@ -15,6 +15,7 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 
+/** Frames, however their bytes are split. */
 class FrameTest {
     /** The bytes of a frame for each payload. */
     private static byte[] encode(List<byte[]> payloads) {
