--- a/src/test/java/sagepulley/membership/MembershipTest.java
+++ b/src/test/java/sagepulley/membership/MembershipTest.java
@@ -273,22 +273,28 @@
                     of.toAsk(now);
                 }
             }
-            for (Membership.Seen seen : of.seen(now)) {
-                int id = seen.line().node();
-                if (seen.use() == NodeLine.Standing.READY) {
-                    assertTrue(listedReady.get(id), "node " + id + " is used though the list restricts it");
-                    assertFalse(self.getOrDefault(id, false), "node " + id + " is used though it drains");
-                    assertFalse(another.getOrDefault(id, false), "node " + id + " is used though it is another");
-                    boolean old = now - confirmed > Membership.Bounds.USUAL.aged();
-                    assertTrue(!old || seen.proven(), "node " + id + " is used by an old list, unproven");
-                }
-                if (seen.takesNew()) {
-                    assertEquals(NodeLine.Standing.READY, seen.use());
-                    assertTrue(now - confirmed <= Membership.Bounds.USUAL.fresh() || seen.proven());
-                }
-                if (provenNow.getOrDefault(id, false)) {
-                    assertTrue(seen.proven());
-                }
+            assertBelievable(of, now, confirmed, listedReady, self, another, provenNow);
+        }
+    }
+
+    private static void assertBelievable(Membership of, double now, double confirmed, Map<Integer, Boolean> listedReady,
+                                         Map<Integer, Boolean> self, Map<Integer, Boolean> another,
+                                         Map<Integer, Boolean> provenNow) {
+        for (Membership.Seen seen : of.seen(now)) {
+            int id = seen.line().node();
+            if (seen.use() == NodeLine.Standing.READY) {
+                assertTrue(listedReady.get(id), "node " + id + " is used though the list restricts it");
+                assertFalse(self.getOrDefault(id, false), "node " + id + " is used though it drains");
+                assertFalse(another.getOrDefault(id, false), "node " + id + " is used though it is another");
+                boolean old = now - confirmed > Membership.Bounds.USUAL.aged();
+                assertTrue(!old || seen.proven(), "node " + id + " is used by an old list, unproven");
+            }
+            if (seen.takesNew()) {
+                assertEquals(NodeLine.Standing.READY, seen.use());
+                assertTrue(now - confirmed <= Membership.Bounds.USUAL.fresh() || seen.proven());
+            }
+            if (provenNow.getOrDefault(id, false)) {
+                assertTrue(seen.proven());
             }
         }
     }
