--- a/src/main/java/sagepulley/Main.java
+++ b/src/main/java/sagepulley/Main.java
@@ -13,8 +13,7 @@
 
 /** Picks the command; simhost and serve start without anything of the others. */
 public final class Main {
-    private Main() {
-    }
+    private Main() {}
 
     public static void main(String[] words) {
         switch (words.length == 1 ? words[0] : "") {
@@ -29,7 +28,10 @@
         void run() throws ConfigError, IOException;
     }
 
-    /** Status 1 and one line if the configuration cannot be used; 0 after a signal, once all is answered. */
+    /**
+     * Status 1 and one line if the configuration cannot be used; 0 after a signal, once all is
+     * answered.
+     */
     private static void serve(Service service) {
         try {
             service.run();
@@ -42,8 +44,10 @@
 
     private static void simhost() {
         try {
-            new SimHost(new FileInputStream(FileDescriptor.in),
-                    new FileOutputStream(FileDescriptor.out)).run();
+            new SimHost(
+                            new FileInputStream(FileDescriptor.in),
+                            new FileOutputStream(FileDescriptor.out))
+                    .run();
         } catch (MalformedFrame e) {
             System.err.println("sagepulley: malformed frame: " + e.getMessage());
             System.exit(1);
--- a/src/main/java/sagepulley/accounts/Accounts.java
+++ b/src/main/java/sagepulley/accounts/Accounts.java
@@ -11,44 +11,70 @@
 import sagepulley.model.Reason;
 
 /**
- * Accounts of latency by volume: where each operation's time went, without remainder, and who it waited behind.
- * No I/O and no clock; times are milliseconds handed in. Memory is bounded, whatever comes, by so many volumes
- * (the rest share one account, number 0), so many windows in all (detail is given up first where nothing
- * happened for longest) and so many nodes.
+ * Accounts of latency by volume: where each operation's time went, without remainder, and who it
+ * waited behind. No I/O and no clock; times are milliseconds handed in. Memory is bounded, whatever
+ * comes, by so many volumes (the rest share one account, number 0), so many windows in all (detail
+ * is given up first where nothing happened for longest) and so many nodes.
  */
 public final class Accounts {
-    /** The most that is kept: volumes with an account of their own, windows of all volumes, nodes. */
+    /**
+     * The most that is kept: volumes with an account of their own, windows of all volumes, nodes.
+     */
     public record Bounds(int volumes, int windows, int nodes) {
         public static final Bounds USUAL = new Bounds(10_000, 40_000, 512);
+
         /** Keeps no accounts at all: no operation gets a meter. */
         public static final Bounds NONE = new Bounds(0, 0, 0);
     }
 
     /** A node whose work for a unit takes so many times that of the others is slow. */
     private static final double SLOW = 1.5;
+
     private static final double COMPARED_EVERY = 50;
+
     /** A queue stood in for less is the way's noise. */
     private static final double LEAST_QUEUE = 0.1;
+
     private static final double HEARD_LATELY = 1_000;
     private static final int MOST_AHEADS_KEPT = 4096;
-    /** A wait that is shorter than this tells nothing of how fast a queue drains, in milliseconds. */
+
+    /**
+     * A wait that is shorter than this tells nothing of how fast a queue drains, in milliseconds.
+     */
     private static final double LEAST_DRAIN = 0.5;
 
     /** How an operation ended. */
-    public enum End { SATISFIED, DECLINED, SCRAPPED, LEFT }
+    public enum End {
+        SATISFIED,
+        DECLINED,
+        SCRAPPED,
+        LEFT
+    }
 
     private final Bounds bounds;
     private final double wallAtZero;
+
     /** Whoever was used longest ago comes first. */
-    private final LinkedHashMap<Long, Timeline<Window>> volumes = new LinkedHashMap<>(16, 0.75f, true);
+    private final LinkedHashMap<Long, Timeline<Window>> volumes =
+            new LinkedHashMap<>(16, 0.75f, true);
+
     private final Map<Integer, NodeLog> nodes = new LinkedHashMap<>();
     private final ArrayDeque<Ahead> spare = new ArrayDeque<>();
     private final Totals totals;
-    /** Units of attempts out at any node, and of operations that hold a slot while they wait for a claim. */
+
+    /**
+     * Units of attempts out at any node, and of operations that hold a slot while they wait for a
+     * claim.
+     */
     private final Ahead anywhere = new Ahead();
+
     private double claiming;
-    /** Of all nodes that have one, reads and writes: paces summed, and how many; and when that was. */
+
+    /**
+     * Of all nodes that have one, reads and writes: paces summed, and how many; and when that was.
+     */
     private final double[] paces = new double[2];
+
     private final int[] paced = new int[2];
     private double comparedAt = Double.NEGATIVE_INFINITY;
     private int windows;
@@ -76,7 +102,9 @@
         }
     }
 
-    /** An operation came. Its meter is null where no accounts are kept, and all else takes it so. */
+    /**
+     * An operation came. Its meter is null where no accounts are kept, and all else takes it so.
+     */
     public Meter begin(long volume, Band band, boolean writes, double units, double now) {
         return bounds.volumes() == 0 ? null : new Meter(volume, band, writes, units, now);
     }
@@ -89,14 +117,17 @@
         close(meter, now);
         start(meter, part, node);
         meter.limited |= part == Spent.LIMIT;
-        meter.owed = switch (part) {
-            case RESERVE_FULL -> Owed.RESERVE;
-            case BEYOND_SHARE -> Owed.EXCESS;
-            default -> Owed.SHARE;
-        };
+        meter.owed =
+                switch (part) {
+                    case RESERVE_FULL -> Owed.RESERVE;
+                    case BEYOND_SHARE -> Owed.EXCESS;
+                    default -> Owed.SHARE;
+                };
     }
 
-    /** It has a slot at a node and waits for the claim of its extent: the slot is taken meanwhile. */
+    /**
+     * It has a slot at a node and waits for the claim of its extent: the slot is taken meanwhile.
+     */
     public void claims(Meter meter, int node, double now) {
         if (meter == null) {
             return;
@@ -147,8 +178,8 @@
     }
 
     /**
-     * Its attempt was answered well: the node told how long it stood in the queue and was worked on, and how many
-     * attempts of everybody's were in its queue then (NaN: not told).
+     * Its attempt was answered well: the node told how long it stood in the queue and was worked
+     * on, and how many attempts of everybody's were in its queue then (NaN: not told).
      */
     public void answered(Meter meter, double waited, double worked, double queue, double now) {
         if (meter == null) {
@@ -181,7 +212,10 @@
         start(meter, Spent.RANKS_LATER, 0);
     }
 
-    /** A node answered an attempt that had been given up: it stood still, or was long at it, and was not gone. */
+    /**
+     * A node answered an attempt that had been given up: it stood still, or was long at it, and was
+     * not gone.
+     */
     public void late(int node, double waited, double worked) {
         NodeLog log = nodes.get(node);
         if (log != null && waited + worked > 0) {
@@ -218,8 +252,9 @@
     }
 
     /**
-     * No answer came in time. From a node that answered others meanwhile, what its attempts usually take is its queue's
-     * doing or its slowness; only what goes beyond that is the node's fault, as all of it is of a quiet node.
+     * No answer came in time. From a node that answered others meanwhile, what its attempts usually
+     * take is its queue's doing or its slowness; only what goes beyond that is the node's fault, as
+     * all of it is of a quiet node.
      */
     private void unanswered(Meter meter, NodeLog log, double length, double now) {
         double queue = log == null ? 0 : Math.min(length, log.usualSince(now - length));
@@ -229,16 +264,24 @@
         quiet(meter, length - queue, now, false);
     }
 
-    /** Found silent for attempts without an answer; but one that is slow and answered lately is that, not silent. */
+    /**
+     * Found silent for attempts without an answer; but one that is slow and answered lately is
+     * that, not silent.
+     */
     private void silent(Meter meter, double length, double now) {
         NodeLog log = meter.log;
-        double slow = log == null || now - log.heardAt > HEARD_LATELY ? 0
-                : length * Math.max(slowPart(log, false), slowPart(log, true));
+        double slow =
+                log == null || now - log.heardAt > HEARD_LATELY
+                        ? 0
+                        : length * Math.max(slowPart(log, false), slowPart(log, true));
         charge(meter, Cause.Kind.SLOW_NODE, meter.node, slow, true);
         quiet(meter, length - slow, now, false);
     }
 
-    /** A node that said nothing: a fault, or one of its pauses if that is what its silences lately proved to be. */
+    /**
+     * A node that said nothing: a fault, or one of its pauses if that is what its silences lately
+     * proved to be.
+     */
     private void quiet(Meter meter, double length, double now, boolean estimate) {
         NodeLog log = meter.log;
         double paused = log == null ? 0 : length * log.pauses();
@@ -248,7 +291,10 @@
         charge(meter, Cause.Kind.FAULT, meter.node, length - paused, estimate);
     }
 
-    /** Its final answer is out, or its client left; what it was given up for, and at which node (0: none). */
+    /**
+     * Its final answer is out, or its client left; what it was given up for, and at which node (0:
+     * none).
+     */
     public void end(Meter meter, End how, Reason reason, int node, double now) {
         if (meter == null || meter.ended) {
             return;
@@ -258,13 +304,19 @@
         meter.ended = true;
         double took = now - meter.arrivedAt;
         boolean met = how == End.SATISFIED && took <= meter.band.targetTime();
-        double lost = met ? 0 : meter.band.utility() * (how == End.SATISFIED ? 1 - meter.band.lateShare() : 1);
+        double lost =
+                met
+                        ? 0
+                        : meter.band.utility()
+                                * (how == End.SATISFIED ? 1 - meter.band.lateShare() : 1);
         if (lost > 0 && meter.charges.size() == 0) {
             blameUnwaited(meter, reason, node, now);
         }
         Window window = window(meter.volume, now);
-        PlanPart part = meter.limited || reason == Reason.LIMIT ? PlanPart.LIMIT
-                : !meter.wasSent ? PlanPart.NONE : PlanPart.of(meter.owed);
+        PlanPart part =
+                meter.limited || reason == Reason.LIMIT
+                        ? PlanPart.LIMIT
+                        : !meter.wasSent ? PlanPart.NONE : PlanPart.of(meter.owed);
         int at = part.ordinal();
         window.units[at] += meter.units;
         window.lost[at] += lost;
@@ -278,7 +330,7 @@
             case DECLINED -> window.declined++;
             case SCRAPPED -> window.scrapped++;
             case LEFT -> window.left++;
-            case SATISFIED -> { }
+            case SATISFIED -> {}
         }
         book(window, meter, lost);
         count(meter, how, part, met, lost);
@@ -297,7 +349,7 @@
             case DECLINED -> sum.declined++;
             case SCRAPPED -> sum.scrapped++;
             case LEFT -> sum.left++;
-            case SATISFIED -> { }
+            case SATISFIED -> {}
         }
         sum.waited += waited(meter);
         totals.ended(part, meter.units);
@@ -336,12 +388,16 @@
         }
     }
 
-    /** Given up at once: nothing waited, but what it would have waited for is the cause all the same. */
+    /**
+     * Given up at once: nothing waited, but what it would have waited for is the cause all the
+     * same.
+     */
     private void blameUnwaited(Meter meter, Reason reason, int node, double now) {
-        Spent part = switch (reason) {
-            case LATE, PATIENCE -> Spent.SHARE_FULL;
-            default -> Spent.of(reason);
-        };
+        Spent part =
+                switch (reason) {
+                    case LATE, PATIENCE -> Spent.SHARE_FULL;
+                    default -> Spent.of(reason);
+                };
         start(meter, part, node);
         charge(meter, part, 1e-9, now);
         meter.spends = Spent.RANKS_LATER;
@@ -365,8 +421,12 @@
             meter.log = node == 0 ? null : nodes.get(node);
         }
         NodeLog log = meter.log;
-        boolean matters = node == 0 ? part == Spent.RESERVE_FULL || part == Spent.SHARE_FULL
-                || part == Spent.BEYOND_SHARE : log != null;
+        boolean matters =
+                node == 0
+                        ? part == Spent.RESERVE_FULL
+                                || part == Spent.SHARE_FULL
+                                || part == Spent.BEYOND_SHARE
+                        : log != null;
         if (!matters) {
             giveBack(meter);
             return;
@@ -397,9 +457,11 @@
         }
     }
 
-    private static void charge(Meter meter, Cause.Kind kind, int node, double length, boolean estimate) {
+    private static void charge(
+            Meter meter, Cause.Kind kind, int node, double length, boolean estimate) {
         if (length > 0) {
-            meter.charges.add(Cause.key(kind, 0, node, estimate), length, estimate ? 0 : length, length, 0);
+            meter.charges.add(
+                    Cause.key(kind, 0, node, estimate), length, estimate ? 0 : length, length, 0);
         }
     }
 
@@ -411,7 +473,8 @@
 
     private void charge(Meter meter, Spent part, double length, double now) {
         switch (part) {
-            case RESERVE_FULL, SHARE_FULL, BEYOND_SHARE, RANKS_LATER, HELD_BACK -> held(meter, part, length, now);
+            case RESERVE_FULL, SHARE_FULL, BEYOND_SHARE, RANKS_LATER, HELD_BACK ->
+                    held(meter, part, length, now);
             case BUDGET -> charge(meter, Cause.Kind.CAUTION, meter.node, length, false);
             case LIMIT -> own(meter, Cause.Kind.OWN_LIMIT, length);
             case ORDER -> own(meter, Cause.Kind.OWN_LOAD, length);
@@ -426,9 +489,9 @@
     }
 
     /**
-     * Held here for a slot at a node, or by the queue seen there: its slots turn over as fast as its attempts end.
-     * What the node's silence, its coldness, pauses or other gateways' work add is not the doing of those who
-     * have the slots; the rest is charged to them.
+     * Held here for a slot at a node, or by the queue seen there: its slots turn over as fast as
+     * its attempts end. What the node's silence, its coldness, pauses or other gateways' work add
+     * is not the doing of those who have the slots; the rest is charged to them.
      */
     private void held(Meter meter, Spent part, double all, double now) {
         NodeLog log = meter.log;
@@ -473,7 +536,13 @@
             return;
         }
         double spread = seen ? 1 : 0.5;
-        behind(meter, log, rest, spread * rest, rest + elsewhere, seen && log.elsewhere + log.paused < 0.05);
+        behind(
+                meter,
+                log,
+                rest,
+                spread * rest,
+                rest + elsewhere,
+                seen && log.elsewhere + log.paused < 0.05);
     }
 
     /** Waited in the node's queue, as the node told. */
@@ -499,8 +568,12 @@
         double paused = rest - elsewhere;
         if (elsewhere > 0) {
             double least = length * leastOthers / (own + leastOthers);
-            meter.charges.add(Cause.key(Cause.Kind.ELSEWHERE, 0, log.id, true), elsewhere,
-                    Math.min(least, elsewhere), length, 0);
+            meter.charges.add(
+                    Cause.key(Cause.Kind.ELSEWHERE, 0, log.id, true),
+                    elsewhere,
+                    Math.min(least, elsewhere),
+                    length,
+                    0);
         }
         pause(meter, log, paused, now);
         if (mine > 0) {
@@ -512,7 +585,10 @@
         }
     }
 
-    /** What neither the units ahead nor a queue seen explain: the node paused, perhaps for writes put off. */
+    /**
+     * What neither the units ahead nor a queue seen explain: the node paused, perhaps for writes
+     * put off.
+     */
     private static void pause(Meter meter, NodeLog log, double length, double now) {
         if (length <= 0) {
             return;
@@ -525,25 +601,35 @@
         }
         for (int i = 0; i < log.written.size(); i++) {
             double part = length * log.written.units(i) / sum;
-            meter.charges.add(Cause.key(Cause.Kind.PAUSE, log.written.volume(i), log.id, true), part, 0, length, 0);
+            meter.charges.add(
+                    Cause.key(Cause.Kind.PAUSE, log.written.volume(i), log.id, true),
+                    part,
+                    0,
+                    length,
+                    0);
         }
     }
 
     /**
-     * Behind the units ahead, by volume, but what a slow node adds is the node's own. Who is in a part of the
-     * plan that goes before is entitled to be ahead: then it is one's own load, beyond that part, that waits.
+     * Behind the units ahead, by volume, but what a slow node adds is the node's own. Who is in a
+     * part of the plan that goes before is entitled to be ahead: then it is one's own load, beyond
+     * that part, that waits.
      */
-    private void behind(Meter meter, NodeLog log, double length, double least, double most, boolean seen) {
+    private void behind(
+            Meter meter, NodeLog log, double length, double least, double most, boolean seen) {
         double slow = log == null ? 0 : slowPart(log, meter.writes);
         int at = log == null ? 0 : log.id;
         charge(meter, Cause.Kind.SLOW_NODE, at, length * slow, true);
         double sum = meter.ahead.sum();
         for (int i = 0; i < meter.ahead.size(); i++) {
             double part = (1 - slow) * meter.ahead.units(i) / sum;
-            boolean mine = meter.ahead.volume(i) == meter.volume
-                    || meter.ahead.owed(i).compareTo(meter.owed) < 0;
-            long key = mine ? Cause.key(Cause.Kind.OWN_LOAD, meter.volume, at, !seen)
-                    : Cause.key(Cause.Kind.NEIGHBOUR, meter.ahead.volume(i), at, !seen);
+            boolean mine =
+                    meter.ahead.volume(i) == meter.volume
+                            || meter.ahead.owed(i).compareTo(meter.owed) < 0;
+            long key =
+                    mine
+                            ? Cause.key(Cause.Kind.OWN_LOAD, meter.volume, at, !seen)
+                            : Cause.key(Cause.Kind.NEIGHBOUR, meter.ahead.volume(i), at, !seen);
             meter.charges.add(key, length * part, least * part, most * part, 0);
         }
     }
@@ -620,7 +706,10 @@
         return line;
     }
 
-    /** Whoever was idle longest gives up detail; who has none left goes into the account that the rest share. */
+    /**
+     * Whoever was idle longest gives up detail; who has none left goes into the account that the
+     * rest share.
+     */
     private boolean giveUpDetail(Timeline<Window> spared) {
         for (Map.Entry<Long, Timeline<Window>> entry : volumes.entrySet()) {
             Timeline<Window> line = entry.getValue();
@@ -645,42 +734,57 @@
 
     // ---- what is told ----
 
-    /** A volume's account from a time to another on the clock handed in, as fine as it is still kept. */
+    /**
+     * A volume's account from a time to another on the clock handed in, as fine as it is still
+     * kept.
+     */
     public Report report(long volume, double from, double to) {
         return book().report(volume, wallAtZero + from, wallAtZero + to);
     }
 
-    /** Begins a copy of all that is kept now, taken piece by piece; on the thread that owns these accounts. */
+    /**
+     * Begins a copy of all that is kept now, taken piece by piece; on the thread that owns these
+     * accounts.
+     */
     public BookCopy copy() {
         return new BookCopy(book());
     }
 
-    /** All of it, as it stands; shares its parts with these accounts, so that it is for the same thread. */
+    /**
+     * All of it, as it stands; shares its parts with these accounts, so that it is for the same
+     * thread.
+     */
     public Book book() {
         Book book = new Book();
         volumes.forEach(book.volumes::put);
-        nodes.forEach((id, log) -> {
-            book.flows.put(id, log.flows);
-            book.zones.put(id, log.zone);
-        });
+        nodes.forEach(
+                (id, log) -> {
+                    book.flows.put(id, log.flows);
+                    book.zones.put(id, log.zone);
+                });
         return book;
     }
 
-    /** Goes on with what an earlier life kept, at most as much as fits; later than now nothing can have been. */
+    /**
+     * Goes on with what an earlier life kept, at most as much as fits; later than now nothing can
+     * have been.
+     */
     public void goOn(Book book, double now) {
         book.noLaterThan(wallAtZero + now);
-        book.volumes.forEach((volume, line) -> {
-            Timeline<Window> mine = line(volume);
-            int before = mine.size();
-            mine.merge(line, 0);
-            windows += mine.size() - before;
-        });
-        book.flows.forEach((id, line) -> {
-            NodeLog log = log(id);
-            if (log != null) {
-                log.flows.merge(line, 0);
-            }
-        });
+        book.volumes.forEach(
+                (volume, line) -> {
+                    Timeline<Window> mine = line(volume);
+                    int before = mine.size();
+                    mine.merge(line, 0);
+                    windows += mine.size() - before;
+                });
+        book.flows.forEach(
+                (id, line) -> {
+                    NodeLog log = log(id);
+                    if (log != null) {
+                        log.flows.merge(line, 0);
+                    }
+                });
         while (windows > bounds.windows() && giveUpDetail(null)) {
             // once for each window too many
         }
--- a/src/main/java/sagepulley/accounts/Ahead.java
+++ b/src/main/java/sagepulley/accounts/Ahead.java
@@ -2,7 +2,10 @@
 
 import sagepulley.model.Owed;
 
-/** The units of attempts that are out at a node, by volume and by part of the plan: what others wait behind. */
+/**
+ * The units of attempts that are out at a node, by volume and by part of the plan: what others wait
+ * behind.
+ */
 final class Ahead {
     private static final Owed[] OWED = Owed.values();
     static final int MOST = 48;
@@ -40,8 +43,9 @@
     }
 
     /**
-     * More units, or less; whoever has most drifts to the front. What does not fit counts as nobody's, number 0.
-     * Returns the key it was counted under, by which it is to be taken off again.
+     * More units, or less; whoever has most drifts to the front. What does not fit counts as
+     * nobody's, number 0. Returns the key it was counted under, by which it is to be taken off
+     * again.
      */
     long add(long key, double amount) {
         int at = 0;
--- a/src/main/java/sagepulley/accounts/Book.java
+++ b/src/main/java/sagepulley/accounts/Book.java
@@ -8,12 +8,13 @@
 import java.util.TreeMap;
 
 /**
- * Accounts as they stood at a moment: of one gateway, or of several together. Times are those of the clock on
- * the wall, in milliseconds.
+ * Accounts as they stood at a moment: of one gateway, or of several together. Times are those of
+ * the clock on the wall, in milliseconds.
  */
 public final class Book {
     /** A cause is named with confidence from so many operations on. */
     private static final long ENOUGH = 20;
+
     private static final double MOST_OF_IT = 0.5;
     private static final double FAR_BEHIND = 0.6;
     private static final double ONE_OF_FEW = 0.3;
@@ -36,20 +37,21 @@
     /** Units that went to each node from a time to another, by volume, and of them the writes. */
     public Map<Integer, Map<Long, double[]>> flows(double from, double to) {
         Map<Integer, Map<Long, double[]>> all = new LinkedHashMap<>();
-        flows.forEach((node, line) -> {
-            Flow sum = new Flow();
-            line.sum(sum, from, to);
-            Map<Long, double[]> units = new TreeMap<>();
-            for (int i = 0; i < sum.units.size(); i++) {
-                Cause cause = Cause.of(sum.units.key(i));
-                double[] both = units.computeIfAbsent(cause.volume(), any -> new double[2]);
-                both[0] += sum.units.waited(i);
-                both[1] += cause.estimate() ? sum.units.waited(i) : 0;
-            }
-            if (!units.isEmpty()) {
-                all.put(node, units);
-            }
-        });
+        flows.forEach(
+                (node, line) -> {
+                    Flow sum = new Flow();
+                    line.sum(sum, from, to);
+                    Map<Long, double[]> units = new TreeMap<>();
+                    for (int i = 0; i < sum.units.size(); i++) {
+                        Cause cause = Cause.of(sum.units.key(i));
+                        double[] both = units.computeIfAbsent(cause.volume(), any -> new double[2]);
+                        both[0] += sum.units.waited(i);
+                        both[1] += cause.estimate() ? sum.units.waited(i) : 0;
+                    }
+                    if (!units.isEmpty()) {
+                        all.put(node, units);
+                    }
+                });
         return all;
     }
 
@@ -66,7 +68,10 @@
         return newest;
     }
 
-    /** What lies later than a time, by a clock that was set back since, is moved before it: whole hours. */
+    /**
+     * What lies later than a time, by a clock that was set back since, is moved before it: whole
+     * hours.
+     */
     void noLaterThan(double wall) {
         volumes.values().forEach(line -> line.noLaterThan(wall));
         flows.values().forEach(line -> line.noLaterThan(wall));
@@ -74,16 +79,20 @@
 
     /** Adds another's, whose clock was ahead by so many milliseconds. */
     void merge(Book other, double ahead) {
-        other.volumes.forEach((volume, line) ->
-                volumes.computeIfAbsent(volume, any -> new Timeline<>(Window::new)).merge(line, -ahead));
-        other.flows.forEach((node, line) ->
-                flows.computeIfAbsent(node, any -> new Timeline<>(Flow::new)).merge(line, -ahead));
+        other.volumes.forEach(
+                (volume, line) ->
+                        volumes.computeIfAbsent(volume, any -> new Timeline<>(Window::new))
+                                .merge(line, -ahead));
+        other.flows.forEach(
+                (node, line) ->
+                        flows.computeIfAbsent(node, any -> new Timeline<>(Flow::new))
+                                .merge(line, -ahead));
         other.zones.forEach(zones::putIfAbsent);
     }
 
     /** One point of a volume's course: the middle of the stretch, and what it got in it. */
-    public record Point(double wall, double length, long operations, long missed, double waited, double work) {
-    }
+    public record Point(
+            double wall, double length, long operations, long missed, double waited, double work) {}
 
     /** A volume's course from a time to another, oldest first, as fine as it is kept. */
     public List<Point> course(long volume, double from, double to) {
@@ -94,21 +103,30 @@
         }
         for (int level = Timeline.LEVELS - 1; level >= 0; level--) {
             double length = Timeline.LENGTH[level];
-            line.level(level).forEach((number, window) -> {
-                double middle = (number + 0.5) * length;
-                if (middle + length / 2 >= from && middle - length / 2 <= to) {
-                    double work = window.parts[Spent.NODE_WORK.ordinal()];
-                    double all = 0;
-                    for (double part : window.parts) {
-                        all += part;
-                    }
-                    long missed = 0;
-                    for (long part : window.missed) {
-                        missed += part;
-                    }
-                    points.add(new Point(middle, length, window.operations(), missed, all - work, work));
-                }
-            });
+            line.level(level)
+                    .forEach(
+                            (number, window) -> {
+                                double middle = (number + 0.5) * length;
+                                if (middle + length / 2 >= from && middle - length / 2 <= to) {
+                                    double work = window.parts[Spent.NODE_WORK.ordinal()];
+                                    double all = 0;
+                                    for (double part : window.parts) {
+                                        all += part;
+                                    }
+                                    long missed = 0;
+                                    for (long part : window.missed) {
+                                        missed += part;
+                                    }
+                                    points.add(
+                                            new Point(
+                                                    middle,
+                                                    length,
+                                                    window.operations(),
+                                                    missed,
+                                                    all - work,
+                                                    work));
+                                }
+                            });
         }
         points.sort(Comparator.comparingDouble(Point::wall));
         return points;
@@ -135,18 +153,37 @@
         for (PlanPart part : PlanPart.values()) {
             int at = part.ordinal();
             if (sum.times[at] != null) {
-                plan.add(new Report.PlanLine(part, sum.met[at], sum.missed[at], sum.units[at], sum.lost[at],
-                        sum.times[at].getValueAtPercentile(50) / Window.TICKS,
-                        sum.times[at].getValueAtPercentile(99) / Window.TICKS,
-                        sum.times[at].getMaxValue() / Window.TICKS));
+                plan.add(
+                        new Report.PlanLine(
+                                part,
+                                sum.met[at],
+                                sum.missed[at],
+                                sum.units[at],
+                                sum.lost[at],
+                                sum.times[at].getValueAtPercentile(50) / Window.TICKS,
+                                sum.times[at].getValueAtPercentile(99) / Window.TICKS,
+                                sum.times[at].getMaxValue() / Window.TICKS));
             }
             units += sum.units[at];
             lost += sum.lost[at];
             met += sum.met[at];
             missed += sum.missed[at];
         }
-        return new Report(volume, from, to, met + missed, met, missed, sum.declined, sum.scrapped, sum.left, units,
-                lost, parts, plan, causes(sum, line, from, to));
+        return new Report(
+                volume,
+                from,
+                to,
+                met + missed,
+                met,
+                missed,
+                sum.declined,
+                sum.scrapped,
+                sum.left,
+                units,
+                lost,
+                parts,
+                plan,
+                causes(sum, line, from, to));
     }
 
     /** The same cause at several nodes, seen or reckoned, summed. */
@@ -162,10 +199,11 @@
     private record Who(Cause.Kind kind, long volume, int node) {
         /** A fault, a slow or a cold node is itself the cause; of others it is where they acted. */
         static Who of(Cause cause) {
-            boolean ofNode = switch (cause.kind()) {
-                case SLOW_NODE, COLD_NODE, FAULT, NETWORK -> true;
-                default -> false;
-            };
+            boolean ofNode =
+                    switch (cause.kind()) {
+                        case SLOW_NODE, COLD_NODE, FAULT, NETWORK -> true;
+                        default -> false;
+                    };
             return new Who(cause.kind(), cause.volume(), ofNode ? cause.node() : 0);
         }
     }
@@ -185,15 +223,16 @@
             all += cause.kind() == Cause.Kind.OWN_WORK ? 0 : sum.causes.waited(i);
         }
         List<Map.Entry<Who, Sum>> ranked = new ArrayList<>(sums.entrySet());
-        ranked.sort(Comparator.comparingDouble((Map.Entry<Who, Sum> entry) -> -entry.getValue().waited)
-                .thenComparing(entry -> entry.getKey().toString()));
+        ranked.sort(
+                Comparator.comparingDouble((Map.Entry<Who, Sum> entry) -> -entry.getValue().waited)
+                        .thenComparing(entry -> entry.getKey().toString()));
         List<Report.Charged> causes = new ArrayList<>();
         double whole = Math.max(1e-9, all);
         for (Map.Entry<Who, Sum> entry : ranked) {
             Who who = entry.getKey();
             Sum one = entry.getValue();
-            Map.Entry<Integer, Double> node = one.nodes.entrySet().stream()
-                    .max(Map.Entry.comparingByValue()).orElseThrow();
+            Map.Entry<Integer, Double> node =
+                    one.nodes.entrySet().stream().max(Map.Entry.comparingByValue()).orElseThrow();
             double seen = one.seen / Math.max(1e-9, one.waited);
             double share = one.waited / whole;
             double next = 0;
@@ -202,22 +241,41 @@
                 next = counts ? Math.max(next, other.getValue().waited) : next;
             }
             double[] worst = worst(line, who, from, to);
-            causes.add(new Report.Charged(who.kind(), who.volume(), node.getKey(),
-                    node.getValue() / Math.max(1e-9, one.waited), one.waited, one.least, one.most, share, one.lost,
-                    seen, worst[0], worst[1], confidence(share, next / whole, seen, one.least / whole, sum.operations())));
+            causes.add(
+                    new Report.Charged(
+                            who.kind(),
+                            who.volume(),
+                            node.getKey(),
+                            node.getValue() / Math.max(1e-9, one.waited),
+                            one.waited,
+                            one.least,
+                            one.most,
+                            share,
+                            one.lost,
+                            seen,
+                            worst[0],
+                            worst[1],
+                            confidence(
+                                    share,
+                                    next / whole,
+                                    seen,
+                                    one.least / whole,
+                                    sum.operations())));
         }
         return causes;
     }
 
-    private static Report.Confidence confidence(double share, double next, double seen, double least,
-                                                long operations) {
+    private static Report.Confidence confidence(
+            double share, double next, double seen, double least, long operations) {
         if (operations < ENOUGH || share < ONE_OF_FEW) {
             return Report.Confidence.LOW;
         }
         if (share >= MOST_OF_IT && seen >= NEARLY_ALL_SEEN && next <= FAR_BEHIND * share) {
             return Report.Confidence.HIGH;
         }
-        return share >= MOST_OF_IT || least >= ONE_OF_FEW ? Report.Confidence.MIDDLE : Report.Confidence.LOW;
+        return share >= MOST_OF_IT || least >= ONE_OF_FEW
+                ? Report.Confidence.MIDDLE
+                : Report.Confidence.LOW;
     }
 
     /** From when to when the stretch ran in which a cause charged most for its length. */
--- a/src/main/java/sagepulley/accounts/BookCopy.java
+++ b/src/main/java/sagepulley/accounts/BookCopy.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 
-/** A copy of accounts that is taken piece by piece, so that who owns them is never held up for long. */
+/**
+ * A copy of accounts that is taken piece by piece, so that who owns them is never held up for long.
+ */
 public final class BookCopy {
     private final Iterator<Map.Entry<Long, Timeline<Window>>> left;
     private final Book copy = new Book();
--- a/src/main/java/sagepulley/accounts/Cause.java
+++ b/src/main/java/sagepulley/accounts/Cause.java
@@ -1,21 +1,32 @@
 package sagepulley.accounts;
 
 /**
- * Who or what made an operation wait: a kind, a volume's number (0: none or several) and the node where it
- * happened (0: none or several). What was reckoned from nodes' answers, and not seen here, is an estimate.
+ * Who or what made an operation wait: a kind, a volume's number (0: none or several) and the node
+ * where it happened (0: none or several). What was reckoned from nodes' answers, and not seen here,
+ * is an estimate.
  */
 public record Cause(Kind kind, long volume, int node, boolean estimate) {
     /** Kinds of causes. */
     public enum Kind {
         /** The volume's own load, its plan's limit, and the work that it asked for. */
-        OWN_LOAD, OWN_LIMIT, OWN_WORK,
+        OWN_LOAD,
+        OWN_LIMIT,
+        OWN_WORK,
         /** Another volume's load through this gateway; any volume's through other gateways. */
-        NEIGHBOUR, ELSEWHERE,
-        /** A node that works slower than the rest, pauses of its own, started lately, or did not do its work. */
-        SLOW_NODE, PAUSE, COLD_NODE, FAULT,
+        NEIGHBOUR,
+        ELSEWHERE,
+        /**
+         * A node that works slower than the rest, pauses of its own, started lately, or did not do
+         * its work.
+         */
+        SLOW_NODE,
+        PAUSE,
+        COLD_NODE,
+        FAULT,
         /** This gateway's caution: a queue seen, the budget of further attempts, a rank. */
         CAUTION,
-        DIRECTORY, NETWORK
+        DIRECTORY,
+        NETWORK
     }
 
     private static final Kind[] KINDS = Kind.values();
@@ -29,12 +40,16 @@
         long who = volume < 0 || volume > MOST_VOLUME ? 0 : volume;
         long where = node < 0 || node > MOST_NODE ? 0 : node;
         return ((long) kind.ordinal() << 1 | (estimate ? 1 : 0)) << (NODE_BITS + VOLUME_BITS)
-                | where << VOLUME_BITS | who;
+                | where << VOLUME_BITS
+                | who;
     }
 
     static Cause of(long key) {
-        return new Cause(kind(key), key & MOST_VOLUME,
-                (int) (key >>> VOLUME_BITS & MOST_NODE), (key >>> (NODE_BITS + VOLUME_BITS) & 1) == 1);
+        return new Cause(
+                kind(key),
+                key & MOST_VOLUME,
+                (int) (key >>> VOLUME_BITS & MOST_NODE),
+                (key >>> (NODE_BITS + VOLUME_BITS) & 1) == 1);
     }
 
     static Kind kind(long key) {
--- a/src/main/java/sagepulley/accounts/Charges.java
+++ b/src/main/java/sagepulley/accounts/Charges.java
@@ -4,18 +4,22 @@
 import java.util.function.LongUnaryOperator;
 
 /**
- * Milliseconds of waiting and utility lost, by cause, in a table of bounded size; what is smallest is folded
- * together when it is full, first over nodes and then over volumes. Of a wait that is reckoned, the least and
- * the most that it can have been are kept.
+ * Milliseconds of waiting and utility lost, by cause, in a table of bounded size; what is smallest
+ * is folded together when it is full, first over nodes and then over volumes. Of a wait that is
+ * reckoned, the least and the most that it can have been are kept.
  */
 final class Charges {
     private static final int FIRST = 6;
+
     /** One in so many causes stays whole when others are folded. */
     private static final int KEPT_WHOLE = 4;
+
     private final int most;
     private long[] keys = new long[FIRST];
+
     /** Waited, its least, its most, utility lost: four to a key. */
     private double[] sums = new double[4 * FIRST];
+
     private int size;
     private boolean folded;
 
@@ -97,8 +101,9 @@
     }
 
     /**
-     * Makes room for many at once: all but the largest go to the same cause anywhere, if that is not enough to
-     * anybody's, and at last the largest too: a table holds all kinds, seen and reckoned.
+     * Makes room for many at once: all but the largest go to the same cause anywhere, if that is
+     * not enough to anybody's, and at last the largest too: a table holds all kinds, seen and
+     * reckoned.
      */
     private void fold() {
         int enough = most - most / KEPT_WHOLE;
@@ -126,8 +131,12 @@
         size = 0;
         for (int i = 0; i < before.length; i++) {
             boolean stays = figures[4 * i] >= least && left-- > 0;
-            add(stays ? before[i] : wider.applyAsLong(before[i]), figures[4 * i], figures[4 * i + 1],
-                    figures[4 * i + 2], figures[4 * i + 3]);
+            add(
+                    stays ? before[i] : wider.applyAsLong(before[i]),
+                    figures[4 * i],
+                    figures[4 * i + 1],
+                    figures[4 * i + 2],
+                    figures[4 * i + 3]);
         }
     }
 }
--- a/src/main/java/sagepulley/accounts/Fleet.java
+++ b/src/main/java/sagepulley/accounts/Fleet.java
@@ -7,28 +7,31 @@
 import java.util.TreeMap;
 
 /**
- * Accounts of several gateways put together. Their clocks differ: every gateway is told of each change of the
- * list of nodes at nearly the same moment, so that the times at which two noted the same version show by how
- * much. And what one gateway knows only as other gateways' work at a node, the others' own books name.
+ * Accounts of several gateways put together. Their clocks differ: every gateway is told of each
+ * change of the list of nodes at nearly the same moment, so that the times at which two noted the
+ * same version show by how much. And what one gateway knows only as other gateways' work at a node,
+ * the others' own books name.
  */
 public final class Fleet {
-    /** A gateway's book, and when, by its own clock, it was told of which versions of the list of nodes. */
-    public record Member(String gateway, Book book, Map<Long, Double> told) {
-    }
+    /**
+     * A gateway's book, and when, by its own clock, it was told of which versions of the list of
+     * nodes.
+     */
+    public record Member(String gateway, Book book, Map<Long, Double> told) {}
 
-    /** By how much a gateway's clock is ahead of the first's, in milliseconds; NaN where nothing shows it. */
-    public record Clock(String gateway, double ahead) {
-    }
+    /**
+     * By how much a gateway's clock is ahead of the first's, in milliseconds; NaN where nothing
+     * shows it.
+     */
+    public record Clock(String gateway, double ahead) {}
 
     /** One book for all, and how the clocks were set. */
-    public record Merged(Book book, List<Clock> clocks) {
-    }
+    public record Merged(Book book, List<Clock> clocks) {}
 
     /** Flows further than this from the time of a wait do not explain it. */
     private static final double NEAR = 10_000;
 
-    private Fleet() {
-    }
+    private Fleet() {}
 
     /** Puts all together by the clock of the first; names who worked elsewhere, as an estimate. */
     public static Merged merge(List<Member> members) {
@@ -52,7 +55,10 @@
         return new Merged(all, clocks);
     }
 
-    /** The middle of the differences at common versions, with the first, or over others that know both. */
+    /**
+     * The middle of the differences at common versions, with the first, or over others that know
+     * both.
+     */
     private static double ahead(List<Member> members, Member member) {
         double direct = difference(members.get(0), member);
         if (!Double.isNaN(direct)) {
@@ -68,50 +74,77 @@
     }
 
     private static double difference(Member one, Member other) {
-        double[] differences = other.told.entrySet().stream()
-                .filter(entry -> one.told.containsKey(entry.getKey()))
-                .mapToDouble(entry -> entry.getValue() - one.told.get(entry.getKey())).sorted().toArray();
+        double[] differences =
+                other.told.entrySet().stream()
+                        .filter(entry -> one.told.containsKey(entry.getKey()))
+                        .mapToDouble(entry -> entry.getValue() - one.told.get(entry.getKey()))
+                        .sorted()
+                        .toArray();
         return differences.length == 0 ? Double.NaN : differences[differences.length / 2];
     }
 
     /** Puts names in place of others' work, where the other gateways' books tell whose it was. */
     private static void name(Book book, List<Book> all, int mine) {
-        book.volumes.forEach((volume, line) -> {
-            for (int level = 0; level < Timeline.LEVELS; level++) {
-                double length = Timeline.LENGTH[level];
-                for (Map.Entry<Long, Window> entry : line.level(level).entrySet()) {
-                    name(entry.getValue(), volume, entry.getKey() * length, (entry.getKey() + 1) * length, all,
-                            mine);
-                }
-            }
-        });
+        book.volumes.forEach(
+                (volume, line) -> {
+                    for (int level = 0; level < Timeline.LEVELS; level++) {
+                        double length = Timeline.LENGTH[level];
+                        for (Map.Entry<Long, Window> entry : line.level(level).entrySet()) {
+                            name(
+                                    entry.getValue(),
+                                    volume,
+                                    entry.getKey() * length,
+                                    (entry.getKey() + 1) * length,
+                                    all,
+                                    mine);
+                        }
+                    }
+                });
     }
 
-    private static void name(Window window, long volume, double from, double to, List<Book> all, int mine) {
+    private static void name(
+            Window window, long volume, double from, double to, List<Book> all, int mine) {
         Charges before = new Charges(Window.MOST_CAUSES);
         before.addAll(window.causes);
         window.causes.clear();
         for (int i = 0; i < before.size(); i++) {
             Cause cause = Cause.of(before.key(i));
-            Map<Long, Double> units = cause.kind() == Cause.Kind.ELSEWHERE
-                    ? elsewhere(cause.node(), from, to, all, mine) : Map.of();
+            Map<Long, Double> units =
+                    cause.kind() == Cause.Kind.ELSEWHERE
+                            ? elsewhere(cause.node(), from, to, all, mine)
+                            : Map.of();
             double sum = units.values().stream().mapToDouble(Double::doubleValue).sum();
             if (sum <= 0) {
-                window.causes.add(before.key(i), before.waited(i), before.least(i), before.most(i), before.lost(i));
+                window.causes.add(
+                        before.key(i),
+                        before.waited(i),
+                        before.least(i),
+                        before.most(i),
+                        before.lost(i));
                 continue;
             }
             int at = i;
-            units.forEach((who, amount) -> {
-                Cause.Kind kind = who == volume ? Cause.Kind.OWN_LOAD : Cause.Kind.NEIGHBOUR;
-                double part = amount / sum;
-                window.causes.add(Cause.key(kind, who, cause.node(), true), part * before.waited(at),
-                        part * before.least(at), part * before.most(at), part * before.lost(at));
-            });
+            units.forEach(
+                    (who, amount) -> {
+                        Cause.Kind kind =
+                                who == volume ? Cause.Kind.OWN_LOAD : Cause.Kind.NEIGHBOUR;
+                        double part = amount / sum;
+                        window.causes.add(
+                                Cause.key(kind, who, cause.node(), true),
+                                part * before.waited(at),
+                                part * before.least(at),
+                                part * before.most(at),
+                                part * before.lost(at));
+                    });
         }
     }
 
-    /** Units that the others sent to a node about a time, by volume; of the finest stretches that they have. */
-    private static Map<Long, Double> elsewhere(int node, double from, double to, List<Book> all, int mine) {
+    /**
+     * Units that the others sent to a node about a time, by volume; of the finest stretches that
+     * they have.
+     */
+    private static Map<Long, Double> elsewhere(
+            int node, double from, double to, List<Book> all, int mine) {
         Map<Long, Double> units = new TreeMap<>();
         for (int i = 0; i < all.size(); i++) {
             Timeline<Flow> line = all.get(i).flows.get(node);
@@ -121,16 +154,23 @@
             Flow sum = new Flow();
             line.sum(sum, from - NEAR, to + NEAR - 1);
             for (int at = 0; at < sum.units.size(); at++) {
-                units.merge(Cause.of(sum.units.key(at)).volume(), sum.units.waited(at), Double::sum);
+                units.merge(
+                        Cause.of(sum.units.key(at)).volume(), sum.units.waited(at), Double::sum);
             }
         }
         return units;
     }
 
-    /** The nodes of one zone that share a fault, when it is more than one and at least half of the zone's. */
+    /**
+     * The nodes of one zone that share a fault, when it is more than one and at least half of the
+     * zone's.
+     */
     public static List<Integer> zoneAtFault(Book book, int zone, List<Integer> atFault) {
-        int[] there = book.zones.entrySet().stream().filter(entry -> entry.getValue() == zone)
-                .mapToInt(Map.Entry::getKey).toArray();
+        int[] there =
+                book.zones.entrySet().stream()
+                        .filter(entry -> entry.getValue() == zone)
+                        .mapToInt(Map.Entry::getKey)
+                        .toArray();
         List<Integer> faulty = Arrays.stream(there).filter(atFault::contains).boxed().toList();
         return faulty.size() > 1 && 2 * faulty.size() >= there.length ? faulty : List.of();
     }
--- a/src/main/java/sagepulley/accounts/Flow.java
+++ b/src/main/java/sagepulley/accounts/Flow.java
@@ -1,9 +1,16 @@
 package sagepulley.accounts;
 
-/** Units that one node worked on for this gateway over one stretch of time, by volume: reads and writes. */
+/**
+ * Units that one node worked on for this gateway over one stretch of time, by volume: reads and
+ * writes.
+ */
 final class Flow implements Span<Flow> {
     static final int MOST_VOLUMES = 24;
-    /** Keyed like causes (a neighbour's number), with units in place of time; writes under their own mark. */
+
+    /**
+     * Keyed like causes (a neighbour's number), with units in place of time; writes under their own
+     * mark.
+     */
     final Charges units = new Charges(MOST_VOLUMES);
 
     void worked(long volume, boolean writes, double amount) {
--- a/src/main/java/sagepulley/accounts/Kept.java
+++ b/src/main/java/sagepulley/accounts/Kept.java
@@ -8,47 +8,59 @@
 /** A book's figures as plain values, to be written down and read again. */
 public record Kept(List<KeptVolume> volumes, List<KeptNode> nodes) {
     /** A volume's stretches. */
-    public record KeptVolume(long volume, List<KeptWindow> windows) {
-    }
+    public record KeptVolume(long volume, List<KeptWindow> windows) {}
 
-    /** A stretch: which, time by part, causes (keys, and four sums each), counts, and times by part of the plan. */
-    public record KeptWindow(int level, long number, double[] parts, long[] keys, double[] sums, long[] ends,
-                             long[] met, long[] missed, double[] units, double[] lost, long[][] times) {
-    }
+    /**
+     * A stretch: which, time by part, causes (keys, and four sums each), counts, and times by part
+     * of the plan.
+     */
+    public record KeptWindow(
+            int level,
+            long number,
+            double[] parts,
+            long[] keys,
+            double[] sums,
+            long[] ends,
+            long[] met,
+            long[] missed,
+            double[] units,
+            double[] lost,
+            long[][] times) {}
 
     /** A node's stretches of units worked on. */
-    public record KeptNode(int node, int zone, List<KeptFlow> flows) {
-    }
+    public record KeptNode(int node, int zone, List<KeptFlow> flows) {}
 
     /** One of them. */
-    public record KeptFlow(int level, long number, long[] keys, double[] sums) {
-    }
+    public record KeptFlow(int level, long number, long[] keys, double[] sums) {}
 
     private static final int MOST_STRETCHES = 10_000;
 
     /** A book's plain values. */
     public static Kept of(Book book) {
         List<KeptVolume> volumes = new ArrayList<>();
-        book.volumes.forEach((volume, line) -> {
-            List<KeptWindow> windows = new ArrayList<>();
-            for (int level = 0; level < Timeline.LEVELS; level++) {
-                for (Map.Entry<Long, Window> entry : line.level(level).entrySet()) {
-                    windows.add(window(level, entry.getKey(), entry.getValue()));
-                }
-            }
-            volumes.add(new KeptVolume(volume, windows));
-        });
+        book.volumes.forEach(
+                (volume, line) -> {
+                    List<KeptWindow> windows = new ArrayList<>();
+                    for (int level = 0; level < Timeline.LEVELS; level++) {
+                        for (Map.Entry<Long, Window> entry : line.level(level).entrySet()) {
+                            windows.add(window(level, entry.getKey(), entry.getValue()));
+                        }
+                    }
+                    volumes.add(new KeptVolume(volume, windows));
+                });
         List<KeptNode> nodes = new ArrayList<>();
-        book.flows.forEach((node, line) -> {
-            List<KeptFlow> flows = new ArrayList<>();
-            for (int level = 0; level < Timeline.LEVELS; level++) {
-                for (Map.Entry<Long, Flow> entry : line.level(level).entrySet()) {
-                    Charges units = entry.getValue().units;
-                    flows.add(new KeptFlow(level, entry.getKey(), keys(units), sums(units)));
-                }
-            }
-            nodes.add(new KeptNode(node, book.zones.getOrDefault(node, 0), flows));
-        });
+        book.flows.forEach(
+                (node, line) -> {
+                    List<KeptFlow> flows = new ArrayList<>();
+                    for (int level = 0; level < Timeline.LEVELS; level++) {
+                        for (Map.Entry<Long, Flow> entry : line.level(level).entrySet()) {
+                            Charges units = entry.getValue().units;
+                            flows.add(
+                                    new KeptFlow(level, entry.getKey(), keys(units), sums(units)));
+                        }
+                    }
+                    nodes.add(new KeptNode(node, book.zones.getOrDefault(node, 0), flows));
+                });
         return new Kept(volumes, nodes);
     }
 
@@ -64,9 +76,18 @@
                 times[part] = pairs.stream().mapToLong(Long::longValue).toArray();
             }
         }
-        return new KeptWindow(level, number, window.parts, keys(window.causes), sums(window.causes),
-                new long[] {window.declined, window.scrapped, window.left}, window.met, window.missed, window.units,
-                window.lost, times);
+        return new KeptWindow(
+                level,
+                number,
+                window.parts,
+                keys(window.causes),
+                sums(window.causes),
+                new long[] {window.declined, window.scrapped, window.left},
+                window.met,
+                window.missed,
+                window.units,
+                window.lost,
+                times);
     }
 
     private static long[] keys(Charges charges) {
@@ -101,13 +122,18 @@
                 read(kept, line.put(level(kept.level), kept.number));
             }
             if (volume.volume < 0 || book.volumes.put(volume.volume, line) != null) {
-                throw new IllegalArgumentException("volume " + volume.volume + " is no volume, or there twice");
+                throw new IllegalArgumentException(
+                        "volume " + volume.volume + " is no volume, or there twice");
             }
         }
         for (KeptNode node : all(nodes)) {
             Timeline<Flow> line = new Timeline<>(Flow::new);
             for (KeptFlow flow : all(node.flows)) {
-                charges(line.put(level(flow.level), flow.number).units, flow.keys, flow.sums, Flow.MOST_VOLUMES);
+                charges(
+                        line.put(level(flow.level), flow.number).units,
+                        flow.keys,
+                        flow.sums,
+                        Flow.MOST_VOLUMES);
             }
             book.flows.put(node.node, line);
             book.zones.put(node.node, node.zone);
@@ -150,7 +176,9 @@
                 throw new IllegalArgumentException("times are no pairs of value and count");
             }
             for (int i = 0; i < pairs.length; i += 2) {
-                if (pairs[i] < 0 || pairs[i] > Window.LONGEST_TICK * 2 || pairs[i + 1] < 0
+                if (pairs[i] < 0
+                        || pairs[i] > Window.LONGEST_TICK * 2
+                        || pairs[i + 1] < 0
                         || pairs[i + 1] > Integer.MAX_VALUE) {
                     throw new IllegalArgumentException("a time of " + pairs[i] + " can be none");
                 }
@@ -195,7 +223,11 @@
             if (!Cause.isKey(keys[i])) {
                 throw new IllegalArgumentException("cause " + keys[i] + " is none");
             }
-            to.add(keys[i], figure(sums[4 * i]), figure(sums[4 * i + 1]), figure(sums[4 * i + 2]),
+            to.add(
+                    keys[i],
+                    figure(sums[4 * i]),
+                    figure(sums[4 * i + 1]),
+                    figure(sums[4 * i + 2]),
                     figure(sums[4 * i + 3]));
         }
     }
--- a/src/main/java/sagepulley/accounts/Lately.java
+++ b/src/main/java/sagepulley/accounts/Lately.java
@@ -2,7 +2,9 @@
 
 import java.util.Arrays;
 
-/** Units of the last seconds by volume, fading, in a table of bounded size; who has least gives way. */
+/**
+ * Units of the last seconds by volume, fading, in a table of bounded size; who has least gives way.
+ */
 final class Lately {
     private static final int MOST = 16;
     private static final double FADES = 1_500;
--- a/src/main/java/sagepulley/accounts/Meter.java
+++ b/src/main/java/sagepulley/accounts/Meter.java
@@ -4,12 +4,17 @@
 import sagepulley.model.Band;
 import sagepulley.model.Owed;
 
-/** One operation's time as it is spent, from its arrival to its final answer: its steps, and their causes. */
+/**
+ * One operation's time as it is spent, from its arrival to its final answer: its steps, and their
+ * causes.
+ */
 public final class Meter {
     private static final int MOST_STEPS = 24;
     private static final int FIRST_STEPS = 6;
+
     /** All kinds, seen and reckoned, must fit. */
     private static final int MOST_CAUSES = 32;
+
     private static final Spent[] SPENT = Spent.values();
 
     final long volume;
@@ -18,22 +23,39 @@
     final double units;
     final double arrivedAt;
     final Charges charges = new Charges(MOST_CAUSES);
-    /** What runs now, since when, at which node (0: none), in which part of the plan, and behind whom. */
+
+    /**
+     * What runs now, since when, at which node (0: none), in which part of the plan, and behind
+     * whom.
+     */
     Spent spends = Spent.RANKS_LATER;
+
     double since;
     int node;
     Owed owed = Owed.SHARE;
     Ahead ahead;
-    /** Units ahead that are not this gateway's, by what the node told before: the least and the most. */
+
+    /**
+     * Units ahead that are not this gateway's, by what the node told before: the least and the
+     * most.
+     */
     double othersLeast;
+
     double othersMost;
-    /** What is known of the node it is at or waits for, and of that where an attempt is out; null for none. */
+
+    /**
+     * What is known of the node it is at or waits for, and of that where an attempt is out; null
+     * for none.
+     */
     NodeLog log;
+
     NodeLog out;
     long outKey;
     long outKeyAnywhere;
+
     /** The node where it has a slot while it waits for a claim; 0 for none. */
     int claimsAt;
+
     boolean limited;
     boolean wasSent;
     boolean ended;
@@ -51,7 +73,10 @@
         this.since = arrivedAt;
     }
 
-    /** A step of so many milliseconds; one like the last goes on with it, and past the bound with any like it. */
+    /**
+     * A step of so many milliseconds; one like the last goes on with it, and past the bound with
+     * any like it.
+     */
     void step(Spent part, int where, double length) {
         int like = count - 1;
         if (count == MOST_STEPS) {
@@ -60,7 +85,9 @@
                 like++;
             }
         }
-        if (like >= 0 && steps[like] == part.ordinal() && (nodes[like] == where || count == MOST_STEPS)) {
+        if (like >= 0
+                && steps[like] == part.ordinal()
+                && (nodes[like] == where || count == MOST_STEPS)) {
             lengths[like] += length;
             return;
         }
@@ -79,7 +106,10 @@
         lengths[count++] = length;
     }
 
-    /** How many steps it took so far, and each one's part, node (0: none) and milliseconds, in order of time. */
+    /**
+     * How many steps it took so far, and each one's part, node (0: none) and milliseconds, in order
+     * of time.
+     */
     public int steps() {
         return count;
     }
--- a/src/main/java/sagepulley/accounts/NodeLog.java
+++ b/src/main/java/sagepulley/accounts/NodeLog.java
@@ -1,14 +1,26 @@
 package sagepulley.accounts;
 
-/** What this gateway saw of a node: its pace, its queue, its pauses, and whose units are out there. */
+/**
+ * What this gateway saw of a node: its pace, its queue, its pauses, and whose units are out there.
+ */
 final class NodeLog {
     private static final double STEP = 0.1;
-    /** One answer counts at most so many times the usual, so that a single pause does not make a slow node. */
+
+    /**
+     * One answer counts at most so many times the usual, so that a single pause does not make a
+     * slow node.
+     */
     private static final double ODD = 4;
+
     /** The wait for a unit ahead is followed towards its low quarter, in steps of this part. */
     private static final double DRAIN_STEP = 0.05;
-    /** A node that is silent for so many times its usual attempt, and so long besides, holds its attempts up itself. */
+
+    /**
+     * A node that is silent for so many times its usual attempt, and so long besides, holds its
+     * attempts up itself.
+     */
     private static final double QUIET_ATTEMPTS = 4;
+
     private static final double QUIET_LEAST = 20;
     private static final double SPELL_STEP = 0.4;
     private static final double MOST_OF_SPELL = 0.6;
@@ -18,23 +30,40 @@
     double coldUntil = Double.NEGATIVE_INFINITY;
     final Ahead out = new Ahead();
     final Timeline<Flow> flows = new Timeline<>(Flow::new);
+
     /** Units written lately, by volume: what a deferred write makes others wait for. */
     final Lately written = new Lately();
+
     int attemptsOut;
     double claiming;
     double heardAt = Double.NEGATIVE_INFINITY;
     private double firstOutAt;
+
     /** Milliseconds of work a unit, reads and writes; NaN before the first answer. */
     private final double[] pace = {Double.NaN, Double.NaN};
+
     private final double[] then = {Double.NaN, Double.NaN};
     private double attempt = Double.NaN;
-    /** Milliseconds of waiting there for each unit of this gateway's ahead, with nobody else's seen. */
+
+    /**
+     * Milliseconds of waiting there for each unit of this gateway's ahead, with nobody else's seen.
+     */
     private double drain = Double.NaN;
-    /** Attempts in its queue when it last answered, and how many of them can have been this gateway's. */
+
+    /**
+     * Attempts in its queue when it last answered, and how many of them can have been this
+     * gateway's.
+     */
     private double queueTold;
+
     private double queueOwn;
-    /** Of an attempt's time, the parts that went to other gateways' work and to pauses of the node's own. */
+
+    /**
+     * Of an attempt's time, the parts that went to other gateways' work and to pauses of the node's
+     * own.
+     */
     double elsewhere;
+
     double paused;
     private double pauses;
 
@@ -52,7 +81,10 @@
         attemptsOut--;
     }
 
-    /** Attempts in its queue that are not this gateway's, when it last answered: the least and the most. */
+    /**
+     * Attempts in its queue that are not this gateway's, when it last answered: the least and the
+     * most.
+     */
     double othersLeast() {
         return Math.max(0, queueTold - queueOwn);
     }
@@ -61,10 +93,18 @@
         return queueTold;
     }
 
-    void heard(boolean writes, double units, double waited, double worked, double took, double queue, double now) {
+    void heard(
+            boolean writes,
+            double units,
+            double waited,
+            double worked,
+            double took,
+            double queue,
+            double now) {
         double spell = now - Math.max(heardAt, firstOutAt);
         if (spell > quietFrom()) {
-            // Who tells that it stood or was worked on all that time tells of a pause, not of a fault.
+            // Who tells that it stood or was worked on all that time tells of a pause, not of a
+            // fault.
             pauses += SPELL_STEP * ((waited + worked > MOST_OF_SPELL * spell ? 1 : 0) - pauses);
         }
         heardAt = now;
@@ -75,7 +115,10 @@
         } else {
             pace[at] += STEP * (Math.min(latest, ODD * pace[at] + 1) - pace[at]);
         }
-        attempt = Double.isNaN(attempt) ? took : attempt + STEP * (Math.min(took, ODD * attempt + 1) - attempt);
+        attempt =
+                Double.isNaN(attempt)
+                        ? took
+                        : attempt + STEP * (Math.min(took, ODD * attempt + 1) - attempt);
         queueTold = Double.isNaN(queue) ? 0 : queue;
         queueOwn = attemptsOut;
     }
@@ -120,12 +163,20 @@
         return then[kind];
     }
 
-    /** What an attempt that was sent at a time may take by the usual; 0 if the node has answered nothing since. */
+    /**
+     * What an attempt that was sent at a time may take by the usual; 0 if the node has answered
+     * nothing since.
+     */
     double usualSince(double sentAt) {
-        return heardAt <= sentAt || Double.isNaN(attempt) ? 0 : QUIET_ATTEMPTS * attempt + QUIET_LEAST;
+        return heardAt <= sentAt || Double.isNaN(attempt)
+                ? 0
+                : QUIET_ATTEMPTS * attempt + QUIET_LEAST;
     }
 
-    /** Of a wait for this node from one time to another, the milliseconds in which it had fallen quiet. */
+    /**
+     * Of a wait for this node from one time to another, the milliseconds in which it had fallen
+     * quiet.
+     */
     double quiet(double from, double to) {
         if (attemptsOut == 0) {
             return 0;
--- a/src/main/java/sagepulley/accounts/PlanPart.java
+++ b/src/main/java/sagepulley/accounts/PlanPart.java
@@ -2,9 +2,15 @@
 
 import sagepulley.model.Owed;
 
-/** By which part of its plan an operation was served, or held: the plan's limit goes before the others. */
+/**
+ * By which part of its plan an operation was served, or held: the plan's limit goes before the
+ * others.
+ */
 public enum PlanPart {
-    RESERVE, SHARE, EXCESS, LIMIT,
+    RESERVE,
+    SHARE,
+    EXCESS,
+    LIMIT,
     /** Never sent anywhere. */
     NONE;
 
--- a/src/main/java/sagepulley/accounts/Spent.java
+++ b/src/main/java/sagepulley/accounts/Spent.java
@@ -5,11 +5,23 @@
 /** Where an operation's time went. The parts of an operation have no gaps and do not overlap. */
 public enum Spent {
     /** Held by this gateway. */
-    RESERVE_FULL, SHARE_FULL, BEYOND_SHARE, HELD_BACK, COLD, SILENT, NOT_READY, LIMIT, BUDGET, ORDER, RANKS_LATER,
+    RESERVE_FULL,
+    SHARE_FULL,
+    BEYOND_SHARE,
+    HELD_BACK,
+    COLD,
+    SILENT,
+    NOT_READY,
+    LIMIT,
+    BUDGET,
+    ORDER,
+    RANKS_LATER,
     /** Waiting for the directory, or for the claim of an extent. */
     DIRECTORY,
     /** Between gateway and node; in the node's queue; worked on there. */
-    ON_THE_WAY, NODE_QUEUE, NODE_WORK,
+    ON_THE_WAY,
+    NODE_QUEUE,
+    NODE_WORK,
     /** In attempts that ended for nothing. */
     FUTILE;
 
--- a/src/main/java/sagepulley/accounts/Timeline.java
+++ b/src/main/java/sagepulley/accounts/Timeline.java
@@ -5,19 +5,23 @@
 import java.util.function.Supplier;
 
 /**
- * Sums over stretches of time, coarser with age: ten seconds for ten minutes, five minutes for six hours, an
- * hour for three days. Only stretches in which something happened take room. Times are wall-clock milliseconds.
+ * Sums over stretches of time, coarser with age: ten seconds for ten minutes, five minutes for six
+ * hours, an hour for three days. Only stretches in which something happened take room. Times are
+ * wall-clock milliseconds.
  */
 final class Timeline<T extends Span<T>> {
     /** Milliseconds of a stretch, by level, and how many of them are kept. */
     static final double[] LENGTH = {10_000, 300_000, 3_600_000};
+
     private static final int[] KEPT = {60, 72, 72};
     static final int LEVELS = LENGTH.length;
 
     private final Supplier<T> fresh;
     private final TreeMap<Long, T>[] levels;
+
     /** The finest stretch that was asked for last: nearly always the one that is asked for next. */
     private T latest;
+
     private long latestNumber;
     private int size;
 
@@ -34,7 +38,9 @@
         return (long) Math.floor(wall / LENGTH[level]);
     }
 
-    /** The finest stretch of a time, made if need be; what has become too old for its level goes up. */
+    /**
+     * The finest stretch of a time, made if need be; what has become too old for its level goes up.
+     */
     T at(double wall) {
         long number = number(0, wall);
         if (latest == null || latestNumber != number) {
@@ -121,8 +127,8 @@
     /** Adds what overlaps a time to a sum. */
     void sum(T into, double from, double to) {
         for (int i = 0; i < LEVELS; i++) {
-            for (Map.Entry<Long, T> entry : levels[i].subMap(number(i, from), true, number(i, to), true)
-                    .entrySet()) {
+            for (Map.Entry<Long, T> entry :
+                    levels[i].subMap(number(i, from), true, number(i, to), true).entrySet()) {
                 into.add(entry.getValue());
             }
         }
--- a/src/main/java/sagepulley/accounts/Totals.java
+++ b/src/main/java/sagepulley/accounts/Totals.java
@@ -5,11 +5,14 @@
 import java.util.Set;
 
 /**
- * Sums since the start, which only grow: by volume for those it is told of (the rest together as number 0), and over
- * all volumes by part of the time and by kind of cause.
+ * Sums since the start, which only grow: by volume for those it is told of (the rest together as
+ * number 0), and over all volumes by part of the time and by kind of cause.
  */
 public final class Totals {
-    /** Of one volume: operations by their end, those in time, units, milliseconds waited and utility lost. */
+    /**
+     * Of one volume: operations by their end, those in time, units, milliseconds waited and utility
+     * lost.
+     */
     public static final class OfVolume {
         public long met;
         public long missed;
@@ -78,17 +81,18 @@
 
     Totals copy() {
         Totals copy = new Totals(volumes.keySet());
-        volumes.forEach((volume, mine) -> {
-            OfVolume its = copy.volumes.get(volume);
-            its.met = mine.met;
-            its.missed = mine.missed;
-            its.declined = mine.declined;
-            its.scrapped = mine.scrapped;
-            its.left = mine.left;
-            its.units = mine.units;
-            its.waited = mine.waited;
-            its.utilityLost = mine.utilityLost;
-        });
+        volumes.forEach(
+                (volume, mine) -> {
+                    OfVolume its = copy.volumes.get(volume);
+                    its.met = mine.met;
+                    its.missed = mine.missed;
+                    its.declined = mine.declined;
+                    its.scrapped = mine.scrapped;
+                    its.left = mine.left;
+                    its.units = mine.units;
+                    its.waited = mine.waited;
+                    its.utilityLost = mine.utilityLost;
+                });
         System.arraycopy(parts, 0, copy.parts, 0, parts.length);
         System.arraycopy(waited, 0, copy.waited, 0, waited.length);
         System.arraycopy(lost, 0, copy.lost, 0, lost.length);
--- a/src/main/java/sagepulley/accounts/Window.java
+++ b/src/main/java/sagepulley/accounts/Window.java
@@ -5,8 +5,10 @@
 /** Sums of one volume over one stretch of time. */
 final class Window implements Span<Window> {
     static final int MOST_CAUSES = 40;
+
     /** Of ten microseconds each; kept to one digit, which is 6 percent. */
     static final double TICKS = 100;
+
     static final long LONGEST_TICK = 100L * 3_600_000;
     static final int PARTS = PlanPart.values().length;
 
@@ -15,8 +17,10 @@
     long declined;
     long scrapped;
     long left;
+
     /** By part of the plan. */
     final long[] met = new long[PARTS];
+
     final long[] missed = new long[PARTS];
     final double[] units = new double[PARTS];
     final double[] lost = new double[PARTS];
@@ -24,7 +28,8 @@
 
     /** Counts an operation that took so long. */
     void time(PlanPart part, double took) {
-        times(part.ordinal()).recordValue(Math.min(LONGEST_TICK, Math.max(0, (long) (took * TICKS))));
+        times(part.ordinal())
+                .recordValue(Math.min(LONGEST_TICK, Math.max(0, (long) (took * TICKS))));
     }
 
     IntCountsHistogram times(int part) {
--- a/src/main/java/sagepulley/books/BookFile.java
+++ b/src/main/java/sagepulley/books/BookFile.java
@@ -11,7 +11,9 @@
 import sagepulley.accounts.Book;
 import sagepulley.keep.Generations;
 
-/** The file in which a gateway's latency accounts survive its restarts, with one earlier generation. */
+/**
+ * The file in which a gateway's latency accounts survive its restarts, with one earlier generation.
+ */
 public final class BookFile {
     private static final String KIND = "accounts";
     private static final int FORMAT = 1;
@@ -21,8 +23,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(BookFile.class);
 
     /** What a file says, and its figures checked. */
-    public record Read(GatewayBook head, Book book) {
-    }
+    public record Read(GatewayBook head, Book book) {}
 
     private final Generations generations;
 
@@ -54,8 +55,11 @@
     }
 
     private void setAside(Path file, String why) throws IOException {
-        LOG.atWarn().addKeyValue("file", file).addKeyValue("why", why)
-                .addKeyValue("aside", generations.setAside(file)).log("accounts not believed, set aside");
+        LOG.atWarn()
+                .addKeyValue("file", file)
+                .addKeyValue("why", why)
+                .addKeyValue("aside", generations.setAside(file))
+                .log("accounts not believed, set aside");
     }
 
     /**
@@ -66,8 +70,12 @@
     public static Read report(Path file) throws IOException {
         Generations.Reading reading = new Generations(file, KIND, FORMAT, "", 1).read();
         if (reading.found() == null) {
-            throw new IOException(reading.refused().isEmpty() ? file + ": is not there"
-                    : reading.refused().get(0).file() + ": " + reading.refused().get(0).why());
+            throw new IOException(
+                    reading.refused().isEmpty()
+                            ? file + ": is not there"
+                            : reading.refused().get(0).file()
+                                    + ": "
+                                    + reading.refused().get(0).why());
         }
         return read(reading.found());
     }
@@ -75,7 +83,10 @@
     private static Read read(Generations.Found found) throws IOException {
         try {
             GatewayBook head = READER.readValue(found.body());
-            if (head == null || head.gateway() == null || head.names() == null || head.told() == null
+            if (head == null
+                    || head.gateway() == null
+                    || head.names() == null
+                    || head.told() == null
                     || head.kept() == null) {
                 throw new IOException(found.file() + ": has no accounts in it");
             }
--- a/src/main/java/sagepulley/books/GatewayBook.java
+++ b/src/main/java/sagepulley/books/GatewayBook.java
@@ -4,9 +4,12 @@
 import sagepulley.accounts.Kept;
 
 /**
- * One gateway's accounts as they go to disk: whose, when (wall-clock milliseconds), the volumes' names by their
- * numbers, when which version of the list of nodes was told, and the figures.
+ * One gateway's accounts as they go to disk: whose, when (wall-clock milliseconds), the volumes'
+ * names by their numbers, when which version of the list of nodes was told, and the figures.
  */
-public record GatewayBook(String gateway, long writtenAt, Map<Long, String> names, Map<Long, Double> told,
-                          Kept kept) {
-}
+public record GatewayBook(
+        String gateway,
+        long writtenAt,
+        Map<Long, String> names,
+        Map<Long, Double> told,
+        Kept kept) {}
--- a/src/main/java/sagepulley/cli/CheckSiteCommand.java
+++ b/src/main/java/sagepulley/cli/CheckSiteCommand.java
@@ -12,8 +12,11 @@
 import sagepulley.site.SiteError;
 
 /** Checks a site file without starting anything. */
-@Command(name = "check-site", mixinStandardHelpOptions = true,
-        description = "Checks a site file; exits with 0 if it can be used, with 3 and every mistake if not.")
+@Command(
+        name = "check-site",
+        mixinStandardHelpOptions = true,
+        description =
+                "Checks a site file; exits with 0 if it can be used, with 3 and every mistake if not.")
 final class CheckSiteCommand implements Callable<Integer> {
     @Parameters(paramLabel = "SITE", description = "the site file (INI)")
     private Path file;
@@ -31,11 +34,26 @@
             mistakes = List.of(error.getMessage().split("\n"));
         }
         if (json) {
-            System.out.println(new JsonMapper().writeValueAsString(
-                    Map.of("file", file.toString(), "usable", site != null, "mistakes", mistakes)));
+            System.out.println(
+                    new JsonMapper()
+                            .writeValueAsString(
+                                    Map.of(
+                                            "file",
+                                            file.toString(),
+                                            "usable",
+                                            site != null,
+                                            "mistakes",
+                                            mistakes)));
         } else if (site != null) {
-            System.out.println(file + ": can be used: " + site.volumes().size() + " volumes, "
-                    + site.deployment().bands().size() + " bands, " + site.deployment().plans().size() + " plans");
+            System.out.println(
+                    file
+                            + ": can be used: "
+                            + site.volumes().size()
+                            + " volumes, "
+                            + site.deployment().bands().size()
+                            + " bands, "
+                            + site.deployment().plans().size()
+                            + " plans");
         } else {
             mistakes.forEach(System.err::println);
         }
--- a/src/main/java/sagepulley/cli/Commands.java
+++ b/src/main/java/sagepulley/cli/Commands.java
@@ -8,41 +8,70 @@
 import sagepulley.site.SiteError;
 
 /**
- * The command line. Exit codes: 0 all went well, 1 it failed, 2 the words were wrong, 3 a site file or script
- * cannot be used.
+ * The command line. Exit codes: 0 all went well, 1 it failed, 2 the words were wrong, 3 a site file
+ * or script cannot be used.
  */
-@Command(name = "sagepulley", mixinStandardHelpOptions = true, version = "sagepulley 0.2.0",
-        description = "A storage gateway that keeps volumes to their reservations, shares and limits.",
-        synopsisSubcommandLabel = "COMMAND", sortOptions = false,
-        subcommands = {GatewayCommand.class, NodeCommand.class, DirectoryCommand.class, DemoCommand.class,
-            ReportCommand.class, ExplainCommand.class, TopCommand.class, NodesCommand.class,
-            ListFileCommand.class, DrillCommand.class, SoakCommand.class, TruthCommand.class,
-            StartsCommand.class, MeasureCommand.class, CheckSiteCommand.class},
-        footer = {"", "  simhost      the decisions on the bench's wire, on standard input and output"})
+@Command(
+        name = "sagepulley",
+        mixinStandardHelpOptions = true,
+        version = "sagepulley 0.2.0",
+        description =
+                "A storage gateway that keeps volumes to their reservations, shares and limits.",
+        synopsisSubcommandLabel = "COMMAND",
+        sortOptions = false,
+        subcommands = {
+            GatewayCommand.class,
+            NodeCommand.class,
+            DirectoryCommand.class,
+            DemoCommand.class,
+            ReportCommand.class,
+            ExplainCommand.class,
+            TopCommand.class,
+            NodesCommand.class,
+            ListFileCommand.class,
+            DrillCommand.class,
+            SoakCommand.class,
+            TruthCommand.class,
+            StartsCommand.class,
+            MeasureCommand.class,
+            CheckSiteCommand.class
+        },
+        footer = {
+            "",
+            "  simhost      the decisions on the bench's wire, on standard input and output"
+        })
 public final class Commands implements Runnable {
     public static final int OK = 0;
     public static final int FAILED = 1;
     public static final int WRONG_WORDS = 2;
     public static final int UNUSABLE_FILE = 3;
 
-    @CommandLine.Spec
-    private CommandLine.Model.CommandSpec spec;
+    @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
-    @Option(names = "--log", scope = ScopeType.INHERIT, defaultValue = "text", paramLabel = "text|json",
+    @Option(
+            names = "--log",
+            scope = ScopeType.INHERIT,
+            defaultValue = "text",
+            paramLabel = "text|json",
             description = "form of the log on standard error")
     void log(String form) {
         if (!form.equals("text") && !form.equals("json")) {
-            throw new CommandLine.ParameterException(spec.commandLine(), "--log is text or json, not " + form);
+            throw new CommandLine.ParameterException(
+                    spec.commandLine(), "--log is text or json, not " + form);
         }
         System.setProperty("sagepulley.log.form", form);
     }
 
-    @Option(names = "--log-level", scope = ScopeType.INHERIT, defaultValue = "INFO", paramLabel = "LEVEL",
+    @Option(
+            names = "--log-level",
+            scope = ScopeType.INHERIT,
+            defaultValue = "INFO",
+            paramLabel = "LEVEL",
             description = "ERROR, WARN, INFO or DEBUG")
     void level(String level) {
         if (!level.matches("ERROR|WARN|INFO|DEBUG")) {
-            throw new CommandLine.ParameterException(spec.commandLine(),
-                    "--log-level is ERROR, WARN, INFO or DEBUG, not " + level);
+            throw new CommandLine.ParameterException(
+                    spec.commandLine(), "--log-level is ERROR, WARN, INFO or DEBUG, not " + level);
         }
         System.setProperty("sagepulley.log.level", level);
     }
@@ -54,9 +83,14 @@
 
     /** Runs a command; gives its exit code. */
     public static int run(String... words) {
-        return new CommandLine(new Commands()).setExecutionExceptionHandler((failure, line, parsed) -> {
-            line.getErr().println("sagepulley: " + failure.getMessage());
-            return failure instanceof SiteError || failure instanceof DayError ? UNUSABLE_FILE : FAILED;
-        }).execute(words);
+        return new CommandLine(new Commands())
+                .setExecutionExceptionHandler(
+                        (failure, line, parsed) -> {
+                            line.getErr().println("sagepulley: " + failure.getMessage());
+                            return failure instanceof SiteError || failure instanceof DayError
+                                    ? UNUSABLE_FILE
+                                    : FAILED;
+                        })
+                .execute(words);
     }
 }
--- a/src/main/java/sagepulley/cli/DemoCommand.java
+++ b/src/main/java/sagepulley/cli/DemoCommand.java
@@ -12,18 +12,32 @@
 import sagepulley.standin.Witness;
 
 /** Runs the whole on loopback, with nothing to set up. */
-@Command(name = "demo", mixinStandardHelpOptions = true, sortOptions = false,
-        description = "Runs a gateway, stand-in nodes and a directory on loopback until a signal; exports the "
-                + "volume 'demo' of 64 MiB over NBD.")
+@Command(
+        name = "demo",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description =
+                "Runs a gateway, stand-in nodes and a directory on loopback until a signal; exports the "
+                        + "volume 'demo' of 64 MiB over NBD.")
 final class DemoCommand implements Callable<Integer> {
-    @Option(names = "--nbd-port", defaultValue = "10809", paramLabel = "PORT",
-            description = "where NBD clients connect; 0 takes a free one (default: ${DEFAULT-VALUE})")
+    @Option(
+            names = "--nbd-port",
+            defaultValue = "10809",
+            paramLabel = "PORT",
+            description =
+                    "where NBD clients connect; 0 takes a free one (default: ${DEFAULT-VALUE})")
     private int port;
 
-    @Option(names = "--nodes", defaultValue = "6", description = "stand-in nodes (default: ${DEFAULT-VALUE})")
+    @Option(
+            names = "--nodes",
+            defaultValue = "6",
+            description = "stand-in nodes (default: ${DEFAULT-VALUE})")
     private int nodes;
 
-    @Option(names = "--cost", defaultValue = "0.5", paramLabel = "MS",
+    @Option(
+            names = "--cost",
+            defaultValue = "0.5",
+            paramLabel = "MS",
             description = "what a unit of 128 KiB takes at a node (default: ${DEFAULT-VALUE})")
     private double cost;
 
@@ -34,10 +48,16 @@
             traits.add(NodeTraits.quick(i, 1 << 20).withCost(cost, cost).withZone(i % 2));
         }
         Town town = Town.start(traits, Witness.NOBODY, 2);
-        Gateway gateway = town.open(Town.demoSite("demo", 0, 1, port, town.directory().address()),
-                new SecureRandom().nextLong());
-        System.out.println("ready: nbd://127.0.0.1:" + gateway.address().getPort() + "/demo (64 MiB) over "
-                + nodes + " stand-in nodes");
+        Gateway gateway =
+                town.open(
+                        Town.demoSite("demo", 0, 1, port, town.directory().address()),
+                        new SecureRandom().nextLong());
+        System.out.println(
+                "ready: nbd://127.0.0.1:"
+                        + gateway.address().getPort()
+                        + "/demo (64 MiB) over "
+                        + nodes
+                        + " stand-in nodes");
         return Running.untilSignal(town::close);
     }
 }
--- a/src/main/java/sagepulley/cli/DirectoryCommand.java
+++ b/src/main/java/sagepulley/cli/DirectoryCommand.java
@@ -10,22 +10,35 @@
 import sagepulley.wire.Loops;
 
 /** Runs a stand-in directory. */
-@Command(name = "directory", mixinStandardHelpOptions = true,
-        description = "Runs a stand-in directory until a signal: the list of nodes, and the holders of extents.")
+@Command(
+        name = "directory",
+        mixinStandardHelpOptions = true,
+        description =
+                "Runs a stand-in directory until a signal: the list of nodes, and the holders of extents.")
 final class DirectoryCommand implements Callable<Integer> {
-    @Option(names = "--listen", defaultValue = "127.0.0.1:10810", converter = AddressConverter.class,
-            paramLabel = "HOST:PORT", description = "where gateways and nodes connect (default: ${DEFAULT-VALUE})")
+    @Option(
+            names = "--listen",
+            defaultValue = "127.0.0.1:10810",
+            converter = AddressConverter.class,
+            paramLabel = "HOST:PORT",
+            description = "where gateways and nodes connect (default: ${DEFAULT-VALUE})")
     private HostPort listen;
 
-    @Option(names = "--lag", defaultValue = "0", paramLabel = "MS", description = "tells changes so late")
+    @Option(
+            names = "--lag",
+            defaultValue = "0",
+            paramLabel = "MS",
+            description = "tells changes so late")
     private double lag;
 
     @Override
     public Integer call() {
-        StandInDirectory directory = new StandInDirectory(Loops.group(1, "directory"), Witness.NOBODY);
+        StandInDirectory directory =
+                new StandInDirectory(Loops.group(1, "directory"), Witness.NOBODY);
         directory.lag(lag);
         Town.await(directory.start(listen.socket()));
-        System.out.println("ready: directory on " + listen.host() + ":" + directory.address().getPort());
+        System.out.println(
+                "ready: directory on " + listen.host() + ":" + directory.address().getPort());
         return Running.untilSignal(() -> Town.await(directory.stop()));
     }
 }
--- a/src/main/java/sagepulley/cli/DrillCommand.java
+++ b/src/main/java/sagepulley/cli/DrillCommand.java
@@ -15,25 +15,36 @@
 import sagepulley.drill.Verdict;
 
 /** Plays a scripted day. */
-@Command(name = "drill", mixinStandardHelpOptions = true,
-        description = "Plays a scripted bad day through real gateways on loopback, and judges the seven rules by "
-                + "what passed on the sockets; exits with 1 if one was broken or an expectation not met.")
+@Command(
+        name = "drill",
+        mixinStandardHelpOptions = true,
+        description =
+                "Plays a scripted bad day through real gateways on loopback, and judges the seven rules by "
+                        + "what passed on the sockets; exits with 1 if one was broken or an expectation not met.")
 final class DrillCommand implements Callable<Integer> {
-    @Parameters(paramLabel = "DAY", description = "a script, or the name of a day that comes with the program: "
-            + "bad-evening, cold-halls, lost-answers, long-surge, causes/flood and others")
+    @Parameters(
+            paramLabel = "DAY",
+            description =
+                    "a script, or the name of a day that comes with the program: "
+                            + "bad-evening, cold-halls, lost-answers, long-surge, causes/flood and others")
     private String file;
 
     @Option(names = "--json", description = "prints the result as JSON")
     private boolean json;
 
-    @Option(names = "--accounts", paramLabel = "FOLDER",
-            description = "writes the gateways' latency accounts there at the day's end, for 'report'")
+    @Option(
+            names = "--accounts",
+            paramLabel = "FOLDER",
+            description =
+                    "writes the gateways' latency accounts there at the day's end, for 'report'")
     private Path accounts;
 
     @Override
     public Integer call() throws Exception {
-        Day day = Files.exists(Path.of(file)) ? DayReader.read(Path.of(file))
-                : DayReader.read(file, Drill.builtIn(file));
+        Day day =
+                Files.exists(Path.of(file))
+                        ? DayReader.read(Path.of(file))
+                        : DayReader.read(file, Drill.builtIn(file));
         Drill drill = new Drill(day);
         Drill.Result result = drill.run();
         if (accounts != null) {
@@ -45,14 +56,27 @@
             System.out.println(new JsonMapper().writeValueAsString(result));
             return result.good() ? Commands.OK : Commands.FAILED;
         }
-        System.out.println(result.day() + ": " + result.requests() + " requests, " + result.attempts() + " hops");
+        System.out.println(
+                result.day()
+                        + ": "
+                        + result.requests()
+                        + " requests, "
+                        + result.attempts()
+                        + " hops");
         for (Verdict verdict : result.verdicts()) {
-            System.out.printf("%-6s %-42s %s (bound: %s)%n", verdict.kept() ? "kept" : "BROKEN", verdict.rule(),
-                    verdict.figure(), verdict.bound());
+            System.out.printf(
+                    "%-6s %-42s %s (bound: %s)%n",
+                    verdict.kept() ? "kept" : "BROKEN",
+                    verdict.rule(),
+                    verdict.figure(),
+                    verdict.bound());
             verdict.breaches().forEach(breach -> System.out.println("         " + breach));
         }
-        result.service().forEach((volume, share) ->
-                System.out.printf("service of %-20s %5.1f %%%n", volume, 100 * share));
+        result.service()
+                .forEach(
+                        (volume, share) ->
+                                System.out.printf(
+                                        "service of %-20s %5.1f %%%n", volume, 100 * share));
         result.unmet().forEach(System.out::println);
         return result.good() ? Commands.OK : Commands.FAILED;
     }
--- a/src/main/java/sagepulley/cli/ExplainCommand.java
+++ b/src/main/java/sagepulley/cli/ExplainCommand.java
@@ -23,15 +23,23 @@
 import sagepulley.accounts.Spent;
 
 /** Tells one operation's story from a traces file. */
-@Command(name = "explain", mixinStandardHelpOptions = true, sortOptions = false,
-        description = "Tells an operation's story in time order, from the traces that a gateway keeps ([traces] file); "
-                + "without a number, that of the operation that took longest.")
+@Command(
+        name = "explain",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description =
+                "Tells an operation's story in time order, from the traces that a gateway keeps ([traces] file); "
+                        + "without a number, that of the operation that took longest.")
 final class ExplainCommand implements Callable<Integer> {
     private static final int MOST_FILES = 100;
     private static final int MOST_LINE = 1 << 16;
-    private static final DateTimeFormatter CLOCK = DateTimeFormatter.ofPattern("yyyy-MM-dd HH:mm:ss.SSS");
+    private static final DateTimeFormatter CLOCK =
+            DateTimeFormatter.ofPattern("yyyy-MM-dd HH:mm:ss.SSS");
 
-    @Parameters(index = "0", paramLabel = "FILE", description = "the traces file; those moved on are read too")
+    @Parameters(
+            index = "0",
+            paramLabel = "FILE",
+            description = "the traces file; those moved on are read too")
     private Path file;
 
     @Parameters(index = "1", arity = "0..1", paramLabel = "OPERATION", description = "its number")
@@ -40,7 +48,10 @@
     @Option(names = "--volume", paramLabel = "NAME", description = "only of this volume")
     private String volume;
 
-    @Option(names = "--list", paramLabel = "N", description = "lists the N that took longest, instead")
+    @Option(
+            names = "--list",
+            paramLabel = "N",
+            description = "lists the N that took longest, instead")
     private int list;
 
     @Option(names = "--json", description = "prints the spans as JSON")
@@ -52,27 +63,54 @@
     @Override
     public Integer call() throws Exception {
         read();
-        List<JsonNode> roots = new ArrayList<>(spans.stream().filter(span -> span.path("parent").asText().isEmpty()
-                && (operation == null || span.path("operation").asLong() == operation)
-                && (volume == null || span.path("volume").asText().equals(volume))).toList());
+        List<JsonNode> roots =
+                new ArrayList<>(
+                        spans.stream()
+                                .filter(
+                                        span ->
+                                                span.path("parent").asText().isEmpty()
+                                                        && (operation == null
+                                                                || span.path("operation").asLong()
+                                                                        == operation)
+                                                        && (volume == null
+                                                                || span.path("volume")
+                                                                        .asText()
+                                                                        .equals(volume)))
+                                .toList());
         roots.sort(Comparator.comparingLong((JsonNode span) -> length(span)).reversed());
         if (unreadable > 0) {
-            System.err.println("sagepulley: " + unreadable + " lines of " + file + " are no spans, left out");
+            System.err.println(
+                    "sagepulley: " + unreadable + " lines of " + file + " are no spans, left out");
         }
         if (roots.isEmpty()) {
-            throw new IOException(file + ": has no trace of " + (operation == null ? "an operation"
-                    : "operation " + operation) + (volume == null ? "" : " of volume " + volume)
-                    + "; only some are kept, see docs/operate/accounts.md");
+            throw new IOException(
+                    file
+                            + ": has no trace of "
+                            + (operation == null ? "an operation" : "operation " + operation)
+                            + (volume == null ? "" : " of volume " + volume)
+                            + "; only some are kept, see docs/operate/accounts.md");
         }
         if (list > 0) {
             roots.stream().limit(list).forEach(this::line);
             return Commands.OK;
         }
-        List<JsonNode> children = new ArrayList<>(spans.stream().filter(span -> span.path("trace").asText()
-                .equals(roots.get(0).path("trace").asText()) && span != roots.get(0)).toList());
+        List<JsonNode> children =
+                new ArrayList<>(
+                        spans.stream()
+                                .filter(
+                                        span ->
+                                                span.path("trace")
+                                                                .asText()
+                                                                .equals(
+                                                                        roots.get(0)
+                                                                                .path("trace")
+                                                                                .asText())
+                                                        && span != roots.get(0))
+                                .toList());
         // Attempts go before the steps that they brought about.
-        children.sort(Comparator.comparingLong((JsonNode span) -> span.path("start").asLong())
-                .thenComparing(span -> span.path("name").asText()));
+        children.sort(
+                Comparator.comparingLong((JsonNode span) -> span.path("start").asLong())
+                        .thenComparing(span -> span.path("name").asText()));
         if (json) {
             children.add(0, roots.get(0));
             System.out.println(new JsonMapper().writeValueAsString(children));
@@ -97,8 +135,13 @@
         files.add(file);
         JsonMapper mapper = new JsonMapper();
         for (Path one : files) {
-            try (BufferedReader lines = new BufferedReader(new java.io.InputStreamReader(Files.newInputStream(one),
-                    StandardCharsets.UTF_8.newDecoder().onMalformedInput(CodingErrorAction.REPLACE)))) {
+            try (BufferedReader lines =
+                    new BufferedReader(
+                            new java.io.InputStreamReader(
+                                    Files.newInputStream(one),
+                                    StandardCharsets.UTF_8
+                                            .newDecoder()
+                                            .onMalformedInput(CodingErrorAction.REPLACE)))) {
                 for (String line = lines.readLine(); line != null; line = lines.readLine()) {
                     try {
                         JsonNode span = line.length() > MOST_LINE ? null : mapper.readTree(line);
@@ -116,39 +159,74 @@
     }
 
     private void line(JsonNode root) {
-        System.out.printf(Locale.ROOT, "%10d  %9.1f ms  %-9s  %-16s  %s  %s%n", root.path("operation").asLong(),
-                length(root) / 1e6, root.path("result").asText(), root.path("volume").asText(), clock(root),
+        System.out.printf(
+                Locale.ROOT,
+                "%10d  %9.1f ms  %-9s  %-16s  %s  %s%n",
+                root.path("operation").asLong(),
+                length(root) / 1e6,
+                root.path("result").asText(),
+                root.path("volume").asText(),
+                clock(root),
                 root.path("main_cause").asText());
     }
 
     private static String clock(JsonNode span) {
-        return CLOCK.format(Instant.ofEpochMilli(span.path("start").asLong() / 1_000_000)
-                .atZone(ZoneId.systemDefault()));
+        return CLOCK.format(
+                Instant.ofEpochMilli(span.path("start").asLong() / 1_000_000)
+                        .atZone(ZoneId.systemDefault()));
     }
 
     private static void tell(JsonNode root, List<JsonNode> children) {
-        System.out.printf(Locale.ROOT, "operation %d at gateway %s, %s%n", root.path("operation").asLong(),
-                root.path("gateway").asText(), clock(root));
-        System.out.printf(Locale.ROOT, "  a %s of %.2f units in extent %d of volume %s, band %s, NBD cookie %d%n",
-                root.path("kind").asText(), root.path("units").asDouble(), root.path("extent").asLong(),
-                root.path("volume").asText(), root.path("band").asText(), root.path("cookie").asLong());
-        System.out.printf(Locale.ROOT, "  %s after %.3f ms%s; most of it by %s%n", root.path("result").asText(),
-                length(root) / 1e6, root.path("reason").asText().equals("none") ? ""
+        System.out.printf(
+                Locale.ROOT,
+                "operation %d at gateway %s, %s%n",
+                root.path("operation").asLong(),
+                root.path("gateway").asText(),
+                clock(root));
+        System.out.printf(
+                Locale.ROOT,
+                "  a %s of %.2f units in extent %d of volume %s, band %s, NBD cookie %d%n",
+                root.path("kind").asText(),
+                root.path("units").asDouble(),
+                root.path("extent").asLong(),
+                root.path("volume").asText(),
+                root.path("band").asText(),
+                root.path("cookie").asLong());
+        System.out.printf(
+                Locale.ROOT,
+                "  %s after %.3f ms%s; most of it by %s%n",
+                root.path("result").asText(),
+                length(root) / 1e6,
+                root.path("reason").asText().equals("none")
+                        ? ""
                         : " (" + root.path("reason").asText().replace('_', ' ') + ")",
                 root.path("main_cause").asText());
-        System.out.printf(Locale.ROOT, "  kept as %s, for %.0f such%n", root.path("kept").asText(),
+        System.out.printf(
+                Locale.ROOT,
+                "  kept as %s, for %.0f such%n",
+                root.path("kept").asText(),
                 root.path("stands_for").asDouble());
         for (JsonNode child : children) {
             double after = (child.path("start").asLong() - root.path("start").asLong()) / 1e6;
             if (child.path("name").asText().equals("hop")) {
-                System.out.printf(Locale.ROOT, "  +%10.3f ms  hop %d goes to node %d, by its %s: %s after %.3f ms%n",
-                        after, child.path("number").asInt() + 1, child.path("node").asInt(),
-                        child.path("owed").asText(), child.path("result").asText().replace('_', ' '),
+                System.out.printf(
+                        Locale.ROOT,
+                        "  +%10.3f ms  hop %d goes to node %d, by its %s: %s after %.3f ms%n",
+                        after,
+                        child.path("number").asInt() + 1,
+                        child.path("node").asInt(),
+                        child.path("owed").asText(),
+                        child.path("result").asText().replace('_', ' '),
                         length(child) / 1e6);
             } else {
                 int node = child.path("node").asInt();
-                System.out.printf(Locale.ROOT, "  +%10.3f ms    %.3f ms %s%s%n", after, length(child) / 1e6,
-                        part(child.path("spent").asText()), node == 0 ? "" : " (node " + node + ")");
+                System.out.printf(
+                        Locale.ROOT,
+                        "  +%10.3f ms    %.3f ms %s%s%n",
+                        after,
+                        length(child) / 1e6,
+                        part(child.path("spent").asText()),
+                        node == 0 ? "" : " (node " + node + ")");
             }
         }
     }
@@ -161,5 +239,4 @@
         }
         return word;
     }
-
 }
--- a/src/main/java/sagepulley/cli/GatewayCommand.java
+++ b/src/main/java/sagepulley/cli/GatewayCommand.java
@@ -12,41 +12,65 @@
 import sagepulley.watch.Watch;
 
 /** Runs one gateway by its site file. */
-@Command(name = "gateway", mixinStandardHelpOptions = true,
-        description = "Runs one gateway until a signal, then answers what it holds and exits with 0.")
+@Command(
+        name = "gateway",
+        mixinStandardHelpOptions = true,
+        description =
+                "Runs one gateway until a signal, then answers what it holds and exits with 0.")
 final class GatewayCommand implements Callable<Integer> {
-    @Parameters(paramLabel = "SITE", description = "the site file (INI), see docs/operate/site-file.md")
+    @Parameters(
+            paramLabel = "SITE",
+            description = "the site file (INI), see docs/operate/site-file.md")
     private Path file;
 
     @Override
     public Integer call() throws Exception {
         Site site = Site.read(file);
         Gateway gateway = new Gateway(site, new SecureRandom().nextLong());
-        gateway.start().whenComplete((ready, failure) -> {
-            if (failure != null) {
-                System.err.println("sagepulley: cannot listen on " + site.nbd() + ": " + failure.getMessage());
-                Runtime.getRuntime().halt(Commands.FAILED);
-            }
-            watch(site, gateway);
-            System.out.println("ready: " + site.name() + " on " + site.nbd().host() + ":"
-                    + ready.address().getPort());
-        });
-        return Running.untilSignal(() -> {
-            try {
-                gateway.stop().join();
-            } catch (CompletionException e) {
-                throw new IllegalStateException("did not stop well: " + e.getCause(), e);
-            }
-        });
+        gateway.start()
+                .whenComplete(
+                        (ready, failure) -> {
+                            if (failure != null) {
+                                System.err.println(
+                                        "sagepulley: cannot listen on "
+                                                + site.nbd()
+                                                + ": "
+                                                + failure.getMessage());
+                                Runtime.getRuntime().halt(Commands.FAILED);
+                            }
+                            watch(site, gateway);
+                            System.out.println(
+                                    "ready: "
+                                            + site.name()
+                                            + " on "
+                                            + site.nbd().host()
+                                            + ":"
+                                            + ready.address().getPort());
+                        });
+        return Running.untilSignal(
+                () -> {
+                    try {
+                        gateway.stop().join();
+                    } catch (CompletionException e) {
+                        throw new IllegalStateException("did not stop well: " + e.getCause(), e);
+                    }
+                });
     }
 
-    /** Figures over HTTP, where the site asks for them; a gateway that cannot tell them serves all the same. */
+    /**
+     * Figures over HTTP, where the site asks for them; a gateway that cannot tell them serves all
+     * the same.
+     */
     private static void watch(Site site, Gateway gateway) {
         if (site.watch() != null) {
             try {
                 new Watch(site, gateway, site.watch().socket());
             } catch (IOException e) {
-                System.err.println("sagepulley: no figures over HTTP on " + site.watch() + ": " + e.getMessage());
+                System.err.println(
+                        "sagepulley: no figures over HTTP on "
+                                + site.watch()
+                                + ": "
+                                + e.getMessage());
             }
         }
     }
--- a/src/main/java/sagepulley/cli/ListFileCommand.java
+++ b/src/main/java/sagepulley/cli/ListFileCommand.java
@@ -23,36 +23,52 @@
 import sagepulley.site.HostPort;
 
 /** Looks after the file in which a gateway keeps its list of nodes. */
-@Command(name = "list-file", mixinStandardHelpOptions = true,
-        description = "Shows, checks, exports or brings the file in which a gateway keeps its list of nodes "
-                + "([membership] list).",
-        subcommands = {ListFileCommand.Show.class, ListFileCommand.Verify.class, ListFileCommand.Export.class,
-            ListFileCommand.Import.class})
+@Command(
+        name = "list-file",
+        mixinStandardHelpOptions = true,
+        description =
+                "Shows, checks, exports or brings the file in which a gateway keeps its list of nodes "
+                        + "([membership] list).",
+        subcommands = {
+            ListFileCommand.Show.class,
+            ListFileCommand.Verify.class,
+            ListFileCommand.Export.class,
+            ListFileCommand.Import.class
+        })
 final class ListFileCommand implements Runnable {
-    @picocli.CommandLine.Spec
-    private picocli.CommandLine.Model.CommandSpec spec;
+    @picocli.CommandLine.Spec private picocli.CommandLine.Model.CommandSpec spec;
 
     @Override
     public void run() {
-        throw new picocli.CommandLine.ParameterException(spec.commandLine(), "a command is missing");
+        throw new picocli.CommandLine.ParameterException(
+                spec.commandLine(), "a command is missing");
     }
 
     private static KeptList believed(Path file) throws IOException {
         ListFile.Look look = new ListFile(file, "").look();
         if (look.list() == null) {
-            throw new IOException(look.refused().isEmpty() ? file + ": is not there"
-                    : look.refused().get(0).file() + ": " + look.refused().get(0).why());
+            throw new IOException(
+                    look.refused().isEmpty()
+                            ? file + ": is not there"
+                            : look.refused().get(0).file() + ": " + look.refused().get(0).why());
         }
         return look.list();
     }
 
     private static String when(long wall) {
-        return wall == 0 ? "never" : Instant.ofEpochMilli(wall).atZone(ZoneId.systemDefault()).toOffsetDateTime()
-                .toString();
+        return wall == 0
+                ? "never"
+                : Instant.ofEpochMilli(wall)
+                        .atZone(ZoneId.systemDefault())
+                        .toOffsetDateTime()
+                        .toString();
     }
 
     /** Prints the list. */
-    @Command(name = "show", mixinStandardHelpOptions = true, description = "Prints the newest list that can be believed.")
+    @Command(
+            name = "show",
+            mixinStandardHelpOptions = true,
+            description = "Prints the newest list that can be believed.")
     static final class Show implements Callable<Integer> {
         @Parameters(paramLabel = "FILE")
         private Path file;
@@ -67,26 +83,42 @@
                 System.out.println(new JsonMapper().writeValueAsString(list));
                 return Commands.OK;
             }
-            System.out.printf("site %s, version %d of history %d, last confirmed %s%n", list.site(), list.version(),
-                    list.history(), when(list.confirmedAt()));
+            System.out.printf(
+                    "site %s, version %d of history %d, last confirmed %s%n",
+                    list.site(), list.version(), list.history(), when(list.confirmedAt()));
             for (KeptList.KeptLine kept : list.lines()) {
                 NodeLine line = kept.line();
-                System.out.printf("node %d cell %d zone %d %s %s:%d started %s, from %s%s%n", line.node(), line.cell(),
-                        line.zone(), Words.of(line.standing()), line.host(), line.port(), when(line.startedAt()),
-                        Words.of(kept.source()), kept.selfDraining() ? ", says that it drains" : "");
+                System.out.printf(
+                        "node %d cell %d zone %d %s %s:%d started %s, from %s%s%n",
+                        line.node(),
+                        line.cell(),
+                        line.zone(),
+                        Words.of(line.standing()),
+                        line.host(),
+                        line.port(),
+                        when(line.startedAt()),
+                        Words.of(kept.source()),
+                        kept.selfDraining() ? ", says that it drains" : "");
             }
             return Commands.OK;
         }
     }
 
     /** Checks every generation. */
-    @Command(name = "verify", mixinStandardHelpOptions = true,
-            description = "Checks every generation; exits with 0 if all can be believed, with 3 and the reasons if not.")
+    @Command(
+            name = "verify",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Checks every generation; exits with 0 if all can be believed, with 3 and the reasons if not.")
     static final class Verify implements Callable<Integer> {
         @Parameters(paramLabel = "FILE")
         private Path file;
 
-        @Option(names = "--site", defaultValue = "", paramLabel = "NAME", description = "whose it must be (default: any)")
+        @Option(
+                names = "--site",
+                defaultValue = "",
+                paramLabel = "NAME",
+                description = "whose it must be (default: any)")
         private String site;
 
         @Override
@@ -99,14 +131,20 @@
                 System.out.println(file + ": no list that can be believed");
                 return Commands.UNUSABLE_FILE;
             }
-            System.out.println(look.from() + ": good, " + look.list().lines().size() + " nodes, written "
-                    + when(look.writtenAt()));
+            System.out.println(
+                    look.from()
+                            + ": good, "
+                            + look.list().lines().size()
+                            + " nodes, written "
+                            + when(look.writtenAt()));
             return look.refused().isEmpty() ? Commands.OK : Commands.UNUSABLE_FILE;
         }
     }
 
     /** Prints it as CSV. */
-    @Command(name = "export", mixinStandardHelpOptions = true,
+    @Command(
+            name = "export",
+            mixinStandardHelpOptions = true,
             description = "Prints the list as CSV: node,cell,zone,kind,standing,host,port.")
     static final class Export implements Callable<Integer> {
         @Parameters(paramLabel = "FILE")
@@ -117,26 +155,46 @@
             System.out.println("node,cell,zone,kind,standing,host,port");
             for (KeptList.KeptLine kept : believed(file).lines()) {
                 NodeLine line = kept.line();
-                System.out.println(String.join(",", "" + line.node(), "" + line.cell(), "" + line.zone(),
-                        "" + line.kind(), line.standing().name().toLowerCase(Locale.ROOT), line.host(),
-                        "" + line.port()));
+                System.out.println(
+                        String.join(
+                                ",",
+                                "" + line.node(),
+                                "" + line.cell(),
+                                "" + line.zone(),
+                                "" + line.kind(),
+                                line.standing().name().toLowerCase(Locale.ROOT),
+                                line.host(),
+                                "" + line.port()));
             }
             return Commands.OK;
         }
     }
 
     /** Writes a list that an operator has by other means. */
-    @Command(name = "import", mixinStandardHelpOptions = true,
-            description = "Writes a list that was come by in another way as the file's next generation. It counts as never "
-                    + "confirmed: every node is asked who it is before it is used.")
+    @Command(
+            name = "import",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Writes a list that was come by in another way as the file's next generation. It counts as never "
+                            + "confirmed: every node is asked who it is before it is used.")
     static final class Import implements Callable<Integer> {
-        @Parameters(paramLabel = "FILE", description = "the list file to write; no gateway may be running on it")
+        @Parameters(
+                paramLabel = "FILE",
+                description = "the list file to write; no gateway may be running on it")
         private Path file;
 
-        @Option(names = "--site", required = true, paramLabel = "NAME", description = "[site] name of its gateway")
+        @Option(
+                names = "--site",
+                required = true,
+                paramLabel = "NAME",
+                description = "[site] name of its gateway")
         private String site;
 
-        @Option(names = "--csv", required = true, paramLabel = "LIST", description = "as 'export' prints it")
+        @Option(
+                names = "--csv",
+                required = true,
+                paramLabel = "LIST",
+                description = "as 'export' prints it")
         private Path csv;
 
         @Override
@@ -148,12 +206,21 @@
                 if (!text.get(i).isBlank() && !text.get(i).startsWith("node,")) {
                     NodeLine line = line(i + 1, text.get(i));
                     if (!seen.add(line.node())) {
-                        throw new IOException(csv + ":" + (i + 1) + ": node " + line.node() + " stands there twice");
+                        throw new IOException(
+                                csv
+                                        + ":"
+                                        + (i + 1)
+                                        + ": node "
+                                        + line.node()
+                                        + " stands there twice");
                     }
                     lines.add(new KeptList.KeptLine(line, Source.IMPORT, false));
                 }
             }
-            new ListFile(file, site).write(new KeptList(site, 0, 0, 0, lines).checked(), System.currentTimeMillis());
+            new ListFile(file, site)
+                    .write(
+                            new KeptList(site, 0, 0, 0, lines).checked(),
+                            System.currentTimeMillis());
             System.out.println(file + ": " + lines.size() + " nodes");
             return Commands.OK;
         }
@@ -161,15 +228,24 @@
         private NodeLine line(int number, String text) throws IOException {
             String[] words = text.split(",", -1);
             try {
-                if (words.length != 7 || HostPort.read(words[5].trim() + ":" + words[6].trim()) == null) {
-                    throw new IllegalArgumentException("allowed is node,cell,zone,kind,standing,host,port");
+                if (words.length != 7
+                        || HostPort.read(words[5].trim() + ":" + words[6].trim()) == null) {
+                    throw new IllegalArgumentException(
+                            "allowed is node,cell,zone,kind,standing,host,port");
                 }
-                return new NodeLine(Integer.parseInt(words[0].trim()), Integer.parseInt(words[1].trim()),
-                        Integer.parseInt(words[2].trim()), Integer.parseInt(words[3].trim()),
-                        NodeLine.Standing.valueOf(words[4].trim().toUpperCase(Locale.ROOT)), 0, 1, words[5].trim(),
+                return new NodeLine(
+                        Integer.parseInt(words[0].trim()),
+                        Integer.parseInt(words[1].trim()),
+                        Integer.parseInt(words[2].trim()),
+                        Integer.parseInt(words[3].trim()),
+                        NodeLine.Standing.valueOf(words[4].trim().toUpperCase(Locale.ROOT)),
+                        0,
+                        1,
+                        words[5].trim(),
                         Integer.parseInt(words[6].trim()));
             } catch (IllegalArgumentException e) {
-                throw new IOException(csv + ":" + number + ": '" + text + "': " + e.getMessage(), e);
+                throw new IOException(
+                        csv + ":" + number + ": '" + text + "': " + e.getMessage(), e);
             }
         }
     }
--- a/src/main/java/sagepulley/cli/MeasureCommand.java
+++ b/src/main/java/sagepulley/cli/MeasureCommand.java
@@ -9,36 +9,59 @@
 import sagepulley.drill.SideBySide;
 
 /** Measures the gateway against the direct way. */
-@Command(name = "measure", mixinStandardHelpOptions = true, sortOptions = false,
-        description = "Measures the way through a gateway against the way from client to node directly, by turns "
-                + "on loopback, and prints both with their ratios.")
+@Command(
+        name = "measure",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description =
+                "Measures the way through a gateway against the way from client to node directly, by turns "
+                        + "on loopback, and prints both with their ratios.")
 final class MeasureCommand implements Callable<Integer> {
-    @Option(names = "--seconds", defaultValue = "3", description = "for each way and row (default: ${DEFAULT-VALUE})")
+    @Option(
+            names = "--seconds",
+            defaultValue = "3",
+            description = "for each way and row (default: ${DEFAULT-VALUE})")
     private double seconds;
 
-    @Option(names = "--sizes", split = ",", defaultValue = "4096,131072", paramLabel = "BYTES",
+    @Option(
+            names = "--sizes",
+            split = ",",
+            defaultValue = "4096,131072",
+            paramLabel = "BYTES",
             description = "bytes of a request (default: ${DEFAULT-VALUE})")
     private int[] sizes;
 
-    @Option(names = "--depths", split = ",", defaultValue = "1,32,256", paramLabel = "N",
+    @Option(
+            names = "--depths",
+            split = ",",
+            defaultValue = "1,32,256",
+            paramLabel = "N",
             description = "requests in flight (default: ${DEFAULT-VALUE})")
     private int[] depths;
 
     @Option(names = "--json", description = "prints the rows as JSON")
     private boolean json;
 
-    @Option(names = "--accounts", paramLabel = "FOLDER",
-            description = "measures a gateway that keeps accounts and traces (there) against one that keeps neither")
+    @Option(
+            names = "--accounts",
+            paramLabel = "FOLDER",
+            description =
+                    "measures a gateway that keeps accounts and traces (there) against one that keeps neither")
     private Path accounts;
 
-    @Option(names = "--kept", defaultValue = "BOTH", paramLabel = "NEITHER|ACCOUNTS|BOTH",
+    @Option(
+            names = "--kept",
+            defaultValue = "BOTH",
+            paramLabel = "NEITHER|ACCOUNTS|BOTH",
             description = "with --accounts: what is kept (default: ${DEFAULT-VALUE})")
     private SideBySide.Kept kept;
 
     @Override
     public Integer call() throws Exception {
-        List<SideBySide.Row> rows = accounts == null ? new SideBySide(seconds, 4).run(6, sizes, depths)
-                : new SideBySide(seconds, 8).accounts(6, sizes, depths, kept, accounts);
+        List<SideBySide.Row> rows =
+                accounts == null
+                        ? new SideBySide(seconds, 4).run(6, sizes, depths)
+                        : new SideBySide(seconds, 8).accounts(6, sizes, depths, kept, accounts);
         if (json) {
             System.out.println(new JsonMapper().writeValueAsString(rows));
             return Commands.OK;
@@ -47,30 +70,55 @@
             print(rows);
             return Commands.OK;
         }
-        System.out.println("| request | depth | direct/s | through/s | ratio | p50 direct | p50 through | ratio "
-                + "| p99 ratio | failed | heap bytes/op | gateway CPU us/op |");
-        System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        System.out.println(
+                "| request | depth | direct/s | through/s | ratio | p50 direct | p50 through | ratio "
+                        + "| p99 ratio | failed | heap bytes/op | gateway CPU us/op |");
+        System.out.println(
+                "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         for (SideBySide.Row row : rows) {
-            System.out.printf("| %s %d KiB | %d | %.0f | %.0f | %.2f | %.0f us | %.0f us | %.2f | %.2f | %d | %.0f "
-                    + "| %.1f |%n", row.kind(), row.bytes() >> 10, row.depth(), row.direct().perSecond(),
-                    row.through().perSecond(), row.through().perSecond() / row.direct().perSecond(),
-                    row.direct().p50(), row.through().p50(), row.through().p50() / row.direct().p50(),
-                    row.through().p99() / row.direct().p99(), row.through().failed(), row.heapBytes(),
+            System.out.printf(
+                    "| %s %d KiB | %d | %.0f | %.0f | %.2f | %.0f us | %.0f us | %.2f | %.2f | %d | %.0f "
+                            + "| %.1f |%n",
+                    row.kind(),
+                    row.bytes() >> 10,
+                    row.depth(),
+                    row.direct().perSecond(),
+                    row.through().perSecond(),
+                    row.through().perSecond() / row.direct().perSecond(),
+                    row.direct().p50(),
+                    row.through().p50(),
+                    row.through().p50() / row.direct().p50(),
+                    row.through().p99() / row.direct().p99(),
+                    row.through().failed(),
+                    row.heapBytes(),
                     row.loopBusyMicros());
         }
         return Commands.OK;
     }
 
     private static void print(List<SideBySide.Row> rows) {
-        System.out.println("| request | depth | without/s | with/s | ratio | p99 without | p99 with | ratio "
-                + "| heap bytes/op without | with | CPU us/op without | with |");
-        System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        System.out.println(
+                "| request | depth | without/s | with/s | ratio | p99 without | p99 with | ratio "
+                        + "| heap bytes/op without | with | CPU us/op without | with |");
+        System.out.println(
+                "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         for (SideBySide.Row row : rows) {
-            System.out.printf("| %s %d KiB | %d | %.0f | %.0f | %.3f | %.0f us | %.0f us | %.2f | %.0f | %.0f | %.1f "
-                    + "| %.1f |%n", row.kind(), row.bytes() >> 10, row.depth(), row.direct().perSecond(),
-                    row.through().perSecond(), row.through().perSecond() / row.direct().perSecond(),
-                    row.direct().p99(), row.through().p99(), row.through().p99() / row.direct().p99(),
-                    row.directHeapBytes(), row.heapBytes(), row.directBusyMicros(), row.loopBusyMicros());
+            System.out.printf(
+                    "| %s %d KiB | %d | %.0f | %.0f | %.3f | %.0f us | %.0f us | %.2f | %.0f | %.0f | %.1f "
+                            + "| %.1f |%n",
+                    row.kind(),
+                    row.bytes() >> 10,
+                    row.depth(),
+                    row.direct().perSecond(),
+                    row.through().perSecond(),
+                    row.through().perSecond() / row.direct().perSecond(),
+                    row.direct().p99(),
+                    row.through().p99(),
+                    row.through().p99() / row.direct().p99(),
+                    row.directHeapBytes(),
+                    row.heapBytes(),
+                    row.directBusyMicros(),
+                    row.loopBusyMicros());
         }
     }
 }
--- a/src/main/java/sagepulley/cli/NodeCommand.java
+++ b/src/main/java/sagepulley/cli/NodeCommand.java
@@ -15,7 +15,10 @@
 import sagepulley.wire.Loops;
 
 /** Runs a stand-in node. */
-@Command(name = "node", mixinStandardHelpOptions = true, sortOptions = false,
+@Command(
+        name = "node",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
         description = "Runs a stand-in storage node until a signal.")
 final class NodeCommand implements Callable<Integer> {
     @Option(names = "--id", required = true, description = "its number in the list")
@@ -24,48 +27,106 @@
     @Option(names = "--cell", description = "the cell whose extents it holds (default: its number)")
     private Integer cell;
 
-    @Option(names = "--zone", defaultValue = "0", description = "its zone's place in the site's list")
+    @Option(
+            names = "--zone",
+            defaultValue = "0",
+            description = "its zone's place in the site's list")
     private int zone;
 
-    @Option(names = "--listen", defaultValue = "127.0.0.1:0", converter = AddressConverter.class,
-            paramLabel = "HOST:PORT", description = "where gateways connect (default: ${DEFAULT-VALUE})")
+    @Option(
+            names = "--listen",
+            defaultValue = "127.0.0.1:0",
+            converter = AddressConverter.class,
+            paramLabel = "HOST:PORT",
+            description = "where gateways connect (default: ${DEFAULT-VALUE})")
     private HostPort listen;
 
-    @Option(names = "--directory", required = true, converter = AddressConverter.class,
-            paramLabel = "HOST:PORT", description = "where it registers")
+    @Option(
+            names = "--directory",
+            required = true,
+            converter = AddressConverter.class,
+            paramLabel = "HOST:PORT",
+            description = "where it registers")
     private HostPort directory;
 
     @Option(names = "--slots", defaultValue = "4", description = "operations at once")
     private int slots;
 
-    @Option(names = "--read-cost", defaultValue = "0", paramLabel = "MS", description = "a unit's time")
+    @Option(
+            names = "--read-cost",
+            defaultValue = "0",
+            paramLabel = "MS",
+            description = "a unit's time")
     private double readCost;
 
-    @Option(names = "--write-cost", defaultValue = "0", paramLabel = "MS", description = "a unit's time")
+    @Option(
+            names = "--write-cost",
+            defaultValue = "0",
+            paramLabel = "MS",
+            description = "a unit's time")
     private double writeCost;
 
     @Option(names = "--queue", defaultValue = "256", description = "operations that may wait")
     private int queue;
 
-    @Option(names = "--extent-bytes", defaultValue = "1048576", description = "as the site file has it")
+    @Option(
+            names = "--extent-bytes",
+            defaultValue = "1048576",
+            description = "as the site file has it")
     private int extentBytes;
 
-    @Option(names = "--data", paramLabel = "FOLDER", description = "keeps data in files (default: in memory)")
+    @Option(
+            names = "--data",
+            paramLabel = "FOLDER",
+            description = "keeps data in files (default: in memory)")
     private Path data;
 
     @Override
     public Integer call() {
         EventLoopGroup loops = Loops.group(1, "node-" + id);
-        NodeTraits traits = new NodeTraits(id, cell == null ? id : cell, zone, 0, slots, readCost, writeCost,
-                queue, extentBytes, 0.25, 10_000, 2, 2_000, 64, 0, 1_000, data);
-        StandInNode node = Town.await(new StandInNode(traits, loops, Witness.NOBODY, id).start(listen.socket()));
-        Registration registration = new Registration(loops.next(), directory.socket(),
-                () -> new DirectoryWire.Line(id, traits.cell(), zone, 0, DirectoryWire.Standing.READY,
-                        node.startedAt(), 1, listen.host(), node.address().getPort()));
-        System.out.println("ready: node " + id + " on " + listen.host() + ":" + node.address().getPort());
-        return Running.untilSignal(() -> {
-            registration.close();
-            Town.await(node.stop());
-        });
+        NodeTraits traits =
+                new NodeTraits(
+                        id,
+                        cell == null ? id : cell,
+                        zone,
+                        0,
+                        slots,
+                        readCost,
+                        writeCost,
+                        queue,
+                        extentBytes,
+                        0.25,
+                        10_000,
+                        2,
+                        2_000,
+                        64,
+                        0,
+                        1_000,
+                        data);
+        StandInNode node =
+                Town.await(
+                        new StandInNode(traits, loops, Witness.NOBODY, id).start(listen.socket()));
+        Registration registration =
+                new Registration(
+                        loops.next(),
+                        directory.socket(),
+                        () ->
+                                new DirectoryWire.Line(
+                                        id,
+                                        traits.cell(),
+                                        zone,
+                                        0,
+                                        DirectoryWire.Standing.READY,
+                                        node.startedAt(),
+                                        1,
+                                        listen.host(),
+                                        node.address().getPort()));
+        System.out.println(
+                "ready: node " + id + " on " + listen.host() + ":" + node.address().getPort());
+        return Running.untilSignal(
+                () -> {
+                    registration.close();
+                    Town.await(node.stop());
+                });
     }
 }
--- a/src/main/java/sagepulley/cli/NodesCommand.java
+++ b/src/main/java/sagepulley/cli/NodesCommand.java
@@ -10,11 +10,18 @@
 import sagepulley.site.HostPort;
 
 /** Shows what a running gateway knows of its nodes. */
-@Command(name = "nodes", mixinStandardHelpOptions = true, sortOptions = false,
-        description = "Shows what a running gateway knows of its nodes: how far the list is believed and for what age, "
-                + "and each node's use with the reason for it ([watch] listen).")
+@Command(
+        name = "nodes",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description =
+                "Shows what a running gateway knows of its nodes: how far the list is believed and for what age, "
+                        + "and each node's use with the reason for it ([watch] listen).")
 final class NodesCommand implements Callable<Integer> {
-    @Parameters(paramLabel = "HOST:PORT", converter = AddressConverter.class, description = "of the gateway's [watch]")
+    @Parameters(
+            paramLabel = "HOST:PORT",
+            converter = AddressConverter.class,
+            description = "of the gateway's [watch]")
     private HostPort address;
 
     @Option(names = "--json", description = "prints it as JSON")
@@ -29,19 +36,31 @@
         }
         JsonNode view = new JsonMapper().readTree(answer);
         double age = view.path("age").asDouble();
-        System.out.printf(Locale.ROOT, "gateway %s: list %s, %s; directory %s; extents known from disk only: %d%n%n",
-                view.path("gateway").asText(), view.path("trust").asText().toLowerCase(Locale.ROOT),
-                Double.isFinite(age) ? String.format(Locale.ROOT, "confirmed %.0f s ago", age / 1000)
-                        : "never confirmed", view.path("directory").asBoolean() ? "reached" : "not reached",
+        System.out.printf(
+                Locale.ROOT,
+                "gateway %s: list %s, %s; directory %s; extents known from disk only: %d%n%n",
+                view.path("gateway").asText(),
+                view.path("trust").asText().toLowerCase(Locale.ROOT),
+                Double.isFinite(age)
+                        ? String.format(Locale.ROOT, "confirmed %.0f s ago", age / 1000)
+                        : "never confirmed",
+                view.path("directory").asBoolean() ? "reached" : "not reached",
                 view.path("unverifiedExtents").asInt());
-        System.out.printf("%6s %6s %5s  %-9s %-9s %-7s %-10s %s%n", "node", "cell", "zone", "use", "new", "proven",
-                "from", "why");
+        System.out.printf(
+                "%6s %6s %5s  %-9s %-9s %-7s %-10s %s%n",
+                "node", "cell", "zone", "use", "new", "proven", "from", "why");
         for (JsonNode node : view.path("nodes")) {
             JsonNode line = node.path("line");
-            System.out.printf("%6d %6d %5d  %-9s %-9s %-7s %-10s %s%n", line.path("node").asInt(),
-                    line.path("cell").asInt(), line.path("zone").asInt(), word(node, "use"),
-                    node.path("takesNew").asBoolean() ? "takes" : "no", node.path("proven").asBoolean() ? "yes" : "no",
-                    word(node, "source"), node.path("reason").asText());
+            System.out.printf(
+                    "%6d %6d %5d  %-9s %-9s %-7s %-10s %s%n",
+                    line.path("node").asInt(),
+                    line.path("cell").asInt(),
+                    line.path("zone").asInt(),
+                    word(node, "use"),
+                    node.path("takesNew").asBoolean() ? "takes" : "no",
+                    node.path("proven").asBoolean() ? "yes" : "no",
+                    word(node, "source"),
+                    node.path("reason").asText());
         }
         return Commands.OK;
     }
--- a/src/main/java/sagepulley/cli/Pages.java
+++ b/src/main/java/sagepulley/cli/Pages.java
@@ -9,8 +9,7 @@
 
 /** Pages and texts by the templates in the program. */
 final class Pages {
-    private Pages() {
-    }
+    private Pages() {}
 
     static String fill(String template, Map<String, Object> values) throws IOException {
         Configuration templates = new Configuration(Configuration.VERSION_2_3_34);
@@ -21,7 +20,8 @@
         try {
             templates.getTemplate(template).process(values, page);
         } catch (TemplateException e) {
-            throw new IOException("the template " + template + " failed: " + e.getMessageWithoutStackTop(), e);
+            throw new IOException(
+                    "the template " + template + " failed: " + e.getMessageWithoutStackTop(), e);
         }
         return page.toString();
     }
--- a/src/main/java/sagepulley/cli/Plots.java
+++ b/src/main/java/sagepulley/cli/Plots.java
@@ -15,15 +15,17 @@
 
 /** Plots for pages, as images that stand in the page itself. */
 final class Plots {
-    private Plots() {
-    }
+    private Plots() {}
 
     /** A volume's waiting and work over time, as seconds in each second. */
     static String course(List<Book.Point> points) throws IOException {
         System.setProperty("java.awt.headless", "true");
-        XYChart chart = new XYChartBuilder().width(760).height(260).yAxisTitle("seconds a second").build();
-        chart.getStyler().setDefaultSeriesRenderStyle(XYSeries.XYSeriesRenderStyle.Line)
-                .setLegendPosition(Styler.LegendPosition.InsideNE).setChartBackgroundColor(Color.WHITE);
+        XYChart chart =
+                new XYChartBuilder().width(760).height(260).yAxisTitle("seconds a second").build();
+        chart.getStyler()
+                .setDefaultSeriesRenderStyle(XYSeries.XYSeriesRenderStyle.Line)
+                .setLegendPosition(Styler.LegendPosition.InsideNE)
+                .setChartBackgroundColor(Color.WHITE);
         List<Date> times = new ArrayList<>();
         List<Double> waited = new ArrayList<>();
         List<Double> worked = new ArrayList<>();
@@ -32,9 +34,12 @@
             waited.add(point.waited() / point.length());
             worked.add(point.work() / point.length());
         }
-        chart.addSeries("waiting", times, waited).setMarker(org.knowm.xchart.style.markers.SeriesMarkers.NONE);
-        chart.addSeries("work", times, worked).setMarker(org.knowm.xchart.style.markers.SeriesMarkers.NONE);
-        return Base64.getEncoder().encodeToString(
-                BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG));
+        chart.addSeries("waiting", times, waited)
+                .setMarker(org.knowm.xchart.style.markers.SeriesMarkers.NONE);
+        chart.addSeries("work", times, worked)
+                .setMarker(org.knowm.xchart.style.markers.SeriesMarkers.NONE);
+        return Base64.getEncoder()
+                .encodeToString(
+                        BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG));
     }
 }
--- a/src/main/java/sagepulley/cli/ReportCommand.java
+++ b/src/main/java/sagepulley/cli/ReportCommand.java
@@ -28,28 +28,45 @@
 import sagepulley.books.BookFile;
 
 /** Tells from gateways' accounts who waited behind whom. */
-@Command(name = "report", mixinStandardHelpOptions = true, sortOptions = false,
-        description = "Reads the latency accounts of one gateway, or of several together, and tells for each volume "
-                + "where its time went, what caused its waits, at which node and when, and what can be done.",
-        footer = {"", "Exit codes: 0 told, 1 a file cannot be believed or has no such volume, 2 wrong words."})
+@Command(
+        name = "report",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description =
+                "Reads the latency accounts of one gateway, or of several together, and tells for each volume "
+                        + "where its time went, what caused its waits, at which node and when, and what can be done.",
+        footer = {
+            "",
+            "Exit codes: 0 told, 1 a file cannot be believed or has no such volume, 2 wrong words."
+        })
 final class ReportCommand implements Callable<Integer> {
     private static final int MOST_CAUSES = 8;
-    private static final DateTimeFormatter CLOCK = DateTimeFormatter.ofPattern("yyyy-MM-dd HH:mm:ss");
+    private static final DateTimeFormatter CLOCK =
+            DateTimeFormatter.ofPattern("yyyy-MM-dd HH:mm:ss");
 
-    @CommandLine.Spec
-    private CommandLine.Model.CommandSpec spec;
+    @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
-    @Parameters(arity = "1..*", paramLabel = "FILE", description = "accounts files of gateways ([accounts] file)")
+    @Parameters(
+            arity = "1..*",
+            paramLabel = "FILE",
+            description = "accounts files of gateways ([accounts] file)")
     private List<Path> files;
 
     @Option(names = "--volume", paramLabel = "NAME", description = "only this volume")
     private String only;
 
-    @Option(names = "--since", defaultValue = "10m", paramLabel = "TIME",
-            description = "from when: 90s, 10m, 6h, or 2026-11-30T18:00 (default: ${DEFAULT-VALUE} before the end)")
+    @Option(
+            names = "--since",
+            defaultValue = "10m",
+            paramLabel = "TIME",
+            description =
+                    "from when: 90s, 10m, 6h, or 2026-11-30T18:00 (default: ${DEFAULT-VALUE} before the end)")
     private String since;
 
-    @Option(names = "--until", paramLabel = "TIME", description = "until when, likewise (default: the newest account)")
+    @Option(
+            names = "--until",
+            paramLabel = "TIME",
+            description = "until when, likewise (default: the newest account)")
     private String until;
 
     @Option(names = "--json", description = "prints the figures as JSON")
@@ -80,11 +97,20 @@
             }
         }
         if (reports.isEmpty()) {
-            throw new IOException(files.get(0) + ": has no volume" + (only == null ? "" : " called " + only));
+            throw new IOException(
+                    files.get(0) + ": has no volume" + (only == null ? "" : " called " + only));
         }
         if (json) {
-            System.out.println(new JsonMapper().writeValueAsString(
-                    Map.of("clocks", merged.clocks(), "names", names, "volumes", reports)));
+            System.out.println(
+                    new JsonMapper()
+                            .writeValueAsString(
+                                    Map.of(
+                                            "clocks",
+                                            merged.clocks(),
+                                            "names",
+                                            names,
+                                            "volumes",
+                                            reports)));
             return Commands.OK;
         }
         Map<String, Object> page = page(merged, reports, from, to);
@@ -102,9 +128,13 @@
             if (length.matches("[0-9.]+[smh]")) {
                 return before - Duration.parse("PT" + length.toUpperCase(Locale.ROOT)).toMillis();
             }
-            return LocalDateTime.parse(text).atZone(ZoneId.systemDefault()).toInstant().toEpochMilli();
+            return LocalDateTime.parse(text)
+                    .atZone(ZoneId.systemDefault())
+                    .toInstant()
+                    .toEpochMilli();
         } catch (DateTimeException e) {
-            throw new CommandLine.ParameterException(spec.commandLine(),
+            throw new CommandLine.ParameterException(
+                    spec.commandLine(),
                     "'" + text + "' is no time: allowed are 90s, 10m, 6h or 2026-11-30T18:00");
         }
     }
@@ -113,15 +143,21 @@
         return CLOCK.format(Instant.ofEpochMilli((long) wall).atZone(ZoneId.systemDefault()));
     }
 
-    private Map<String, Object> page(Fleet.Merged merged, List<Report> reports, double from, double to)
-            throws IOException {
+    private Map<String, Object> page(
+            Fleet.Merged merged, List<Report> reports, double from, double to) throws IOException {
         Map<String, Object> page = new HashMap<>();
         page.put("from", clock(from));
         page.put("to", clock(to));
         List<Map<String, Object>> clocks = new ArrayList<>();
         for (Fleet.Clock clock : merged.clocks()) {
-            clocks.add(Map.of("gateway", clock.gateway(), "known", !Double.isNaN(clock.ahead()),
-                    "ahead", Double.isNaN(clock.ahead()) ? 0 : clock.ahead() / 1000));
+            clocks.add(
+                    Map.of(
+                            "gateway",
+                            clock.gateway(),
+                            "known",
+                            !Double.isNaN(clock.ahead()),
+                            "ahead",
+                            Double.isNaN(clock.ahead()) ? 0 : clock.ahead() / 1000));
         }
         page.put("clocks", clocks);
         List<Map<String, Object>> volumes = new ArrayList<>();
@@ -132,16 +168,34 @@
         return page;
     }
 
-    private Map<String, Object> volume(Book book, Report report, double from, double to) throws IOException {
+    private Map<String, Object> volume(Book book, Report report, double from, double to)
+            throws IOException {
         Map<String, Object> volume = new HashMap<>();
-        volume.put("name", names.getOrDefault(report.volume(), report.volume() == 0 ? "(all others)"
-                : "" + report.volume()));
+        volume.put(
+                "name",
+                names.getOrDefault(
+                        report.volume(),
+                        report.volume() == 0 ? "(all others)" : "" + report.volume()));
         volume.put("report", report);
         List<Map<String, Object>> parts = new ArrayList<>();
-        double whole = Math.max(1e-9, report.parts().values().stream().mapToDouble(Double::doubleValue).sum());
-        report.parts().forEach((part, time) -> parts.add(Map.of("text", Words.part(part), "seconds", time / 1000,
-                "share", time / whole)));
-        parts.sort((one, other) -> Double.compare((Double) other.get("seconds"), (Double) one.get("seconds")));
+        double whole =
+                Math.max(
+                        1e-9,
+                        report.parts().values().stream().mapToDouble(Double::doubleValue).sum());
+        report.parts()
+                .forEach(
+                        (part, time) ->
+                                parts.add(
+                                        Map.of(
+                                                "text",
+                                                Words.part(part),
+                                                "seconds",
+                                                time / 1000,
+                                                "share",
+                                                time / whole)));
+        parts.sort(
+                (one, other) ->
+                        Double.compare((Double) other.get("seconds"), (Double) one.get("seconds")));
         volume.put("parts", parts);
         List<Map<String, Object>> plan = new ArrayList<>();
         for (Report.PlanLine line : report.plan()) {
@@ -150,9 +204,18 @@
         volume.put("plan", plan);
         List<Map<String, Object>> causes = new ArrayList<>();
         for (Report.Charged charged : report.causes().stream().limit(MOST_CAUSES).toList()) {
-            causes.add(Map.of("text", Words.cause(charged, names), "charged", charged, "seconds",
-                    charged.waited() / 1000, "share", charged.kind() == Cause.Kind.OWN_WORK ? 0 : charged.share(),
-                    "work", charged.kind() == Cause.Kind.OWN_WORK));
+            causes.add(
+                    Map.of(
+                            "text",
+                            Words.cause(charged, names),
+                            "charged",
+                            charged,
+                            "seconds",
+                            charged.waited() / 1000,
+                            "share",
+                            charged.kind() == Cause.Kind.OWN_WORK ? 0 : charged.share(),
+                            "work",
+                            charged.kind() == Cause.Kind.OWN_WORK));
         }
         volume.put("causes", causes);
         Report.Charged main = report.main();
@@ -180,8 +243,11 @@
         if (main.kind() != Cause.Kind.FAULT) {
             return List.of();
         }
-        List<Integer> faulty = report.causes().stream().filter(charged -> charged.kind() == Cause.Kind.FAULT)
-                .map(Report.Charged::node).toList();
+        List<Integer> faulty =
+                report.causes().stream()
+                        .filter(charged -> charged.kind() == Cause.Kind.FAULT)
+                        .map(Report.Charged::node)
+                        .toList();
         return Fleet.zoneAtFault(book, book.zones().getOrDefault(main.node(), -1), faulty);
     }
 }
--- a/src/main/java/sagepulley/cli/SoakCommand.java
+++ b/src/main/java/sagepulley/cli/SoakCommand.java
@@ -17,36 +17,54 @@
 import sagepulley.faults.SoakRun;
 
 /** Runs the seeded soak by hand. */
-@Command(name = "soak", mixinStandardHelpOptions = true,
-        description = "Runs small fleets of 'serve' processes on loopback under overlapping faults that follow from a "
-                + "seed, and judges the rules by what passed on the sockets; exits with 1 if one was broken.")
+@Command(
+        name = "soak",
+        mixinStandardHelpOptions = true,
+        description =
+                "Runs small fleets of 'serve' processes on loopback under overlapping faults that follow from a "
+                        + "seed, and judges the rules by what passed on the sockets; exits with 1 if one was broken.")
 final class SoakCommand implements Callable<Integer> {
     private static final int SHOWN = 5;
 
-    @Option(names = "--first", paramLabel = "SEED", defaultValue = "1", description = "the first seed (${DEFAULT-VALUE})")
+    @Option(
+            names = "--first",
+            paramLabel = "SEED",
+            defaultValue = "1",
+            description = "the first seed (${DEFAULT-VALUE})")
     private long first;
 
-    @Option(names = "--seeds", paramLabel = "N", defaultValue = "8", description = "how many seeds (${DEFAULT-VALUE})")
+    @Option(
+            names = "--seeds",
+            paramLabel = "N",
+            defaultValue = "8",
+            description = "how many seeds (${DEFAULT-VALUE})")
     private int seeds;
 
-    @Option(names = "--seconds", paramLabel = "N", defaultValue = "24",
+    @Option(
+            names = "--seconds",
+            paramLabel = "N",
+            defaultValue = "24",
             description = "length of a run (${DEFAULT-VALUE})")
     private int seconds;
 
-    @Option(names = "--at-once", paramLabel = "N", defaultValue = "4",
+    @Option(
+            names = "--at-once",
+            paramLabel = "N",
+            defaultValue = "4",
             description = "runs side by side, of two to four processes each (${DEFAULT-VALUE})")
     private int atOnce;
 
-    @Option(names = "--logs", paramLabel = "FOLDER", required = true,
+    @Option(
+            names = "--logs",
+            paramLabel = "FOLDER",
+            required = true,
             description = "keeps configurations and logs of each run there")
     private Path logs;
 
-    @CommandLine.Spec
-    private CommandLine.Model.CommandSpec spec;
+    @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
     /** What came of one seed. */
-    private record Outcome(long seed, List<String> broken, long served, String story) {
-    }
+    private record Outcome(long seed, List<String> broken, long served, String story) {}
 
     @Override
     public Integer call() throws InterruptedException, ExecutionException {
@@ -76,14 +94,18 @@
         }
     }
 
-    /** Prints a line, and for a run that broke a rule what it broke and what happened; gives 1 for such a run. */
+    /**
+     * Prints a line, and for a run that broke a rule what it broke and what happened; gives 1 for
+     * such a run.
+     */
     private int print(Outcome outcome) {
         PrintWriter out = spec.commandLine().getOut();
         if (outcome.broken().isEmpty()) {
             out.println("seed " + outcome.seed() + ": passed, served " + outcome.served());
             return 0;
         }
-        out.println("seed " + outcome.seed() + ": FAILED, " + outcome.broken().size() + " violations");
+        out.println(
+                "seed " + outcome.seed() + ": FAILED, " + outcome.broken().size() + " violations");
         outcome.broken().stream().limit(SHOWN).forEach(each -> out.println("  " + each));
         out.println(outcome.story());
         return 1;
--- a/src/main/java/sagepulley/cli/StartsCommand.java
+++ b/src/main/java/sagepulley/cli/StartsCommand.java
@@ -7,15 +7,23 @@
 import sagepulley.drill.Starts;
 
 /** Measures starts without discovery. */
-@Command(name = "starts", mixinStandardHelpOptions = true, sortOptions = false,
-        description = "Starts gateways on loopback with discovery down and lists of several ages, of which some nodes have "
-                + "changed since, against believing the list blindly and waiting for discovery; and plays the return of "
-                + "many gateways to one directory.")
+@Command(
+        name = "starts",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description =
+                "Starts gateways on loopback with discovery down and lists of several ages, of which some nodes have "
+                        + "changed since, against believing the list blindly and waiting for discovery; and plays the return of "
+                        + "many gateways to one directory.")
 final class StartsCommand implements Callable<Integer> {
     private static final double[] AGES = {1.0 / 60, 1, 23, 7 * 24, 30 * 24};
     private static final int HALF = 4;
 
-    @Option(names = "--folder", required = true, paramLabel = "FOLDER", description = "for the lists' files")
+    @Option(
+            names = "--folder",
+            required = true,
+            paramLabel = "FOLDER",
+            description = "for the lists' files")
     private Path folder;
 
     @Option(names = "--seed", defaultValue = "1", description = "(default: ${DEFAULT-VALUE})")
@@ -24,8 +32,9 @@
     @Override
     public Integer call() throws Exception {
         Starts starts = new Starts(folder);
-        System.out.println("| way | age | changed since | hops to drained or replaced | pushed over | first satisfied "
-                + "| service of what is left | of all |");
+        System.out.println(
+                "| way | age | changed since | hops to drained or replaced | pushed over | first satisfied "
+                        + "| service of what is left | of all |");
         System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- |");
         for (Starts.Since since : Starts.Since.values()) {
             int changed = since == Starts.Since.NOTHING ? 0 : HALF;
@@ -39,25 +48,44 @@
         }
         row(starts.run(Starts.Way.WAITING, AGES[3], Starts.Since.NOTHING, 0, seed));
         System.out.println();
-        System.out.println("| gateways | pauses | most calls in 100 ms | calls | all hold a list after |");
+        System.out.println(
+                "| gateways | pauses | most calls in 100 ms | calls | all hold a list after |");
         System.out.println("| --- | --- | --- | --- | --- |");
         for (int gateways : new int[] {16, 64, 1000}) {
             for (boolean spread : new boolean[] {false, true}) {
                 Starts.Storm storm = Starts.storm(gateways, spread, 20_000, 50, 20, seed);
-                System.out.printf("| %d | %s | %d | %d | %.0f ms |%n", gateways, spread ? "drawn" : "250 ms",
-                        storm.mostInTenth(), storm.calls(), storm.allListedMs());
+                System.out.printf(
+                        "| %d | %s | %d | %d | %.0f ms |%n",
+                        gateways,
+                        spread ? "drawn" : "250 ms",
+                        storm.mostInTenth(),
+                        storm.calls(),
+                        storm.allListedMs());
             }
         }
         return Commands.OK;
     }
 
     private static void row(Starts.Row row) {
-        String age = row.ageHours() < 1 ? Math.round(row.ageHours() * 60) + " min"
-                : row.ageHours() < 24 ? Math.round(row.ageHours()) + " h" : Math.round(row.ageHours() / 24) + " d";
-        System.out.printf("| %s | %s | %s | %d | %d | %s | %.0f %% | %.0f %% |%n", Words.of(row.way()), age,
-                row.since() == Starts.Since.NOTHING ? "nothing" : row.changed() + " of 8 " + Words.of(row.since()),
-                row.wrongAttempts(), row.pushedOver(), Double.isNaN(row.firstMs()) ? "never"
-                        : String.format(java.util.Locale.ROOT, "%.0f ms", row.firstMs()), 100 * row.service(),
+        String age =
+                row.ageHours() < 1
+                        ? Math.round(row.ageHours() * 60) + " min"
+                        : row.ageHours() < 24
+                                ? Math.round(row.ageHours()) + " h"
+                                : Math.round(row.ageHours() / 24) + " d";
+        System.out.printf(
+                "| %s | %s | %s | %d | %d | %s | %.0f %% | %.0f %% |%n",
+                Words.of(row.way()),
+                age,
+                row.since() == Starts.Since.NOTHING
+                        ? "nothing"
+                        : row.changed() + " of 8 " + Words.of(row.since()),
+                row.wrongAttempts(),
+                row.pushedOver(),
+                Double.isNaN(row.firstMs())
+                        ? "never"
+                        : String.format(java.util.Locale.ROOT, "%.0f ms", row.firstMs()),
+                100 * row.service(),
                 100 * row.serviceOfAll());
     }
 }
--- a/src/main/java/sagepulley/cli/TopCommand.java
+++ b/src/main/java/sagepulley/cli/TopCommand.java
@@ -16,19 +16,33 @@
 import sagepulley.watch.Watch;
 
 /** Shows a gateway's volumes and nodes live. */
-@Command(name = "top", mixinStandardHelpOptions = true, sortOptions = false,
-        description = "Shows a running gateway's volumes (those that lost most utility first) and nodes in the terminal, "
-                + "by its accounts of the last ten minutes ([watch] listen).")
+@Command(
+        name = "top",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description =
+                "Shows a running gateway's volumes (those that lost most utility first) and nodes in the terminal, "
+                        + "by its accounts of the last ten minutes ([watch] listen).")
 final class TopCommand implements Callable<Integer> {
     private static final String CLEAR = "\u001b[H\u001b[2J";
 
-    @Parameters(paramLabel = "HOST:PORT", converter = AddressConverter.class, description = "of the gateway's [watch]")
+    @Parameters(
+            paramLabel = "HOST:PORT",
+            converter = AddressConverter.class,
+            description = "of the gateway's [watch]")
     private HostPort address;
 
-    @Option(names = "--every", defaultValue = "2", paramLabel = "SECONDS", description = "(default: ${DEFAULT-VALUE})")
+    @Option(
+            names = "--every",
+            defaultValue = "2",
+            paramLabel = "SECONDS",
+            description = "(default: ${DEFAULT-VALUE})")
     private double every;
 
-    @Option(names = "--rows", defaultValue = "20", description = "volumes and nodes shown (default: ${DEFAULT-VALUE})")
+    @Option(
+            names = "--rows",
+            defaultValue = "20",
+            description = "volumes and nodes shown (default: ${DEFAULT-VALUE})")
     private int rows;
 
     @Option(names = "--once", description = "prints once and ends")
@@ -46,8 +60,11 @@
                 System.out.println(answer);
                 return Commands.OK;
             }
-            Watch.View view = JsonMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build()
-                    .readValue(answer, Watch.View.class);
+            Watch.View view =
+                    JsonMapper.builder()
+                            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                            .build()
+                            .readValue(answer, Watch.View.class);
             System.out.print((once ? "" : CLEAR) + text(view));
             if (once) {
                 return Commands.OK;
@@ -58,30 +75,83 @@
 
     private String text(Watch.View view) {
         StringBuilder text = new StringBuilder();
-        text.append(String.format(Locale.ROOT, "gateway %s, the last ten minutes%n%n%-20s %9s %9s %9s %9s %9s %9s  %s%n",
-                view.gateway(), "volume", "units", "in time", "not", "declined", "p99 ms", "lost", "waits mainly for"));
+        text.append(
+                String.format(
+                        Locale.ROOT,
+                        "gateway %s, the last ten minutes%n%n%-20s %9s %9s %9s %9s %9s %9s  %s%n",
+                        view.gateway(),
+                        "volume",
+                        "units",
+                        "in time",
+                        "not",
+                        "declined",
+                        "p99 ms",
+                        "lost",
+                        "waits mainly for"));
         List<Report> volumes = new ArrayList<>(view.volumes());
-        volumes.sort(Comparator.comparingDouble(Report::utilityLost).thenComparingDouble(Report::units).reversed());
+        volumes.sort(
+                Comparator.comparingDouble(Report::utilityLost)
+                        .thenComparingDouble(Report::units)
+                        .reversed());
         for (Report report : volumes.stream().limit(rows).toList()) {
             double p99 = report.plan().stream().mapToDouble(Report.PlanLine::p99).max().orElse(0);
             Report.Charged main = report.main();
-            text.append(String.format(Locale.ROOT, "%-20s %9.0f %9d %9d %9d %9.1f %9.1f  %s%n",
-                    Words.volume(report.volume(), view.names()).replaceFirst("^volume ", ""), report.units(), report.met(),
-                    report.missed(), report.declined(), p99, report.utilityLost(), main == null ? "-"
-                            : Words.cause(main, view.names()) + ", " + Math.round(100 * main.share()) + " %, confidence "
-                            + Words.of(main.confidence())));
+            text.append(
+                    String.format(
+                            Locale.ROOT,
+                            "%-20s %9.0f %9d %9d %9d %9.1f %9.1f  %s%n",
+                            Words.volume(report.volume(), view.names())
+                                    .replaceFirst("^volume ", ""),
+                            report.units(),
+                            report.met(),
+                            report.missed(),
+                            report.declined(),
+                            p99,
+                            report.utilityLost(),
+                            main == null
+                                    ? "-"
+                                    : Words.cause(main, view.names())
+                                            + ", "
+                                            + Math.round(100 * main.share())
+                                            + " %, confidence "
+                                            + Words.of(main.confidence())));
         }
-        text.append(String.format(Locale.ROOT, "%n%-20s %9s %9s  %s%n", "node", "units", "writes", "most of it from"));
-        view.nodes().entrySet().stream().limit(rows).forEach(entry -> {
-            double sum = entry.getValue().values().stream().mapToDouble(both -> both[0]).sum();
-            double writes = entry.getValue().values().stream().mapToDouble(both -> both[1]).sum();
-            Map.Entry<Long, double[]> most = entry.getValue().entrySet().stream()
-                    .max(Comparator.comparingDouble(one -> one.getValue()[0])).orElseThrow();
-            text.append(String.format(Locale.ROOT, "%-20d %9.0f %8.0f%%  %s, %.0f %%%n", entry.getKey(), sum,
-                    100 * writes / Math.max(1e-9, sum), Words.volume(most.getKey(), view.names()),
-                    100 * most.getValue()[0] / Math.max(1e-9, sum)));
-        });
+        text.append(
+                String.format(
+                        Locale.ROOT,
+                        "%n%-20s %9s %9s  %s%n",
+                        "node",
+                        "units",
+                        "writes",
+                        "most of it from"));
+        view.nodes().entrySet().stream()
+                .limit(rows)
+                .forEach(
+                        entry -> {
+                            double sum =
+                                    entry.getValue().values().stream()
+                                            .mapToDouble(both -> both[0])
+                                            .sum();
+                            double writes =
+                                    entry.getValue().values().stream()
+                                            .mapToDouble(both -> both[1])
+                                            .sum();
+                            Map.Entry<Long, double[]> most =
+                                    entry.getValue().entrySet().stream()
+                                            .max(
+                                                    Comparator.comparingDouble(
+                                                            one -> one.getValue()[0]))
+                                            .orElseThrow();
+                            text.append(
+                                    String.format(
+                                            Locale.ROOT,
+                                            "%-20d %9.0f %8.0f%%  %s, %.0f %%%n",
+                                            entry.getKey(),
+                                            sum,
+                                            100 * writes / Math.max(1e-9, sum),
+                                            Words.volume(most.getKey(), view.names()),
+                                            100 * most.getValue()[0] / Math.max(1e-9, sum)));
+                        });
         return text.toString();
     }
-
 }
--- a/src/main/java/sagepulley/cli/TruthCommand.java
+++ b/src/main/java/sagepulley/cli/TruthCommand.java
@@ -9,14 +9,26 @@
 import sagepulley.drill.Truth;
 
 /** Holds the accounts against days whose causes are known. */
-@Command(name = "truth", mixinStandardHelpOptions = true, sortOptions = false,
-        description = "Plays days whose causes are known through real gateways on loopback, under several seeds, and "
-                + "tells whether the accounts name them; exits with 1 if a wrong one was named with high confidence.")
+@Command(
+        name = "truth",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description =
+                "Plays days whose causes are known through real gateways on loopback, under several seeds, and "
+                        + "tells whether the accounts name them; exits with 1 if a wrong one was named with high confidence.")
 final class TruthCommand implements Callable<Integer> {
-    @Option(names = "--kinds", split = ",", paramLabel = "KIND", description = "which days (default: all)")
+    @Option(
+            names = "--kinds",
+            split = ",",
+            paramLabel = "KIND",
+            description = "which days (default: all)")
     private List<String> kinds = Truth.KINDS;
 
-    @Option(names = "--seeds", defaultValue = "3", paramLabel = "N", description = "of each (default: ${DEFAULT-VALUE})")
+    @Option(
+            names = "--seeds",
+            defaultValue = "3",
+            paramLabel = "N",
+            description = "of each (default: ${DEFAULT-VALUE})")
     private int seeds;
 
     @Option(names = "--json", description = "prints the rows as JSON")
@@ -26,18 +38,28 @@
     public Integer call() throws Exception {
         List<Truth.Row> rows = new ArrayList<>();
         if (!json) {
-            System.out.println("| day | seed | volume | right | named first | share | confidence | second | hit | false blame | rules |");
-            System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+            System.out.println(
+                    "| day | seed | volume | right | named first | share | confidence | second | hit | false blame | rules |");
+            System.out.println(
+                    "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         }
         for (String kind : kinds) {
             for (int seed = 1; seed <= seeds; seed++) {
                 for (Truth.Row row : Truth.play(kind, seed)) {
                     rows.add(row);
                     if (!json) {
-                        System.out.printf("| %s | %d | %s | %s | %s | %.0f %% | %s | %s | %s | %s | %s |%n", row.day(),
-                                row.seed(), row.volume(), String.join(" or ", row.right()), row.named(),
-                                100 * row.share(), row.confidence() == null ? "-" : Words.of(row.confidence()),
-                                row.second(), row.hit() ? "yes" : "NO", row.falseBlame() ? "YES" : "no",
+                        System.out.printf(
+                                "| %s | %d | %s | %s | %s | %.0f %% | %s | %s | %s | %s | %s |%n",
+                                row.day(),
+                                row.seed(),
+                                row.volume(),
+                                String.join(" or ", row.right()),
+                                row.named(),
+                                100 * row.share(),
+                                row.confidence() == null ? "-" : Words.of(row.confidence()),
+                                row.second(),
+                                row.hit() ? "yes" : "NO",
+                                row.falseBlame() ? "YES" : "no",
                                 row.rulesKept() ? "kept" : "BROKEN");
                     }
                 }
@@ -46,10 +68,18 @@
         if (json) {
             System.out.println(new JsonMapper().writeValueAsString(rows));
         } else {
-            System.out.printf("%d of %d hit, %d of them with high confidence, false blame %d%n",
-                    rows.stream().filter(Truth.Row::hit).count(), rows.size(),
-                    rows.stream().filter(row -> row.hit()
-                            && row.confidence() == sagepulley.accounts.Report.Confidence.HIGH).count(),
+            System.out.printf(
+                    "%d of %d hit, %d of them with high confidence, false blame %d%n",
+                    rows.stream().filter(Truth.Row::hit).count(),
+                    rows.size(),
+                    rows.stream()
+                            .filter(
+                                    row ->
+                                            row.hit()
+                                                    && row.confidence()
+                                                            == sagepulley.accounts.Report.Confidence
+                                                                    .HIGH)
+                            .count(),
                     rows.stream().filter(Truth.Row::falseBlame).count());
         }
         return rows.stream().anyMatch(Truth.Row::falseBlame) ? Commands.FAILED : Commands.OK;
--- a/src/main/java/sagepulley/cli/WatchClient.java
+++ b/src/main/java/sagepulley/cli/WatchClient.java
@@ -11,7 +11,8 @@
 /** Asks a running gateway for its figures ([watch] listen). */
 final class WatchClient {
     private static final int MOST_BYTES = 64 << 20;
-    private final HttpClient client = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(3)).build();
+    private final HttpClient client =
+            HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(3)).build();
     private final HostPort address;
 
     WatchClient(HostPort address) {
@@ -19,8 +20,12 @@
     }
 
     String get(String path) throws IOException, InterruptedException {
-        HttpResponse<String> answer = client.send(HttpRequest.newBuilder(URI.create("http://" + address + path))
-                .timeout(Duration.ofSeconds(10)).build(), HttpResponse.BodyHandlers.ofString());
+        HttpResponse<String> answer =
+                client.send(
+                        HttpRequest.newBuilder(URI.create("http://" + address + path))
+                                .timeout(Duration.ofSeconds(10))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString());
         if (answer.statusCode() != 200 || answer.body().length() > MOST_BYTES) {
             throw new IOException(address + " answers with status " + answer.statusCode());
         }
--- a/src/main/java/sagepulley/cli/Words.java
+++ b/src/main/java/sagepulley/cli/Words.java
@@ -8,8 +8,7 @@
 
 /** Accounts in words: parts of time, causes, and what an operator can do about them. */
 final class Words {
-    private Words() {
-    }
+    private Words() {}
 
     static String of(Enum<?> constant) {
         return constant.name().toLowerCase(Locale.ROOT).replace('_', ' ');
@@ -49,7 +48,10 @@
             case NEIGHBOUR -> "load of " + volume(volume, names) + at;
             case ELSEWHERE -> "work through other gateways" + at;
             case SLOW_NODE -> "node " + node + " works slower than the rest";
-            case PAUSE -> "pauses" + at + (volume == 0 ? "" : " after writes of " + volume(volume, names));
+            case PAUSE ->
+                    "pauses"
+                            + at
+                            + (volume == 0 ? "" : " after writes of " + volume(volume, names));
             case COLD_NODE -> "node " + node + " started lately";
             case FAULT -> node == 0 ? "no node was ready" : "node " + node + " did not do its work";
             case CAUTION -> "the gateway's caution" + at;
@@ -65,21 +67,43 @@
     /** What an operator can do. */
     static String advice(Report.Charged charged, Map<Long, String> names) {
         return switch (charged.kind()) {
-            case OWN_LOAD -> "It asks for more than its plan owes it: a larger share or reserve, or less at once.";
-            case OWN_LIMIT -> "Its plan's limit holds it: raise the limit, or spread its operations over time.";
+            case OWN_LOAD ->
+                    "It asks for more than its plan owes it: a larger share or reserve, or less at once.";
+            case OWN_LIMIT ->
+                    "Its plan's limit holds it: raise the limit, or spread its operations over time.";
             case OWN_WORK -> "Nothing held it up.";
-            case NEIGHBOUR -> "Give " + volume(charged.volume(), names) + " a limit, or this one a reserve; "
-                    + "moving extents off node " + charged.node() + " parts them.";
-            case ELSEWHERE -> "Read the other gateways' files together with this one: they tell whose work it was.";
-            case SLOW_NODE -> "Look at node " + charged.node() + ": its disks, its other tenants. Draining it moves "
-                    + "new objects away.";
-            case PAUSE -> "Node " + charged.node() + " pauses of its own, as nodes do that put writes off: look at "
-                    + "its flushing, and at who writes there.";
-            case COLD_NODE -> "Node " + charged.node() + " was restarted; this passes. If it restarts often, see why.";
-            case FAULT -> charged.node() == 0 ? "See the list of nodes: drained, gone, or not told."
-                    : "See node " + charged.node() + " and the way to it: it gave no answer, or an error.";
-            case CAUTION -> "The gateway held it by its own rules (budget of further hops, rank): see the day's "
-                    + "declines and the node's state.";
+            case NEIGHBOUR ->
+                    "Give "
+                            + volume(charged.volume(), names)
+                            + " a limit, or this one a reserve; "
+                            + "moving extents off node "
+                            + charged.node()
+                            + " parts them.";
+            case ELSEWHERE ->
+                    "Read the other gateways' files together with this one: they tell whose work it was.";
+            case SLOW_NODE ->
+                    "Look at node "
+                            + charged.node()
+                            + ": its disks, its other tenants. Draining it moves "
+                            + "new objects away.";
+            case PAUSE ->
+                    "Node "
+                            + charged.node()
+                            + " pauses of its own, as nodes do that put writes off: look at "
+                            + "its flushing, and at who writes there.";
+            case COLD_NODE ->
+                    "Node "
+                            + charged.node()
+                            + " was restarted; this passes. If it restarts often, see why.";
+            case FAULT ->
+                    charged.node() == 0
+                            ? "See the list of nodes: drained, gone, or not told."
+                            : "See node "
+                                    + charged.node()
+                                    + " and the way to it: it gave no answer, or an error.";
+            case CAUTION ->
+                    "The gateway held it by its own rules (budget of further hops, rank): see the day's "
+                            + "declines and the node's state.";
             case DIRECTORY -> "See the directory: its answers come late or not at all.";
             case NETWORK -> "See the way to node " + charged.node() + ".";
         };
--- a/src/main/java/sagepulley/control/BandView.java
+++ b/src/main/java/sagepulley/control/BandView.java
@@ -5,19 +5,35 @@
 import java.util.Locale;
 
 /**
- * What Control has learned of a band, for whoever watches a gateway: the time that a unit takes with no queue
- * and usually, the age at which clients leave and the share that do; and how long it lets queues be.
+ * What Control has learned of a band, for whoever watches a gateway: the time that a unit takes
+ * with no queue and usually, the age at which clients leave and the share that do; and how long it
+ * lets queues be.
  */
-public record BandView(double basePace, double meanPace, double leftAge, double leftShare, double ease) {
+public record BandView(
+        double basePace, double meanPace, double leftAge, double leftShare, double ease) {
     /** The views of all bands, in their order. */
     public static List<BandView> of(Control control) {
-        return Arrays.stream(control.rows).map(row -> new BandView(row.basePace, row.meanPace, row.leftAge,
-                row.leftShare, control.ease)).toList();
+        return Arrays.stream(control.rows)
+                .map(
+                        row ->
+                                new BandView(
+                                        row.basePace,
+                                        row.meanPace,
+                                        row.leftAge,
+                                        row.leftShare,
+                                        control.ease))
+                .toList();
     }
 
     @Override
     public String toString() {
-        return String.format(Locale.ROOT, "base:%.1f,mean:%.1f,left-age:%.0f,left-share:%.3f,ease:%.2f", basePace,
-                meanPace, leftAge, leftShare, ease);
+        return String.format(
+                Locale.ROOT,
+                "base:%.1f,mean:%.1f,left-age:%.0f,left-share:%.3f,ease:%.2f",
+                basePace,
+                meanPace,
+                leftAge,
+                leftShare,
+                ease);
     }
 }
