--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -10,9 +10,9 @@
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import sagepulley.model.Attempt;
 import sagepulley.model.Band;
 import sagepulley.model.Deployment;
-import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -26,15 +26,15 @@
 import sagepulley.model.Volume;
 
 /**
- * Every decision of one gateway: the Flint placement score, each node's bound, and the guards round them.
+ * Every decision of one gateway: the Flint placement score, each node's bound, and the guards round
+ * them.
  *
- * How it is called (the types are those of sagepulley.model; times are milliseconds on one clock):
- *   place(operation)  where to send it, or not yet, or never; a SEND has already added its attempt
- *   after(attempt)        what to do for its operation after this outcome
- *   pause()           how long to wait, and what is due now: operations to place, probes, list calls;
- *                     asked again until no operation is due
- * and told, with no answer: listed, listFailed, probed, left, found, needless. The caller keeps timers and
- * operations.
+ * <p>How it is called (the types are those of sagepulley.model; times are milliseconds on one
+ * clock): place(operation) where to send it, or not yet, or never; a SEND has already added its
+ * attempt after(attempt) what to do for its operation after this outcome pause() how long to wait,
+ * and what is due now: operations to place, probes, list calls; asked again until no operation is
+ * due and told, with no answer: listed, listFailed, probed, left, found, needless. The caller keeps
+ * timers and operations.
  */
 public final class Control {
     // The page's figures.
@@ -42,7 +42,8 @@
     private static final double BUSY_REFRESH = 1_000;
     private static final double FIRST_BOUND = 4;
     private static final int RUN = 4;
-    // How far the rest of a run may go over the bound, for the node remembers an extent only for a while.
+    // How far the rest of a run may go over the bound, for the node remembers an extent only for a
+    // while.
     private static final int RUN_OVER = 3;
     // Weights of the score: placements, busy, fragment, preference; each term is 1 on average.
     private static final double ALPHA = 1;
@@ -58,8 +59,10 @@
     private static final double BOUND_CUT = 0.7;
     private static final double BOUND_STEP = 0.25;
     private static final double BOUND_REST = 1;
-    // The queue seen at a node, in quarters of the shortest target time: an answer's least weight, the time
-    // after which it weighs nearly alone (1.5 s and 6 s were worse), a time-out's part, what fades each
+    // The queue seen at a node, in quarters of the shortest target time: an answer's least weight,
+    // the time
+    // after which it weighs nearly alone (1.5 s and 6 s were worse), a time-out's part, what fades
+    // each
     // second.
     private static final double CROWD_STEP = 0.2;
     private static final double CROWD_TIME = 4_000;
@@ -67,14 +70,16 @@
     private static final double TIMEOUT_PART = 0.5;
     private static final double CROWD_KEEP = 0.8;
     private static final double CROWD_FADE = 0.95;
-    // The queue that holds an operation back: in the reserve, in the share, over its level, anything. A third
+    // The queue that holds an operation back: in the reserve, in the share, over its level,
+    // anything. A third
     // less or more lost 0.02 on one site or another.
     private static final double CROWDED_RESERVE = 1.6;
     private static final double CROWDED_SHARE = 1.2;
     private static final double CROWDED = 1.6;
     private static final double CROWDED_LEAST = 0.25;
     private static final double BEYOND_PART = 0.5;
-    // These move together with the part of answers that come late: about one in eleven leaves them alone.
+    // These move together with the part of answers that come late: about one in eleven leaves them
+    // alone.
     private static final double LATE_ANSWER = 0.7;
     private static final double EASE_CUT = 0.08;
     private static final double EASE_STEP = 0.008;
@@ -86,9 +91,11 @@
     // Silence of a node, and how often it is tried then, as shares of the shortest target time.
     private static final double SILENCE_SHARE = 0.5;
     private static final double TRIAL_SHARE = 0.3;
-    // An operation that would need more than this part of its usual time beyond its target time is late.
+    // An operation that would need more than this part of its usual time beyond its target time is
+    // late.
     private static final double LATE_FACTOR = 0.7;
-    // Attempts go on this part of the target time after it, where a late answer is worth this part at least.
+    // Attempts go on this part of the target time after it, where a late answer is worth this part
+    // at least.
     private static final double LATE_GRACE = 0.5;
     private static final double LATE_WORTH = 0.5;
     // A client's repeat: sought among this many, and known by this part of the target time gone.
@@ -107,13 +114,19 @@
     private static final double MOST_FAULTS = 0.3;
     private static final double LEFT_STEP = 0.02;
     private static final double LEFT_SHARE = 0.05;
-    // The part of what a cold node bears that is asked of it, if the demand in share were all it can do warm
+    // The part of what a cold node bears that is asked of it, if the demand in share were all it
+    // can do warm
     // (0.5 to 0.9 lie within 0.03), and the cap on one gateway in usual parts.
     private static final double COLD_PART = 0.8;
     private static final double COLD_BURST = 2;
     private static final double COLD_LOOK = 20;
-    /** A start that is longer ago is told as long ago: one that looks older was told by another clock. */
+
+    /**
+     * A start that is longer ago is told as long ago: one that looks older was told by another
+     * clock.
+     */
     private static final double LONGEST_TOLD_AGE = 3_000_000;
+
     private static final double TIER_STEP = 2;
     private static final int LATE = 1000;
 
@@ -122,21 +135,28 @@
     private final RandomGenerator chance;
     final BandRow[] rows;
     final List<Seat> seats = new ArrayList<>();
-    /** The indexes of the seats at which an operation waits: with thousands of seats most have none. */
+
+    /**
+     * The indexes of the seats at which an operation waits: with thousands of seats most have none.
+     */
     private final BitSet waitingSeats = new BitSet();
+
     private final Map<Integer, List<Seat>> seatsByCell = new HashMap<>();
     private final Queue fresh = new Queue();
     private final Queue homeless = new Queue();
     private final Waits waits = new Waits();
     private final List<Attempt> unwanted = new ArrayList<>();
     private final Map<Long, KeyLine> lines = new HashMap<>();
+
     /** By extent, when the target time of a first try ends that was lately given up or left. */
-    private final Map<Long, Double> unserved = new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Double> eldest) {
-            return size() > REPEATS_KEPT;
-        }
-    };
+    private final Map<Long, Double> unserved =
+            new LinkedHashMap<>() {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<Long, Double> eldest) {
+                    return size() > REPEATS_KEPT;
+                }
+            };
+
     private final Ring taken;
     private final Ring further;
     private final Load freshLoad = Load.over(OVERLOAD_WINDOW);
@@ -144,13 +164,20 @@
     private final double lastCall;
     final EndpointLease lease;
     private int waiting;
+
     /** Counts what may change whose turn it is. */
     private long state;
+
     private double bornAt;
     private double servedUnits;
     double ease = 1;
-    /** Of all volumes met: the weights, and the units a second that they are sized for beyond reserves. */
+
+    /**
+     * Of all volumes met: the weights, and the units a second that they are sized for beyond
+     * reserves.
+     */
     private double weights;
+
     private double spare;
     private double nextLook;
     private double refreshAt = Double.NEGATIVE_INFINITY;
@@ -171,7 +198,9 @@
         this.rules = site.rules();
         this.chance = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
         this.rows = new BandRow[site.bands().size()];
-        for (Band band : site.bands()) { rows[band.index()] = new BandRow(); }
+        for (Band band : site.bands()) {
+            rows[band.index()] = new BandRow();
+        }
         this.lastCall = 1.5 * site.tick();
         this.discovery = new DiscoverySchedule(site, chance);
         this.lease = new EndpointLease(site.notifiedWithin(), rules.drainGrace());
@@ -187,11 +216,17 @@
         for (Node node : nodes) {
             Seat seat = (Seat) node.kept;
             if (seat == null) {
-                // Who is gone for good leaves its place: the seats stay as many as the fleet is wide.
+                // Who is gone for good leaves its place: the seats stay as many as the fleet is
+                // wide.
                 Seat old = seats.stream().filter(Seat::isVacant).findFirst().orElse(null);
-                seat = new Seat(old == null ? seats.size() : old.index, node, FIRST_BOUND,
-                        Load.over(OVERLOAD_WINDOW), new Ring(PLACEMENTS_WINDOW, 10),
-                        new Ring(rules.fallTime(), 20));
+                seat =
+                        new Seat(
+                                old == null ? seats.size() : old.index,
+                                node,
+                                FIRST_BOUND,
+                                Load.over(OVERLOAD_WINDOW),
+                                new Ring(PLACEMENTS_WINDOW, 10),
+                                new Ring(rules.fallTime(), 20));
                 node.kept = seat;
                 seat.startedAt = possibleStart(node.startedAt, now);
                 if (old == null) {
@@ -203,7 +238,9 @@
                 if (knowsList && node.startedAt < now - rules.coldTime()) {
                     seat.startedAt = now;
                 }
-            } else if (lease.isBounded() ? node.startedAt != seat.toldStart : node.startedAt > seat.startedAt) {
+            } else if (lease.isBounded()
+                    ? node.startedAt != seat.toldStart
+                    : node.startedAt > seat.startedAt) {
                 seat.toldStart = node.startedAt;
                 seat.startedAt = possibleStart(node.startedAt, now);
                 seat.bound = LEAST_BOUND;
@@ -224,13 +261,16 @@
         // Whoever waits for a node that drains, or for a shard that moved, is looked at anew.
         queueAnew(homeless);
         for (Seat seat : seats) {
-            if (seat.node.standing != Node.Standing.READY) { queueAnew(seat.waiting); }
+            if (seat.node.standing != Node.Standing.READY) {
+                queueAnew(seat.waiting);
+            }
         }
     }
 
     /**
-     * The start that is told of a node by the wall clock, which may be off here or there: never later than now, and, once
-     * a list was confirmed, not before that list, which knew nothing of it. A start that is told at all was lately.
+     * The start that is told of a node by the wall clock, which may be off here or there: never
+     * later than now, and, once a list was confirmed, not before that list, which knew nothing of
+     * it. A start that is told at all was lately.
      */
     private double possibleStart(double told, double now) {
         if (!lease.isBounded() || told == Double.NEGATIVE_INFINITY) {
@@ -289,25 +329,34 @@
     /** The client has left: nothing more is owed or sent, and work for nobody is called off. */
     public void left(Operation operation, double now) {
         forsake(operation);
-        // Clients that leave before the target time set a shorter one: for what is late, and for the queues.
+        // Clients that leave before the target time set a shorter one: for what is late, and for
+        // the queues.
         BandRow row = rows[operation.band.index()];
         double age = now - operation.arrivedAt;
-        // Whoever leaves before an answer usually comes has reasons of its own, and tells nothing of waiting.
+        // Whoever leaves before an answer usually comes has reasons of its own, and tells nothing
+        // of waiting.
         if (age > row.meanPace * operation.units) {
             row.leftAge = row.leftShare == 0 ? age : row.leftAge + LEFT_STEP * (age - row.leftAge);
             row.leftShare += LEFT_STEP * (1 - row.leftShare);
         }
         for (Attempt attempt : operation.attempts) {
-            if (attempt.outcome == null && site.mayCallOff()) { unwanted.add(attempt); }
+            if (attempt.outcome == null && site.mayCallOff()) {
+                unwanted.add(attempt);
+            }
         }
     }
 
-    /** The cell of an operation's extent became known (-1: it is a new object) while it waits or is out. */
+    /**
+     * The cell of an operation's extent became known (-1: it is a new object) while it waits or is
+     * out.
+     */
     public void found(Operation operation, int cell) {
         boolean waits = ((Ticket) operation.kept).waits;
         dequeue(operation);
         operation.shard = cell;
-        if (waits) { enqueue(operation); }
+        if (waits) {
+            enqueue(operation);
+        }
     }
 
     /** The operation has ended without a node: there is nothing to read or to do. */
@@ -326,14 +375,18 @@
         }
         if (!ticket.waits) {
             enqueue(operation);
-            if (operation.attempts.isEmpty()) { load(ticket.seat).arrivals().add(now, 1); }
+            if (operation.attempts.isEmpty()) {
+                load(ticket.seat).arrivals().add(now, 1);
+            }
             if (operation.attempts.isEmpty() && ticket.seat != null) {
                 use(account(operation.volume, now), ticket.seat).asked.add(now, operation.units);
             }
         }
         boolean mayAttempt = operation.attempts.isEmpty() || mayAttemptAgain(operation, now);
         Seat seat = mayAttempt ? turn(operation, now) : null;
-        if (seat != null && lawful(operation, seat, now)) { return send(operation, seat, now); }
+        if (seat != null && lawful(operation, seat, now)) {
+            return send(operation, seat, now);
+        }
         if (!mayAttempt || now >= operation.deadline - lastCall || lateAt(operation) <= now) {
             return giveUp(operation, now);
         }
@@ -348,8 +401,10 @@
         state++;
         learn(attempt, seat, now);
         Ticket ticket = (Ticket) operation.kept;
-        if (ticket.line != null && (attempt.outcome == Outcome.TIMED_OUT || attempt.outcome == Outcome.RESET
-                || attempt.outcome == Outcome.CALLED_OFF)) {
+        if (ticket.line != null
+                && (attempt.outcome == Outcome.TIMED_OUT
+                        || attempt.outcome == Outcome.RESET
+                        || attempt.outcome == Outcome.CALLED_OFF)) {
             ticket.line.restsUntil = now + rules.keyRest();
         }
         if (operation.over) {
@@ -371,29 +426,46 @@
         for (int i = waitingSeats.nextSetBit(0); i >= 0; i = waitingSeats.nextSetBit(i + 1)) {
             Seat seat = seats.get(i);
             Operation next = pick(seat, now);
-            if (next != null && goesFirst(next, newest, seat, now)) { due.add(next); }
+            if (next != null && goesFirst(next, newest, seat, now)) {
+                due.add(next);
+            }
             at = addLate(late, at, seat, due);
         }
-        if (newest != null && lowestScore(newest, now) != null) { due.add(newest); }
+        if (newest != null && lowestScore(newest, now) != null) {
+            due.add(newest);
+        }
         addLate(late, at, null, due);
-        Pause.ListCall call = discovery.takeDue(now) ? Pause.ListCall.SUBSCRIBE : Pause.ListCall.NONE;
+        Pause.ListCall call =
+                discovery.takeDue(now) ? Pause.ListCall.SUBSCRIBE : Pause.ListCall.NONE;
         lookAt(discovery.nextAt());
         List<Attempt> callOff = List.copyOf(unwanted);
         unwanted.clear();
         return new Pause(Math.max(0, nextLook - now), due, List.of(), callOff, call);
     }
 
-    /** What waits and would be late, or whose patience ends, by queue: seats', new objects, homeless ones. */
+    /**
+     * What waits and would be late, or whose patience ends, by queue: seats', new objects, homeless
+     * ones.
+     */
     private List<Operation> overdue(double now) {
         List<Operation> late = new ArrayList<>(0);
         for (Waits.Kind kind : waits.kinds()) {
             double early = LATE_FACTOR * (rows[kind.band.index()].meanPace * kind.units);
             double target = target(kind.band);
-            // Sorted by each of the three times that may end it: nobody is walked who is not overdue.
+            // Sorted by each of the three times that may end it: nobody is walked who is not
+            // overdue.
             kind.first(kind.byTarget, ticket -> ticket.targetEnds - early, now, late, this::lookAt);
-            kind.first(kind.byArrival, ticket -> ticket.operation.arrivedAt + target - early, now, late,
+            kind.first(
+                    kind.byArrival,
+                    ticket -> ticket.operation.arrivedAt + target - early,
+                    now,
+                    late,
                     this::lookAt);
-            kind.first(kind.byPatience, ticket -> ticket.operation.deadline - lastCall, now, late,
+            kind.first(
+                    kind.byPatience,
+                    ticket -> ticket.operation.deadline - lastCall,
+                    now,
+                    late,
                     this::lookAt);
         }
         late.sort(Waits.BY_QUEUE);
@@ -403,9 +475,12 @@
     /** Adds those of a seat's queue, or of the queues behind all seats. */
     private static int addLate(List<Operation> late, int at, Seat seat, List<Operation> due) {
         int next = at;
-        while (next < late.size() && (seat == null || ((Ticket) late.get(next).kept).seat == seat)) {
+        while (next < late.size()
+                && (seat == null || ((Ticket) late.get(next).kept).seat == seat)) {
             Operation operation = late.get(next++);
-            if (!due.contains(operation)) { due.add(operation); }
+            if (!due.contains(operation)) {
+                due.add(operation);
+            }
         }
         return next;
     }
@@ -418,50 +493,79 @@
 
     boolean lawful(Operation operation, Seat seat, double now) {
         // 1: one final answer, in time, and nothing after it.
-        if (operation.over || now >= operation.deadline - lastCall) { return false; }
+        if (operation.over || now >= operation.deadline - lastCall) {
+            return false;
+        }
         // 3: nothing new to a node that drains or is gone, or may be without our knowing.
-        if (!lease.holds(now)) { return false; }
-        if (seat.node.standing != Node.Standing.READY) { return false; }
-        if (operation.shard >= 0 && operation.shard != seat.node.cell) { return false; }
+        if (!lease.holds(now)) {
+            return false;
+        }
+        if (seat.node.standing != Node.Standing.READY) {
+            return false;
+        }
+        if (operation.shard >= 0 && operation.shard != seat.node.cell) {
+            return false;
+        }
         int attempts = operation.attempts.size();
         if (attempts > 0) {
             // 2: no effect twice.
-            if (!mayRepeat(operation, seat.node, null, now) || attempts >= rules.mostAttempts()
+            if (!mayRepeat(operation, seat.node, null, now)
+                    || attempts >= rules.mostAttempts()
                     || !rules.secondCopies() && operation.isOut()) {
                 return false;
             }
             // 6: the budget of further attempts, counted against ourselves where a bucket is cut.
-            if (rules.hasBudget() && further.sumOver(now) + 1
-                    > rules.budgetFree() + rules.budgetShare() * taken.sumWithin(now)) {
+            if (rules.hasBudget()
+                    && further.sumOver(now) + 1
+                            > rules.budgetFree() + rules.budgetShare() * taken.sumWithin(now)) {
                 return false;
             }
         }
         // 4: a cold node is not pushed over.
-        if (!borne(operation, seat, now)) { return false; }
+        if (!borne(operation, seat, now)) {
+            return false;
+        }
         // 5: order by key.
-        if (!isFirstOfKey(operation, now)) { return false; }
+        if (!isFirstOfKey(operation, now)) {
+            return false;
+        }
         // 7: the volume's limit, of which this gateway spends its own part.
         return attempts > 0 || operation.units <= limitRoom(operation.volume, now);
     }
 
-    /** Whether an attempt sent a while ago, of which the node has seen nothing yet, may begin there now. */
+    /**
+     * Whether an attempt sent a while ago, of which the node has seen nothing yet, may begin there
+     * now.
+     */
     public boolean mayBegin(Attempt it, double now) {
-        return !it.operation.over && now < it.operation.deadline - lastCall && lease.holds(now)
-                && it.node.standing == Node.Standing.READY && mayRepeat(it.operation, it.node, it, now);
+        return !it.operation.over
+                && now < it.operation.deadline - lastCall
+                && lease.holds(now)
+                && it.node.standing == Node.Standing.READY
+                && mayRepeat(it.operation, it.node, it, now);
     }
 
     private boolean mayRepeat(Operation operation, Node node, Attempt itself, double now) {
         Band band = operation.band;
-        if (band.repeat() == Band.Repeat.IDEMPOTENT) { return true; }
+        if (band.repeat() == Band.Repeat.IDEMPOTENT) {
+            return true;
+        }
         for (Attempt attempt : operation.attempts) {
-            if (attempt == itself || attempt.outcome != null && attempt.outcome.provesNotRun) { continue; }
-            if (band.repeat() == Band.Repeat.UNREPEATABLE) { return false; }
-            boolean same = switch (band.group()) {
-                case ALL -> true;
-                case ZONE -> attempt.node.zone == node.zone;
-                case CELL -> attempt.node.cell == node.cell;
-            };
-            if (!same || now > attempt.sentAt + band.groupMemory() - lastCall) { return false; }
+            if (attempt == itself || attempt.outcome != null && attempt.outcome.provesNotRun) {
+                continue;
+            }
+            if (band.repeat() == Band.Repeat.UNREPEATABLE) {
+                return false;
+            }
+            boolean same =
+                    switch (band.group()) {
+                        case ALL -> true;
+                        case ZONE -> attempt.node.zone == node.zone;
+                        case CELL -> attempt.node.cell == node.cell;
+                    };
+            if (!same || now > attempt.sentAt + band.groupMemory() - lastCall) {
+                return false;
+            }
         }
         return true;
     }
@@ -473,27 +577,35 @@
                 || band.repeat() == Band.Repeat.DEDUPLICATED && band.group() == Band.Group.ALL) {
             return true;
         }
-        return operation.attempts.stream().allMatch(it -> it.outcome != null && it.outcome.provesNotRun);
+        return operation.attempts.stream()
+                .allMatch(it -> it.outcome != null && it.outcome.provesNotRun);
     }
 
     /**
-     * A cold node gets only first attempts of operations inside their share, and of those a part by lot, the
-     * same at every gateway. What is inside all shares together is at most what the node does when warm, so
-     * that the part that may pass is the multiple of what it does now on the even ramp (the slowest allowed,
-     * at the start of the rule's window), less what chance and a wrong share may add. It needs no count of
-     * gateways, of what they sent or of what was sent before our own start.
+     * A cold node gets only first attempts of operations inside their share, and of those a part by
+     * lot, the same at every gateway. What is inside all shares together is at most what the node
+     * does when warm, so that the part that may pass is the multiple of what it does now on the
+     * even ramp (the slowest allowed, at the start of the rule's window), less what chance and a
+     * wrong share may add. It needs no count of gateways, of what they sent or of what was sent
+     * before our own start.
      */
     boolean borne(Operation operation, Seat seat, double now) {
         double age = now - seat.startedAt;
-        if (!(age < rules.coldTime())) { return true; }
-        double ramp = rules.coldShare()
-                + (1 - rules.coldShare()) * Math.max(0, age - rules.fallTime()) / rules.coldTime();
+        if (!(age < rules.coldTime())) {
+            return true;
+        }
+        double ramp =
+                rules.coldShare()
+                        + (1 - rules.coldShare())
+                                * Math.max(0, age - rules.fallTime())
+                                / rules.coldTime();
         double part = Math.min(1, COLD_PART * rules.fallMultiple() * ramp);
         if (((Ticket) operation.kept).lot > part) {
             lookAt(now + COLD_LOOK);
             return false;
         }
-        // A surge that looks inside its share, or many at once, must not follow the lot all the way.
+        // A surge that looks inside its share, or many at once, must not follow the lot all the
+        // way.
         double windows = Math.max(1, (now - bornAt) / rules.fallTime());
         double usual = servedUnits / windows / seats.size();
         double spent = seat.coldSpent.sumOver(now);
@@ -504,8 +616,12 @@
 
     boolean isFirstOfKey(Operation operation, double now) {
         KeyLine line = ((Ticket) operation.kept).line;
-        if (line == null) { return true; }
-        if (line.operations.get(0) != operation) { return false; }
+        if (line == null) {
+            return true;
+        }
+        if (line.operations.get(0) != operation) {
+            return false;
+        }
         if (operation.attempts.isEmpty() && now <= line.restsUntil) {
             lookAt(line.restsUntil + site.tick());
             return false;
@@ -515,11 +631,15 @@
 
     double limitRoom(Volume volume, double now) {
         double rate = volume.plan.limit();
-        if (!(rate > 0)) { return Double.POSITIVE_INFINITY; }
+        if (!(rate > 0)) {
+            return Double.POSITIVE_INFINITY;
+        }
         Account account = account(volume, now);
         double parts = volume.gateways;
-        account.limit = Math.min(volume.plan.limitBurst() / parts,
-                account.limit + rate / parts * (now - account.limitAt) / 1000);
+        account.limit =
+                Math.min(
+                        volume.plan.limitBurst() / parts,
+                        account.limit + rate / parts * (now - account.limitAt) / 1000);
         account.limitAt = now;
         lookAt(now + COLD_LOOK);
         return account.limit;
@@ -541,11 +661,15 @@
             seat.lastExtent = operation.extent;
             seat.runLeft = RUN - 1;
         }
-        if (operation.shard < 0) { seat.placements.add(now, 1); }
+        if (operation.shard < 0) {
+            seat.placements.add(now, 1);
+        }
         Account account = account(operation.volume, now);
         attempt.owed = owed(operation, seat, now);
         if (first) {
-            if (operation.shard < 0) { use(account, seat).asked.add(now, operation.units); }
+            if (operation.shard < 0) {
+                use(account, seat).asked.add(now, operation.units);
+            }
             account.limit -= operation.units;
             spend(operation.volume, seat, operation.units, now);
         } else {
@@ -555,9 +679,10 @@
     }
 
     /**
-     * An attempt ends with the target time: what is never answered (by a node that loses answers, hangs or is
-     * cut off) must not hold a slot of the bound until the client's patience ends, and work that comes late
-     * anyway stands in every gateway's way at the node, which drops what has ended.
+     * An attempt ends with the target time: what is never answered (by a node that loses answers,
+     * hangs or is cut off) must not hold a slot of the bound until the client's patience ends, and
+     * work that comes late anyway stands in every gateway's way at the node, which drops what has
+     * ended.
      */
     private double timeout(Operation operation, double now) {
         Band band = operation.band;
@@ -570,24 +695,41 @@
     }
 
     private Placement giveUp(Operation operation, double now) {
-        if (operation.isOut()) { return Placement.NOT_YET; }
+        if (operation.isOut()) {
+            return Placement.NOT_YET;
+        }
         forsake(operation);
         operation.over = true;
         // A share that only answers wore off would last for good where it forbids every attempt.
         rows[operation.band.index()].leftShare *= 1 - LEFT_STEP;
-        // Overload is what is declined though its node serves; an outage must not forbid attempts elsewhere.
+        // Overload is what is declined though its node serves; an outage must not forbid attempts
+        // elsewhere.
         Seat seat = ((Ticket) operation.kept).seat;
-        if (seat == null || sound(seat, now)) { load(seat).declines().add(now, 1); }
-        if (!mayDecline(operation)) { return Placement.SCRAPPED; }
-        Reason reason = !lease.holds(now) ? Reason.NO_LEASE : now >= operation.deadline - lastCall ? Reason.PATIENCE
-                : lateAt(operation) <= now ? Reason.LATE : Reason.NO_FURTHER_HOP;
+        if (seat == null || sound(seat, now)) {
+            load(seat).declines().add(now, 1);
+        }
+        if (!mayDecline(operation)) {
+            return Placement.SCRAPPED;
+        }
+        Reason reason =
+                !lease.holds(now)
+                        ? Reason.NO_LEASE
+                        : now >= operation.deadline - lastCall
+                                ? Reason.PATIENCE
+                                : lateAt(operation) <= now ? Reason.LATE : Reason.NO_FURTHER_HOP;
         return Placement.decline(comeBack(seat, now), reason);
     }
 
-    /** When to ask again: once the queue has drained, or as late as may be told of a failing node. */
+    /**
+     * When to ask again: once the queue has drained, or as late as may be told of a failing node.
+     */
     private double comeBack(Seat seat, double now) {
-        if (!site.mayAdvise()) { return 0; }
-        if (seat != null && !sound(seat, now)) { return site.longestAdvice(); }
+        if (!site.mayAdvise()) {
+            return 0;
+        }
+        if (seat != null && !sound(seat, now)) {
+            return site.longestAdvice();
+        }
         double queue = (seat == null ? 1 : seat.crowd) * QUEUE_SHARE * shortestTarget;
         return Math.min(site.longestAdvice(), queue);
     }
@@ -595,7 +737,8 @@
     /** Whether another attempt is wanted at all; what the rules say of it is asked elsewhere. */
     private boolean mayAttemptAgain(Operation operation, double now) {
         return operation.attempts.size() < Math.min(MOST_FURTHER_ATTEMPTS + 1, rules.mostAttempts())
-                && !overloaded(((Ticket) operation.kept).seat, now) && !operation.isOut()
+                && !overloaded(((Ticket) operation.kept).seat, now)
+                && !operation.isOut()
                 && lateAt(operation) > now;
     }
 
@@ -619,17 +762,23 @@
             return first(fresh, null, now) == operation ? lowestScore(operation, now) : null;
         }
         Seat seat = ticket.seat;
-        if (seat == null || pick(seat, now) != operation) { return null; }
+        if (seat == null || pick(seat, now) != operation) {
+            return null;
+        }
         return goesFirst(operation, first(fresh, null, now), seat, now) ? seat : null;
     }
 
     /** Whether no new object that would come to the seat ranks before the one picked for it. */
     private boolean goesFirst(Operation picked, Operation fresh, Seat seat, double now) {
-        return fresh == null || !outranks(fresh, picked, seat, now) || lowestScore(fresh, now) != seat;
+        return fresh == null
+                || !outranks(fresh, picked, seat, now)
+                || lowestScore(fresh, now) != seat;
     }
 
     boolean hasRoom(Seat seat, double now) {
-        if (seat.node.standing != Node.Standing.READY) { return false; }
+        if (seat.node.standing != Node.Standing.READY) {
+            return false;
+        }
         if (silent(seat, now)) {
             // One operation at a time tries a node that takes work and answers none.
             double next = seat.sentAt + TRIAL_SHARE * shortestTarget;
@@ -645,23 +794,33 @@
 
     /** Whether a node serves as it should: not cold, not silent, and not failing. */
     private boolean sound(Seat seat, double now) {
-        return seat.node.standing == Node.Standing.READY && !silent(seat, now)
-                && now - seat.startedAt >= rules.coldTime() && seat.faults <= MOST_FAULTS;
+        return seat.node.standing == Node.Standing.READY
+                && !silent(seat, now)
+                && now - seat.startedAt >= rules.coldTime()
+                && seat.faults <= MOST_FAULTS;
     }
 
     boolean silent(Seat seat, double now) {
-        if (seat.distrusted) { return true; }
-        if (seat.out.isEmpty()) { return false; }
+        if (seat.distrusted) {
+            return true;
+        }
+        if (seat.out.isEmpty()) {
+            return false;
+        }
         double since = Math.max(seat.out.get(0).sentAt, seat.heardAt);
         double limit = shortestTarget * SILENCE_SHARE;
-        if (now - since > limit) { return true; }
+        if (now - since > limit) {
+            return true;
+        }
         lookAt(since + limit);
         return false;
     }
 
     /** The page's order: the extent last sent there, a few in a row, then the earliest deadline. */
     private Operation pick(Seat seat, double now) {
-        if (seat.waiting.isEmpty() || !hasRoom(seat, now)) { return null; }
+        if (seat.waiting.isEmpty() || !hasRoom(seat, now)) {
+            return null;
+        }
         // Asked again with nothing changed, as pause and place do one after the other.
         if (seat.pickedAt != now || seat.pickedState != state) {
             seat.picked = pickAnew(seat, now);
@@ -674,7 +833,9 @@
     private Operation pickAnew(Seat seat, double now) {
         if (seat.runLeft > 0) {
             for (Operation operation : seat.waiting.of(seat.lastExtent)) {
-                if (lawful(operation, seat, now) && !holdsBack(operation, seat, now)) { return operation; }
+                if (lawful(operation, seat, now) && !holdsBack(operation, seat, now)) {
+                    return operation;
+                }
             }
         }
         Operation best = first(seat.waiting, seat, now);
@@ -682,9 +843,9 @@
     }
 
     /**
-     * Who ranks first of a queue and may go (no seat: of the new objects). Operations alike differ only in
-     * their deadline and in being late, so that one that is not late stands for the rest; a cold node's lot
-     * is each one's own.
+     * Who ranks first of a queue and may go (no seat: of the new objects). Operations alike differ
+     * only in their deadline and in being late, so that one that is not late stands for the rest; a
+     * cold node's lot is each one's own.
      */
     private Operation first(Queue queue, Seat seat, double now) {
         boolean each = seat != null && now - seat.startedAt < rules.coldTime();
@@ -693,16 +854,24 @@
         for (TreeSet<Ticket> alike : queue.alike()) {
             for (Ticket ticket : alike) {
                 Operation operation = ticket.operation;
-                boolean stands = !each && lateAt(operation) > now && now < operation.deadline - lastCall;
-                if (seat == null || lawful(operation, seat, now) && !holdsBack(operation, seat, now)) {
-                    if (best != null && bestTier < 0) { bestTier = tier(best, seat, now); }
+                boolean stands =
+                        !each && lateAt(operation) > now && now < operation.deadline - lastCall;
+                if (seat == null
+                        || lawful(operation, seat, now) && !holdsBack(operation, seat, now)) {
+                    if (best != null && bestTier < 0) {
+                        bestTier = tier(best, seat, now);
+                    }
                     int tier = best != null || alike.size() > 1 ? tier(operation, seat, now) : -1;
-                    if (best == null || tier < bestTier || tier == bestTier && earlier(ticket, best)) {
+                    if (best == null
+                            || tier < bestTier
+                            || tier == bestTier && earlier(ticket, best)) {
                         best = operation;
                         bestTier = tier;
                     }
                 }
-                if (stands) { break; }
+                if (stands) {
+                    break;
+                }
             }
         }
         return best;
@@ -715,17 +884,28 @@
 
     /** A queue seen holds back what is late, and past part of the bound what is over its level. */
     boolean holdsBack(Operation operation, Seat seat, double now) {
-        if (seat.crowd <= CROWDED_LEAST) { return false; }
-        if (lateAt(operation) <= now) { return true; }
-        if (seat.out.size() < (int) (seat.bound * BEYOND_PART)) { return false; }
+        if (seat.crowd <= CROWDED_LEAST) {
+            return false;
+        }
+        if (lateAt(operation) <= now) {
+            return true;
+        }
+        if (seat.out.size() < (int) (seat.bound * BEYOND_PART)) {
+            return false;
+        }
         Account account = account(operation.volume, now);
-        if (account.reserve >= operation.units) { return seat.crowd > ease * CROWDED_RESERVE; }
+        if (account.reserve >= operation.units) {
+            return seat.crowd > ease * CROWDED_RESERVE;
+        }
         double used = use(account, seat).beyond.sumOver(now) + operation.units / 2;
         double over = used / evenLevel(operation.volume);
         return seat.crowd > Math.max(CROWDED_LEAST, ease * Math.min(CROWDED_SHARE, CROWDED / over));
     }
 
-    /** A volume's units in the share window if each took by weight what all that were met are sized for. */
+    /**
+     * A volume's units in the share window if each took by weight what all that were met are sized
+     * for.
+     */
     private double evenLevel(Volume volume) {
         return volume.plan.weight() * spare / weights * SHARE_WINDOW / 1000;
     }
@@ -737,9 +917,14 @@
         return a != b ? a < b : one.deadline < other.deadline;
     }
 
-    /** Steps that the utility still due, for the node's time that it takes, lies under the best there is. */
+    /**
+     * Steps that the utility still due, for the node's time that it takes, lies under the best
+     * there is.
+     */
     private int tier(Operation operation, Seat seat, double now) {
-        if (lateAt(operation) <= now) { return LATE; }
+        if (lateAt(operation) <= now) {
+            return LATE;
+        }
         Band band = operation.band;
         double part = due(operation.volume, operation.units, seat, now);
         double pace = rows[band.index()].meanPace + 1e-9;
@@ -749,30 +934,47 @@
 
     private double due(Volume volume, double units, Seat seat, double now) {
         Account account = account(volume, now);
-        if (account.reserve >= units) { return 1; }
-        // Where many gateways share a node, none sees enough of it to deal it out: a volume that takes far
+        if (account.reserve >= units) {
+            return 1;
+        }
+        // Where many gateways share a node, none sees enough of it to deal it out: a volume that
+        // takes far
         // more of it than its weight of what all volumes are sized for surges.
-        double used = (seat == null ? account.beyond : use(account, seat).beyond).sumOver(now) + units / 2;
-        if (used > HEADROOM * evenLevel(volume)) { return site.beyondWorth(); }
-        if (seat == null || now - seat.startedAt < rules.coldTime()) { return site.shareWorth(); }
-        return used <= volume.plan.weight() * fair(seat, now) ? site.shareWorth() : site.beyondWorth();
+        double used =
+                (seat == null ? account.beyond : use(account, seat).beyond).sumOver(now)
+                        + units / 2;
+        if (used > HEADROOM * evenLevel(volume)) {
+            return site.beyondWorth();
+        }
+        if (seat == null || now - seat.startedAt < rules.coldTime()) {
+            return site.shareWorth();
+        }
+        return used <= volume.plan.weight() * fair(seat, now)
+                ? site.shareWorth()
+                : site.beyondWorth();
     }
 
     /** The part of its plan that an operation is in, by the level last dealt out. */
     Owed owed(Operation operation, Seat seat, double now) {
         Account account = account(operation.volume, now);
-        if (account.reserve >= operation.units) { return Owed.RESERVE; }
+        if (account.reserve >= operation.units) {
+            return Owed.RESERVE;
+        }
         double top = Math.min(HEADROOM * evenLevel(operation.volume), account.weight * seat.fair);
-        return use(account, seat).beyond.sumOver(now) <= top - operation.units / 2 ? Owed.SHARE : Owed.EXCESS;
+        return use(account, seat).beyond.sumOver(now) <= top - operation.units / 2
+                ? Owed.SHARE
+                : Owed.EXCESS;
     }
 
     /**
-     * The fair level of a node: units a unit of weight that fills what the node lately served beyond the
-     * reserves, dealt out by weight among the volumes that asked for more. No volume's demand counts above
-     * what it asked.
+     * The fair level of a node: units a unit of weight that fills what the node lately served
+     * beyond the reserves, dealt out by weight among the volumes that asked for more. No volume's
+     * demand counts above what it asked.
      */
     private double fair(Seat seat, double now) {
-        if (now < seat.fairUntil) { return seat.fair; }
+        if (now < seat.fairUntil) {
+            return seat.fair;
+        }
         seat.fairUntil = now + FAIR_REFRESH;
         double left = 0;
         double weights = 0;
@@ -788,7 +990,7 @@
             }
         }
         // Whoever wants less than an even level is content with it; the rest is dealt out anew.
-        for (boolean again = true; again && open > 0;) {
+        for (boolean again = true; again && open > 0; ) {
             again = false;
             for (Use use : seat.uses) {
                 if (use.open && use.wants <= use.weight * left / weights) {
@@ -817,9 +1019,9 @@
     }
 
     /**
-     * Units that others are said to have used since the last answer. A sum over many seconds must not look
-     * like a surge: of the reserve it costs what our own reckoning did not lose while full, and of the last
-     * second its part.
+     * Units that others are said to have used since the last answer. A sum over many seconds must
+     * not look like a surge: of the reserve it costs what our own reckoning did not lose while
+     * full, and of the last second its part.
      */
     private void hear(Volume volume, Seat seat, double units, double now) {
         Account account = account(volume, now);
@@ -841,8 +1043,13 @@
         }
         Use use = account.uses[seat.index];
         if (use == null || use.seat != seat) {
-            use = new Use(seat, account.weight, new Ring(SHARE_WINDOW, 5), new Ring(SHARE_WINDOW, 5),
-                    new Ring(SHARE_WINDOW, 5));
+            use =
+                    new Use(
+                            seat,
+                            account.weight,
+                            new Ring(SHARE_WINDOW, 5),
+                            new Ring(SHARE_WINDOW, 5),
+                            new Ring(SHARE_WINDOW, 5));
             account.uses[seat.index] = use;
             seat.uses.add(use);
         }
@@ -868,19 +1075,34 @@
         for (Seat seat : seats) {
             // A node that fails at once looks idle: without this it draws every new object.
             // A cold node shows no placements and no latency: new objects would pour onto it.
-            if (!hasRoom(seat, now) || seat.out.size() >= (int) seat.bound || !sound(seat, now)
-                    || !lawful(operation, seat, now) || holdsBack(operation, seat, now)
-                    || !seat.node.takesNew) { continue; }
+            if (!hasRoom(seat, now)
+                    || seat.out.size() >= (int) seat.bound
+                    || !sound(seat, now)
+                    || !lawful(operation, seat, now)
+                    || holdsBack(operation, seat, now)
+                    || !seat.node.takesNew) {
+                continue;
+            }
             Operation rival = pick(seat, now);
-            if (rival != null && !outranks(operation, rival, seat, now)) { continue; }
-            double preference = site.weighsNodes() && seat.node.weight > 0
-                    ? weight / ready / seat.node.weight : 1;
-            if (site.crossZonePrice() > 0 && seat.node.zone != site.zone()) { preference += 1; }
-            // A busy degree a second old sends a second's new objects one way: what is out there now, and the
+            if (rival != null && !outranks(operation, rival, seat, now)) {
+                continue;
+            }
+            double preference =
+                    site.weighsNodes() && seat.node.weight > 0
+                            ? weight / ready / seat.node.weight
+                            : 1;
+            if (site.crossZonePrice() > 0 && seat.node.zone != site.zone()) {
+                preference += 1;
+            }
+            // A busy degree a second old sends a second's new objects one way: what is out there
+            // now, and the
             // queue that the latest answers showed, count with it.
             double busy = seat.busy * (1 + OUT_PART * seat.out.size()) + seat.crowd;
-            double score = ALPHA * (seat.placements.sumOver(now) + 1) / (mean / ready + 1) + GAMMA * busy
-                    + DELTA * seat.fragment + ETA * preference;
+            double score =
+                    ALPHA * (seat.placements.sumOver(now) + 1) / (mean / ready + 1)
+                            + GAMMA * busy
+                            + DELTA * seat.fragment
+                            + ETA * preference;
             if (score < least) {
                 least = score;
                 best = seat;
@@ -890,13 +1112,17 @@
     }
 
     private void refresh(double now) {
-        if (now < refreshAt) { return; }
+        if (now < refreshAt) {
+            return;
+        }
         refreshAt = now + BUSY_REFRESH;
         shortestTarget = site.bands().stream().mapToDouble(this::target).min().orElse(0);
         double crowds = seats.stream().mapToDouble(seat -> seat.crowd).sum();
         for (Seat seat : seats) {
             // What was seen of one node fades into what is seen of all.
-            seat.crowd = CROWD_FADE * (CROWD_KEEP * seat.crowd + (1 - CROWD_KEEP) * crowds / seats.size());
+            seat.crowd =
+                    CROWD_FADE
+                            * (CROWD_KEEP * seat.crowd + (1 - CROWD_KEEP) * crowds / seats.size());
             seat.faults *= FAULT_KEEP;
             if (now - seat.cutAt > BUSY_REFRESH && seat.bound < FIRST_BOUND) {
                 seat.bound = Math.min(FIRST_BOUND, seat.bound + BOUND_REST);
@@ -912,7 +1138,9 @@
                 seat.rawBusy = smooth(seat.rawBusy, (seat.took[0] + seat.took[1]) / units);
             }
             for (int i = 0; i < 2; i++) {
-                if (seat.units[i] > 0) { seat.pace[i] = smooth(seat.pace[i], seat.took[i] / seat.units[i]); }
+                if (seat.units[i] > 0) {
+                    seat.pace[i] = smooth(seat.pace[i], seat.took[i] / seat.units[i]);
+                }
                 seat.took[i] = 0;
                 seat.units[i] = 0;
             }
@@ -926,10 +1154,14 @@
             }
         }
         for (Seat seat : seats) {
-            seat.busy = Double.isNaN(seat.rawBusy) || !(busySum > 0) ? 1
-                    : seat.rawBusy / (busySum / busyCount);
-            seat.fragment = Double.isNaN(seat.pace[0]) || Double.isNaN(seat.pace[1]) || !(fragmentSum > 0) ? 1
-                    : seat.pace[1] / seat.pace[0] / (fragmentSum / fragmentCount);
+            seat.busy =
+                    Double.isNaN(seat.rawBusy) || !(busySum > 0)
+                            ? 1
+                            : seat.rawBusy / (busySum / busyCount);
+            seat.fragment =
+                    Double.isNaN(seat.pace[0]) || Double.isNaN(seat.pace[1]) || !(fragmentSum > 0)
+                            ? 1
+                            : seat.pace[1] / seat.pace[0] / (fragmentSum / fragmentCount);
         }
     }
 
@@ -941,7 +1173,9 @@
 
     private void learn(Attempt attempt, Seat seat, double now) {
         Operation operation = attempt.operation;
-        if (attempt.othersUnits > 0) { hear(operation.volume, seat, attempt.othersUnits, now); }
+        if (attempt.othersUnits > 0) {
+            hear(operation.volume, seat, attempt.othersUnits, now);
+        }
         if (attempt.outcome == Outcome.SATISFIED) {
             use(account(operation.volume, now), seat).toldAt = now;
         }
@@ -955,31 +1189,46 @@
                 seat.heardAt = now;
                 seat.faults += FAULT_STEP * (1 - seat.faults);
             }
-            // A full node is up, but one that hangs turns work away as well: only an answer restores trust. A
-            // connection that breaks may be the only thing that did: if the node is down, the next one tells.
+            // A full node is up, but one that hangs turns work away as well: only an answer
+            // restores trust. A
+            // connection that breaks may be the only thing that did: if the node is down, the next
+            // one tells.
             case NO_CONNECTION -> seat.distrusted |= seat.heardAt < attempt.sentAt;
             // An attempt that had little time left tells as little.
-            case TIMED_OUT -> seat.distrusted |= seat.heardAt < attempt.sentAt
-                    && attempt.took >= SILENCE_SHARE * shortestTarget;
-            default -> { }
-        }
-        if (attempt.outcome == Outcome.FULL) { cut(seat, attempt, now); }
-        // A time-out shows a queue at least as long, unless its answer was lost: it counts for less.
-        if (attempt.outcome == Outcome.TIMED_OUT) { crowd(seat, attempt.took, TIMEOUT_PART, now); }
-        if (attempt.outcome != Outcome.SATISFIED) { return; }
+            case TIMED_OUT ->
+                    seat.distrusted |=
+                            seat.heardAt < attempt.sentAt
+                                    && attempt.took >= SILENCE_SHARE * shortestTarget;
+            default -> {}
+        }
+        if (attempt.outcome == Outcome.FULL) {
+            cut(seat, attempt, now);
+        }
+        // A time-out shows a queue at least as long, unless its answer was lost: it counts for
+        // less.
+        if (attempt.outcome == Outcome.TIMED_OUT) {
+            crowd(seat, attempt.took, TIMEOUT_PART, now);
+        }
+        if (attempt.outcome != Outcome.SATISFIED) {
+            return;
+        }
         BandRow row = rows[operation.band.index()];
         row.leftShare -= LEFT_STEP * row.leftShare;
         servedUnits += operation.units;
         // How long a queue may be before anyone is held back follows how many answers come late.
-        ease = attempt.took > LATE_ANSWER * target(operation.band)
-                ? Math.max(LEAST_EASE, ease * (1 - EASE_CUT)) : Math.min(MOST_EASE, ease * (1 + EASE_STEP));
+        ease =
+                attempt.took > LATE_ANSWER * target(operation.band)
+                        ? Math.max(LEAST_EASE, ease * (1 - EASE_CUT))
+                        : Math.min(MOST_EASE, ease * (1 + EASE_STEP));
         double pace = attempt.took / operation.units;
         if (row.basePace == 0) {
             row.basePace = pace / 2;
             row.meanPace = pace;
         }
-        row.basePace *= pace < row.basePace ? 1 - PACE_STEP * (1 - PACE_QUANTILE)
-                : 1 + PACE_STEP * PACE_QUANTILE;
+        row.basePace *=
+                pace < row.basePace
+                        ? 1 - PACE_STEP * (1 - PACE_QUANTILE)
+                        : 1 + PACE_STEP * PACE_QUANTILE;
         row.meanPace += PACE_STEP * (Math.min(pace, 4 * row.meanPace) - row.meanPace);
         int way = operation.band.writes() ? 1 : 0;
         seat.took[way] += attempt.took;
@@ -1011,35 +1260,45 @@
     /** From when on an operation, if sent, would miss its target time. */
     private double lateAt(Operation operation) {
         double usual = rows[operation.band.index()].meanPace * operation.units;
-        double ends = Math.min(((Ticket) operation.kept).targetEnds,
-                operation.arrivedAt + target(operation.band));
+        double ends =
+                Math.min(
+                        ((Ticket) operation.kept).targetEnds,
+                        operation.arrivedAt + target(operation.band));
         return ends - LATE_FACTOR * usual;
     }
 
     /** The target time, or the age at which clients leave, where many leave before it. */
     private double target(Band band) {
         BandRow row = rows[band.index()];
-        return row.leftShare > LEFT_SHARE ? Math.min(row.leftAge, band.targetTime()) : band.targetTime();
+        return row.leftShare > LEFT_SHARE
+                ? Math.min(row.leftAge, band.targetTime())
+                : band.targetTime();
     }
 
     // ---- books ----
 
     private Ticket ticket(Operation operation, double now) {
-        if (operation.kept != null) { return (Ticket) operation.kept; }
+        if (operation.kept != null) {
+            return (Ticket) operation.kept;
+        }
         Ticket ticket = new Ticket(operation, chance.nextDouble());
         operation.kept = ticket;
         taken.add(now, 1);
         BandRow row = rows[operation.band.index()];
-        // A client's repeat keeps the target time of its first try: it names the same extent and has less
-        // patience left than others. Any other with little patience is only hurried, its target time has just
+        // A client's repeat keeps the target time of its first try: it names the same extent and
+        // has less
+        // patience left than others. Any other with little patience is only hurried, its target
+        // time has just
         // begun.
         double left = operation.deadline - now;
         row.patienceSeen = Math.max(row.patienceSeen, left);
         double gone = row.patienceSeen - left;
         boolean shorter = gone > REPEAT_GONE * operation.band.targetTime();
         Double first = shorter ? unserved.get(operation.extent) : null;
-        ticket.targetEnds = first != null ? first : now + operation.band.targetTime()
-                - (operation.clientRepeat ? gone : 0);
+        ticket.targetEnds =
+                first != null
+                        ? first
+                        : now + operation.band.targetTime() - (operation.clientRepeat ? gone : 0);
         if (operation.band.inOrder() && operation.extent != 0) {
             ticket.line = lines.computeIfAbsent(operation.extent, any -> new KeyLine());
             ticket.line.operations.add(operation);
@@ -1061,7 +1320,8 @@
         if (now > account.reserveAt) {
             double filled = account.reserve + reserve * (now - account.reserveAt) / 1000;
             account.reserve = Math.min(full, filled);
-            account.lost = Math.min(account.lost + filled - account.reserve, reserve * LOST_MEMORY / 1000);
+            account.lost =
+                    Math.min(account.lost + filled - account.reserve, reserve * LOST_MEMORY / 1000);
             account.reserveAt = now;
         }
         return account;
@@ -1079,8 +1339,9 @@
             return;
         }
         for (Seat seat : seatsByCell.getOrDefault(operation.shard, List.of())) {
-            if (ticket.seat == null || ticket.seat.node.standing != Node.Standing.READY
-                    && seat.node.standing == Node.Standing.READY) {
+            if (ticket.seat == null
+                    || ticket.seat.node.standing != Node.Standing.READY
+                            && seat.node.standing == Node.Standing.READY) {
                 ticket.seat = seat;
             }
         }
@@ -1095,7 +1356,9 @@
 
     private void dequeue(Operation operation) {
         Ticket ticket = (Ticket) operation.kept;
-        if (!ticket.waits) { return; }
+        if (!ticket.waits) {
+            return;
+        }
         state++;
         ticket.waits = false;
         waiting--;
@@ -1104,19 +1367,29 @@
             fresh.remove(ticket);
         } else if (ticket.seat != null) {
             ticket.seat.waiting.remove(ticket);
-            if (ticket.seat.waiting.isEmpty()) { waitingSeats.clear(ticket.seat.index); }
+            if (ticket.seat.waiting.isEmpty()) {
+                waitingSeats.clear(ticket.seat.index);
+            }
         } else {
             homeless.remove(ticket);
         }
     }
 
-    /** Drops an operation that was not served, and remembers its target time for the client's repeat. */
+    /**
+     * Drops an operation that was not served, and remembers its target time for the client's
+     * repeat.
+     */
     private void forsake(Operation operation) {
         drop(operation);
-        if (operation.extent != 0) { unserved.put(operation.extent, ((Ticket) operation.kept).targetEnds); }
+        if (operation.extent != 0) {
+            unserved.put(operation.extent, ((Ticket) operation.kept).targetEnds);
+        }
     }
 
-    /** Takes an operation that is over out of every queue; its key moves on once no attempt of it is out. */
+    /**
+     * Takes an operation that is over out of every queue; its key moves on once no attempt of it is
+     * out.
+     */
     private void drop(Operation operation) {
         Ticket ticket = (Ticket) operation.kept;
         dequeue(operation);
--- a/src/main/java/sagepulley/control/DiscoverySchedule.java
+++ b/src/main/java/sagepulley/control/DiscoverySchedule.java
@@ -4,22 +4,32 @@
 import sagepulley.model.Deployment;
 
 /**
- * When discovery is asked for the endpoint list, where it has to be asked: once at the start, spread over the fleet, and
- * anew after each failure, with a gap that doubles and is half chance. Times are milliseconds on the monotonic clock.
+ * When discovery is asked for the endpoint list, where it has to be asked: once at the start,
+ * spread over the fleet, and anew after each failure, with a gap that doubles and is half chance.
+ * Times are milliseconds on the monotonic clock.
  */
 final class DiscoverySchedule {
     private static final double FIRST_GAP = 300;
+
     /**
-     * A discovery that many call at once, and that works on calls which nobody waits for any more, must get to the end of
-     * them: gaps of 800 at most kept a fleet's queue full for ten seconds. One and a half times the longest gap has to
-     * stay under the time in which a change counts as notified, for a refused call renews the lease.
+     * A discovery that many call at once, and that works on calls which nobody waits for any more,
+     * must get to the end of them: gaps of 800 at most kept a fleet's queue full for ten seconds.
+     * One and a half times the longest gap has to stay under the time in which a change counts as
+     * notified, for a refused call renews the lease.
      */
     private static final double LONGEST_GAP = 3_000;
+
     private static final double GAP_GROWTH = 2;
+
     /** A call tells its end within this time; one that does not is followed by another. */
     private static final double CALL_PATIENCE = 2_500;
-    /** First calls: so far apart, all within a part of the time for it, and soon, for the lease waits for them. */
+
+    /**
+     * First calls: so far apart, all within a part of the time for it, and soon, for the lease
+     * waits for them.
+     */
     private static final double STAGGER = 250;
+
     private static final double SPREAD_SHARE = 0.8;
     private static final double LONGEST_SPREAD = 2_500;
 
@@ -34,7 +44,10 @@
         this.chance = chance;
     }
 
-    /** The process has begun; the last of many gateways must still have asked before a change counts as notified. */
+    /**
+     * The process has begun; the last of many gateways must still have asked before a change counts
+     * as notified.
+     */
     void started(double now) {
         if (site.mustAsk()) {
             double spread = Math.min(SPREAD_SHARE * site.askWithin(), LONGEST_SPREAD);
--- a/src/main/java/sagepulley/control/EndpointLease.java
+++ b/src/main/java/sagepulley/control/EndpointLease.java
@@ -1,23 +1,32 @@
 package sagepulley.control;
 
 /**
- * How long the endpoint list may be relied on. A change of the list counts as notified a fixed span after discovery had
- * it, whether or not it arrived here; for the drain grace after that its endpoint may still be used. So the lease is
- * renewed by whatever proves the list current, and ends one span and the grace after the latest such proof. A process
- * that has had no proof since its start holds no lease. Times are milliseconds on the monotonic clock.
+ * How long the endpoint list may be relied on. A change of the list counts as notified a fixed span
+ * after discovery had it, whether or not it arrived here; for the drain grace after that its
+ * endpoint may still be used. So the lease is renewed by whatever proves the list current, and ends
+ * one span and the grace after the latest such proof. A process that has had no proof since its
+ * start holds no lease. Times are milliseconds on the monotonic clock.
  */
 final class EndpointLease {
-    /** A process may be held up between reading its clock and writing; and what the sender's timers add. */
+    /**
+     * A process may be held up between reading its clock and writing; and what the sender's timers
+     * add.
+     */
     private static final double HOLD_UP = 150;
+
     private static final double TIMER_SLACK = 50;
+
     /** What discovery has to tell counts as notified so long after a new configuration was told. */
     private static final double NOTIFIED_AFTER_RELOAD = 4_000;
 
     private final double notifiedWithin;
     private final double usableAfter;
+
     /** Until then no change that is unknown here can count as notified. */
     private double currentUntil;
+
     private double confirmedAt = Double.NEGATIVE_INFINITY;
+
     /** When a new configuration was told that has not been read yet; infinite if there is none. */
     private double unreadSince = Double.POSITIVE_INFINITY;
 
@@ -46,8 +55,9 @@
     }
 
     /**
-     * Nobody could reach discovery at a time: what it has counts as notified only when it has been reachable for the
-     * whole span again. That renews a lease under which nothing unknown counts as notified yet, and no other.
+     * Nobody could reach discovery at a time: what it has counts as notified only when it has been
+     * reachable for the whole span again. That renews a lease under which nothing unknown counts as
+     * notified yet, and no other.
      */
     void unreachable(double at) {
         if (at < currentUntil) {
@@ -56,8 +66,9 @@
     }
 
     /**
-     * A new configuration was told at a time: discovery may be elsewhere, and has confirmed nothing there yet. Until the
-     * configuration has been read nobody knows where that is, and nothing renews the lease.
+     * A new configuration was told at a time: discovery may be elsewhere, and has confirmed nothing
+     * there yet. Until the configuration has been read nobody knows where that is, and nothing
+     * renews the lease.
      */
     void reloadTold(double toldAt) {
         if (isBounded()) {
@@ -73,7 +84,10 @@
         }
     }
 
-    /** The latest time as of which the list is known to have been current; negative infinity if there is none. */
+    /**
+     * The latest time as of which the list is known to have been current; negative infinity if
+     * there is none.
+     */
     double confirmedAt() {
         return confirmedAt;
     }
--- a/src/main/java/sagepulley/control/NodeView.java
+++ b/src/main/java/sagepulley/control/NodeView.java
@@ -4,17 +4,30 @@
 import sagepulley.model.Node;
 
 /** What Control believes of a node, for whoever watches a gateway; nothing is decided by it. */
-public record NodeView(double bound, double crowd, int out, int waiting, boolean distrusted, double faults) {
+public record NodeView(
+        double bound, double crowd, int out, int waiting, boolean distrusted, double faults) {
     /** The view of a node that was listed. */
     public static NodeView of(Node node) {
         Seat seat = (Seat) node.kept;
-        return new NodeView(seat.bound, seat.crowd, seat.out.size(), seat.waiting.size(),
-                seat.distrusted, seat.faults);
+        return new NodeView(
+                seat.bound,
+                seat.crowd,
+                seat.out.size(),
+                seat.waiting.size(),
+                seat.distrusted,
+                seat.faults);
     }
 
     @Override
     public String toString() {
-        return String.format(Locale.ROOT, "bound:%.1f,queue:%.2f,out:%d,waiting:%d,faults:%.2f%s", bound, crowd, out,
-                waiting, faults, distrusted ? ",silent" : "");
+        return String.format(
+                Locale.ROOT,
+                "bound:%.1f,queue:%.2f,out:%d,waiting:%d,faults:%.2f%s",
+                bound,
+                crowd,
+                out,
+                waiting,
+                faults,
+                distrusted ? ",silent" : "");
     }
 }
--- a/src/main/java/sagepulley/control/Queue.java
+++ b/src/main/java/sagepulley/control/Queue.java
@@ -10,31 +10,45 @@
 import java.util.TreeSet;
 import sagepulley.model.Operation;
 
-/** Operations that wait in one place, in the order they came; those alike and those of an extent at hand. */
+/**
+ * Operations that wait in one place, in the order they came; those alike and those of an extent at
+ * hand.
+ */
 final class Queue {
-    private static final Comparator<Ticket> BY_PATIENCE = Comparator
-            .comparingDouble((Ticket ticket) -> ticket.operation.deadline)
-            .thenComparingLong(ticket -> ticket.turn);
+    private static final Comparator<Ticket> BY_PATIENCE =
+            Comparator.comparingDouble((Ticket ticket) -> ticket.operation.deadline)
+                    .thenComparingLong(ticket -> ticket.turn);
 
-    /** Whoever had an attempt, or keeps an order, is like nobody else: its turn tells it apart; others have 0. */
+    /**
+     * Whoever had an attempt, or keeps an order, is like nobody else: its turn tells it apart;
+     * others have 0.
+     */
     private record Alike(long volume, int band, double units, long turn) {
         static Alike of(Ticket ticket) {
             Operation operation = ticket.operation;
             boolean plain = operation.attempts.isEmpty() && ticket.line == null;
-            return new Alike(operation.volume.id, operation.band.index(), operation.units,
+            return new Alike(
+                    operation.volume.id,
+                    operation.band.index(),
+                    operation.units,
                     plain ? 0 : ticket.turn);
         }
 
         // Written out: what the compiler leaves to the start costs 25 ms of CPU there.
         @Override
         public int hashCode() {
-            return (Long.hashCode(volume) * 31 + band) * 31 + Double.hashCode(units) * 17 + Long.hashCode(turn);
+            return (Long.hashCode(volume) * 31 + band) * 31
+                    + Double.hashCode(units) * 17
+                    + Long.hashCode(turn);
         }
 
         @Override
         public boolean equals(Object other) {
-            return other instanceof Alike that && volume == that.volume && band == that.band
-                    && units == that.units && turn == that.turn;
+            return other instanceof Alike that
+                    && volume == that.volume
+                    && band == that.band
+                    && units == that.units
+                    && turn == that.turn;
         }
     }
 
@@ -64,11 +78,15 @@
         all.remove(ticket.turn);
         TreeSet<Ticket> like = alike.get((Alike) ticket.alike);
         like.remove(ticket);
-        if (like.isEmpty()) { alike.remove((Alike) ticket.alike); }
+        if (like.isEmpty()) {
+            alike.remove((Alike) ticket.alike);
+        }
         TreeMap<Long, Operation> same = byExtent.get(ticket.operation.extent);
         if (same != null) {
             same.remove(ticket.turn);
-            if (same.isEmpty()) { byExtent.remove(ticket.operation.extent); }
+            if (same.isEmpty()) {
+                byExtent.remove(ticket.operation.extent);
+            }
         }
     }
 
--- a/src/main/java/sagepulley/control/Seat.java
+++ b/src/main/java/sagepulley/control/Seat.java
@@ -11,45 +11,63 @@
 final class Seat {
     final int index;
     final Node node;
+
     /** Operations whose data lies here, waiting for their turn. */
     final Queue waiting = new Queue();
+
     final List<Attempt> out = new ArrayList<>();
 
     /** How many attempts may be out, and when that was last cut. */
     double bound;
+
     double cutAt = Double.NEGATIVE_INFINITY;
+
     /** The queue that the latest answers showed, against the longest that is wanted. */
     double crowd;
+
     double crowdAt = Double.NEGATIVE_INFINITY;
 
     /** The run of one extent: which, and how many more of it go first. */
     long lastExtent;
+
     int runLeft;
 
     /** Whose turn it was found to be, and when, in which state. */
     Operation picked;
+
     double pickedAt = Double.NaN;
     long pickedState;
 
     /** The fair level of the volumes that use the node, and until when it stands. */
     final List<Use> uses = new ArrayList<>();
+
     double fair = Double.POSITIVE_INFINITY;
     double fairUntil = Double.NEGATIVE_INFINITY;
 
-    /** When it started, as it was told, as far as that is possible; and what it was sent while it was cold. */
+    /**
+     * When it started, as it was told, as far as that is possible; and what it was sent while it
+     * was cold.
+     */
     double toldStart;
+
     double startedAt;
     final Ring coldSpent;
 
-    /** Health: when it last served, when it was last sent to, whether it must prove itself by a trial. */
+    /**
+     * Health: when it last served, when it was last sent to, whether it must prove itself by a
+     * trial.
+     */
     double heardAt = Double.NEGATIVE_INFINITY;
+
     double sentAt = Double.NEGATIVE_INFINITY;
     boolean distrusted;
+
     /** The share of its latest answers that were errors. */
     double faults;
 
     /** The score's terms; reads at 0, writes at 1. */
     final Ring placements;
+
     final double[] took = new double[2];
     final double[] units = new double[2];
     final double[] pace = {Double.NaN, Double.NaN};
--- a/src/main/java/sagepulley/control/Ticket.java
+++ b/src/main/java/sagepulley/control/Ticket.java
@@ -5,18 +5,25 @@
 /** What is kept of an operation in hand. */
 final class Ticket {
     final Operation operation;
+
     /** Its place among all that ever stood in a queue. */
     long turn;
+
     /** Whom it is like in its queue; the queue's own. */
     Object alike;
+
     /** When the target time ends, counted from the client's first try. */
     double targetEnds;
+
     /** Whether it stands in a queue. */
     boolean waits;
+
     /** The seat in whose queue it stands; null for a new object or a shard without a node. */
     Seat seat;
+
     /** Where its band asks for order. */
     KeyLine line;
+
     /** Drawn once: a cold node takes the lowest first. */
     final double lot;
 
--- a/src/main/java/sagepulley/control/WaitView.java
+++ b/src/main/java/sagepulley/control/WaitView.java
@@ -6,8 +6,7 @@
 
 /** Why an operation waits, for whoever accounts for it; nothing is decided by it. */
 public final class WaitView {
-    private WaitView() {
-    }
+    private WaitView() {}
 
     /** The first of Control's guards that holds it back now. */
     public static Reason why(Control control, Operation operation, double now) {
--- a/src/main/java/sagepulley/control/Waits.java
+++ b/src/main/java/sagepulley/control/Waits.java
@@ -11,16 +11,25 @@
 import sagepulley.model.Band;
 import sagepulley.model.Operation;
 
-/** All that waits, sorted by the times that may end it, so that what is due is found without a walk. */
+/**
+ * All that waits, sorted by the times that may end it, so that what is due is found without a walk.
+ */
 final class Waits {
-    /** As the queues stand: the seats in their order, new objects, the homeless; in each as they came. */
-    static final Comparator<Operation> BY_QUEUE = Comparator
-            .comparingInt((Operation operation) -> {
-                Ticket ticket = (Ticket) operation.kept;
-                return ticket.seat != null ? ticket.seat.index
-                        : operation.shard < 0 ? Integer.MAX_VALUE - 1 : Integer.MAX_VALUE;
-            })
-            .thenComparingLong(operation -> ((Ticket) operation.kept).turn);
+    /**
+     * As the queues stand: the seats in their order, new objects, the homeless; in each as they
+     * came.
+     */
+    static final Comparator<Operation> BY_QUEUE =
+            Comparator.comparingInt(
+                            (Operation operation) -> {
+                                Ticket ticket = (Ticket) operation.kept;
+                                return ticket.seat != null
+                                        ? ticket.seat.index
+                                        : operation.shard < 0
+                                                ? Integer.MAX_VALUE - 1
+                                                : Integer.MAX_VALUE;
+                            })
+                    .thenComparingLong(operation -> ((Ticket) operation.kept).turn);
 
     private record Key(int band, double units) {
         @Override
@@ -48,16 +57,23 @@
         }
 
         private static TreeSet<Ticket> sorted(ToDoubleFunction<Ticket> time) {
-            return new TreeSet<>(Comparator.comparingDouble(time).thenComparingLong(ticket -> ticket.turn));
+            return new TreeSet<>(
+                    Comparator.comparingDouble(time).thenComparingLong(ticket -> ticket.turn));
         }
 
         /** Adds those that have ended by now, and tells when the next one ends. */
-        void first(TreeSet<Ticket> order, ToDoubleFunction<Ticket> end, double now, List<Operation> ended,
-                   DoubleConsumer next) {
+        void first(
+                TreeSet<Ticket> order,
+                ToDoubleFunction<Ticket> end,
+                double now,
+                List<Operation> ended,
+                DoubleConsumer next) {
             for (Ticket ticket : order) {
                 double at = end.applyAsDouble(ticket);
                 if (at <= now) {
-                    if (!ended.contains(ticket.operation)) { ended.add(ticket.operation); }
+                    if (!ended.contains(ticket.operation)) {
+                        ended.add(ticket.operation);
+                    }
                 } else if (!ended.contains(ticket.operation)) {
                     next.accept(at);
                     return;
@@ -72,7 +88,9 @@
     void add(Ticket ticket) {
         ticket.turn = ++turns;
         Operation operation = ticket.operation;
-        Kind kind = kinds.computeIfAbsent(key(operation), any -> new Kind(operation.band, operation.units));
+        Kind kind =
+                kinds.computeIfAbsent(
+                        key(operation), any -> new Kind(operation.band, operation.units));
         kind.byTarget.add(ticket);
         kind.byArrival.add(ticket);
         kind.byPatience.add(ticket);
@@ -84,7 +102,9 @@
         kind.byTarget.remove(ticket);
         kind.byArrival.remove(ticket);
         kind.byPatience.remove(ticket);
-        if (kind.byTarget.isEmpty()) { kinds.remove(key); }
+        if (kind.byTarget.isEmpty()) {
+            kinds.remove(key);
+        }
     }
 
     Collection<Kind> kinds() {
--- a/src/main/java/sagepulley/directory/DirectoryLink.java
+++ b/src/main/java/sagepulley/directory/DirectoryLink.java
@@ -26,8 +26,9 @@
 import sagepulley.wire.FrameEncoder;
 
 /**
- * A gateway's link to the directory: a connection that is opened when a call needs it. Calls fail when the
- * connection ends or does not come, or no answer in two seconds; nothing is asked again here. All on one loop.
+ * A gateway's link to the directory: a connection that is opened when a call needs it. Calls fail
+ * when the connection ends or does not come, or no answer in two seconds; nothing is asked again
+ * here. All on one loop.
  */
 public final class DirectoryLink {
     private static final int CONNECT_MS = 2_000;
@@ -57,22 +58,31 @@
     private final Owner owner;
     private final Map<Long, Ended<Frame>> calls = new HashMap<>();
     private final List<Frame> unsent = new ArrayList<>();
+
     /** Calls that were given up, whose answers may still come; the latest ones. */
-    private final Set<Long> abandoned = Collections.newSetFromMap(new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
+    private final Set<Long> abandoned =
+            Collections.newSetFromMap(
+                    new LinkedHashMap<>() {
+                        private static final long serialVersionUID = 1;
+
+                        @Override
+                        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+                            return size() > MOST_CALLS;
+                        }
+                    });
 
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
-            return size() > MOST_CALLS;
-        }
-    });
     private Channel channel;
     private boolean open;
     private boolean subscribed;
     private long ids;
 
-    public DirectoryLink(EventLoop loop, Class<? extends Channel> kind, SocketAddress address, long gateway,
-                         String name, Owner owner) {
+    public DirectoryLink(
+            EventLoop loop,
+            Class<? extends Channel> kind,
+            SocketAddress address,
+            long gateway,
+            String name,
+            Owner owner) {
         this.loop = loop;
         this.kind = kind;
         this.address = address;
@@ -92,24 +102,35 @@
     /** Which cells hold the extents in a row; -1 for none. */
     public void lookup(int volume, long first, int count, Ended<int[]> ended) {
         long id = ++ids;
-        call(id, DirectoryWire.lookup(id, volume, first, count), (frame, failure) -> {
-            if (frame == null) {
-                ended.accept(null, failure);
-                return;
-            }
-            int[] cells = DirectoryWire.holders(frame);
-            if (cells.length != count) {
-                throw new BadBytes("holders of " + cells.length + " extents, asked " + count);
-            }
-            ended.accept(cells, null);
-        });
+        call(
+                id,
+                DirectoryWire.lookup(id, volume, first, count),
+                (frame, failure) -> {
+                    if (frame == null) {
+                        ended.accept(null, failure);
+                        return;
+                    }
+                    int[] cells = DirectoryWire.holders(frame);
+                    if (cells.length != count) {
+                        throw new BadBytes(
+                                "holders of " + cells.length + " extents, asked " + count);
+                    }
+                    ended.accept(cells, null);
+                });
     }
 
-    /** Claims an extent for a cell; the answer is the cell that holds it now, whoever claimed first. */
+    /**
+     * Claims an extent for a cell; the answer is the cell that holds it now, whoever claimed first.
+     */
     public void claim(int volume, long extent, int cell, Ended<Integer> ended) {
         long id = ++ids;
-        call(id, DirectoryWire.claim(id, volume, extent, cell), (frame, failure) ->
-                ended.accept(frame == null ? null : (Integer) Fields.need(frame, 4).readInt(), failure));
+        call(
+                id,
+                DirectoryWire.claim(id, volume, extent, cell),
+                (frame, failure) ->
+                        ended.accept(
+                                frame == null ? null : (Integer) Fields.need(frame, 4).readInt(),
+                                failure));
     }
 
     /** Whether a subscription stands, so that every change is told. */
@@ -138,14 +159,17 @@
 
     private void askList(int type) {
         long id = ++ids;
-        call(id, new Frame(type, id), (frame, failure) -> {
-            if (frame == null) {
-                owner.listFailed(failure);
-            } else {
-                subscribed |= type == DirectoryWire.SUBSCRIBE;
-                owner.listed(DirectoryWire.list(frame));
-            }
-        });
+        call(
+                id,
+                new Frame(type, id),
+                (frame, failure) -> {
+                    if (frame == null) {
+                        owner.listFailed(failure);
+                    } else {
+                        subscribed |= type == DirectoryWire.SUBSCRIBE;
+                        owner.listed(DirectoryWire.list(frame));
+                    }
+                });
     }
 
     private void call(long id, Frame frame, Reading reading) {
@@ -155,22 +179,28 @@
             return;
         }
         // A directory that takes a call and says nothing must not hold its asker for good.
-        Future<?> timer = loop.schedule(() -> {
-            Ended<Frame> late = calls.remove(id);
-            if (late != null) {
-                abandoned.add(id);
-                late.accept(null, "no answer in " + ANSWER_MS + " ms");
-            }
-        }, ANSWER_MS, TimeUnit.MILLISECONDS);
-        calls.put(id, (answer, failure) -> {
-            timer.cancel(false);
-            try {
-                reading.accept(answer, failure);
-            } catch (BadBytes bad) {
-                fail((any, why) -> reading.accept(null, why), bad.getMessage());
-                broken(bad.getMessage());
-            }
-        });
+        Future<?> timer =
+                loop.schedule(
+                        () -> {
+                            Ended<Frame> late = calls.remove(id);
+                            if (late != null) {
+                                abandoned.add(id);
+                                late.accept(null, "no answer in " + ANSWER_MS + " ms");
+                            }
+                        },
+                        ANSWER_MS,
+                        TimeUnit.MILLISECONDS);
+        calls.put(
+                id,
+                (answer, failure) -> {
+                    timer.cancel(false);
+                    try {
+                        reading.accept(answer, failure);
+                    } catch (BadBytes bad) {
+                        fail((any, why) -> reading.accept(null, why), bad.getMessage());
+                        broken(bad.getMessage());
+                    }
+                });
         if (open) {
             channel.writeAndFlush(frame);
             return;
@@ -190,20 +220,31 @@
     }
 
     private void connect() {
-        var connecting = new Bootstrap().group(loop).channel(kind).option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel fresh) {
-                        fresh.pipeline().addLast(new FrameDecoder(0), new FrameEncoder(), new Talk());
-                    }
-                }).connect(address);
+        var connecting =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(kind)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                        .handler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel fresh) {
+                                        fresh.pipeline()
+                                                .addLast(
+                                                        new FrameDecoder(0),
+                                                        new FrameEncoder(),
+                                                        new Talk());
+                                    }
+                                })
+                        .connect(address);
         channel = connecting.channel();
-        connecting.addListener(done -> {
-            if (!done.isSuccess()) {
-                lost(connecting.channel(), done.cause().getMessage());
-            }
-        });
+        connecting.addListener(
+                done -> {
+                    if (!done.isSuccess()) {
+                        lost(connecting.channel(), done.cause().getMessage());
+                    }
+                });
     }
 
     private void broken(String why) {
@@ -271,7 +312,8 @@
             }
             switch (frame.type()) {
                 case DirectoryWire.FAILED -> call.accept(null, Fields.string(frame.head()));
-                case DirectoryWire.LIST, DirectoryWire.HOLDERS, DirectoryWire.HOLDER -> call.accept(frame, null);
+                case DirectoryWire.LIST, DirectoryWire.HOLDERS, DirectoryWire.HOLDER ->
+                        call.accept(frame, null);
                 default -> throw new BadBytes("message " + frame.type() + " from the directory");
             }
         }
--- a/src/main/java/sagepulley/directory/DirectoryWire.java
+++ b/src/main/java/sagepulley/directory/DirectoryWire.java
@@ -12,38 +12,52 @@
 public final class DirectoryWire {
     /** From a gateway or node. */
     public static final int HELLO = 1;
+
     public static final int SUBSCRIBE = 2;
     public static final int FETCH = 3;
     public static final int LOOKUP = 4;
     public static final int CLAIM = 5;
     public static final int REGISTER = 6;
+
     /** From the directory. */
     public static final int LIST = 17;
+
     public static final int HOLDERS = 18;
     public static final int HOLDER = 19;
     public static final int FAILED = 20;
 
     /** Extents of one look-up at most. */
     public static final int MOST_LOOKED_UP = 1 << 16;
+
     private static final int MOST_LINES = 1 << 14;
 
     /** What the list says of a node. */
-    public enum Standing { GONE, READY, DRAINING }
+    public enum Standing {
+        GONE,
+        READY,
+        DRAINING
+    }
 
     /** A line of the list. The start is wall-clock milliseconds, 0 for long ago. */
-    public record Line(int node, int cell, int zone, int kind, Standing standing, long startedAt, float weight,
-                       String host, int port) {
-    }
+    public record Line(
+            int node,
+            int cell,
+            int zone,
+            int kind,
+            Standing standing,
+            long startedAt,
+            float weight,
+            String host,
+            int port) {}
 
     /**
-     * The list, whole or what changed; it answers a call or is pushed (call 0). The directory says of which site it
-     * is (empty: it does not), and which history of its own the version counts in.
+     * The list, whole or what changed; it answers a call or is pushed (call 0). The directory says
+     * of which site it is (empty: it does not), and which history of its own the version counts in.
      */
-    public record Listing(long call, long version, boolean whole, List<Line> lines, long history, String site) {
-    }
+    public record Listing(
+            long call, long version, boolean whole, List<Line> lines, long history, String site) {}
 
-    private DirectoryWire() {
-    }
+    private DirectoryWire() {}
 
     public static Frame hello(long gateway, String name) {
         ByteBuf head = Unpooled.buffer(64).writeShort(1).writeLong(gateway);
@@ -52,8 +66,11 @@
     }
 
     public static Frame list(Listing it) {
-        ByteBuf head = Unpooled.buffer(64).writeLong(it.version()).writeBoolean(it.whole())
-                .writeInt(it.lines().size());
+        ByteBuf head =
+                Unpooled.buffer(64)
+                        .writeLong(it.version())
+                        .writeBoolean(it.whole())
+                        .writeInt(it.lines().size());
         for (Line line : it.lines()) {
             line(head, line);
         }
@@ -100,19 +117,35 @@
         if (standing >= Standing.values().length || cell < 0) {
             throw new BadBytes("a line that cannot be read");
         }
-        return new Line(node, cell, zone, kind, Standing.values()[standing], startedAt, weight,
-                Fields.string(from), port);
+        return new Line(
+                node,
+                cell,
+                zone,
+                kind,
+                Standing.values()[standing],
+                startedAt,
+                weight,
+                Fields.string(from),
+                port);
     }
 
     private static void line(ByteBuf to, Line line) {
-        to.writeInt(line.node()).writeInt(line.cell()).writeShort(line.zone()).writeShort(line.kind())
-                .writeByte(line.standing().ordinal()).writeLong(line.startedAt()).writeFloat(line.weight())
+        to.writeInt(line.node())
+                .writeInt(line.cell())
+                .writeShort(line.zone())
+                .writeShort(line.kind())
+                .writeByte(line.standing().ordinal())
+                .writeLong(line.startedAt())
+                .writeFloat(line.weight())
                 .writeShort(line.port());
         Fields.string(to, line.host());
     }
 
     public static Frame lookup(long call, int volume, long first, int count) {
-        return new Frame(LOOKUP, call, Unpooled.buffer(16).writeInt(volume).writeLong(first).writeInt(count));
+        return new Frame(
+                LOOKUP,
+                call,
+                Unpooled.buffer(16).writeInt(volume).writeLong(first).writeInt(count));
     }
 
     /** The cells that hold extents in a row; -1 for none. */
@@ -138,7 +171,8 @@
     }
 
     public static Frame claim(long call, int volume, long extent, int cell) {
-        return new Frame(CLAIM, call, Unpooled.buffer(16).writeInt(volume).writeLong(extent).writeInt(cell));
+        return new Frame(
+                CLAIM, call, Unpooled.buffer(16).writeInt(volume).writeLong(extent).writeInt(cell));
     }
 
     public static Frame holder(long call, int cell) {
--- a/src/main/java/sagepulley/drill/Day.java
+++ b/src/main/java/sagepulley/drill/Day.java
@@ -3,38 +3,82 @@
 import java.util.List;
 
 /** A scripted day as plain values. Times are milliseconds from the day's start, shares 0 to 1. */
-public record Day(String name, long seed, int gateways, Nodes nodes, String site, List<Load> loads,
-                  List<Event> events, double end, List<Expectation> expectations, List<Known> causes) {
+public record Day(
+        String name,
+        long seed,
+        int gateways,
+        Nodes nodes,
+        String site,
+        List<Load> loads,
+        List<Event> events,
+        double end,
+        List<Expectation> expectations,
+        List<Known> causes) {
 
     /** The nodes, numbered from 1, by turns in the halls. */
-    public record Nodes(int count, int slots, int queue, double readCost, double writeCost, int halls,
-                        double deferredShare, double deferEvery) {
-    }
+    public record Nodes(
+            int count,
+            int slots,
+            int queue,
+            double readCost,
+            double writeCost,
+            int halls,
+            double deferredShare,
+            double deferEvery) {}
 
     /**
-     * Requests that come by chance at a rate, whether or not answers keep up; through one gateway, numbered from
-     * 1, or (0) through all of the volume's.
+     * Requests that come by chance at a rate, whether or not answers keep up; through one gateway,
+     * numbered from 1, or (0) through all of the volume's.
      */
-    public record Load(String name, String volume, double perSecond, double reads, int bytes, double from,
-                       double to, int extents, int connections, int through) {
-    }
+    public record Load(
+            String name,
+            String volume,
+            double perSecond,
+            double reads,
+            int bytes,
+            double from,
+            double to,
+            int extents,
+            int connections,
+            int through) {}
 
     /** What can go wrong. */
     public enum Fault {
-        SILENT, PAUSED, REFUSING, UNREACHABLE, CUT, DRAINS, GARBLES, RESTARTS_COLD, LOSES_POWER, GONE, SLOW,
-        LOSING, ERRING, DIRECTORY_SILENT, DIRECTORY_DOWN, DIRECTORY_FAILING, DIRECTORY_LAGGING, DIRECTORY_SLOW, GATEWAY_KILLED,
+        SILENT,
+        PAUSED,
+        REFUSING,
+        UNREACHABLE,
+        CUT,
+        DRAINS,
+        GARBLES,
+        RESTARTS_COLD,
+        LOSES_POWER,
+        GONE,
+        SLOW,
+        LOSING,
+        ERRING,
+        DIRECTORY_SILENT,
+        DIRECTORY_DOWN,
+        DIRECTORY_FAILING,
+        DIRECTORY_LAGGING,
+        DIRECTORY_SLOW,
+        GATEWAY_KILLED,
         SURGE
     }
 
-    /** One fault: whom it meets (node numbers, or the gateway's), how much, and until when; NaN for good. */
-    public record Event(double at, Fault fault, List<Integer> whom, double much, String load, double until) {
-    }
+    /**
+     * One fault: whom it meets (node numbers, or the gateway's), how much, and until when; NaN for
+     * good.
+     */
+    public record Event(
+            double at, Fault fault, List<Integer> whom, double much, String load, double until) {}
 
-    /** What makes a volume wait is one of these: a cause's kind, with a volume's name or a node after a colon. */
-    public record Known(String volume, List<String> causes) {
-    }
+    /**
+     * What makes a volume wait is one of these: a cause's kind, with a volume's name or a node
+     * after a colon.
+     */
+    public record Known(String volume, List<String> causes) {}
 
     /** A volume's service must be over a share. */
-    public record Expectation(String volume, double over) {
-    }
+    public record Expectation(String volume, double over) {}
 }
--- a/src/main/java/sagepulley/drill/DayReader.java
+++ b/src/main/java/sagepulley/drill/DayReader.java
@@ -25,8 +25,7 @@
     private static final int MOST_GATEWAYS = 64;
     private static final double MOST_PER_SECOND = 100_000;
 
-    private DayReader() {
-    }
+    private DayReader() {}
 
     public static Day read(Path file) throws DayError {
         try {
@@ -39,13 +38,19 @@
     /** Reads a script; the name stands in errors. */
     public static Day read(String name, String text) throws DayError {
         List<String> mistakes = new ArrayList<>();
-        BaseErrorListener listener = new BaseErrorListener() {
-            @Override
-            public void syntaxError(Recognizer<?, ?> recognizer, Object symbol, int line, int column,
-                                    String message, RecognitionException cause) {
-                mistakes.add(name + ":" + line + ":" + (column + 1) + ": " + message);
-            }
-        };
+        BaseErrorListener listener =
+                new BaseErrorListener() {
+                    @Override
+                    public void syntaxError(
+                            Recognizer<?, ?> recognizer,
+                            Object symbol,
+                            int line,
+                            int column,
+                            String message,
+                            RecognitionException cause) {
+                        mistakes.add(name + ":" + line + ":" + (column + 1) + ": " + message);
+                    }
+                };
         Lexer lexer = new DayLexer(CharStreams.fromString(text, name));
         DayParser parser = new DayParser(new CommonTokenStream(lexer));
         lexer.removeErrorListeners();
@@ -100,20 +105,59 @@
         Day day() {
             List<Day.Load> ending = new ArrayList<>();
             for (Day.Load load : loads) {
-                ending.add(Double.isNaN(load.to()) ? new Day.Load(load.name(), load.volume(), load.perSecond(),
-                        load.reads(), load.bytes(), load.from(), end, load.extents(), load.connections(),
-                        load.through()) : load);
+                ending.add(
+                        Double.isNaN(load.to())
+                                ? new Day.Load(
+                                        load.name(),
+                                        load.volume(),
+                                        load.perSecond(),
+                                        load.reads(),
+                                        load.bytes(),
+                                        load.from(),
+                                        end,
+                                        load.extents(),
+                                        load.connections(),
+                                        load.through())
+                                : load);
             }
-            return new Day(name, seed, gateways, new Day.Nodes(nodes, slots, queue, readCost, writeCost, halls,
-                    deferredShare, deferEvery), site.replace("${gateways}", "" + gateways), ending, events, end,
-                    expectations, causes);
+            return new Day(
+                    name,
+                    seed,
+                    gateways,
+                    new Day.Nodes(
+                            nodes,
+                            slots,
+                            queue,
+                            readCost,
+                            writeCost,
+                            halls,
+                            deferredShare,
+                            deferEvery),
+                    site.replace("${gateways}", "" + gateways),
+                    ending,
+                    events,
+                    end,
+                    expectations,
+                    causes);
         }
 
         private double number(Token token, double least, double most, String what) {
             double value = Double.parseDouble(token.getText());
             if (value < least || value > most) {
-                mistakes.add(file + ":" + token.getLine() + ":" + (token.getCharPositionInLine() + 1) + ": "
-                        + what + " is " + token.getText() + ", allowed is " + least + " to " + most);
+                mistakes.add(
+                        file
+                                + ":"
+                                + token.getLine()
+                                + ":"
+                                + (token.getCharPositionInLine() + 1)
+                                + ": "
+                                + what
+                                + " is "
+                                + token.getText()
+                                + ", allowed is "
+                                + least
+                                + " to "
+                                + most);
                 return least;
             }
             return value;
@@ -122,12 +166,19 @@
         private double time(DayParser.DurationContext duration) {
             String unit = duration.getChild(1).getText();
             double factor = unit.equals("ms") ? 1 : unit.equals("s") ? 1000 : 60_000;
-            return Math.min(LONGEST, number(duration.NUMBER().getSymbol(), 0, LONGEST, "a time") * factor);
+            return Math.min(
+                    LONGEST, number(duration.NUMBER().getSymbol(), 0, LONGEST, "a time") * factor);
         }
 
         private void mistake(ParserRuleContext where, String what) {
-            mistakes.add(file + ":" + where.start.getLine() + ":" + (where.start.getCharPositionInLine() + 1)
-                    + ": " + what);
+            mistakes.add(
+                    file
+                            + ":"
+                            + where.start.getLine()
+                            + ":"
+                            + (where.start.getCharPositionInLine() + 1)
+                            + ": "
+                            + what);
         }
 
         @Override
@@ -144,7 +195,13 @@
 
         @Override
         public Void visitGateways(DayParser.GatewaysContext it) {
-            gateways = (int) number(it.NUMBER().getSymbol(), 1, MOST_GATEWAYS, "the number of gateways");
+            gateways =
+                    (int)
+                            number(
+                                    it.NUMBER().getSymbol(),
+                                    1,
+                                    MOST_GATEWAYS,
+                                    "the number of gateways");
             return null;
         }
 
@@ -218,9 +275,18 @@
             connections = 1;
             through = 0;
             visitChildren(it);
-            loads.add(new Day.Load(it.WORD(0).getText(), it.WORD(1).getText(),
-                    number(it.NUMBER().getSymbol(), 0.01, MOST_PER_SECOND, "the rate"), reads, bytes, from, to,
-                    extents, connections, through));
+            loads.add(
+                    new Day.Load(
+                            it.WORD(0).getText(),
+                            it.WORD(1).getText(),
+                            number(it.NUMBER().getSymbol(), 0.01, MOST_PER_SECOND, "the rate"),
+                            reads,
+                            bytes,
+                            from,
+                            to,
+                            extents,
+                            connections,
+                            through));
             return null;
         }
 
@@ -235,7 +301,11 @@
             double factor = it.UNIT().getText().equals("KiB") ? 1 << 10 : 1 << 20;
             bytes = (int) (number(it.NUMBER().getSymbol(), 0, 32 << 10, "the size") * factor);
             if (bytes < 4096 || bytes > 32 << 20 || bytes % 4096 != 0) {
-                mistake(it, "the size is " + bytes + " bytes, allowed are multiples of 4 KiB up to 32 MiB");
+                mistake(
+                        it,
+                        "the size is "
+                                + bytes
+                                + " bytes, allowed are multiples of 4 KiB up to 32 MiB");
                 bytes = 4096;
             }
             return null;
@@ -261,7 +331,8 @@
 
         @Override
         public Void visitConnections(DayParser.ConnectionsContext it) {
-            connections = (int) number(it.NUMBER().getSymbol(), 1, 256, "the number of connections");
+            connections =
+                    (int) number(it.NUMBER().getSymbol(), 1, 256, "the number of connections");
             return null;
         }
 
@@ -273,8 +344,10 @@
 
         @Override
         public Void visitCause(DayParser.CauseContext it) {
-            causes.add(new Day.Known(it.WORD().getText(),
-                    List.of(it.TEXT().getText().replace("\"", "").split("\\s+or\\s+"))));
+            causes.add(
+                    new Day.Known(
+                            it.WORD().getText(),
+                            List.of(it.TEXT().getText().replace("\"", "").split("\\s+or\\s+"))));
             return null;
         }
 
@@ -287,32 +360,43 @@
                 events.add(nodeEvent(node, at, until));
             } else if (what instanceof DayParser.DirectoryEventContext directory) {
                 DayParser.DirectoryFaultContext fault = directory.directoryFault();
-                Day.Fault kind = Day.Fault.valueOf("DIRECTORY_" + fault.getChild(0).getText().toUpperCase());
+                Day.Fault kind =
+                        Day.Fault.valueOf("DIRECTORY_" + fault.getChild(0).getText().toUpperCase());
                 double much = fault.duration() == null ? 0 : time(fault.duration());
                 events.add(new Day.Event(at, kind, List.of(), much, "", until));
             } else if (what instanceof DayParser.GatewayKilledContext killed) {
                 int which = (int) number(killed.NUMBER().getSymbol(), 1, gateways, "the gateway");
-                events.add(new Day.Event(at, Day.Fault.GATEWAY_KILLED, List.of(which), 0, "", until));
+                events.add(
+                        new Day.Event(at, Day.Fault.GATEWAY_KILLED, List.of(which), 0, "", until));
             } else if (what instanceof DayParser.SurgeContext surge) {
                 String load = surge.WORD().getText();
                 if (loads.stream().noneMatch(known -> known.name().equals(load))) {
                     mistake(surge, "no load is called " + load);
                 }
-                events.add(new Day.Event(at, Day.Fault.SURGE, List.of(),
-                        number(surge.NUMBER().getSymbol(), 0, 1000, "the factor"), load, until));
+                events.add(
+                        new Day.Event(
+                                at,
+                                Day.Fault.SURGE,
+                                List.of(),
+                                number(surge.NUMBER().getSymbol(), 0, 1000, "the factor"),
+                                load,
+                                until));
             }
             return null;
         }
 
         private Day.Event nodeEvent(DayParser.NodeEventContext it, double at, double until) {
             String word = it.fault().getChild(0).getText();
-            Day.Fault fault = switch (word) {
-                case "restarts" -> Day.Fault.RESTARTS_COLD;
-                case "loses" -> Day.Fault.LOSES_POWER;
-                default -> Day.Fault.valueOf(word.toUpperCase());
-            };
-            double much = it.fault().NUMBER() == null ? 0
-                    : number(it.fault().NUMBER().getSymbol(), 0, 10_000, "how much");
+            Day.Fault fault =
+                    switch (word) {
+                        case "restarts" -> Day.Fault.RESTARTS_COLD;
+                        case "loses" -> Day.Fault.LOSES_POWER;
+                        default -> Day.Fault.valueOf(word.toUpperCase());
+                    };
+            double much =
+                    it.fault().NUMBER() == null
+                            ? 0
+                            : number(it.fault().NUMBER().getSymbol(), 0, 10_000, "how much");
             if (fault == Day.Fault.LOSING || fault == Day.Fault.ERRING) {
                 much = Math.min(100, much) / 100;
             }
@@ -322,11 +406,14 @@
         private List<Integer> whom(DayParser.TargetContext target) {
             if (target instanceof DayParser.NodeNumbersContext numbers) {
                 return numbers.NUMBER().stream()
-                        .map(one -> (int) number(one.getSymbol(), 1, nodes, "the node")).toList();
+                        .map(one -> (int) number(one.getSymbol(), 1, nodes, "the node"))
+                        .toList();
             }
             if (target instanceof DayParser.HallContext hall) {
                 int which = (int) number(hall.NUMBER().getSymbol(), 1, halls, "the hall");
-                return IntStream.rangeClosed(1, nodes).filter(node -> (node - 1) % halls == which - 1).boxed()
+                return IntStream.rangeClosed(1, nodes)
+                        .filter(node -> (node - 1) % halls == which - 1)
+                        .boxed()
                         .toList();
             }
             return IntStream.rangeClosed(1, nodes).boxed().toList();
@@ -340,8 +427,10 @@
 
         @Override
         public Void visitExpect(DayParser.ExpectContext it) {
-            expectations.add(new Day.Expectation(it.WORD().getText(),
-                    number(it.NUMBER().getSymbol(), 0, 100, "the service") / 100));
+            expectations.add(
+                    new Day.Expectation(
+                            it.WORD().getText(),
+                            number(it.NUMBER().getSymbol(), 0, 100, "the service") / 100));
             return null;
         }
     }
--- a/src/main/java/sagepulley/drill/Drill.java
+++ b/src/main/java/sagepulley/drill/Drill.java
@@ -25,14 +25,23 @@
 import sagepulley.standin.NodeTraits;
 import sagepulley.standin.StandInNode;
 
-/** Plays a scripted day through real gateways on loopback and judges it by what passed on the sockets. */
+/**
+ * Plays a scripted day through real gateways on loopback and judges it by what passed on the
+ * sockets.
+ */
 public final class Drill {
     private static final Logger LOG = LoggerFactory.getLogger(Drill.class);
     private static final long END_WAIT_MS = 30_000;
 
     /** What a day came to. */
-    public record Result(String day, List<Verdict> verdicts, Map<String, Double> service, List<String> unmet,
-                         long requests, long attempts, double stoodStill) {
+    public record Result(
+            String day,
+            List<Verdict> verdicts,
+            Map<String, Double> service,
+            List<String> unmet,
+            long requests,
+            long attempts,
+            double stoodStill) {
         /** Whether every rule and promise was kept, and every expectation met. */
         public boolean good() {
             return unmet.isEmpty() && verdicts.stream().allMatch(Verdict::kept);
@@ -42,8 +51,7 @@
     /** Opens a gateway; tests put a broken one in its place. */
     public interface Opener {
         /** A running gateway: where clients connect, its end as by a kill, and its accounts. */
-        record Opened(InetSocketAddress address, Runnable kill, Supplier<GatewayBook> accounts) {
-        }
+        record Opened(InetSocketAddress address, Runnable kill, Supplier<GatewayBook> accounts) {}
 
         Opened open(Site site, long seed);
     }
@@ -56,21 +64,27 @@
     private final List<Loader.Door> doors = new ArrayList<>();
     private final List<Opener.Opened> gateways = new CopyOnWriteArrayList<>();
     private final List<Notebook.Life> lives = new CopyOnWriteArrayList<>();
-    private final ScheduledExecutorService script = Executors.newSingleThreadScheduledExecutor(task -> {
-        Thread thread = new Thread(task, "script");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ScheduledExecutorService script =
+            Executors.newSingleThreadScheduledExecutor(
+                    task -> {
+                        Thread thread = new Thread(task, "script");
+                        thread.setDaemon(true);
+                        return thread;
+                    });
     private final List<GatewayBook> books = new ArrayList<>();
     private Town town;
     private final AtomicLong seeds;
 
     public Drill(Day day) {
-        this(day, (site, seed) -> {
-            Gateway gateway = Town.await(new Gateway(site, seed).start());
-            return new Opener.Opened(gateway.address(), () -> Town.await(gateway.kill()),
-                    () -> Town.await(gateway.writtenBook()));
-        });
+        this(
+                day,
+                (site, seed) -> {
+                    Gateway gateway = Town.await(new Gateway(site, seed).start());
+                    return new Opener.Opened(
+                            gateway.address(),
+                            () -> Town.await(gateway.kill()),
+                            () -> Town.await(gateway.writtenBook()));
+                });
     }
 
     public Drill(Day day, Opener opener) {
@@ -86,12 +100,28 @@
         var rules = first.deployment().rules();
         Day.Nodes nodes = day.nodes();
         for (int i = 1; i <= nodes.count(); i++) {
-            traits.add(new NodeTraits(i, i, (i - 1) % nodes.halls(), 0, nodes.slots(), nodes.readCost(),
-                    nodes.writeCost(), nodes.queue(), first.extentBytes(), rules.coldShare(), rules.coldTime(),
-                    rules.fallMultiple(), rules.fallTime(), rules.coldUnits(), nodes.deferredShare(),
-                    nodes.deferEvery(), null));
+            traits.add(
+                    new NodeTraits(
+                            i,
+                            i,
+                            (i - 1) % nodes.halls(),
+                            0,
+                            nodes.slots(),
+                            nodes.readCost(),
+                            nodes.writeCost(),
+                            nodes.queue(),
+                            first.extentBytes(),
+                            rules.coldShare(),
+                            rules.coldTime(),
+                            rules.fallMultiple(),
+                            rules.fallTime(),
+                            rules.coldUnits(),
+                            nodes.deferredShare(),
+                            nodes.deferEvery(),
+                            null));
         }
-        try (Metronome machine = new Metronome(); Town all = Town.start(traits, notes, 3)) {
+        try (Metronome machine = new Metronome();
+                Town all = Town.start(traits, notes, 3)) {
             town = all;
             machine.watch(all.loops());
             for (int i = 0; i < day.gateways(); i++) {
@@ -101,28 +131,61 @@
                 open(i);
             }
             for (Day.Load load : day.loads()) {
-                VolumeLine volume = first.volumes().stream().filter(one -> one.name().equals(load.volume()))
-                        .findFirst().orElseThrow(() -> new SiteError("load " + load.name() + ": no volume is called "
-                                + load.volume()));
-                loaders.add(new Loader(load, first, volume, doors, notes, ledger, all.loops(),
-                        day.seed() * 31 + loaders.size()));
+                VolumeLine volume =
+                        first.volumes().stream()
+                                .filter(one -> one.name().equals(load.volume()))
+                                .findFirst()
+                                .orElseThrow(
+                                        () ->
+                                                new SiteError(
+                                                        "load "
+                                                                + load.name()
+                                                                + ": no volume is called "
+                                                                + load.volume()));
+                loaders.add(
+                        new Loader(
+                                load,
+                                first,
+                                volume,
+                                doors,
+                                notes,
+                                ledger,
+                                all.loops(),
+                                day.seed() * 31 + loaders.size()));
             }
             play();
             synchronized (notes) {
                 Judge judge = new Judge(notes, first, traits, machine.stoodStill());
                 List<Verdict> verdicts = new ArrayList<>(judge.verdicts());
-                verdicts.add(new Verdict("reads show the last acknowledged write", ledger.breaches().isEmpty(),
-                        ledger.checked() + " blocks read", "all of them", ledger.breaches()));
+                verdicts.add(
+                        new Verdict(
+                                "reads show the last acknowledged write",
+                                ledger.breaches().isEmpty(),
+                                ledger.checked() + " blocks read",
+                                "all of them",
+                                ledger.breaches()));
                 Map<String, Double> service = judge.service();
                 List<String> unmet = new ArrayList<>();
                 for (Day.Expectation wanted : day.expectations()) {
                     double got = service.getOrDefault(wanted.volume(), 0.0);
                     if (!(got > wanted.over())) {
-                        unmet.add("service of " + wanted.volume() + " is " + Math.round(100 * got) + " %, expected over "
-                                + Math.round(100 * wanted.over()) + " %");
+                        unmet.add(
+                                "service of "
+                                        + wanted.volume()
+                                        + " is "
+                                        + Math.round(100 * got)
+                                        + " %, expected over "
+                                        + Math.round(100 * wanted.over())
+                                        + " %");
                     }
                 }
-                return new Result(day.name(), verdicts, service, unmet, notes.asked.size(), notes.came.size(),
+                return new Result(
+                        day.name(),
+                        verdicts,
+                        service,
+                        unmet,
+                        notes.asked.size(),
+                        notes.came.size(),
                         machine.stoodStill());
             }
         } finally {
@@ -144,7 +207,8 @@
         over.join();
         loaders.forEach(Loader::stop);
         long until = System.nanoTime() + END_WAIT_MS * 1_000_000;
-        while (loaders.stream().anyMatch(loader -> loader.open() > 0) && System.nanoTime() < until) {
+        while (loaders.stream().anyMatch(loader -> loader.open() > 0)
+                && System.nanoTime() < until) {
             try {
                 Thread.sleep(10);
             } catch (InterruptedException e) {
@@ -180,13 +244,18 @@
         String text = Town.demoSite("gw-" + index, index, day.gateways(), 0, directory);
         if (!day.site().isBlank()) {
             // The script's own sections stand in place of the demo's; who the gateway is stays.
-            text = text.substring(0, text.indexOf("[site]")).replace("zone = hall-a\n", "") + day.site();
+            text =
+                    text.substring(0, text.indexOf("[site]")).replace("zone = hall-a\n", "")
+                            + day.site();
         }
         return Site.read(day.name(), text);
     }
 
     private void begin(Day.Event event) {
-        LOG.atInfo().addKeyValue("fault", event.fault()).addKeyValue("whom", event.whom()).log("fault begins");
+        LOG.atInfo()
+                .addKeyValue("fault", event.fault())
+                .addKeyValue("whom", event.whom())
+                .log("fault begins");
         try {
             switch (event.fault()) {
                 case DIRECTORY_SILENT -> town.directory().silent(true);
@@ -204,7 +273,10 @@
     }
 
     private void finish(Day.Event event) {
-        LOG.atInfo().addKeyValue("fault", event.fault()).addKeyValue("whom", event.whom()).log("fault ends");
+        LOG.atInfo()
+                .addKeyValue("fault", event.fault())
+                .addKeyValue("whom", event.whom())
+                .log("fault ends");
         try {
             switch (event.fault()) {
                 case DIRECTORY_SILENT -> town.directory().silent(false);
@@ -213,7 +285,8 @@
                 case DIRECTORY_SLOW -> town.directory().slow(0);
                 case DIRECTORY_DOWN -> Town.await(town.directory().restart());
                 // It may take until a directory is back: the script goes on meanwhile.
-                case GATEWAY_KILLED -> CompletableFuture.runAsync(() -> reopen(event.whom().get(0) - 1));
+                case GATEWAY_KILLED ->
+                        CompletableFuture.runAsync(() -> reopen(event.whom().get(0) - 1));
                 case SURGE -> surge(event, 1);
                 default -> nodes(event).forEach(node -> finish(event, node));
             }
@@ -235,7 +308,8 @@
     }
 
     private void surge(Day.Event event, double times) {
-        loaders.stream().filter(loader -> loader.load().name().equals(event.load()))
+        loaders.stream()
+                .filter(loader -> loader.load().name().equals(event.load()))
                 .forEach(loader -> loader.surge(times));
     }
 
@@ -286,7 +360,7 @@
             case LOSING -> node.faults().losing = 0;
             case ERRING -> node.faults().erring = 0;
             case GONE -> town.restartCold(node);
-            default -> { } // over at once, or for good
+            default -> {} // over at once, or for good
         }
     }
 
--- a/src/main/java/sagepulley/drill/Judge.java
+++ b/src/main/java/sagepulley/drill/Judge.java
@@ -19,16 +19,16 @@
 import sagepulley.store.StoreWire;
 
 /**
- * Works out how the seven rules were kept (WIRE 9) from what was noted at the sockets alone. Where a time is
- * judged that was taken at another socket, the way between and what the machine stood still is allowed for.
+ * Works out how the seven rules were kept (WIRE 9) from what was noted at the sockets alone. Where
+ * a time is judged that was taken at another socket, the way between and what the machine stood
+ * still is allowed for.
  */
 public final class Judge {
     private static final double NS = 1e6;
     private static final double WAY_MS = 60;
     private static final int BREACHES = 5;
 
-    private record Op(long gateway, long mark) {
-    }
+    private record Op(long gateway, long mark) {}
 
     private final Notebook notes;
     private final Site site;
@@ -45,13 +45,18 @@
         this.traits = traits;
         this.allowance = WAY_MS + still;
         for (Notebook.Came came : notes.came) {
-            attempts.computeIfAbsent(new Op(came.gateway(), came.send().mark()), any -> new ArrayList<>()).add(came);
+            attempts.computeIfAbsent(
+                            new Op(came.gateway(), came.send().mark()), any -> new ArrayList<>())
+                    .add(came);
         }
         for (Notebook.Answered answer : notes.answered) {
-            answers.computeIfAbsent(new Op(answer.gateway(), answer.mark()), any -> new ArrayList<>()).add(answer);
+            answers.computeIfAbsent(
+                            new Op(answer.gateway(), answer.mark()), any -> new ArrayList<>())
+                    .add(answer);
         }
         for (Notebook.CalledOff off : notes.calledOff) {
-            callsOff.computeIfAbsent(new Op(off.gateway(), off.mark()), any -> new ArrayList<>()).add(off);
+            callsOff.computeIfAbsent(new Op(off.gateway(), off.mark()), any -> new ArrayList<>())
+                    .add(off);
         }
     }
 
@@ -86,8 +91,10 @@
         for (Notebook.Asked asked : notes.asked) {
             double patience = site.deployment().bands().get(asked.band).patience();
             for (long extent = asked.offset / site.extentBytes();
-                    extent <= (asked.offset + asked.length - 1) / site.extentBytes(); extent++) {
-                byExtent.computeIfAbsent(key(asked.gateway, asked.volume, extent), any -> new ArrayList<>())
+                    extent <= (asked.offset + asked.length - 1) / site.extentBytes();
+                    extent++) {
+                byExtent.computeIfAbsent(
+                                key(asked.gateway, asked.volume, extent), any -> new ArrayList<>())
                         .add(asked);
             }
             if (asked.cut) {
@@ -96,7 +103,12 @@
             owed++;
             double took = (asked.ended - asked.sent) / NS;
             if (asked.replies != 1) {
-                findings.breach(asked.replies + " final answers to a " + asked.kind + " at " + asked.offset);
+                findings.breach(
+                        asked.replies
+                                + " final answers to a "
+                                + asked.kind
+                                + " at "
+                                + asked.offset);
             } else {
                 least = Math.min(least, patience - took);
                 if (took > patience + site.deployment().rules().answerGrace() + allowance) {
@@ -110,17 +122,36 @@
                 continue;
             }
             long at = send.extent() * site.extentBytes() + send.offset();
-            boolean open = byExtent.getOrDefault(key(came.gateway(), send.volume(), send.extent()), List.of())
-                    .stream().anyMatch(asked -> asked.kind == send.kind() && asked.offset < at + send.length()
-                            && at < asked.offset + asked.length && asked.sent <= came.at()
-                            && (asked.replies == 0 || came.at() <= asked.ended + allowance * NS));
+            boolean open =
+                    byExtent
+                            .getOrDefault(
+                                    key(came.gateway(), send.volume(), send.extent()), List.of())
+                            .stream()
+                            .anyMatch(
+                                    asked ->
+                                            asked.kind == send.kind()
+                                                    && asked.offset < at + send.length()
+                                                    && at < asked.offset + asked.length
+                                                    && asked.sent <= came.at()
+                                                    && (asked.replies == 0
+                                                            || came.at()
+                                                                    <= asked.ended
+                                                                            + allowance * NS));
             if (!open) {
-                findings.breach("hop " + send.number() + " of operation " + send.mark() + " came to node "
-                        + came.node() + " with nobody waiting for it");
+                findings.breach(
+                        "hop "
+                                + send.number()
+                                + " of operation "
+                                + send.mark()
+                                + " came to node "
+                                + came.node()
+                                + " with nobody waiting for it");
             }
         }
-        return findings.verdict("1 one final answer, in time", owed + " owed, at least " + round(least)
-                + " ms of patience left", "0 ms");
+        return findings.verdict(
+                "1 one final answer, in time",
+                owed + " owed, at least " + round(least) + " ms of patience left",
+                "0 ms");
     }
 
     private static String key(long gateway, int volume, long extent) {
@@ -136,8 +167,14 @@
             Op op = new Op(ran.gateway(), ran.send().mark());
             int count = runs.merge(op, 1, Integer::sum);
             if (count > 1 && band(ran.send()).repeat() != Band.Repeat.IDEMPOTENT) {
-                findings.breach("operation " + op.mark() + " of band " + band(ran.send()).name() + " ran "
-                        + count + " times");
+                findings.breach(
+                        "operation "
+                                + op.mark()
+                                + " of band "
+                                + band(ran.send()).name()
+                                + " ran "
+                                + count
+                                + " times");
             }
         }
         int further = 0;
@@ -148,40 +185,63 @@
                 again(findings, entry.getKey(), sent.get(i - 1), sent.get(i));
             }
         }
-        return findings.verdict("2 no effect twice", further + " further hops", "each allowed by its band");
+        return findings.verdict(
+                "2 no effect twice", further + " further hops", "each allowed by its band");
     }
 
     private void again(Findings findings, Op op, Notebook.Came before, Notebook.Came came) {
         Band band = band(came.send());
         Notebook.Answered answer = answerTo(op, before.send().number());
-        boolean neverRan = answer != null && !answer.lost() && answer.at() <= came.at()
-                && answer.code() != StoreWire.Code.SATISFIED && answer.code() != StoreWire.Code.FAULT
-                && answer.code() != StoreWire.Code.CALLED_OFF;
+        boolean neverRan =
+                answer != null
+                        && !answer.lost()
+                        && answer.at() <= came.at()
+                        && answer.code() != StoreWire.Code.SATISFIED
+                        && answer.code() != StoreWire.Code.FAULT
+                        && answer.code() != StoreWire.Code.CALLED_OFF;
         if (neverRan) {
             return;
         }
         if (band.repeat() == Band.Repeat.UNREPEATABLE) {
-            findings.breach("unrepeatable operation " + op.mark() + " was sent again though it may have run");
-        } else if (band.repeat() == Band.Repeat.DEDUPLICATED && band.group() == Band.Group.CELL
+            findings.breach(
+                    "unrepeatable operation "
+                            + op.mark()
+                            + " was sent again though it may have run");
+        } else if (band.repeat() == Band.Repeat.DEDUPLICATED
+                && band.group() == Band.Group.CELL
                 && before.node() != came.node()) {
             findings.breach("deduplicated operation " + op.mark() + " was sent to another cell");
         }
-        boolean over = answer != null && answer.at() <= came.at() + allowance * NS
-                || callsOff.getOrDefault(op, List.of()).stream().anyMatch(off ->
-                        off.number() == before.send().number() && off.at() <= came.at() + allowance * NS)
-                || linkEnded(before, came.at());
+        boolean over =
+                answer != null && answer.at() <= came.at() + allowance * NS
+                        || callsOff.getOrDefault(op, List.of()).stream()
+                                .anyMatch(
+                                        off ->
+                                                off.number() == before.send().number()
+                                                        && off.at() <= came.at() + allowance * NS)
+                        || linkEnded(before, came.at());
         if (!over && !site.deployment().rules().secondCopies()) {
             findings.breach("two hops of operation " + op.mark() + " were out at once");
         }
     }
 
-    /** Whether the node of an attempt, before a time, started anew; a cut link shows as an attempt never answered. */
+    /**
+     * Whether the node of an attempt, before a time, started anew; a cut link shows as an attempt
+     * never answered.
+     */
     private boolean linkEnded(Notebook.Came attempt, long until) {
         for (Notebook.Came other : notes.came) {
-            if (other.node() == attempt.node() && other.gateway() == attempt.gateway() && other.at() > until) {
-                // The node was still read from by this gateway later, and never heard of a calling off.
-                return notes.started.stream().anyMatch(start -> start.node() == attempt.node()
-                        && start.at() > attempt.at() && start.at() < other.at());
+            if (other.node() == attempt.node()
+                    && other.gateway() == attempt.gateway()
+                    && other.at() > until) {
+                // The node was still read from by this gateway later, and never heard of a calling
+                // off.
+                return notes.started.stream()
+                        .anyMatch(
+                                start ->
+                                        start.node() == attempt.node()
+                                                && start.at() > attempt.at()
+                                                && start.at() < other.at());
             }
         }
         return true;
@@ -214,7 +274,8 @@
         double grace = site.deployment().rules().drainGrace();
         for (Object[] one : all) {
             if (one[1] instanceof Notebook.Told told) {
-                Map<Integer, Long> gone = toldAt.computeIfAbsent(told.gateway(), any -> new HashMap<>());
+                Map<Integer, Long> gone =
+                        toldAt.computeIfAbsent(told.gateway(), any -> new HashMap<>());
                 Set<Integer> nodes = known.computeIfAbsent(told.gateway(), any -> new HashSet<>());
                 Set<Integer> listed = new HashSet<>();
                 for (DirectoryWire.Line line : told.lines()) {
@@ -227,7 +288,8 @@
                     }
                 }
                 if (told.whole()) {
-                    nodes.stream().filter(node -> !listed.contains(node))
+                    nodes.stream()
+                            .filter(node -> !listed.contains(node))
                             .forEach(node -> gone.putIfAbsent(node, told.at()));
                 }
             } else if (one[1] instanceof Notebook.Came came) {
@@ -236,14 +298,22 @@
                     double after = (came.at() - since) / NS;
                     latest = Math.max(latest, after);
                     if (after > grace + allowance) {
-                        findings.breach("node " + came.node() + " was sent to " + round(after)
-                                + " ms after its drain was told");
+                        findings.breach(
+                                "node "
+                                        + came.node()
+                                        + " was sent to "
+                                        + round(after)
+                                        + " ms after its drain was told");
                     }
                 }
             }
         }
-        return findings.verdict("3 drains kept", latest == Double.NEGATIVE_INFINITY ? "nothing sent after"
-                : "last " + round(latest) + " ms after", round(grace) + " ms");
+        return findings.verdict(
+                "3 drains kept",
+                latest == Double.NEGATIVE_INFINITY
+                        ? "nothing sent after"
+                        : "last " + round(latest) + " ms after",
+                round(grace) + " ms");
     }
 
     // ---- 4: cold nodes ----
@@ -256,7 +326,11 @@
             if (Double.isNaN(start.unitsPerSecond()) || Double.isInfinite(start.unitsPerSecond())) {
                 continue;
             }
-            NodeTraits node = traits.stream().filter(one -> one.id() == start.node()).findFirst().orElseThrow();
+            NodeTraits node =
+                    traits.stream()
+                            .filter(one -> one.id() == start.node())
+                            .findFirst()
+                            .orElseThrow();
             ArrayDeque<Notebook.Came> window = new ArrayDeque<>();
             double units = 0;
             for (Notebook.Came came : notes.came) {
@@ -269,16 +343,27 @@
                 while ((came.at() - window.peek().at()) / NS > rules.fallTime()) {
                     units -= window.poll().send().units();
                 }
-                double warm = Math.min(1, node.coldShare() + (1 - node.coldShare()) * age / node.coldTime());
-                double borne = Math.max(rules.coldUnits(),
-                        rules.fallMultiple() * warm * start.unitsPerSecond() * rules.fallTime() / 1000);
+                double warm =
+                        Math.min(
+                                1,
+                                node.coldShare() + (1 - node.coldShare()) * age / node.coldTime());
+                double borne =
+                        Math.max(
+                                rules.coldUnits(),
+                                rules.fallMultiple()
+                                        * warm
+                                        * start.unitsPerSecond()
+                                        * rules.fallTime()
+                                        / 1000);
                 most = Math.max(most, units / borne);
             }
         }
         for (Notebook.Fell fell : notes.fell) {
             findings.breach("node " + fell.node() + " was pushed over");
         }
-        return findings.verdict("4 no cold node pushed over", "at most " + round(100 * most) + " % of what it bears",
+        return findings.verdict(
+                "4 no cold node pushed over",
+                "at most " + round(100 * most) + " % of what it bears",
                 "100 %");
     }
 
@@ -292,8 +377,10 @@
             StoreWire.Send send = entry.getValue().get(0).send();
             if (band(send).inOrder()) {
                 ordered++;
-                byKey.computeIfAbsent(key(entry.getKey().gateway(), send.volume(), send.extent()),
-                        any -> new ArrayList<>()).add(entry.getKey());
+                byKey.computeIfAbsent(
+                                key(entry.getKey().gateway(), send.volume(), send.extent()),
+                                any -> new ArrayList<>())
+                        .add(entry.getKey());
             }
         }
         for (List<Op> ops : byKey.values()) {
@@ -302,17 +389,24 @@
                 Notebook.Came first = attempts.get(ops.get(i)).get(0);
                 for (Notebook.Came earlier : attempts.get(ops.get(i - 1))) {
                     Notebook.Answered answer = answerTo(ops.get(i - 1), earlier.send().number());
-                    boolean ended = answer != null && answer.at() <= first.at()
-                            || callsOff.getOrDefault(ops.get(i - 1), List.of()).stream()
-                                    .anyMatch(off -> off.at() <= first.at());
+                    boolean ended =
+                            answer != null && answer.at() <= first.at()
+                                    || callsOff.getOrDefault(ops.get(i - 1), List.of()).stream()
+                                            .anyMatch(off -> off.at() <= first.at());
                     if (earlier.at() > first.at() || !ended && !linkEnded(earlier, first.at())) {
-                        findings.breach("operation " + ops.get(i).mark() + " was sent before operation "
-                                + ops.get(i - 1).mark() + " of the same key was over");
+                        findings.breach(
+                                "operation "
+                                        + ops.get(i).mark()
+                                        + " was sent before operation "
+                                        + ops.get(i - 1).mark()
+                                        + " of the same key was over");
                     }
                 }
             }
         }
-        return findings.verdict("5 order kept", ordered == 0 ? "no band asks for it" : ordered + " in order",
+        return findings.verdict(
+                "5 order kept",
+                ordered == 0 ? "no band asks for it" : ordered + " in order",
                 "one at a time");
     }
 
@@ -327,31 +421,53 @@
                 List<Long> taken = new ArrayList<>();
                 for (Notebook.Asked asked : notes.asked) {
                     if (asked.gateway == life.gateway) {
-                        long parts = (asked.offset + asked.length - 1) / site.extentBytes()
-                                - asked.offset / site.extentBytes() + 1;
+                        long parts =
+                                (asked.offset + asked.length - 1) / site.extentBytes()
+                                        - asked.offset / site.extentBytes()
+                                        + 1;
                         for (long i = 0; i < parts; i++) {
                             taken.add(asked.sent);
                         }
                     }
                 }
-                List<Long> further = notes.came.stream().filter(came -> came.gateway() == life.gateway
-                        && came.send().number() > 0).map(Notebook.Came::at).sorted().toList();
+                List<Long> further =
+                        notes.came.stream()
+                                .filter(
+                                        came ->
+                                                came.gateway() == life.gateway
+                                                        && came.send().number() > 0)
+                                .map(Notebook.Came::at)
+                                .sorted()
+                                .toList();
                 double window = (rules.budgetWindow() + allowance) * NS;
                 for (long at : further) {
-                    long attemptsIn = further.stream().filter(one -> one <= at && one > at - rules.budgetWindow() * NS)
-                            .count();
-                    long takenIn = taken.stream().filter(one -> one <= at && one > at - window).count();
+                    long attemptsIn =
+                            further.stream()
+                                    .filter(
+                                            one ->
+                                                    one <= at
+                                                            && one > at - rules.budgetWindow() * NS)
+                                    .count();
+                    long takenIn =
+                            taken.stream().filter(one -> one <= at && one > at - window).count();
                     double allowed = rules.budgetFree() + rules.budgetShare() * takenIn;
                     most = Math.max(most, attemptsIn / Math.max(1e-9, allowed));
                     if (attemptsIn > allowed) {
-                        findings.breach("gateway " + life.index + " sent " + attemptsIn + " further hops, allowed "
-                                + round(allowed));
+                        findings.breach(
+                                "gateway "
+                                        + life.index
+                                        + " sent "
+                                        + attemptsIn
+                                        + " further hops, allowed "
+                                        + round(allowed));
                     }
                 }
             }
         }
-        return findings.verdict("6 budget kept", rules.hasBudget() ? "at most " + round(100 * most) + " % of it"
-                : "none is stated", "100 %");
+        return findings.verdict(
+                "6 budget kept",
+                rules.hasBudget() ? "at most " + round(100 * most) + " % of it" : "none is stated",
+                "100 %");
     }
 
     // ---- 7: limits ----
@@ -371,25 +487,39 @@
                     continue;
                 }
                 if (last != Long.MIN_VALUE) {
-                    level = Math.min(plan.limitBurst(), level + plan.limit() * (came.at() - last) / NS / 1000);
+                    level =
+                            Math.min(
+                                    plan.limitBurst(),
+                                    level + plan.limit() * (came.at() - last) / NS / 1000);
                 }
                 last = came.at();
                 level -= came.send().units();
                 least = Math.min(least, level);
                 // Two attempts that left apart may arrive together.
                 if (level < -plan.limitSlack() - plan.limit() * allowance / 1000) {
-                    findings.breach("volume " + volume.name() + " is " + round(-level) + " units past its limit");
+                    findings.breach(
+                            "volume "
+                                    + volume.name()
+                                    + " is "
+                                    + round(-level)
+                                    + " units past its limit");
                 }
             }
         }
-        return findings.verdict("7 limits kept", least == Double.POSITIVE_INFINITY ? "no volume has one"
-                : "never under " + round(least) + " units", "-slack");
+        return findings.verdict(
+                "7 limits kept",
+                least == Double.POSITIVE_INFINITY
+                        ? "no volume has one"
+                        : "never under " + round(least) + " units",
+                "-slack");
     }
 
     private boolean moot(Notebook.Came came) {
-        Notebook.Answered answer = answerTo(new Op(came.gateway(), came.send().mark()), came.send().number());
-        return answer != null && (answer.code() == StoreWire.Code.MOOT
-                || answer.code() == StoreWire.Code.STALE_PEN);
+        Notebook.Answered answer =
+                answerTo(new Op(came.gateway(), came.send().mark()), came.send().number());
+        return answer != null
+                && (answer.code() == StoreWire.Code.MOOT
+                        || answer.code() == StoreWire.Code.STALE_PEN);
     }
 
     // ---- service ----
@@ -405,8 +535,12 @@
                     Band band = site.deployment().bands().get(asked.band);
                     due += band.utility();
                     boolean good = asked.replies == 1 && asked.error == 0;
-                    got += !good ? 0 : (asked.ended - asked.sent) / NS <= band.targetTime() ? band.utility()
-                            : band.utility() * band.lateShare();
+                    got +=
+                            !good
+                                    ? 0
+                                    : (asked.ended - asked.sent) / NS <= band.targetTime()
+                                            ? band.utility()
+                                            : band.utility() * band.lateShare();
                 }
             }
             if (due > 0) {
@@ -417,6 +551,8 @@
     }
 
     private static String round(double value) {
-        return value == Double.POSITIVE_INFINITY ? "all" : String.valueOf(Math.round(value * 10) / 10.0);
+        return value == Double.POSITIVE_INFINITY
+                ? "all"
+                : String.valueOf(Math.round(value * 10) / 10.0);
     }
 }
--- a/src/main/java/sagepulley/drill/Ledger.java
+++ b/src/main/java/sagepulley/drill/Ledger.java
@@ -8,9 +8,9 @@
 import java.util.Map;
 
 /**
- * Knows what each block may hold. Every write fills its blocks with a stamp of its own; a read may show a
- * write only if no later one was acknowledged between that write's end and the read's begin. Used on any
- * thread.
+ * Knows what each block may hold. Every write fills its blocks with a stamp of its own; a read may
+ * show a write only if no later one was acknowledged between that write's end and the read's begin.
+ * Used on any thread.
  */
 public final class Ledger {
     static final int BLOCK = 4096;
@@ -34,8 +34,7 @@
         }
     }
 
-    private record Place(int volume, long block) {
-    }
+    private record Place(int volume, long block) {}
 
     private final Map<Place, List<Write>> writes = new HashMap<>();
     private final List<String> breaches = new ArrayList<>();
@@ -85,15 +84,29 @@
             }
         }
         if (seen == null && stamp != 0) {
-            breach("block " + block + " of volume " + volume + " holds what was never written there");
+            breach(
+                    "block "
+                            + block
+                            + " of volume "
+                            + volume
+                            + " holds what was never written there");
             return;
         }
         long seenEnd = seen == null ? Long.MIN_VALUE : seen.end;
         for (Write later : all) {
             if (later.acknowledged && later.begin > seenEnd && later.end < begin) {
-                breach("block " + block + " of volume " + volume + " shows "
-                        + (seen == null ? "nothing" : "write " + stamp) + " though write " + later.stamp
-                        + " was acknowledged after it, " + (begin - later.end) / 1_000_000 + " ms before the read");
+                breach(
+                        "block "
+                                + block
+                                + " of volume "
+                                + volume
+                                + " shows "
+                                + (seen == null ? "nothing" : "write " + stamp)
+                                + " though write "
+                                + later.stamp
+                                + " was acknowledged after it, "
+                                + (begin - later.end) / 1_000_000
+                                + " ms before the read");
                 return;
             }
         }
--- a/src/main/java/sagepulley/drill/Loader.java
+++ b/src/main/java/sagepulley/drill/Loader.java
@@ -17,7 +17,9 @@
 import sagepulley.store.StoreWire;
 import sagepulley.wire.Loops;
 
-/** One load of a day: requests at times of their own, over connections that come back after a cut. */
+/**
+ * One load of a day: requests at times of their own, over connections that come back after a cut.
+ */
 final class Loader {
     private static final long AGAIN_MS = 50;
 
@@ -51,8 +53,15 @@
     private volatile boolean stopped;
     private long nextAt;
 
-    Loader(Day.Load load, Site site, VolumeLine volume, List<Door> doors, Notebook notes, Ledger ledger,
-           EventLoopGroup group, long seed) {
+    Loader(
+            Day.Load load,
+            Site site,
+            VolumeLine volume,
+            List<Door> doors,
+            Notebook notes,
+            Ledger ledger,
+            EventLoopGroup group,
+            long seed) {
         this.load = load;
         this.site = site;
         this.volume = volume;
@@ -85,11 +94,12 @@
     }
 
     void start(long dayStart) {
-        loop.execute(() -> {
-            wires.forEach(this::connect);
-            nextAt = dayStart + (long) (load.from() * 1e6);
-            plan(dayStart + (long) (load.to() * 1e6));
-        });
+        loop.execute(
+                () -> {
+                    wires.forEach(this::connect);
+                    nextAt = dayStart + (long) (load.from() * 1e6);
+                    plan(dayStart + (long) (load.to() * 1e6));
+                });
     }
 
     void stop() {
@@ -98,11 +108,14 @@
 
     void close() {
         stopped = true;
-        loop.execute(() -> wires.forEach(wire -> {
-            if (wire.client != null) {
-                wire.client.channel().close();
-            }
-        }));
+        loop.execute(
+                () ->
+                        wires.forEach(
+                                wire -> {
+                                    if (wire.client != null) {
+                                        wire.client.channel().close();
+                                    }
+                                }));
     }
 
     private void connect(Wire wire) {
@@ -116,18 +129,28 @@
             return;
         }
         NbdClient.open(group, Loops.socket(), address, volume.name(), NbdClient.Style.GO)
-                .whenComplete((client, failure) -> loop.execute(() -> {
-                    if (failure != null) {
-                        loop.schedule(() -> connect(wire), AGAIN_MS, TimeUnit.MILLISECONDS);
-                        return;
-                    }
-                    wire.client = client;
-                    wire.gateway = gateway;
-                    client.closed().thenRun(() -> loop.execute(() -> {
-                        wire.client = null;
-                        connect(wire);
-                    }));
-                }));
+                .whenComplete(
+                        (client, failure) ->
+                                loop.execute(
+                                        () -> {
+                                            if (failure != null) {
+                                                loop.schedule(
+                                                        () -> connect(wire),
+                                                        AGAIN_MS,
+                                                        TimeUnit.MILLISECONDS);
+                                                return;
+                                            }
+                                            wire.client = client;
+                                            wire.gateway = gateway;
+                                            client.closed()
+                                                    .thenRun(
+                                                            () ->
+                                                                    loop.execute(
+                                                                            () -> {
+                                                                                wire.client = null;
+                                                                                connect(wire);
+                                                                            }));
+                                        }));
     }
 
     private void plan(long end) {
@@ -135,16 +158,21 @@
             return;
         }
         long wait = Math.max(0, nextAt - System.nanoTime());
-        loop.schedule(() -> {
-            while (!stopped && nextAt <= System.nanoTime() && nextAt < end) {
-                if (factor > 0) {
-                    ask();
-                }
-                double gap = -Math.log(1 - chance.nextDouble()) / (load.perSecond() * Math.max(factor, 0.01));
-                nextAt += (long) (gap * 1e9);
-            }
-            plan(end);
-        }, wait, TimeUnit.NANOSECONDS);
+        loop.schedule(
+                () -> {
+                    while (!stopped && nextAt <= System.nanoTime() && nextAt < end) {
+                        if (factor > 0) {
+                            ask();
+                        }
+                        double gap =
+                                -Math.log(1 - chance.nextDouble())
+                                        / (load.perSecond() * Math.max(factor, 0.01));
+                        nextAt += (long) (gap * 1e9);
+                    }
+                    plan(end);
+                },
+                wait,
+                TimeUnit.NANOSECONDS);
     }
 
     private void ask() {
@@ -158,15 +186,25 @@
         long offset = chance.nextLong(places) * load.bytes();
         boolean reads = chance.nextDouble() < load.reads();
         StoreWire.Kind kind = reads ? StoreWire.Kind.READ : StoreWire.Kind.WRITE;
-        int band = !reads ? volume.writeBand() : load.bytes() >= volume.bulkFrom() ? volume.bulkBand()
-                : volume.readBand();
+        int band =
+                !reads
+                        ? volume.writeBand()
+                        : load.bytes() >= volume.bulkFrom() ? volume.bulkBand() : volume.readBand();
         long now = System.nanoTime();
-        Notebook.Asked asked = notes.asks(wire.gateway, volume.id(), kind, band, offset, load.bytes(), now);
+        Notebook.Asked asked =
+                notes.asks(wire.gateway, volume.id(), kind, band, offset, load.bytes(), now);
         Ledger.Write write = reads ? null : ledger.begin(volume.id(), offset, load.bytes(), now);
-        ByteBuf payload = reads ? Unpooled.EMPTY_BUFFER
-                : Ledger.payload(wire.client.channel().alloc(), write, load.bytes());
+        ByteBuf payload =
+                reads
+                        ? Unpooled.EMPTY_BUFFER
+                        : Ledger.payload(wire.client.channel().alloc(), write, load.bytes());
         open.incrementAndGet();
-        wire.client.ask(reads ? Nbd.CMD_READ : Nbd.CMD_WRITE, 0, offset, load.bytes(), payload,
+        wire.client.ask(
+                reads ? Nbd.CMD_READ : Nbd.CMD_WRITE,
+                0,
+                offset,
+                load.bytes(),
+                payload,
                 (reply, failure) -> {
                     long end = System.nanoTime();
                     asked.ended = end;
--- a/src/main/java/sagepulley/drill/Metronome.java
+++ b/src/main/java/sagepulley/drill/Metronome.java
@@ -9,13 +9,14 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Tells how long this machine, or a loop of the stand-ins and clients, stood still: beats that are due every
- * few milliseconds are noted where they come late. What is judged by the clock allows for that much, or a
- * loaded machine would be judged instead of a gateway.
+ * Tells how long this machine, or a loop of the stand-ins and clients, stood still: beats that are
+ * due every few milliseconds are noted where they come late. What is judged by the clock allows for
+ * that much, or a loaded machine would be judged instead of a gateway.
  */
 public final class Metronome implements AutoCloseable {
     private static final double BEAT = 5;
     private static final double USUAL_LATE = 2;
+
     /** What is judged takes no longer than this; stalls further apart do not add up. */
     private static final double WINDOW = 3_000;
 
@@ -54,16 +55,19 @@
     public Metronome() {
         Beat beat = new Beat();
         beats.add(beat);
-        Thread thread = new Thread(() -> {
-            while (!closed) {
-                try {
-                    Thread.sleep((long) BEAT);
-                } catch (InterruptedException e) {
-                    return;
-                }
-                beat.beats();
-            }
-        }, "metronome");
+        Thread thread =
+                new Thread(
+                        () -> {
+                            while (!closed) {
+                                try {
+                                    Thread.sleep((long) BEAT);
+                                } catch (InterruptedException e) {
+                                    return;
+                                }
+                                beat.beats();
+                            }
+                        },
+                        "metronome");
         thread.setDaemon(true);
         thread.start();
     }
@@ -80,14 +84,19 @@
 
     private void again(ScheduledExecutorService loop, Beat beat) {
         if (!closed && !loop.isShutdown()) {
-            loop.schedule(() -> {
-                beat.beats();
-                again(loop, beat);
-            }, (long) BEAT, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        beat.beats();
+                        again(loop, beat);
+                    },
+                    (long) BEAT,
+                    TimeUnit.MILLISECONDS);
         }
     }
 
-    /** The most milliseconds of standing still within any three seconds, here or on a watched loop. */
+    /**
+     * The most milliseconds of standing still within any three seconds, here or on a watched loop.
+     */
     public double stoodStill() {
         return beats.stream().mapToDouble(Beat::worst).sum();
     }
--- a/src/main/java/sagepulley/drill/Notebook.java
+++ b/src/main/java/sagepulley/drill/Notebook.java
@@ -6,36 +6,38 @@
 import sagepulley.standin.Witness;
 import sagepulley.store.StoreWire;
 
-/** What was noted at the sockets of nodes, directory and clients; the gateways' own word is not asked. */
+/**
+ * What was noted at the sockets of nodes, directory and clients; the gateways' own word is not
+ * asked.
+ */
 public final class Notebook implements Witness {
     /** An attempt at a node. */
-    public record Came(int node, long gateway, StoreWire.Send send, long at) {
-    }
+    public record Came(int node, long gateway, StoreWire.Send send, long at) {}
 
     /** An operation's work began. */
-    public record Ran(int node, long gateway, StoreWire.Send send, long at) {
-    }
+    public record Ran(int node, long gateway, StoreWire.Send send, long at) {}
 
     /** An attempt's answer, which may have been lost by a fault. */
-    public record Answered(int node, long gateway, long mark, int number, StoreWire.Code code, boolean lost,
-                           long at) {
-    }
+    public record Answered(
+            int node,
+            long gateway,
+            long mark,
+            int number,
+            StoreWire.Code code,
+            boolean lost,
+            long at) {}
 
     /** An attempt that its gateway gave up, as the node heard it. */
-    public record CalledOff(int node, long gateway, long mark, int number, long at) {
-    }
+    public record CalledOff(int node, long gateway, long mark, int number, long at) {}
 
     /** A node's start, cold if it has a capacity in units a second. */
-    public record Started(int node, double unitsPerSecond, long at) {
-    }
+    public record Started(int node, double unitsPerSecond, long at) {}
 
     /** A node ended without notice. */
-    public record Fell(int node, long at) {
-    }
+    public record Fell(int node, long at) {}
 
     /** What a gateway was told of the list. */
-    public record Told(long gateway, boolean whole, List<DirectoryWire.Line> lines, long at) {
-    }
+    public record Told(long gateway, boolean whole, List<DirectoryWire.Line> lines, long at) {}
 
     /** A gateway's life, from its opening to its kill. */
     public static final class Life {
@@ -63,10 +65,18 @@
         public volatile long ended;
         public volatile int error;
         public volatile int replies;
+
         /** Its connection ended: no answer is owed. */
         public volatile boolean cut;
 
-        Asked(long gateway, int volume, StoreWire.Kind kind, int band, long offset, int length, long sent) {
+        Asked(
+                long gateway,
+                int volume,
+                StoreWire.Kind kind,
+                int band,
+                long offset,
+                int length,
+                long sent) {
             this.gateway = gateway;
             this.volume = volume;
             this.kind = kind;
@@ -98,8 +108,14 @@
     }
 
     @Override
-    public synchronized void answered(int node, long gateway, long mark, int number, StoreWire.Code code,
-                                      boolean lost, long nanos) {
+    public synchronized void answered(
+            int node,
+            long gateway,
+            long mark,
+            int number,
+            StoreWire.Code code,
+            boolean lost,
+            long nanos) {
         answered.add(new Answered(node, gateway, mark, number, code, lost, nanos));
     }
 
@@ -119,7 +135,8 @@
     }
 
     @Override
-    public synchronized void told(long gateway, boolean whole, List<DirectoryWire.Line> lines, long nanos) {
+    public synchronized void told(
+            long gateway, boolean whole, List<DirectoryWire.Line> lines, long nanos) {
         told.add(new Told(gateway, whole, List.copyOf(lines), nanos));
     }
 
@@ -131,8 +148,14 @@
     }
 
     /** A client sends a request; the answer is noted into what is given back. */
-    public synchronized Asked asks(long gateway, int volume, StoreWire.Kind kind, int band, long offset,
-                                   int length, long nanos) {
+    public synchronized Asked asks(
+            long gateway,
+            int volume,
+            StoreWire.Kind kind,
+            int band,
+            long offset,
+            int length,
+            long nanos) {
         Asked request = new Asked(gateway, volume, kind, band, offset, length, nanos);
         asked.add(request);
         return request;
--- a/src/main/java/sagepulley/drill/SideBySide.java
+++ b/src/main/java/sagepulley/drill/SideBySide.java
@@ -26,24 +26,34 @@
 import sagepulley.wire.Loops;
 
 /**
- * Measures the way through the gateway against the way from client to node directly, by turns in one run, at
- * a fixed number of requests in flight. What counts is the ratio.
+ * Measures the way through the gateway against the way from client to node directly, by turns in
+ * one run, at a fixed number of requests in flight. What counts is the ratio.
  */
 public final class SideBySide {
     private static final int EXTENT = 1 << 20;
     private static final int EXTENTS = 48;
 
     /** One way's figures: requests a second, and times in microseconds. */
-    public record Way(double perSecond, double p50, double p99, long failed) {
-    }
+    public record Way(double perSecond, double p50, double p99, long failed) {}
 
     /** Both ways for one kind of request. */
-    public record Row(String kind, int bytes, int depth, Way direct, Way through, double heapBytes,
-                      double loopBusyMicros, double directHeapBytes, double directBusyMicros) {
-    }
+    public record Row(
+            String kind,
+            int bytes,
+            int depth,
+            Way direct,
+            Way through,
+            double heapBytes,
+            double loopBusyMicros,
+            double directHeapBytes,
+            double directBusyMicros) {}
 
     /** What the second of two gateways keeps that the first does not. */
-    public enum Kept { NEITHER, ACCOUNTS, BOTH }
+    public enum Kept {
+        NEITHER,
+        ACCOUNTS,
+        BOTH
+    }
 
     private final double seconds;
     private final int rounds;
@@ -64,9 +74,16 @@
         EventLoopGroup clients = Loops.group(1, "client-side");
         List<Row> rows = new ArrayList<>();
         try (Town town = Town.start(traits(nodes), Witness.NOBODY, 2)) {
-            Gateway gateway = town.open(Town.demoSite("gw", 0, 1, 0, town.directory().address()), 1);
-            NbdClient client = Town.await(NbdClient.open(clients, Loops.socket(), gateway.address(), "demo",
-                    NbdClient.Style.GO));
+            Gateway gateway =
+                    town.open(Town.demoSite("gw", 0, 1, 0, town.directory().address()), 1);
+            NbdClient client =
+                    Town.await(
+                            NbdClient.open(
+                                    clients,
+                                    Loops.socket(),
+                                    gateway.address(),
+                                    "demo",
+                                    NbdClient.Style.GO));
             for (int i = 0; i < EXTENTS; i++) {
                 Town.await(client.write(i * (long) EXTENT, new byte[EXTENT])).release();
             }
@@ -75,10 +92,23 @@
                 for (int bytes : sizes) {
                     for (int depth : depths) {
                         ByteBuf data = Unpooled.directBuffer(bytes).writeZero(bytes);
-                        Asker straight = (number, ended) -> direct.ask(reads, number % EXTENTS,
-                                number / EXTENTS % (EXTENT / bytes) * bytes, bytes, data, ended);
-                        rows.add(row(clients.next(), straight, through(client, reads, bytes, data), reads, bytes,
-                                depth));
+                        Asker straight =
+                                (number, ended) ->
+                                        direct.ask(
+                                                reads,
+                                                number % EXTENTS,
+                                                number / EXTENTS % (EXTENT / bytes) * bytes,
+                                                bytes,
+                                                data,
+                                                ended);
+                        rows.add(
+                                row(
+                                        clients.next(),
+                                        straight,
+                                        through(client, reads, bytes, data),
+                                        reads,
+                                        bytes,
+                                        depth));
                         data.release();
                     }
                 }
@@ -94,9 +124,15 @@
     private static Asker through(NbdClient client, boolean reads, int bytes, ByteBuf data) {
         int places = EXTENT / bytes;
         return (number, ended) -> {
-            long offset = (number % EXTENTS) * (long) EXTENT + number / EXTENTS % places * (long) bytes;
-            client.ask(reads ? Nbd.CMD_READ : Nbd.CMD_WRITE, 0, offset, bytes,
-                    reads ? Unpooled.EMPTY_BUFFER : data.retainedDuplicate(), (reply, failure) -> {
+            long offset =
+                    (number % EXTENTS) * (long) EXTENT + number / EXTENTS % places * (long) bytes;
+            client.ask(
+                    reads ? Nbd.CMD_READ : Nbd.CMD_WRITE,
+                    0,
+                    offset,
+                    bytes,
+                    reads ? Unpooled.EMPTY_BUFFER : data.retainedDuplicate(),
+                    (reply, failure) -> {
                         boolean good = failure == null && reply.error == 0;
                         if (reply != null) {
                             reply.release();
@@ -107,22 +143,37 @@
     }
 
     /**
-     * A gateway that keeps accounts, or traces too, against one that keeps neither, by turns, in place of the
-     * direct way; files go to a folder. With neither on both sides it tells what differs by itself.
+     * A gateway that keeps accounts, or traces too, against one that keeps neither, by turns, in
+     * place of the direct way; files go to a folder. With neither on both sides it tells what
+     * differs by itself.
      */
-    public List<Row> accounts(int nodes, int[] sizes, int[] depths, Kept kept, Path folder) throws SiteError {
+    public List<Row> accounts(int nodes, int[] sizes, int[] depths, Kept kept, Path folder)
+            throws SiteError {
         EventLoopGroup clients = Loops.group(1, "client-side");
         List<Row> rows = new ArrayList<>();
         try (Town town = Town.start(traits(nodes), Witness.NOBODY, 2)) {
             String site = Town.demoSite("gw", 0, 2, 0, town.directory().address());
             NbdClient[] sides = new NbdClient[2];
             for (int i = 0; i < 2; i++) {
-                String extra = i == 0 || kept == Kept.NEITHER ? "\n[accounts]\nkeep = no\n"
-                        : "\n[accounts]\nfile = " + folder.resolve("accounts")
-                        + (kept == Kept.BOTH ? "\n[traces]\nfile = " + folder.resolve("traces") : "") + "\n";
-                Gateway gateway = town.open(site.replace("name = gw", "name = gw" + i) + extra, i + 1);
-                sides[i] = Town.await(NbdClient.open(clients, Loops.socket(), gateway.address(), "demo",
-                        NbdClient.Style.GO));
+                String extra =
+                        i == 0 || kept == Kept.NEITHER
+                                ? "\n[accounts]\nkeep = no\n"
+                                : "\n[accounts]\nfile = "
+                                        + folder.resolve("accounts")
+                                        + (kept == Kept.BOTH
+                                                ? "\n[traces]\nfile = " + folder.resolve("traces")
+                                                : "")
+                                        + "\n";
+                Gateway gateway =
+                        town.open(site.replace("name = gw", "name = gw" + i) + extra, i + 1);
+                sides[i] =
+                        Town.await(
+                                NbdClient.open(
+                                        clients,
+                                        Loops.socket(),
+                                        gateway.address(),
+                                        "demo",
+                                        NbdClient.Style.GO));
             }
             for (int i = 0; i < EXTENTS; i++) {
                 Town.await(sides[0].write(i * (long) EXTENT, new byte[EXTENT])).release();
@@ -132,8 +183,14 @@
                 for (int bytes : sizes) {
                     for (int depth : depths) {
                         ByteBuf data = Unpooled.directBuffer(bytes).writeZero(bytes);
-                        rows.add(row(clients.next(), through(sides[0], reads, bytes, data),
-                                through(sides[1], reads, bytes, data), reads, bytes, depth));
+                        rows.add(
+                                row(
+                                        clients.next(),
+                                        through(sides[0], reads, bytes, data),
+                                        through(sides[1], reads, bytes, data),
+                                        reads,
+                                        bytes,
+                                        depth));
                         data.release();
                     }
                 }
@@ -151,13 +208,31 @@
         List<NodeTraits> traits = new ArrayList<>();
         for (int i = 1; i <= nodes; i++) {
             NodeTraits quick = NodeTraits.quick(i, EXTENT);
-            traits.add(new NodeTraits(i, i, 0, 0, 64, 0, 0, 4096, EXTENT, quick.coldShare(), quick.coldTime(),
-                    quick.fallMultiple(), quick.fallTime(), quick.coldUnits(), 0, 1000, null));
+            traits.add(
+                    new NodeTraits(
+                            i,
+                            i,
+                            0,
+                            0,
+                            64,
+                            0,
+                            0,
+                            4096,
+                            EXTENT,
+                            quick.coldShare(),
+                            quick.coldTime(),
+                            quick.fallMultiple(),
+                            quick.fallTime(),
+                            quick.coldUnits(),
+                            0,
+                            1000,
+                            null));
         }
         return traits;
     }
 
-    private Row row(EventLoop loop, Asker straight, Asker through, boolean reads, int bytes, int depth) {
+    private Row row(
+            EventLoop loop, Asker straight, Asker through, boolean reads, int bytes, int depth) {
         Totals a = new Totals();
         Totals b = new Totals();
         phase(loop, straight, depth, seconds / 2, new Totals());
@@ -172,8 +247,16 @@
                 totals.cpu += after[1] - before[1];
             }
         }
-        return new Row(reads ? "read" : "write", bytes, depth, a.way(), b.way(), (double) b.heap / b.ended,
-                b.cpu / 1e3 / b.ended, (double) a.heap / a.ended, a.cpu / 1e3 / a.ended);
+        return new Row(
+                reads ? "read" : "write",
+                bytes,
+                depth,
+                a.way(),
+                b.way(),
+                (double) b.heap / b.ended,
+                b.cpu / 1e3 / b.ended,
+                (double) a.heap / a.ended,
+                a.cpu / 1e3 / a.ended);
     }
 
     private static final class Totals {
@@ -185,46 +268,52 @@
         long cpu;
 
         Way way() {
-            return new Way(ended / took, times.getValueAtPercentile(50) / 1e3,
-                    times.getValueAtPercentile(99) / 1e3, failed);
+            return new Way(
+                    ended / took,
+                    times.getValueAtPercentile(50) / 1e3,
+                    times.getValueAtPercentile(99) / 1e3,
+                    failed);
         }
     }
 
     /** Keeps so many requests in flight for a while. */
     private void phase(EventLoop loop, Asker asker, int depth, double length, Totals totals) {
         CompletableFuture<Void> over = new CompletableFuture<>();
-        loop.execute(new Runnable() {
-            private final long start = System.nanoTime();
-            private final long end = start + (long) (length * 1e9);
-            private int number;
-            private int open;
+        loop.execute(
+                new Runnable() {
+                    private final long start = System.nanoTime();
+                    private final long end = start + (long) (length * 1e9);
+                    private int number;
+                    private int open;
 
-            @Override
-            public void run() {
-                for (int i = 0; i < depth; i++) {
-                    next();
-                }
-            }
+                    @Override
+                    public void run() {
+                        for (int i = 0; i < depth; i++) {
+                            next();
+                        }
+                    }
 
-            private void next() {
-                long begin = System.nanoTime();
-                if (begin >= end) {
-                    if (open == 0) {
-                        totals.took += (begin - start) / 1e9;
-                        over.complete(null);
+                    private void next() {
+                        long begin = System.nanoTime();
+                        if (begin >= end) {
+                            if (open == 0) {
+                                totals.took += (begin - start) / 1e9;
+                                over.complete(null);
+                            }
+                            return;
+                        }
+                        open++;
+                        asker.ask(
+                                number++,
+                                good -> {
+                                    totals.times.recordValue(System.nanoTime() - begin);
+                                    totals.ended++;
+                                    totals.failed += good ? 0 : 1;
+                                    open--;
+                                    next();
+                                });
                     }
-                    return;
-                }
-                open++;
-                asker.ask(number++, good -> {
-                    totals.times.recordValue(System.nanoTime() - begin);
-                    totals.ended++;
-                    totals.failed += good ? 0 : 1;
-                    open--;
-                    next();
                 });
-            }
-        });
         Town.await(over);
     }
 
@@ -253,14 +342,32 @@
             }
         }
 
-        void ask(boolean reads, int extent, int offset, int bytes, ByteBuf data,
-                 java.util.function.Consumer<Boolean> ended) {
+        void ask(
+                boolean reads,
+                int extent,
+                int offset,
+                int bytes,
+                ByteBuf data,
+                java.util.function.Consumer<Boolean> ended) {
             Peer peer = peers.get(extent % peers.size());
             long attempt = ++attempts;
             peer.waiting.put(attempt, ended);
             // A volume of its own, so that its pens are not the gateway's.
-            peer.link.send(attempt, new StoreWire.Send(reads ? StoreWire.Kind.READ : StoreWire.Kind.WRITE, 0, false, 0,
-                    attempt, 0, 2, extent, offset, bytes, 1, 0),
+            peer.link.send(
+                    attempt,
+                    new StoreWire.Send(
+                            reads ? StoreWire.Kind.READ : StoreWire.Kind.WRITE,
+                            0,
+                            false,
+                            0,
+                            attempt,
+                            0,
+                            2,
+                            extent,
+                            offset,
+                            bytes,
+                            1,
+                            0),
                     reads ? Unpooled.EMPTY_BUFFER : data.retainedDuplicate());
         }
     }
@@ -270,8 +377,15 @@
         final Map<Long, java.util.function.Consumer<Boolean>> waiting = new HashMap<>();
 
         Peer(StandInNode node, EventLoop loop) {
-            link = new NodeLink(loop, Loops.socket(), EXTENT, node.traits().id(), node.address(),
-                    new StoreWire.Hello(99, "direct"), this);
+            link =
+                    new NodeLink(
+                            loop,
+                            Loops.socket(),
+                            EXTENT,
+                            node.traits().id(),
+                            node.address(),
+                            new StoreWire.Hello(99, "direct"),
+                            this);
         }
 
         @Override
--- a/src/main/java/sagepulley/drill/Starts.java
+++ b/src/main/java/sagepulley/drill/Starts.java
@@ -29,8 +29,8 @@
 import sagepulley.wire.Loops;
 
 /**
- * Starts gateways with discovery down and lists of several ages, of which some nodes have changed since, and tells
- * what went to those, and how soon and how well the gateways serve.
+ * Starts gateways with discovery down and lists of several ages, of which some nodes have changed
+ * since, and tells what went to those, and how soon and how well the gateways serve.
  */
 public final class Starts {
     private static final int EXTENT = 256 << 10;
@@ -41,20 +41,39 @@
     private static final long SERVED_MS = 3_000;
 
     /** What became of some nodes while the list lay. */
-    public enum Since { NOTHING, DRAINED, REPLACED, COLD }
-
-    /** How the gateway believes its list: by its age, blindly, or not at all (it waits for discovery). */
-    public enum Way { BY_AGE, BLINDLY, WAITING }
+    public enum Since {
+        NOTHING,
+        DRAINED,
+        REPLACED,
+        COLD
+    }
 
     /**
-     * One start: attempts that reached nodes that drain or have been replaced, and cold nodes pushed over; milliseconds
-     * to the first operation satisfied (NaN: none); the share of reads in their target time in the first seconds,
-     * among those of extents whose nodes still hold them.
+     * How the gateway believes its list: by its age, blindly, or not at all (it waits for
+     * discovery).
      */
-    public record Row(Way way, double ageHours, Since since, int changed, long wrongAttempts, int pushedOver,
-                      double firstMs, double service, double serviceOfAll) {
+    public enum Way {
+        BY_AGE,
+        BLINDLY,
+        WAITING
     }
 
+    /**
+     * One start: attempts that reached nodes that drain or have been replaced, and cold nodes
+     * pushed over; milliseconds to the first operation satisfied (NaN: none); the share of reads in
+     * their target time in the first seconds, among those of extents whose nodes still hold them.
+     */
+    public record Row(
+            Way way,
+            double ageHours,
+            Since since,
+            int changed,
+            long wrongAttempts,
+            int pushedOver,
+            double firstMs,
+            double service,
+            double serviceOfAll) {}
+
     private static final class Blind extends Membership {
         Blind(String site, Bounds bounds) {
             super(site, bounds, new SplittableRandom(1));
@@ -66,7 +85,8 @@
         }
 
         @Override
-        public Welcome welcomed(int node, int who, int cell, boolean draining, long startedAt, double now) {
+        public Welcome welcomed(
+                int node, int who, int cell, boolean draining, long startedAt, double now) {
             return Welcome.GO;
         }
 
@@ -104,11 +124,13 @@
     }
 
     /** One start, with so many of the nodes changed. */
-    public Row run(Way way, double ageHours, Since since, int changed, long seed) throws SiteError, IOException {
+    public Row run(Way way, double ageHours, Since since, int changed, long seed)
+            throws SiteError, IOException {
         Counter counter = new Counter();
         List<NodeTraits> traits = new ArrayList<>();
         for (int i = 1; i <= NODES; i++) {
-            traits.add(NodeTraits.quick(i, EXTENT).withCost(1, 1).withCold(0.25, 3_000, 2, 500, 24));
+            traits.add(
+                    NodeTraits.quick(i, EXTENT).withCost(1, 1).withCold(0.25, 3_000, 2, 500, 24));
         }
         try (Town town = Town.start(traits, counter, 3)) {
             List<String> sites = new ArrayList<>();
@@ -128,17 +150,25 @@
 
     private static String site(Town town, int number, Path files) {
         return Town.demoSite("gw-" + number, number, GATEWAYS, 0, town.directory().address())
-                .replace("extent = 1 MiB", "extent = 256 KiB\nask-within = 2 s").replace("unit = 128 KiB", "unit = 16 KiB")
-                .replace("cold-time = 10 s", "cold-time = 3 s").replace("fall-time = 2 s", "fall-time = 500 ms")
-                .replace("cold-units = 64", "cold-units = 24")
-                + "gateways = " + GATEWAYS + "\n\n[membership]\nlist = " + files.resolve("nodes") + "\nholders = "
-                + files.resolve("holders") + "\n";
+                        .replace("extent = 1 MiB", "extent = 256 KiB\nask-within = 2 s")
+                        .replace("unit = 128 KiB", "unit = 16 KiB")
+                        .replace("cold-time = 10 s", "cold-time = 3 s")
+                        .replace("fall-time = 2 s", "fall-time = 500 ms")
+                        .replace("cold-units = 64", "cold-units = 24")
+                + "gateways = "
+                + GATEWAYS
+                + "\n\n[membership]\nlist = "
+                + files.resolve("nodes")
+                + "\nholders = "
+                + files.resolve("holders")
+                + "\n";
     }
 
     private static void firstLife(Town town, List<String> sites, long seed) throws SiteError {
         List<Gateway> gateways = new ArrayList<>();
         for (String site : sites) {
-            Gateway gateway = Town.await(new Gateway(Site.read("site", site), ++seed * 100).start());
+            Gateway gateway =
+                    Town.await(new Gateway(Site.read("site", site), ++seed * 100).start());
             gateways.add(gateway);
             if (gateways.size() == 1) {
                 NbdClient client = open(town.loops(), gateway);
@@ -154,26 +184,37 @@
     }
 
     private static NbdClient open(EventLoopGroup loops, Gateway gateway) {
-        return Town.await(NbdClient.open(loops, Loops.socket(), gateway.address(), "demo", NbdClient.Style.GO));
+        return Town.await(
+                NbdClient.open(
+                        loops, Loops.socket(), gateway.address(), "demo", NbdClient.Style.GO));
     }
 
     private static void age(Path path, double by) throws IOException {
         ListFile file = new ListFile(path, "sagepulley");
         KeptList list = file.look().list();
-        file.write(new KeptList(list.site(), list.history(), list.version(), list.confirmedAt() - (long) by,
-                list.lines()), System.currentTimeMillis());
+        file.write(
+                new KeptList(
+                        list.site(),
+                        list.history(),
+                        list.version(),
+                        list.confirmedAt() - (long) by,
+                        list.lines()),
+                System.currentTimeMillis());
     }
 
     private static void change(Town town, Counter counter, Since since, int changed) {
         for (StandInNode node : town.nodes().subList(0, changed)) {
             switch (since) {
-                case NOTHING -> { }
+                case NOTHING -> {}
                 case DRAINED -> node.drain();
                 case REPLACED -> {
                     var address = node.address();
                     Town.await(node.stop());
-                    NodeTraits other = NodeTraits.quick(node.traits().id() + 100, EXTENT).withCost(1, 1);
-                    Town.await(new StandInNode(other, town.loops(), counter, other.id()).start(address));
+                    NodeTraits other =
+                            NodeTraits.quick(node.traits().id() + 100, EXTENT).withCost(1, 1);
+                    Town.await(
+                            new StandInNode(other, town.loops(), counter, other.id())
+                                    .start(address));
                 }
                 case COLD -> Town.await(node.restartCold());
             }
@@ -185,17 +226,32 @@
         }
     }
 
-    private static Row serve(Town town, Way way, double ageHours, Since since, int changed, List<String> sites,
-                             Counter counter, long seed) throws SiteError {
+    private static Row serve(
+            Town town,
+            Way way,
+            double ageHours,
+            Since since,
+            int changed,
+            List<String> sites,
+            Counter counter,
+            long seed)
+            throws SiteError {
         long start = System.nanoTime();
         List<NbdClient> clients = new ArrayList<>();
         List<Gateway> gateways = new ArrayList<>();
         for (int i = 0; i < GATEWAYS; i++) {
-            String text = way == Way.WAITING ? sites.get(i).substring(0, sites.get(i).indexOf("[membership]"))
-                    : sites.get(i);
+            String text =
+                    way == Way.WAITING
+                            ? sites.get(i).substring(0, sites.get(i).indexOf("[membership]"))
+                            : sites.get(i);
             Site site = Site.read("site", text);
-            Gateway gateway = way == Way.BLINDLY ? new Gateway(site, seed * 1000 + i,
-                    new Blind(site.siteName(), Membership.Bounds.USUAL)) : new Gateway(site, seed * 1000 + i);
+            Gateway gateway =
+                    way == Way.BLINDLY
+                            ? new Gateway(
+                                    site,
+                                    seed * 1000 + i,
+                                    new Blind(site.siteName(), Membership.Bounds.USUAL))
+                            : new Gateway(site, seed * 1000 + i);
             var ready = gateway.start();
             if (way != Way.WAITING) {
                 Town.await(ready);
@@ -209,11 +265,17 @@
         AtomicLong inTime = new AtomicLong();
         AtomicLong open = new AtomicLong();
         SplittableRandom chance = new SplittableRandom(seed);
-        double target = Site.read("site", sites.get(0)).deployment().bands().get(0).targetTime() * 1e6;
+        double target =
+                Site.read("site", sites.get(0)).deployment().bands().get(0).targetTime() * 1e6;
         Set<Long> lost = new HashSet<>();
         long end = System.nanoTime() + SERVED_MS * 1_000_000;
-        for (long next = System.nanoTime(); next < end; next += (long) (-Math.log(1 - chance.nextDouble())
-                / (PER_SECOND * GATEWAYS) * 1e9)) {
+        for (long next = System.nanoTime();
+                next < end;
+                next +=
+                        (long)
+                                (-Math.log(1 - chance.nextDouble())
+                                        / (PER_SECOND * GATEWAYS)
+                                        * 1e9)) {
             pause(next);
             long extent = chance.nextInt(EXTENTS);
             asked.incrementAndGet();
@@ -222,23 +284,29 @@
             }
             long sent = System.nanoTime();
             open.incrementAndGet();
-            clients.get(chance.nextInt(clients.size())).ask(Nbd.CMD_READ, 0, extent * EXTENT, 4096,
-                    io.netty.buffer.Unpooled.EMPTY_BUFFER, (reply, failure) -> {
-                        long now = System.nanoTime();
-                        if (failure == null && reply.error == 0) {
-                            first.compareAndSet(0, now);
-                            inTime.addAndGet(now - sent <= target ? 1 : 0);
-                            intact.incrementAndGet();
-                        } else if (failure == null) {
-                            synchronized (lost) {
-                                lost.add(extent);
-                            }
-                        }
-                        if (reply != null) {
-                            reply.release();
-                        }
-                        open.decrementAndGet();
-                    });
+            clients.get(chance.nextInt(clients.size()))
+                    .ask(
+                            Nbd.CMD_READ,
+                            0,
+                            extent * EXTENT,
+                            4096,
+                            io.netty.buffer.Unpooled.EMPTY_BUFFER,
+                            (reply, failure) -> {
+                                long now = System.nanoTime();
+                                if (failure == null && reply.error == 0) {
+                                    first.compareAndSet(0, now);
+                                    inTime.addAndGet(now - sent <= target ? 1 : 0);
+                                    intact.incrementAndGet();
+                                } else if (failure == null) {
+                                    synchronized (lost) {
+                                        lost.add(extent);
+                                    }
+                                }
+                                if (reply != null) {
+                                    reply.release();
+                                }
+                                open.decrementAndGet();
+                            });
         }
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
         while (open.get() > 0 && System.nanoTime() < until) {
@@ -246,10 +314,21 @@
         }
         clients.forEach(client -> client.channel().close().syncUninterruptibly());
         gateways.forEach(gateway -> Town.await(gateway.kill()));
-        double could = since == Since.DRAINED || since == Since.REPLACED ? 1 - (double) changed / NODES : 1;
+        double could =
+                since == Since.DRAINED || since == Since.REPLACED
+                        ? 1 - (double) changed / NODES
+                        : 1;
         double service = (double) inTime.get() / Math.max(1, asked.get());
-        return new Row(way, ageHours, since, changed, counter.wrong.get(), counter.fell.get(),
-                first.get() == 0 ? Double.NaN : (first.get() - start) / 1e6, Math.min(1, service / could), service);
+        return new Row(
+                way,
+                ageHours,
+                since,
+                changed,
+                counter.wrong.get(),
+                counter.fell.get(),
+                first.get() == 0 ? Double.NaN : (first.get() - start) / 1e6,
+                Math.min(1, service / could),
+                service);
     }
 
     private static void pause(long until) {
@@ -264,21 +343,24 @@
     }
 
     /**
-     * Gateways that come back to one directory: the most calls in a tenth of a second once it was gone for a second,
-     * and when all hold a list.
+     * Gateways that come back to one directory: the most calls in a tenth of a second once it was
+     * gone for a second, and when all hold a list.
      */
-    public record Storm(int gateways, boolean spread, int mostInTenth, long calls, double allListedMs) {
-    }
+    public record Storm(
+            int gateways, boolean spread, int mostInTenth, long calls, double allListedMs) {}
 
     /**
-     * Gateways that lost a directory together and ask it for a list until it answers, played in one thread: it is
-     * down for so long and then serves so many calls a second, one after another, with a queue of so many; the rest
-     * get no answer for two seconds. Spread as the gateway does, or every 250 ms.
+     * Gateways that lost a directory together and ask it for a list until it answers, played in one
+     * thread: it is down for so long and then serves so many calls a second, one after another,
+     * with a queue of so many; the rest get no answer for two seconds. Spread as the gateway does,
+     * or every 250 ms.
      */
-    public static Storm storm(int gateways, boolean spread, double downMs, double perSecond, int queue, long seed) {
+    public static Storm storm(
+            int gateways, boolean spread, double downMs, double perSecond, int queue, long seed) {
         SplittableRandom random = new SplittableRandom(seed);
-        java.util.PriorityQueue<double[]> tries = new java.util.PriorityQueue<>(
-                java.util.Comparator.comparingDouble((double[] one) -> one[0]));
+        java.util.PriorityQueue<double[]> tries =
+                new java.util.PriorityQueue<>(
+                        java.util.Comparator.comparingDouble((double[] one) -> one[0]));
         Returning[] pauses = new Returning[gateways];
         for (int i = 0; i < gateways; i++) {
             pauses[i] = new Returning(100, 5_000, random.split());
@@ -306,7 +388,11 @@
                 last = Math.max(last, busyUntil);
             }
         }
-        return new Storm(gateways, spread, tenths.values().stream().mapToInt(Integer::intValue).max().orElse(0), calls,
+        return new Storm(
+                gateways,
+                spread,
+                tenths.values().stream().mapToInt(Integer::intValue).max().orElse(0),
+                calls,
                 last - downMs);
     }
 }
