--- a/src/main/java/sagepulley/drill/Town.java
+++ b/src/main/java/sagepulley/drill/Town.java
@@ -51,17 +51,26 @@
     }
 
     /** The site file of the demo with its blanks filled in. */
-    public static String demoSite(String name, int number, int gateways, int nbdPort,
-                                  InetSocketAddress directory) {
+    public static String demoSite(
+            String name, int number, int gateways, int nbdPort, InetSocketAddress directory) {
         String text;
         try (InputStream from = Town.class.getResourceAsStream("/demo-site.ini")) {
             text = new String(from.readAllBytes(), StandardCharsets.UTF_8);
         } catch (IOException e) {
             throw new IllegalStateException("the demo's site file is not in the program", e);
         }
-        Map<String, String> blanks = Map.of("name", name, "number", String.valueOf(number), "gateways",
-                String.valueOf(gateways), "nbd", "127.0.0.1:" + nbdPort, "directory",
-                "127.0.0.1:" + directory.getPort());
+        Map<String, String> blanks =
+                Map.of(
+                        "name",
+                        name,
+                        "number",
+                        String.valueOf(number),
+                        "gateways",
+                        String.valueOf(gateways),
+                        "nbd",
+                        "127.0.0.1:" + nbdPort,
+                        "directory",
+                        "127.0.0.1:" + directory.getPort());
         for (Map.Entry<String, String> blank : blanks.entrySet()) {
             text = text.replace("${" + blank.getKey() + "}", blank.getValue());
         }
@@ -78,8 +87,17 @@
 
     /** Writes a node's line into the directory's list. */
     public void list(StandInNode node, DirectoryWire.Standing standing) {
-        directory.put(new DirectoryWire.Line(node.traits().id(), node.traits().cell(), node.traits().zone(),
-                node.traits().kind(), standing, node.startedAt(), 1, "127.0.0.1", node.address().getPort()));
+        directory.put(
+                new DirectoryWire.Line(
+                        node.traits().id(),
+                        node.traits().cell(),
+                        node.traits().zone(),
+                        node.traits().kind(),
+                        standing,
+                        node.startedAt(),
+                        1,
+                        "127.0.0.1",
+                        node.address().getPort()));
     }
 
     /** A node crashes and comes back cold, and the directory hears of it. */
--- a/src/main/java/sagepulley/drill/Truth.java
+++ b/src/main/java/sagepulley/drill/Truth.java
@@ -11,26 +11,52 @@
 import sagepulley.books.GatewayBook;
 import sagepulley.site.SiteError;
 
-/** Plays days whose troubles are known, and holds what the accounts name as main causes against them. */
+/**
+ * Plays days whose troubles are known, and holds what the accounts name as main causes against
+ * them.
+ */
 public final class Truth {
     /** The days that come with the program, one for each kind of cause. */
-    public static final List<String> KINDS = List.of("flood", "slow-node", "flood-and-slow-node", "silent-node",
-            "cold-restart", "hall-cut", "own-surge", "limit", "directory-lag", "deferred-writes", "flood-elsewhere");
+    public static final List<String> KINDS =
+            List.of(
+                    "flood",
+                    "slow-node",
+                    "flood-and-slow-node",
+                    "silent-node",
+                    "cold-restart",
+                    "hall-cut",
+                    "own-surge",
+                    "limit",
+                    "directory-lag",
+                    "deferred-writes",
+                    "flood-elsewhere");
 
     /**
-     * One volume of one day: the causes that are right, the one named first and the second, whether that is a
-     * hit, and whether a wrong one was named with high confidence, by all gateways' books or by any one's alone.
+     * One volume of one day: the causes that are right, the one named first and the second, whether
+     * that is a hit, and whether a wrong one was named with high confidence, by all gateways' books
+     * or by any one's alone.
      */
-    public record Row(String day, long seed, String volume, List<String> right, String named, double share,
-                      Report.Confidence confidence, String second, boolean hit, boolean falseBlame, boolean rulesKept) {
-    }
+    public record Row(
+            String day,
+            long seed,
+            String volume,
+            List<String> right,
+            String named,
+            double share,
+            Report.Confidence confidence,
+            String second,
+            boolean hit,
+            boolean falseBlame,
+            boolean rulesKept) {}
 
-    private Truth() {
-    }
+    private Truth() {}
 
     /** Plays one day with a seed of its own. */
     public static List<Row> play(String kind, long seed) throws DayError, SiteError {
-        Day day = DayReader.read(kind, Drill.builtIn("causes/" + kind).replace("seed 1\n", "seed " + seed + "\n"));
+        Day day =
+                DayReader.read(
+                        kind,
+                        Drill.builtIn("causes/" + kind).replace("seed 1\n", "seed " + seed + "\n"));
         Drill drill = new Drill(day);
         Drill.Result result = drill.run();
         Map<Long, String> names = new HashMap<>();
@@ -42,11 +68,18 @@
         Fleet.Merged merged = Fleet.merge(members);
         List<Row> rows = new ArrayList<>();
         for (Day.Known known : day.causes()) {
-            long volume = names.entrySet().stream().filter(entry -> entry.getValue().equals(known.volume()))
-                    .findFirst().orElseThrow(() -> new SiteError("no volume is called " + known.volume())).getKey();
+            long volume =
+                    names.entrySet().stream()
+                            .filter(entry -> entry.getValue().equals(known.volume()))
+                            .findFirst()
+                            .orElseThrow(
+                                    () -> new SiteError("no volume is called " + known.volume()))
+                            .getKey();
             Report report = merged.book().report(volume, 0, Double.MAX_VALUE / 2);
-            List<Report.Charged> waits = report.causes().stream()
-                    .filter(charged -> charged.kind() != Cause.Kind.OWN_WORK).toList();
+            List<Report.Charged> waits =
+                    report.causes().stream()
+                            .filter(charged -> charged.kind() != Cause.Kind.OWN_WORK)
+                            .toList();
             Report.Charged main = report.main();
             boolean hit = main != null && isOf(known, main, names);
             boolean wrong = wrongly(known, main, names);
@@ -54,21 +87,33 @@
                 Report.Charged alone = member.book().report(volume, 0, Double.MAX_VALUE / 2).main();
                 wrong |= wrongly(known, alone, names);
             }
-            rows.add(new Row(kind, seed, known.volume(), known.causes(), name(main, names),
-                    main == null ? 0 : main.share(), main == null ? null : main.confidence(),
-                    waits.size() < 2 ? "" : name(waits.get(1), names), hit, wrong,
-                    result.verdicts().stream().allMatch(Verdict::kept)));
+            rows.add(
+                    new Row(
+                            kind,
+                            seed,
+                            known.volume(),
+                            known.causes(),
+                            name(main, names),
+                            main == null ? 0 : main.share(),
+                            main == null ? null : main.confidence(),
+                            waits.size() < 2 ? "" : name(waits.get(1), names),
+                            hit,
+                            wrong,
+                            result.verdicts().stream().allMatch(Verdict::kept)));
         }
         return rows;
     }
 
     private static boolean wrongly(Day.Known known, Report.Charged main, Map<Long, String> names) {
-        return main != null && main.confidence() == Report.Confidence.HIGH && !isOf(known, main, names);
+        return main != null
+                && main.confidence() == Report.Confidence.HIGH
+                && !isOf(known, main, names);
     }
 
     private static boolean isOf(Day.Known known, Report.Charged main, Map<Long, String> names) {
         String name = name(main, names);
-        return known.causes().stream().anyMatch(right -> name.equals(right) || name.startsWith(right + ":"));
+        return known.causes().stream()
+                .anyMatch(right -> name.equals(right) || name.startsWith(right + ":"));
     }
 
     /** As scripts write causes: the kind, and a volume's name or a node where it has one. */
@@ -78,7 +123,8 @@
         }
         String kind = charged.kind().name().toLowerCase(Locale.ROOT);
         return switch (charged.kind()) {
-            case NEIGHBOUR, PAUSE -> kind + ":" + names.getOrDefault(charged.volume(), "" + charged.volume());
+            case NEIGHBOUR, PAUSE ->
+                    kind + ":" + names.getOrDefault(charged.volume(), "" + charged.volume());
             case SLOW_NODE, COLD_NODE, FAULT, NETWORK -> kind + ":" + charged.node();
             default -> kind;
         };
--- a/src/main/java/sagepulley/drill/Verdict.java
+++ b/src/main/java/sagepulley/drill/Verdict.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 
-/** How one rule or promise was kept: the figure that came nearest to the bound, and the first breaches. */
-public record Verdict(String rule, boolean kept, String figure, String bound, List<String> breaches) {
-}
+/**
+ * How one rule or promise was kept: the figure that came nearest to the bound, and the first
+ * breaches.
+ */
+public record Verdict(
+        String rule, boolean kept, String figure, String bound, List<String> breaches) {}
--- a/src/main/java/sagepulley/extents/Holders.java
+++ b/src/main/java/sagepulley/extents/Holders.java
@@ -7,19 +7,20 @@
 import java.util.Map;
 
 /**
- * What this gateway knows of which cell holds which extent, and who waits to learn it. A holder, once known,
- * stays until a node denies it. While a claim is out, others of the extent wait for it, but not long: directories fall silent, and
- * whoever waits is handed on to be decided about. Times are milliseconds.
+ * What this gateway knows of which cell holds which extent, and who waits to learn it. A holder,
+ * once known, stays until a node denies it. While a claim is out, others of the extent wait for it,
+ * but not long: directories fall silent, and whoever waits is handed on to be decided about. Times
+ * are milliseconds.
  *
  * @param <W> who waits
  */
 public final class Holders<W> {
     /** Who waits so long for the directory is handed on with the holder unknown. */
     public static final double LONGEST_WAIT = 50;
+
     private static final int NOBODY = -1;
 
-    private record Waiting<W>(W who, double until) {
-    }
+    private record Waiting<W>(W who, double until) {}
 
     private static final class Place<W> {
         int cell = NOBODY;
@@ -28,6 +29,7 @@
     }
 
     private final Map<Long, Place<W>> places = new HashMap<>();
+
     /** Extents for which somebody waits. */
     private final Map<Long, Place<W>> awaited = new HashMap<>();
 
@@ -100,7 +102,8 @@
     /** Takes out everybody who has waited long enough. */
     public List<W> overdue(double now) {
         List<W> due = new ArrayList<>(0);
-        for (Iterator<Map.Entry<Long, Place<W>>> at = awaited.entrySet().iterator(); at.hasNext();) {
+        for (Iterator<Map.Entry<Long, Place<W>>> at = awaited.entrySet().iterator();
+                at.hasNext(); ) {
             Place<W> place = at.next().getValue();
             place.waiting.removeIf(waiting -> waiting.until() <= now && due.add(waiting.who()));
             if (place.waiting.isEmpty()) {
--- a/src/main/java/sagepulley/faults/Background.java
+++ b/src/main/java/sagepulley/faults/Background.java
@@ -4,10 +4,12 @@
 import java.io.IOException;
 import java.net.Socket;
 
-/** Work of the stand-ins on threads of its own, which ends quietly with the connection that it serves. */
+/**
+ * Work of the stand-ins on threads of its own, which ends quietly with the connection that it
+ * serves.
+ */
 final class Background {
-    private Background() {
-    }
+    private Background() {}
 
     /** What a stand-in does on one thread. */
     interface Work {
@@ -15,15 +17,18 @@
     }
 
     static Thread run(String name, Work work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } catch (IOException ended) {
-                // The other end, or the test, has closed it.
-            } catch (InterruptedException stopped) {
-                Thread.currentThread().interrupt();
-            }
-        }, name);
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                work.run();
+                            } catch (IOException ended) {
+                                // The other end, or the test, has closed it.
+                            } catch (InterruptedException stopped) {
+                                Thread.currentThread().interrupt();
+                            }
+                        },
+                        name);
         thread.setDaemon(true);
         thread.start();
         return thread;
--- a/src/main/java/sagepulley/faults/ClientLoad.java
+++ b/src/main/java/sagepulley/faults/ClientLoad.java
@@ -12,11 +12,14 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Clients of one gateway: each has one connection, asks one thing after the other and goes on using its connection
- * for as long as it stays open.
+ * Clients of one gateway: each has one connection, asks one thing after the other and goes on using
+ * its connection for as long as it stays open.
  */
 final class ClientLoad implements Closeable {
-    /** What they do: pause between requests, the longest deadline, and the share that leaves before its answer. */
+    /**
+     * What they do: pause between requests, the longest deadline, and the share that leaves before
+     * its answer.
+     */
     record Habits(long pauseMs, long deadlineMs, double leavingShare) {
         static final Habits STEADY = new Habits(40, 1_500, 0);
     }
@@ -32,10 +35,17 @@
     private final int shards;
     private final Habits habits;
     private volatile boolean stopped;
+
     /** Clients that have no connection make none while this is set. */
     private volatile boolean staysAway;
 
-    ClientLoad(int gateway, InetSocketAddress address, int shards, int clients, Habits habits, long seed) {
+    ClientLoad(
+            int gateway,
+            InetSocketAddress address,
+            int shards,
+            int clients,
+            Habits habits,
+            long seed) {
         this.gateway = gateway;
         this.address = address;
         this.shards = shards;
@@ -68,8 +78,13 @@
     private boolean askOnce(RespPeer peer, Random random, int asked) throws InterruptedException {
         boolean writes = random.nextInt(4) == 0;
         long deadline = habits.deadlineMs() - random.nextInt((int) (habits.deadlineMs() / 2));
-        Request request = new Request(String.format("%016x", NEXT_ID.getAndIncrement()), gateway,
-                random.nextInt(shards), deadline, !writes);
+        Request request =
+                new Request(
+                        String.format("%016x", NEXT_ID.getAndIncrement()),
+                        gateway,
+                        random.nextInt(shards),
+                        deadline,
+                        !writes);
         request.onConnection = asked;
         boolean leaves = random.nextDouble() < habits.leavingShare();
         try {
@@ -108,15 +123,26 @@
     }
 
     private static String text(Request request) {
-        String fields = "c=" + (request.repeatable ? "get" : "put") + ",t=any,d=" + request.deadlineMs
-                + ",volume=00000000000000" + String.format("%02x", request.shard % 16) + ",units=1,shard="
-                + request.shard + ",hosts=1";
+        String fields =
+                "c="
+                        + (request.repeatable ? "get" : "put")
+                        + ",t=any,d="
+                        + request.deadlineMs
+                        + ",volume=00000000000000"
+                        + String.format("%02x", request.shard % 16)
+                        + ",units=1,shard="
+                        + request.shard
+                        + ",hosts=1";
         String extent = String.format("%016x", 1 + request.shard);
-        return request.repeatable ? RespPeer.command("BLK.READ", extent, request.id, fields)
+        return request.repeatable
+                ? RespPeer.command("BLK.READ", extent, request.id, fields)
                 : RespPeer.command("BLK.WRITE", extent, request.id, fields, "bytes");
     }
 
-    /** Whether clients go elsewhere for new connections, as they do soon after a gateway was told to end. */
+    /**
+     * Whether clients go elsewhere for new connections, as they do soon after a gateway was told to
+     * end.
+     */
     void stayAway(boolean away) {
         staysAway = away;
     }
@@ -124,8 +150,12 @@
     /** Asks nothing new from now on; what was asked is waited for. */
     void stop() throws InterruptedException {
         stopped = true;
-        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(habits.deadlineMs() + ANSWER_SLACK_MS + 500);
-        while (requests.stream().anyMatch(request -> request.end == null) && System.nanoTime() < until) {
+        long until =
+                System.nanoTime()
+                        + TimeUnit.MILLISECONDS.toNanos(
+                                habits.deadlineMs() + ANSWER_SLACK_MS + 500);
+        while (requests.stream().anyMatch(request -> request.end == null)
+                && System.nanoTime() < until) {
             Thread.sleep(20);
         }
     }
--- a/src/main/java/sagepulley/faults/DiscoveryServer.java
+++ b/src/main/java/sagepulley/faults/DiscoveryServer.java
@@ -25,64 +25,125 @@
 import java.util.regex.Pattern;
 
 /**
- * A discovery service on loopback that misbehaves on demand. Each gateway has a port of its own, so that what was
- * written to whom is known. All times are System.nanoTime.
+ * A discovery service on loopback that misbehaves on demand. Each gateway has a port of its own, so
+ * that what was written to whom is known. All times are System.nanoTime.
  */
 final class DiscoveryServer implements Closeable {
-    private static final Pattern WATCH = Pattern.compile("GET /v1/endpoints\\?watch=1&after=(-?\\d+) .*");
+    private static final Pattern WATCH =
+            Pattern.compile("GET /v1/endpoints\\?watch=1&after=(-?\\d+) .*");
     private static final long HEARTBEAT_MS = 2_000;
     private static final long POLL_MS = 10;
     private static final int BACKLOG = 200;
+
     /** A backlog of one is full with two connections that nobody accepts. */
     private static final int FULL_BACKLOG = 1;
+
     private static final int FILLERS = 2;
+
     /** A former address closes the connections that it has so long after the move. */
     private static final long FORMER_ADDRESS_MS = 1_500;
 
-    private enum Reachability { REACHABLE, DOWN, CUT_OFF }
+    private enum Reachability {
+        REACHABLE,
+        DOWN,
+        CUT_OFF
+    }
 
     /** How calls are answered from now on. */
-    record Behaviour(long firstByteDelayMs, long trickleMs, long serviceMs, long queueTimeoutMs, int queueLimit,
-                     boolean silent, boolean rejecting, boolean indented) {
-        static final Behaviour HEALTHY = new Behaviour(0, 0, 0, 2_000, Integer.MAX_VALUE, false, false, false);
+    record Behaviour(
+            long firstByteDelayMs,
+            long trickleMs,
+            long serviceMs,
+            long queueTimeoutMs,
+            int queueLimit,
+            boolean silent,
+            boolean rejecting,
+            boolean indented) {
+        static final Behaviour HEALTHY =
+                new Behaviour(0, 0, 0, 2_000, Integer.MAX_VALUE, false, false, false);
 
         Behaviour firstByteAfter(long ms) {
-            return new Behaviour(ms, trickleMs, serviceMs, queueTimeoutMs, queueLimit, silent, rejecting, indented);
+            return new Behaviour(
+                    ms,
+                    trickleMs,
+                    serviceMs,
+                    queueTimeoutMs,
+                    queueLimit,
+                    silent,
+                    rejecting,
+                    indented);
         }
 
         Behaviour tricklingFor(long ms) {
-            return new Behaviour(firstByteDelayMs, ms, serviceMs, queueTimeoutMs, queueLimit, silent, rejecting,
+            return new Behaviour(
+                    firstByteDelayMs,
+                    ms,
+                    serviceMs,
+                    queueTimeoutMs,
+                    queueLimit,
+                    silent,
+                    rejecting,
                     indented);
         }
 
-        /** Calls are served one at a time; one that has waited for too long, or finds too many waiting, gets 503. */
+        /**
+         * Calls are served one at a time; one that has waited for too long, or finds too many
+         * waiting, gets 503.
+         */
         Behaviour inTurn(long service, long timeout, int limit) {
-            return new Behaviour(firstByteDelayMs, trickleMs, service, timeout, limit, silent, rejecting, indented);
+            return new Behaviour(
+                    firstByteDelayMs,
+                    trickleMs,
+                    service,
+                    timeout,
+                    limit,
+                    silent,
+                    rejecting,
+                    indented);
         }
 
         Behaviour saysNothing() {
-            return new Behaviour(firstByteDelayMs, trickleMs, serviceMs, queueTimeoutMs, queueLimit, true, rejecting,
+            return new Behaviour(
+                    firstByteDelayMs,
+                    trickleMs,
+                    serviceMs,
+                    queueTimeoutMs,
+                    queueLimit,
+                    true,
+                    rejecting,
                     indented);
         }
 
         Behaviour rejectsAll() {
-            return new Behaviour(firstByteDelayMs, trickleMs, serviceMs, queueTimeoutMs, queueLimit, silent, true,
+            return new Behaviour(
+                    firstByteDelayMs,
+                    trickleMs,
+                    serviceMs,
+                    queueTimeoutMs,
+                    queueLimit,
+                    silent,
+                    true,
                     indented);
         }
 
         Behaviour withWhiteSpace() {
-            return new Behaviour(firstByteDelayMs, trickleMs, serviceMs, queueTimeoutMs, queueLimit, silent, rejecting,
+            return new Behaviour(
+                    firstByteDelayMs,
+                    trickleMs,
+                    serviceMs,
+                    queueTimeoutMs,
+                    queueLimit,
+                    silent,
+                    rejecting,
                     true);
         }
     }
 
     /** An endpoint's state from a time on. */
-    record Change(long at, long revision, Endpoint endpoint) {
-    }
+    record Change(long at, long revision, Endpoint endpoint) {}
 
     /** That a gateway was written all up to a revision, whole, at a time. */
-    record Written(long at, int gateway, long revision) {
-    }
+    record Written(long at, int gateway, long revision) {}
 
     private final Map<Integer, ServerSocket> listeners = new ConcurrentHashMap<>();
     private final Map<Integer, Integer> ports = new ConcurrentHashMap<>();
@@ -91,15 +152,19 @@
     private final Map<Integer, List<Socket>> fillers = new ConcurrentHashMap<>();
     private final TreeMap<Long, Change> changes = new TreeMap<>();
     private final List<Written> written = new ArrayList<>();
+
     /** Pairs of times: from when to when nobody could reach it. The last is open while it lasts. */
     private final List<long[]> unreachable = new ArrayList<>();
+
     private final Semaphore turn = new Semaphore(1, true);
     private final AtomicInteger waiting = new AtomicInteger();
     final AtomicInteger calls = new AtomicInteger();
     final AtomicInteger refusals = new AtomicInteger();
     volatile Behaviour behaviour = Behaviour.HEALTHY;
+
     /** Watches that stand say nothing while this is set: neither changes nor empty lines. */
     volatile boolean watchesSilent;
+
     private volatile boolean closed;
 
     /** An address for one gateway, which is listened at while discovery can be reached. */
@@ -108,22 +173,29 @@
         ports.put(gateway, port);
         switch (reachability) {
             case REACHABLE -> bind(gateway, port);
-            case DOWN -> { }
+            case DOWN -> {}
             case CUT_OFF -> bindUnreachable(gateway, port);
         }
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     }
 
-    /** Another address for one gateway. The former one accepts nothing more, and soon closes what it has. */
+    /**
+     * Another address for one gateway. The former one accepts nothing more, and soon closes what it
+     * has.
+     */
     synchronized InetSocketAddress moveFor(int gateway) throws IOException {
         Background.close(listeners.get(gateway));
         fillers.getOrDefault(gateway, List.of()).forEach(Background::reset);
         int former = ports.get(gateway);
         InetSocketAddress fresh = listenFor(gateway);
-        Background.run("discovery-move", () -> {
-            Thread.sleep(FORMER_ADDRESS_MS);
-            connections.stream().filter(socket -> socket.getLocalPort() == former).forEach(Background::close);
-        });
+        Background.run(
+                "discovery-move",
+                () -> {
+                    Thread.sleep(FORMER_ADDRESS_MS);
+                    connections.stream()
+                            .filter(socket -> socket.getLocalPort() == former)
+                            .forEach(Background::close);
+                });
         return fresh;
     }
 
@@ -146,13 +218,15 @@
         while (!closed) {
             Socket socket = listener.accept();
             connections.add(socket);
-            Background.run("discovery-call", () -> {
-                try (socket) {
-                    answer(gateway, socket);
-                } finally {
-                    connections.remove(socket);
-                }
-            });
+            Background.run(
+                    "discovery-call",
+                    () -> {
+                        try (socket) {
+                            answer(gateway, socket);
+                        } finally {
+                            connections.remove(socket);
+                        }
+                    });
         }
     }
 
@@ -193,13 +267,19 @@
         Collection<Endpoint> entries = listed();
         if (!whole) {
             Map<String, Endpoint> latest = new LinkedHashMap<>();
-            changes.tailMap(after, false).values()
+            changes.tailMap(after, false)
+                    .values()
                     .forEach(change -> latest.put(change.endpoint().id(), change.endpoint()));
             entries = latest.values();
         }
         boolean indented = behaviour.indented();
-        StringBuilder text = new StringBuilder("{\"revision\":" + revision() + ",\"complete\":" + whole
-                + ",\"members\":[");
+        StringBuilder text =
+                new StringBuilder(
+                        "{\"revision\":"
+                                + revision()
+                                + ",\"complete\":"
+                                + whole
+                                + ",\"members\":[");
         String separator = "";
         for (Endpoint entry : entries) {
             text.append(separator).append(entry.json(indented));
@@ -251,10 +331,12 @@
     // ---- one call ----
 
     private void answer(int gateway, Socket socket) throws IOException, InterruptedException {
-        BufferedReader reader = new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                StandardCharsets.ISO_8859_1));
+        BufferedReader reader =
+                new BufferedReader(
+                        new InputStreamReader(
+                                socket.getInputStream(), StandardCharsets.ISO_8859_1));
         String call = reader.readLine();
-        for (String header = reader.readLine(); header != null && !header.isEmpty();) {
+        for (String header = reader.readLine(); header != null && !header.isEmpty(); ) {
             header = reader.readLine();
         }
         if (call == null) {
@@ -312,7 +394,8 @@
         }
     }
 
-    private void follow(int gateway, Socket socket, long from) throws IOException, InterruptedException {
+    private void follow(int gateway, Socket socket, long from)
+            throws IOException, InterruptedException {
         long revision = from;
         long lastLine = System.nanoTime();
         while (true) {
@@ -337,12 +420,14 @@
         written.add(new Written(System.nanoTime(), gateway, revision));
     }
 
-    private static void chunk(Socket socket, String text, long trickleMs) throws IOException, InterruptedException {
+    private static void chunk(Socket socket, String text, long trickleMs)
+            throws IOException, InterruptedException {
         write(socket, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n", trickleMs);
     }
 
     /** Writes it at once, or in pieces spread evenly over a time. */
-    private static void write(Socket socket, String text, long trickleMs) throws IOException, InterruptedException {
+    private static void write(Socket socket, String text, long trickleMs)
+            throws IOException, InterruptedException {
         OutputStream out = socket.getOutputStream();
         byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
         int pieces = (int) Math.max(1, Math.min(bytes.length, trickleMs / 50));
--- a/src/main/java/sagepulley/faults/DrainRule.java
+++ b/src/main/java/sagepulley/faults/DrainRule.java
@@ -9,18 +9,23 @@
 import java.util.stream.Collectors;
 
 /**
- * The rule on draining and removed endpoints, judged from what passed on the sockets: no command may begin at an
- * endpoint later than the grace after the gateway was notified that it drains or is gone. A gateway counts as notified
- * once discovery has written the change to it, and at the latest 6 s after discovery had it and could be reached, or 4 s
- * after a new configuration of which discovery had the change already.
+ * The rule on draining and removed endpoints, judged from what passed on the sockets: no command
+ * may begin at an endpoint later than the grace after the gateway was notified that it drains or is
+ * gone. A gateway counts as notified once discovery has written the change to it, and at the latest
+ * 6 s after discovery had it and could be reached, or 4 s after a new configuration of which
+ * discovery had the change already.
  */
 final class DrainRule {
     private static final long NOTIFIED_MS = 6_000;
     private static final long RELOAD_NOTIFIED_MS = 4_000;
-    /** What the page allows each time limit, and what a busy machine adds between the two sockets. */
+
+    /**
+     * What the page allows each time limit, and what a busy machine adds between the two sockets.
+     */
     private static final long SLACK_MS = 50 + 150;
 
     private final DiscoveryServer discovery;
+
     /** When each gateway was sent SIGHUP with a new address of discovery. */
     private final Map<Integer, List<Long>> reloads;
 
@@ -31,10 +36,12 @@
 
     /** Sentences for the commands that broke it. */
     List<String> broken(List<StoreServer.Arrival> arrivals, List<Request> requests) {
-        Map<String, Request> byId = requests.stream().collect(Collectors.toMap(request -> request.id,
-                Function.identity()));
-        Map<String, List<DiscoveryServer.Change>> changes = discovery.changes().stream()
-                .collect(Collectors.groupingBy(change -> change.endpoint().id()));
+        Map<String, Request> byId =
+                requests.stream()
+                        .collect(Collectors.toMap(request -> request.id, Function.identity()));
+        Map<String, List<DiscoveryServer.Change>> changes =
+                discovery.changes().stream()
+                        .collect(Collectors.groupingBy(change -> change.endpoint().id()));
         List<DiscoveryServer.Written> written = discovery.written();
         List<long[]> unreachable = discovery.unreachable();
         List<String> broken = new ArrayList<>();
@@ -43,17 +50,29 @@
             if (request == null) {
                 continue;
             }
-            for (DiscoveryServer.Change change : changes.getOrDefault(arrival.endpoint(), List.of())) {
+            for (DiscoveryServer.Change change :
+                    changes.getOrDefault(arrival.endpoint(), List.of())) {
                 if (change.endpoint().state() == Endpoint.State.SERVING
-                        || servesAgain(changes.get(arrival.endpoint()), change, arrival.firstByteAt(),
+                        || servesAgain(
+                                changes.get(arrival.endpoint()),
+                                change,
+                                arrival.firstByteAt(),
                                 each -> notifiedAt(each, request.gateway, written, unreachable))) {
                     continue;
                 }
                 long notified = notifiedAt(change, request.gateway, written, unreachable);
                 long late = TimeUnit.NANOSECONDS.toMillis(arrival.firstByteAt() - notified);
                 if (late > TestFleet.DRAIN_GRACE_MS + SLACK_MS) {
-                    broken.add(request + " began at " + arrival.endpoint() + " " + late + " ms after gateway "
-                            + request.gateway + " counted as notified that it is " + change.endpoint().state());
+                    broken.add(
+                            request
+                                    + " began at "
+                                    + arrival.endpoint()
+                                    + " "
+                                    + late
+                                    + " ms after gateway "
+                                    + request.gateway
+                                    + " counted as notified that it is "
+                                    + change.endpoint().state());
                     break;
                 }
             }
@@ -61,24 +80,40 @@
         return broken;
     }
 
-    /** Whether the gateway had been notified, by the time of the command, that the endpoint serves again. */
-    private boolean servesAgain(List<DiscoveryServer.Change> changes, DiscoveryServer.Change from, long until,
-                                ToLongFunction<DiscoveryServer.Change> notifiedAt) {
-        return changes.stream().anyMatch(change -> change.revision() > from.revision()
-                && change.endpoint().state() == Endpoint.State.SERVING
-                && notifiedAt.applyAsLong(change) <= until + TimeUnit.MILLISECONDS.toNanos(SLACK_MS));
+    /**
+     * Whether the gateway had been notified, by the time of the command, that the endpoint serves
+     * again.
+     */
+    private boolean servesAgain(
+            List<DiscoveryServer.Change> changes,
+            DiscoveryServer.Change from,
+            long until,
+            ToLongFunction<DiscoveryServer.Change> notifiedAt) {
+        return changes.stream()
+                .anyMatch(
+                        change ->
+                                change.revision() > from.revision()
+                                        && change.endpoint().state() == Endpoint.State.SERVING
+                                        && notifiedAt.applyAsLong(change)
+                                                <= until + TimeUnit.MILLISECONDS.toNanos(SLACK_MS));
     }
 
-    private long notifiedAt(DiscoveryServer.Change change, int gateway, List<DiscoveryServer.Written> written,
-                            List<long[]> unreachable) {
+    private long notifiedAt(
+            DiscoveryServer.Change change,
+            int gateway,
+            List<DiscoveryServer.Written> written,
+            List<long[]> unreachable) {
         long notified = reachableFor(change.at(), NOTIFIED_MS, unreachable);
         for (long reload : reloads.getOrDefault(gateway, List.of())) {
             if (change.at() <= reload) {
-                notified = Math.min(notified, reachableFor(reload, RELOAD_NOTIFIED_MS, unreachable));
+                notified =
+                        Math.min(notified, reachableFor(reload, RELOAD_NOTIFIED_MS, unreachable));
             }
         }
         for (DiscoveryServer.Written each : written) {
-            if (each.gateway() == gateway && each.revision() >= change.revision() && each.at() >= change.at()) {
+            if (each.gateway() == gateway
+                    && each.revision() >= change.revision()
+                    && each.at() >= change.at()) {
                 notified = Math.min(notified, each.at());
             }
         }
--- a/src/main/java/sagepulley/faults/Endpoint.java
+++ b/src/main/java/sagepulley/faults/Endpoint.java
@@ -3,16 +3,31 @@
 /** One storage endpoint as the test's discovery lists it. */
 record Endpoint(String id, int port, int cell, State state, long startedAtWallMs) {
     /** The phases of the discovery protocol. */
-    enum State { SERVING, DRAINING, DELETED }
+    enum State {
+        SERVING,
+        DRAINING,
+        DELETED
+    }
 
     Endpoint in(State next) {
         return new Endpoint(id, port, cell, next, startedAtWallMs);
     }
 
     String json(boolean indented) {
-        String text = "{\"id\":\"" + id + "\",\"host_port\":\"127.0.0.1:" + port + "\",\"locality\":\"here\","
-                + "\"flavor\":\"plain\",\"cell\":" + cell + ",\"phase\":\"" + state + "\",\"size\":1.0,"
-                + "\"up_since_ms\":" + startedAtWallMs + "}";
+        String text =
+                "{\"id\":\""
+                        + id
+                        + "\",\"host_port\":\"127.0.0.1:"
+                        + port
+                        + "\",\"locality\":\"here\","
+                        + "\"flavor\":\"plain\",\"cell\":"
+                        + cell
+                        + ",\"phase\":\""
+                        + state
+                        + "\",\"size\":1.0,"
+                        + "\"up_since_ms\":"
+                        + startedAtWallMs
+                        + "}";
         return indented ? text.replace(",\"", ",\n      \"").replace("{\"", "{\n      \"") : text;
     }
 }
--- a/src/main/java/sagepulley/faults/GatewayProcess.java
+++ b/src/main/java/sagepulley/faults/GatewayProcess.java
@@ -23,21 +23,39 @@
     final InetSocketAddress listen;
     private final Process process;
 
-    /** The launcher is a command in front of it, which becomes the process itself; it may be empty. */
-    GatewayProcess(int number, InetSocketAddress listen, Path config, Path log, Map<String, String> environment,
-                   List<String> launcher) throws IOException {
+    /**
+     * The launcher is a command in front of it, which becomes the process itself; it may be empty.
+     */
+    GatewayProcess(
+            int number,
+            InetSocketAddress listen,
+            Path config,
+            Path log,
+            Map<String, String> environment,
+            List<String> launcher)
+            throws IOException {
         this.number = number;
         this.listen = listen;
         this.log = log;
         List<String> command = new ArrayList<>(launcher);
-        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Xss256k", "-cp",
-                System.getProperty("java.class.path"), "sagepulley.Main", "serve"));
+        command.addAll(
+                List.of(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-Xmx64m",
+                        "-Xss256k",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "sagepulley.Main",
+                        "serve"));
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("GW_CONFIG", config.toString());
         builder.environment().putAll(environment);
-        process = builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
-                .start();
+        process =
+                builder.redirectErrorStream(true)
+                        .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                        .start();
         // A run that is ended from outside leaves no gateway behind.
         Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     }
@@ -46,7 +64,8 @@
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(START_S);
         while (!answersPing()) {
             if (System.nanoTime() > until) {
-                throw new IllegalStateException("the gateway is not ready after " + START_S + " s: " + logText());
+                throw new IllegalStateException(
+                        "the gateway is not ready after " + START_S + " s: " + logText());
             }
             Thread.sleep(PING_PAUSE_MS);
         }
@@ -55,7 +74,8 @@
 
     boolean answersPing() {
         if (!process.isAlive()) {
-            throw new IllegalStateException("the gateway ended with " + process.exitValue() + ": " + logText());
+            throw new IllegalStateException(
+                    "the gateway ended with " + process.exitValue() + ": " + logText());
         }
         try (Socket socket = new Socket()) {
             socket.connect(listen, 200);
@@ -77,16 +97,24 @@
     }
 
     void signal(String name) throws IOException, InterruptedException {
-        int result = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        int result =
+                new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                        .start()
+                        .waitFor();
         if (result != 0 && process.isAlive()) {
-            throw new IOException("SIG" + name + " to process " + process.pid() + " failed: " + result);
+            throw new IOException(
+                    "SIG" + name + " to process " + process.pid() + " failed: " + result);
         }
     }
 
     /** Stops it for a while, as a machine does that has no processor for it. */
     void holdUp(String seconds) throws IOException, InterruptedException {
         String pid = Long.toString(process.pid());
-        new ProcessBuilder("sh", "-c", "kill -STOP " + pid + "; sleep " + seconds + "; kill -CONT " + pid).start()
+        new ProcessBuilder(
+                        "sh",
+                        "-c",
+                        "kill -STOP " + pid + "; sleep " + seconds + "; kill -CONT " + pid)
+                .start()
                 .waitFor();
     }
 
--- a/src/main/java/sagepulley/faults/Ports.java
+++ b/src/main/java/sagepulley/faults/Ports.java
@@ -10,8 +10,8 @@
 import java.util.Set;
 
 /**
- * Ports on loopback for listeners that are closed and opened again: below the range from which the system gives
- * connections theirs, and none twice in one program.
+ * Ports on loopback for listeners that are closed and opened again: below the range from which the
+ * system gives connections theirs, and none twice in one program.
  */
 final class Ports {
     private static final int FIRST = 12_000;
@@ -21,8 +21,7 @@
     private static final Random RANDOM = new Random();
     private static final Set<Integer> TAKEN = new HashSet<>();
 
-    private Ports() {
-    }
+    private Ports() {}
 
     static synchronized InetSocketAddress free() {
         while (true) {
@@ -33,13 +32,17 @@
         }
     }
 
-    /** Listens where another listener was just closed: the system may need a moment to let the port go. */
+    /**
+     * Listens where another listener was just closed: the system may need a moment to let the port
+     * go.
+     */
     static ServerSocket listen(int port, int backlog) throws IOException {
-        for (int tries = 0;; tries++) {
+        for (int tries = 0; ; tries++) {
             ServerSocket listener = new ServerSocket();
             try {
                 listener.setReuseAddress(true);
-                listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), backlog);
+                listener.bind(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), port), backlog);
                 return listener;
             } catch (BindException inUse) {
                 listener.close();
--- a/src/main/java/sagepulley/faults/Request.java
+++ b/src/main/java/sagepulley/faults/Request.java
@@ -1,13 +1,17 @@
 package sagepulley.faults;
 
-/** One client's request and how it ended, as seen at the client's socket. Times are System.nanoTime. */
+/**
+ * One client's request and how it ended, as seen at the client's socket. Times are System.nanoTime.
+ */
 final class Request {
     /** How a request ended for its client. */
     enum End {
         /** The value that a store made for it. */
         SERVED,
         /** A value that no store made for it. */
-        WRONG_VALUE, REFUSED, FAILED,
+        WRONG_VALUE,
+        REFUSED,
+        FAILED,
         /** The connection ended without an answer. */
         CLOSED,
         /** No answer came until well after the deadline. */
@@ -22,8 +26,10 @@
     final long deadlineMs;
     final boolean repeatable;
     long sentAt;
+
     /** Number of requests answered on its connection before. */
     int onConnection;
+
     volatile long endedAt;
     volatile End end;
 
@@ -37,6 +43,16 @@
 
     @Override
     public String toString() {
-        return "at " + sentAt / 1_000_000 % 10_000_000 + " ms: request " + id + " of gateway " + gateway + " for shard " + shard + " (" + end + ")";
+        return "at "
+                + sentAt / 1_000_000 % 10_000_000
+                + " ms: request "
+                + id
+                + " of gateway "
+                + gateway
+                + " for shard "
+                + shard
+                + " ("
+                + end
+                + ")";
     }
 }
--- a/src/main/java/sagepulley/faults/RespPeer.java
+++ b/src/main/java/sagepulley/faults/RespPeer.java
@@ -15,6 +15,7 @@
 
     final Socket socket;
     private final InputStream in;
+
     /** When the first byte of the command or answer that was read last came. */
     long firstByteAt;
 
@@ -55,7 +56,10 @@
         return words;
     }
 
-    /** The next answer: a line with its first character, or a bulk string behind '$'; null at the connection's end. */
+    /**
+     * The next answer: a line with its first character, or a bulk string behind '$'; null at the
+     * connection's end.
+     */
     String readAnswer() throws IOException {
         int first = in.read();
         firstByteAt = System.nanoTime();
--- a/src/main/java/sagepulley/faults/Shim.java
+++ b/src/main/java/sagepulley/faults/Shim.java
@@ -10,7 +10,10 @@
 import java.nio.file.StandardOpenOption;
 import java.util.Map;
 
-/** The library of shim.c: failing system calls and a wall clock that steps, for the processes that load it. */
+/**
+ * The library of shim.c: failing system calls and a wall clock that steps, for the processes that
+ * load it.
+ */
 final class Shim {
     private static Path library;
 
@@ -32,8 +35,19 @@
                 Files.write(source, text.readAllBytes());
             }
             try {
-                int result = new ProcessBuilder("cc", "-shared", "-fPIC", "-O2", "-o", target.toString(),
-                        source.toString(), "-ldl").inheritIO().start().waitFor();
+                int result =
+                        new ProcessBuilder(
+                                        "cc",
+                                        "-shared",
+                                        "-fPIC",
+                                        "-O2",
+                                        "-o",
+                                        target.toString(),
+                                        source.toString(),
+                                        "-ldl")
+                                .inheritIO()
+                                .start()
+                                .waitFor();
                 library = result == 0 ? target : null;
             } catch (IOException noCompiler) {
                 library = null;
@@ -49,13 +63,21 @@
     void step(long ms) throws IOException {
         ByteBuffer offset = ByteBuffer.allocate(Long.BYTES).order(ByteOrder.nativeOrder());
         offset.putLong(ms * 1_000_000).flip();
-        try (FileChannel file = FileChannel.open(clock, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+        try (FileChannel file =
+                FileChannel.open(clock, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
             file.write(offset, 0);
         }
     }
 
     Map<String, String> environment(long seed, int failuresInTenThousand) {
-        return Map.of("LD_PRELOAD", built.toString(), "SHIM_SEED", Long.toString(seed), "SHIM_FAILURES",
-                Integer.toString(failuresInTenThousand), "SHIM_CLOCK", clock.toString());
+        return Map.of(
+                "LD_PRELOAD",
+                built.toString(),
+                "SHIM_SEED",
+                Long.toString(seed),
+                "SHIM_FAILURES",
+                Integer.toString(failuresInTenThousand),
+                "SHIM_CLOCK",
+                clock.toString());
     }
 }
--- a/src/main/java/sagepulley/faults/SoakRun.java
+++ b/src/main/java/sagepulley/faults/SoakRun.java
@@ -16,9 +16,10 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * One run of a small fleet of real processes under faults that follow from one seed: trouble of discovery, of storage
- * endpoints, of gateway processes, of the system's calls and clock, overlapping. What it judges is what passed on the
- * sockets; what it did is kept as a journal, for whoever looks for the cause.
+ * One run of a small fleet of real processes under faults that follow from one seed: trouble of
+ * discovery, of storage endpoints, of gateway processes, of the system's calls and clock,
+ * overlapping. What it judges is what passed on the sockets; what it did is kept as a journal, for
+ * whoever looks for the cause.
  */
 public final class SoakRun implements Closeable {
     private static final int SHARDS = 6;
@@ -28,14 +29,15 @@
     private static final long LONGEST_OUTAGE_MS = 12_000;
     private static final String HOLD_UP_SECONDS = "0.1";
     private static final long HOUR_MS = 3_600_000;
+
     /** SIGKILL comes no sooner after SIGTERM than the longest deadline and this. */
     private static final long KILL_AFTER_MS = 700;
+
     /** So long after SIGTERM new connections keep coming. */
     private static final long NEW_CONNECTIONS_MS = 400;
 
     /** Something that happens at a time of the run. */
-    private record Event(long atMs, long order, String what, Action action) {
-    }
+    private record Event(long atMs, long order, String what, Action action) {}
 
     private interface Action {
         void run() throws IOException, InterruptedException;
@@ -47,8 +49,12 @@
     private final Random random;
     private final TestFleet fleet;
     private final Shim shim;
-    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.atMs() != b.atMs()
-            ? Long.compare(a.atMs(), b.atMs()) : Long.compare(a.order(), b.order()));
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(
+                    (a, b) ->
+                            a.atMs() != b.atMs()
+                                    ? Long.compare(a.atMs(), b.atMs())
+                                    : Long.compare(a.order(), b.order()));
     private final List<String> journal = new CopyOnWriteArrayList<>();
     private final List<AnswerRule.Ending> endings = new CopyOnWriteArrayList<>();
     private final Map<Integer, GatewayProcess> running = new ConcurrentHashMap<>();
@@ -81,10 +87,17 @@
             gateway.awaitReady();
         }
         startedAt = System.nanoTime();
-        note("on the clock of the requests " + startedAt / 1_000_000 % 10_000_000 + " ms, wall "
-                + Instant.now());
+        note(
+                "on the clock of the requests "
+                        + startedAt / 1_000_000 % 10_000_000
+                        + " ms, wall "
+                        + Instant.now());
         for (int i = 0; i < gateways; i++) {
-            fleet.load(i, CLIENTS, new ClientLoad.Habits(45, TestFleet.LONGEST_DEADLINE_MS, 0.08), seed * 10 + i);
+            fleet.load(
+                    i,
+                    CLIENTS,
+                    new ClientLoad.Habits(45, TestFleet.LONGEST_DEADLINE_MS, 0.08),
+                    seed * 10 + i);
         }
         plan();
         while (!events.isEmpty()) {
@@ -118,13 +131,27 @@
     /** What happened when, and how many requests ended how. */
     public String story() {
         Map<Request.End, Integer> ends = new HashMap<>();
-        fleet.requests().forEach(request -> ends.merge(request.end == null ? Request.End.SILENT : request.end, 1,
-                Integer::sum));
-        return "seed " + seed + ", " + gateways + " gateways, ends " + ends + "\n  " + String.join("\n  ", journal);
+        fleet.requests()
+                .forEach(
+                        request ->
+                                ends.merge(
+                                        request.end == null ? Request.End.SILENT : request.end,
+                                        1,
+                                        Integer::sum));
+        return "seed "
+                + seed
+                + ", "
+                + gateways
+                + " gateways, ends "
+                + ends
+                + "\n  "
+                + String.join("\n  ", journal);
     }
 
     public long served() {
-        return fleet.requests().stream().filter(request -> request.end == Request.End.SERVED).count();
+        return fleet.requests().stream()
+                .filter(request -> request.end == Request.End.SERVED)
+                .count();
     }
 
     private void note(String what) {
@@ -142,15 +169,19 @@
     // ---- the plan ----
 
     private void plan() {
-        for (long at = QUIET_MS; at < lengthMs - 4_000;) {
+        for (long at = QUIET_MS; at < lengthMs - 4_000; ) {
             long length = 1_000 + random.nextInt(9_000);
             planDiscoveryTrouble(at, length);
             at += length + random.nextInt(3_000);
         }
-        for (long at = QUIET_MS + random.nextInt(2_000); at < lengthMs - 3_000; at += 700 + random.nextInt(2_500)) {
+        for (long at = QUIET_MS + random.nextInt(2_000);
+                at < lengthMs - 3_000;
+                at += 700 + random.nextInt(2_500)) {
             planEndpointEvent(at);
         }
-        for (long at = QUIET_MS + random.nextInt(3_000); at < lengthMs - 8_000; at += 2_000 + random.nextInt(5_000)) {
+        for (long at = QUIET_MS + random.nextInt(3_000);
+                at < lengthMs - 8_000;
+                at += 2_000 + random.nextInt(5_000)) {
             planGatewayEvent(at);
         }
         for (long at = QUIET_MS; at < lengthMs; at += 1_000 + random.nextInt(4_000)) {
@@ -159,8 +190,10 @@
         }
         if (shim != null) {
             for (long at = QUIET_MS; at < lengthMs; at += 3_000 + random.nextInt(6_000)) {
-                long offset = random.nextBoolean() ? random.nextInt(10_000) - 5_000
-                        : random.nextBoolean() ? HOUR_MS : -HOUR_MS;
+                long offset =
+                        random.nextBoolean()
+                                ? random.nextInt(10_000) - 5_000
+                                : random.nextBoolean() ? HOUR_MS : -HOUR_MS;
                 at(at, "wall clock off by " + offset + " ms", () -> shim.step(offset));
             }
         }
@@ -174,42 +207,94 @@
         long slow = 500 + random.nextInt(4_000);
         boolean cutsWatches = random.nextInt(3) > 0;
         switch (random.nextInt(8)) {
-            case 0 -> planBehaviour(at, length, healthy.firstByteAfter(slow), cutsWatches, "first byte after " + slow);
-            case 1 -> planBehaviour(at, length, healthy.tricklingFor(slow), cutsWatches, "lists trickle for " + slow);
+            case 0 ->
+                    planBehaviour(
+                            at,
+                            length,
+                            healthy.firstByteAfter(slow),
+                            cutsWatches,
+                            "first byte after " + slow);
+            case 1 ->
+                    planBehaviour(
+                            at,
+                            length,
+                            healthy.tricklingFor(slow),
+                            cutsWatches,
+                            "lists trickle for " + slow);
             case 2 -> {
                 long service = 100 + random.nextInt(1_500);
                 long timeout = 1_000 + random.nextInt(2_000);
                 int limit = 1 + random.nextInt(6);
-                planBehaviour(at, length, healthy.inTurn(service, timeout, limit), cutsWatches, "crowded: " + service
-                        + " ms a call, 503 after " + timeout + " ms or behind " + limit);
+                planBehaviour(
+                        at,
+                        length,
+                        healthy.inTurn(service, timeout, limit),
+                        cutsWatches,
+                        "crowded: "
+                                + service
+                                + " ms a call, 503 after "
+                                + timeout
+                                + " ms or behind "
+                                + limit);
             }
-            case 3 -> planBehaviour(at, length, healthy.rejectsAll(), cutsWatches, "every call is rejected");
-            case 4 -> planBehaviour(at, length, healthy.saysNothing(), cutsWatches, "calls get no answer");
+            case 3 ->
+                    planBehaviour(
+                            at,
+                            length,
+                            healthy.rejectsAll(),
+                            cutsWatches,
+                            "every call is rejected");
+            case 4 ->
+                    planBehaviour(
+                            at, length, healthy.saysNothing(), cutsWatches, "calls get no answer");
             case 5 -> {
-                at(at, "discovery: watches fall silent", () -> fleet.discovery.watchesSilent = true);
-                at(at + length, "discovery: watches speak", () -> fleet.discovery.watchesSilent = false);
+                at(
+                        at,
+                        "discovery: watches fall silent",
+                        () -> fleet.discovery.watchesSilent = true);
+                at(
+                        at + length,
+                        "discovery: watches speak",
+                        () -> fleet.discovery.watchesSilent = false);
             }
             case 6 -> {
                 at(at, "discovery: down", fleet.discovery::goDown);
-                at(at + Math.min(length, LONGEST_OUTAGE_MS), "discovery: up", fleet.discovery::comeBack);
+                at(
+                        at + Math.min(length, LONGEST_OUTAGE_MS),
+                        "discovery: up",
+                        fleet.discovery::comeBack);
             }
             default -> {
                 at(at, "discovery: cut off", fleet.discovery::cutOff);
-                at(at + Math.min(length, LONGEST_OUTAGE_MS), "discovery: reachable", fleet.discovery::comeBack);
+                at(
+                        at + Math.min(length, LONGEST_OUTAGE_MS),
+                        "discovery: reachable",
+                        fleet.discovery::comeBack);
             }
         }
     }
 
-    private void planBehaviour(long at, long length, DiscoveryServer.Behaviour behaviour, boolean cutsWatches,
-                               String what) {
-        DiscoveryServer.Behaviour form = random.nextBoolean() ? behaviour.withWhiteSpace() : behaviour;
-        at(at, "discovery: " + what, () -> {
-            fleet.discovery.behaviour = form;
-            if (cutsWatches) {
-                fleet.discovery.resetAll();
-            }
-        });
-        at(at + length, "discovery: healthy", () -> fleet.discovery.behaviour = DiscoveryServer.Behaviour.HEALTHY);
+    private void planBehaviour(
+            long at,
+            long length,
+            DiscoveryServer.Behaviour behaviour,
+            boolean cutsWatches,
+            String what) {
+        DiscoveryServer.Behaviour form =
+                random.nextBoolean() ? behaviour.withWhiteSpace() : behaviour;
+        at(
+                at,
+                "discovery: " + what,
+                () -> {
+                    fleet.discovery.behaviour = form;
+                    if (cutsWatches) {
+                        fleet.discovery.resetAll();
+                    }
+                });
+        at(
+                at + length,
+                "discovery: healthy",
+                () -> fleet.discovery.behaviour = DiscoveryServer.Behaviour.HEALTHY);
     }
 
     private void planEndpointEvent(long at) {
@@ -221,7 +306,9 @@
                 boolean vanishes = random.nextBoolean();
                 at(at, store.id + " drains", () -> list(store, Endpoint.State.DRAINING));
                 if (vanishes) {
-                    at(at + 1_000 + random.nextInt(3_000), store.id + " is gone",
+                    at(
+                            at + 1_000 + random.nextInt(3_000),
+                            store.id + " is gone",
                             () -> list(store, Endpoint.State.DELETED));
                 }
                 at(back, store.id + " serves again", () -> list(store, Endpoint.State.SERVING));
@@ -243,16 +330,24 @@
     private void planGatewayEvent(long at) {
         int gateway = random.nextInt(gateways);
         switch (random.nextInt(5)) {
-            case 0 -> at(at, "gateway " + gateway + " is killed", () -> inBackground(gateway, () -> restart(gateway,
-                    false)));
-            case 1, 2 -> at(at, "gateway " + gateway + " is told to end", () -> inBackground(gateway,
-                    () -> restart(gateway, true)));
+            case 0 ->
+                    at(
+                            at,
+                            "gateway " + gateway + " is killed",
+                            () -> inBackground(gateway, () -> restart(gateway, false)));
+            case 1, 2 ->
+                    at(
+                            at,
+                            "gateway " + gateway + " is told to end",
+                            () -> inBackground(gateway, () -> restart(gateway, true)));
             case 3 -> at(at, "discovery moves for gateway " + gateway, () -> reload(gateway));
             default -> {
                 at(at, "discovery moves for gateway " + gateway, () -> reload(gateway));
                 at(at + 150, "and again", () -> reload(gateway));
-                at(at + 300, "gateway " + gateway + " is told to end", () -> inBackground(gateway,
-                        () -> restart(gateway, true)));
+                at(
+                        at + 300,
+                        "gateway " + gateway + " is told to end",
+                        () -> inBackground(gateway, () -> restart(gateway, true)));
             }
         }
     }
@@ -263,16 +358,21 @@
         if (Boolean.TRUE.equals(busy.put(gateway, true))) {
             return; // it is on its way down already
         }
-        Background.run("operator", () -> {
-            try {
-                action.run();
-            } finally {
-                busy.put(gateway, false);
-            }
-        });
+        Background.run(
+                "operator",
+                () -> {
+                    try {
+                        action.run();
+                    } finally {
+                        busy.put(gateway, false);
+                    }
+                });
     }
 
-    /** SIGKILL at the earliest moment that the page allows, or at once; then the same gateway starts anew. */
+    /**
+     * SIGKILL at the earliest moment that the page allows, or at once; then the same gateway starts
+     * anew.
+     */
     private void restart(int gateway, boolean planned) throws IOException, InterruptedException {
         GatewayProcess process = running.get(gateway);
         long toldAt = 0;
@@ -287,7 +387,10 @@
             }
             Thread.sleep(NEW_CONNECTIONS_MS);
             loadOf(gateway).stayAway(true);
-            Thread.sleep(Math.max(0, killAfter - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - toldAt)));
+            Thread.sleep(
+                    Math.max(
+                            0,
+                            killAfter - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - toldAt)));
         }
         long killedAt = System.nanoTime();
         process.kill();
@@ -298,7 +401,11 @@
         long since = System.nanoTime();
         while (!fresh.answersPing()) {
             if (TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - since) > 10) {
-                troubles.add("gateway " + gateway + " is not ready 10 s after its restart: " + tail(fresh));
+                troubles.add(
+                        "gateway "
+                                + gateway
+                                + " is not ready 10 s after its restart: "
+                                + tail(fresh));
                 return;
             }
             Thread.sleep(100);
--- a/src/main/java/sagepulley/faults/StoreServer.java
+++ b/src/main/java/sagepulley/faults/StoreServer.java
@@ -19,9 +19,16 @@
     private static final Pattern DEADLINE = Pattern.compile("(?:^|,)d=(\\d+)(?:,|$)");
     private static final int BACKLOG = 500;
 
-    /** One command as it came: when its first and its last byte were there, and the deadline that it told, in ms. */
-    record Arrival(String endpoint, String requestId, long firstByteAt, long lastByteAt, long deadlineMs) {
-    }
+    /**
+     * One command as it came: when its first and its last byte were there, and the deadline that it
+     * told, in ms.
+     */
+    record Arrival(
+            String endpoint,
+            String requestId,
+            long firstByteAt,
+            long lastByteAt,
+            long deadlineMs) {}
 
     final String id;
     final int cell;
@@ -44,19 +51,23 @@
         listener.setReuseAddress(true);
         listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
         this.port = listener.getLocalPort();
-        Background.run("store-" + id, () -> {
-            while (true) {
-                Socket socket = listener.accept();
-                connections.add(socket);
-                Background.run("store-call", () -> {
-                    try (socket) {
-                        serve(new RespPeer(socket));
-                    } finally {
-                        connections.remove(socket);
+        Background.run(
+                "store-" + id,
+                () -> {
+                    while (true) {
+                        Socket socket = listener.accept();
+                        connections.add(socket);
+                        Background.run(
+                                "store-call",
+                                () -> {
+                                    try (socket) {
+                                        serve(new RespPeer(socket));
+                                    } finally {
+                                        connections.remove(socket);
+                                    }
+                                });
                     }
                 });
-            }
-        });
     }
 
     Endpoint endpoint(Endpoint.State state, long startedAtWallMs) {
@@ -70,8 +81,13 @@
                 continue;
             }
             Matcher deadline = DEADLINE.matcher(words.get(3));
-            arrivals.add(new Arrival(id, words.get(2), peer.firstByteAt, System.nanoTime(),
-                    deadline.find() ? Long.parseLong(deadline.group(1)) : -1));
+            arrivals.add(
+                    new Arrival(
+                            id,
+                            words.get(2),
+                            peer.firstByteAt,
+                            System.nanoTime(),
+                            deadline.find() ? Long.parseLong(deadline.group(1)) : -1));
             while (hangs) {
                 Thread.sleep(20);
             }
--- a/src/main/java/sagepulley/faults/TestFleet.java
+++ b/src/main/java/sagepulley/faults/TestFleet.java
@@ -11,7 +11,10 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 
-/** Real gateway processes between stand-ins for clients, storage endpoints and discovery, all on loopback. */
+/**
+ * Real gateway processes between stand-ins for clients, storage endpoints and discovery, all on
+ * loopback.
+ */
 final class TestFleet implements Closeable {
     static final long DRAIN_GRACE_MS = 1_000;
     static final long LONGEST_DEADLINE_MS = 1_500;
@@ -65,8 +68,14 @@
     /** Starts one; it knows the list as it is now, as if it had had it before. */
     GatewayProcess start(int number) throws IOException {
         writeConfig(number);
-        GatewayProcess gateway = new GatewayProcess(number, listenAddresses.get(number), configFile(number),
-                folder.resolve("gateway-" + number + ".log"), environment, launcher);
+        GatewayProcess gateway =
+                new GatewayProcess(
+                        number,
+                        listenAddresses.get(number),
+                        configFile(number),
+                        folder.resolve("gateway-" + number + ".log"),
+                        environment,
+                        launcher);
         gateways.add(gateway);
         return gateway;
     }
@@ -82,7 +91,14 @@
     }
 
     ClientLoad load(int gateway, int clients, ClientLoad.Habits habits, long seed) {
-        ClientLoad load = new ClientLoad(gateway, listenAddresses.get(gateway), stores.size(), clients, habits, seed);
+        ClientLoad load =
+                new ClientLoad(
+                        gateway,
+                        listenAddresses.get(gateway),
+                        stores.size(),
+                        clients,
+                        habits,
+                        seed);
         loads.add(load);
         return load;
     }
@@ -124,8 +140,10 @@
     }
 
     private String config(int number) {
-        String known = discovery.listed().stream().map(endpoint -> endpoint.json(false))
-                .collect(Collectors.joining(","));
+        String known =
+                discovery.listed().stream()
+                        .map(endpoint -> endpoint.json(false))
+                        .collect(Collectors.joining(","));
         return """
                 {"name": "n%d", "listen": "%s", "discovery": "%s", "seed": "%x",
                  "limits": {"cores": 1, "memory_mb": 256, "sockets": %d},
@@ -145,10 +163,22 @@
                   "limits": {"mostTries": 2, "mayDuplicate": false, "mayProbe": false, "cancel": true,
                    "dialTimeoutNs": 250000000, "connIdleNs": 10000000000},
                   "report": {"how": "silent", "fields": []}}}
-                """.formatted(number, text(listenAddresses.get(number)), text(discoveryAddresses.get(number)),
-                number + 1, SOCKETS, discovery.revision(), known, number, size,
-                pushed ? "automatic" : "subscribe", LONGEST_DEADLINE_MS, LONGEST_DEADLINE_MS, DRAIN_GRACE_MS,
-                stores.size());
+                """
+                .formatted(
+                        number,
+                        text(listenAddresses.get(number)),
+                        text(discoveryAddresses.get(number)),
+                        number + 1,
+                        SOCKETS,
+                        discovery.revision(),
+                        known,
+                        number,
+                        size,
+                        pushed ? "automatic" : "subscribe",
+                        LONGEST_DEADLINE_MS,
+                        LONGEST_DEADLINE_MS,
+                        DRAIN_GRACE_MS,
+                        stores.size());
     }
 
     private static String text(InetSocketAddress address) {
--- a/src/main/java/sagepulley/gateway/Disk.java
+++ b/src/main/java/sagepulley/gateway/Disk.java
@@ -6,7 +6,10 @@
 import sagepulley.nbd.Export;
 import sagepulley.site.VolumeLine;
 
-/** A volume in service: its figures, its export, and the cells whose nodes may hold writes not yet durable. */
+/**
+ * A volume in service: its figures, its export, and the cells whose nodes may hold writes not yet
+ * durable.
+ */
 final class Disk {
     /** Writes that were acknowledged since the last flush, and the start of the node that did. */
     static final class Unflushed {
@@ -17,6 +20,7 @@
     final VolumeLine line;
     final Volume volume;
     final Export export;
+
     /** By cell. */
     final Map<Integer, Unflushed> unflushed = new HashMap<>();
 
--- a/src/main/java/sagepulley/gateway/Gateway.java
+++ b/src/main/java/sagepulley/gateway/Gateway.java
@@ -20,12 +20,12 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sagepulley.host.Clock;
 import sagepulley.accounts.Report;
 import sagepulley.accounts.Totals;
 import sagepulley.books.BookFile;
 import sagepulley.books.GatewayBook;
 import sagepulley.control.Control;
+import sagepulley.host.Clock;
 import sagepulley.keep.Periodic;
 import sagepulley.lists.HoldersFile;
 import sagepulley.lists.ListFile;
@@ -42,10 +42,13 @@
 public final class Gateway {
     /** So many volumes, the first of the site file, have sums of their own since the start. */
     public static final int SUMMED_VOLUMES = 100;
+
     private static final double LIST_LOOK_MS = 500;
     private static final double HOLDERS_LOOK_MS = 10_000;
+
     /** A client that stops inside a message, or reads no replies, for so long is ended. */
     private static final int STUCK_SECONDS = 30;
+
     private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
 
     private final Site site;
@@ -59,7 +62,10 @@
     private final Tracer tracer;
     private final List<Periodic<?>> keepers = new ArrayList<>();
 
-    /** The seed starts the module's chance and must differ at each start, for it names this life of the gateway. */
+    /**
+     * The seed starts the module's chance and must differ at each start, for it names this life of
+     * the gateway.
+     */
     public Gateway(Site site, long seed) {
         this(site, seed, new Control(site.deployment(), seed), membership(site, seed));
     }
@@ -74,44 +80,73 @@
         this.clientGroup = site.loops() > 1 ? Loops.group(site.loops() - 1, "client") : houseGroup;
         this.room = new Room(site.allBytes());
         this.tracer = site.traces().wanted() ? new Tracer(site.traces(), site.name()) : null;
-        this.house = new House(site, houseGroup.next(), Loops.socket(), new Clock(), seed, control, membership,
-                tracer);
+        this.house =
+                new House(
+                        site,
+                        houseGroup.next(),
+                        Loops.socket(),
+                        new Clock(),
+                        seed,
+                        control,
+                        membership,
+                        tracer);
     }
 
     static Membership membership(Site site, long seed) {
         Membership.Bounds usual = Membership.Bounds.USUAL;
-        return new Membership(site.siteName(), new Membership.Bounds(site.members().fresh(), site.members().aged(),
-                site.members().askedAtOnce(), usual.askedApart(), usual.proofHolds(), usual.doubt(),
-                usual.firstHold(), usual.longestHold()), new SplittableRandom(seed));
+        return new Membership(
+                site.siteName(),
+                new Membership.Bounds(
+                        site.members().fresh(),
+                        site.members().aged(),
+                        site.members().askedAtOnce(),
+                        usual.askedApart(),
+                        usual.proofHolds(),
+                        usual.doubt(),
+                        usual.firstHold(),
+                        usual.longestHold()),
+                new SplittableRandom(seed));
     }
 
-    /** Begins to listen once the list of nodes has come; then it is ready. Fails if it cannot listen. */
+    /**
+     * Begins to listen once the list of nodes has come; then it is ready. Fails if it cannot
+     * listen.
+     */
     public CompletableFuture<Gateway> start() {
         CompletableFuture<Gateway> ready = new CompletableFuture<>();
         BookFile.Read before = accountsBefore();
         KeptList list = listBefore();
         Map<Integer, int[]> cells = holdersBefore();
-        houseGroup.next().execute(() -> {
-            house.restore(list, cells);
-            if (before != null) {
-                house.goOn(before.book());
-            }
-            house.start(() -> listen(ready));
-        });
+        houseGroup
+                .next()
+                .execute(
+                        () -> {
+                            house.restore(list, cells);
+                            if (before != null) {
+                                house.goOn(before.book());
+                            }
+                            house.start(() -> listen(ready));
+                        });
         return ready;
     }
 
-    /** What an earlier life kept; null if nothing can be believed. That never keeps a gateway from starting. */
+    /**
+     * What an earlier life kept; null if nothing can be believed. That never keeps a gateway from
+     * starting.
+     */
     private BookFile.Read accountsBefore() {
         if (!site.books().keep() || site.books().file() == null) {
             return null;
         }
         BookFile file = new BookFile(site.books().file(), site.name());
-        keepers.add(new Periodic<>("accounts", site.books().every(), house::writtenBook, file::write));
+        keepers.add(
+                new Periodic<>("accounts", site.books().every(), house::writtenBook, file::write));
         try {
             return file.goOn();
         } catch (IOException e) {
-            LOG.atWarn().addKeyValue("file", site.books().file()).addKeyValue("why", e.toString())
+            LOG.atWarn()
+                    .addKeyValue("file", site.books().file())
+                    .addKeyValue("why", e.toString())
                     .log("accounts of the earlier life not read");
             return null;
         }
@@ -122,8 +157,12 @@
             return null;
         }
         ListFile file = new ListFile(site.members().list(), site.siteName());
-        keepers.add(new Periodic<>("list", LIST_LOOK_MS, house::keptList,
-                list -> file.write(list, System.currentTimeMillis())));
+        keepers.add(
+                new Periodic<>(
+                        "list",
+                        LIST_LOOK_MS,
+                        house::keptList,
+                        list -> file.write(list, System.currentTimeMillis())));
         return file.start();
     }
 
@@ -132,36 +171,51 @@
             return Map.of();
         }
         HoldersFile file = new HoldersFile(site.members().holders(), site.siteName());
-        keepers.add(new Periodic<>("holders", HOLDERS_LOOK_MS, house::keptHolders,
-                cells -> file.write(cells, System.currentTimeMillis())));
+        keepers.add(
+                new Periodic<>(
+                        "holders",
+                        HOLDERS_LOOK_MS,
+                        house::keptHolders,
+                        cells -> file.write(cells, System.currentTimeMillis())));
         return file.start();
     }
 
     private void listen(CompletableFuture<Gateway> ready) {
-        new ServerBootstrap().group(clientGroup).channel(Loops.server())
-                .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+        new ServerBootstrap()
+                .group(clientGroup)
+                .channel(Loops.server())
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel client) {
-                        accept(client);
-                    }
-                })
-                .bind(site.nbd().socket()).addListener((io.netty.channel.ChannelFuture bound) -> {
-                    if (!bound.isSuccess()) {
-                        ready.completeExceptionally(bound.cause());
-                        return;
-                    }
-                    listener = bound.channel();
-                    LOG.atInfo().addKeyValue("gateway", site.name()).addKeyValue("nbd", listener.localAddress())
-                            .addKeyValue("volumes", site.volumes().size()).log("ready");
-                    ready.complete(this);
-                });
+                .childHandler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel client) {
+                                accept(client);
+                            }
+                        })
+                .bind(site.nbd().socket())
+                .addListener(
+                        (io.netty.channel.ChannelFuture bound) -> {
+                            if (!bound.isSuccess()) {
+                                ready.completeExceptionally(bound.cause());
+                                return;
+                            }
+                            listener = bound.channel();
+                            LOG.atInfo()
+                                    .addKeyValue("gateway", site.name())
+                                    .addKeyValue("nbd", listener.localAddress())
+                                    .addKeyValue("volumes", site.volumes().size())
+                                    .log("ready");
+                            ready.complete(this);
+                        });
     }
 
     private void accept(Channel client) {
         if (clients.size() >= site.mostClients()) {
-            LOG.atWarn().addKeyValue("client", client.remoteAddress()).log("too many clients, turned away");
+            LOG.atWarn()
+                    .addKeyValue("client", client.remoteAddress())
+                    .log("too many clients, turned away");
             client.close();
             return;
         }
@@ -238,8 +292,8 @@
     }
 
     /**
-     * Takes nothing more, answers what it holds, at the latest within the site's time for it, then ends every
-     * connection.
+     * Takes nothing more, answers what it holds, at the latest within the site's time for it, then
+     * ends every connection.
      */
     public CompletableFuture<Void> stop() {
         CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -251,15 +305,27 @@
             listener.close();
         }
         house.stop(() -> empty.complete(null));
-        empty.orTimeout((long) site.stopWithin() + 1, TimeUnit.MILLISECONDS).whenComplete((done, late) -> {
-            if (late != null) {
-                LOG.atWarn().addKeyValue("open", tally().open()).log("stopped with operations in hand");
-            }
-            // What was answered last still has to leave the sockets.
-            clients.flush();
-            clientGroup.next().schedule(() -> clients.close().addListener(closed -> writeAccounts(stopped)), 20,
-                    TimeUnit.MILLISECONDS);
-        });
+        empty.orTimeout((long) site.stopWithin() + 1, TimeUnit.MILLISECONDS)
+                .whenComplete(
+                        (done, late) -> {
+                            if (late != null) {
+                                LOG.atWarn()
+                                        .addKeyValue("open", tally().open())
+                                        .log("stopped with operations in hand");
+                            }
+                            // What was answered last still has to leave the sockets.
+                            clients.flush();
+                            clientGroup
+                                    .next()
+                                    .schedule(
+                                            () ->
+                                                    clients.close()
+                                                            .addListener(
+                                                                    closed ->
+                                                                            writeAccounts(stopped)),
+                                            20,
+                                            TimeUnit.MILLISECONDS);
+                        });
         return stopped;
     }
 
@@ -279,24 +345,33 @@
 
     /** The last accounts are written while the loop still runs that owns them. */
     private void writeAccounts(CompletableFuture<Void> stopped) {
-        CompletableFuture.runAsync(() -> {
-            keepers.forEach(Periodic::close);
-            if (tracer != null) {
-                tracer.close();
-            }
-        }).whenComplete((done, failure) -> end(stopped));
+        CompletableFuture.runAsync(
+                        () -> {
+                            keepers.forEach(Periodic::close);
+                            if (tracer != null) {
+                                tracer.close();
+                            }
+                        })
+                .whenComplete((done, failure) -> end(stopped));
     }
 
     private void end(CompletableFuture<Void> stopped) {
-        houseGroup.next().execute(() -> {
-            house.close();
-            LOG.atInfo().addKeyValue("gateway", site.name()).addKeyValue("taken", tally().taken.sum())
-                    .addKeyValue("satisfied", tally().satisfied.sum())
-                    .addKeyValue("declined", tally().declined.sum())
-                    .addKeyValue("scrapped", tally().scrapped.sum()).log("stopped");
-            clientGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-            houseGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS)
-                    .addListener(done -> stopped.complete(null));
-        });
+        houseGroup
+                .next()
+                .execute(
+                        () -> {
+                            house.close();
+                            LOG.atInfo()
+                                    .addKeyValue("gateway", site.name())
+                                    .addKeyValue("taken", tally().taken.sum())
+                                    .addKeyValue("satisfied", tally().satisfied.sum())
+                                    .addKeyValue("declined", tally().declined.sum())
+                                    .addKeyValue("scrapped", tally().scrapped.sum())
+                                    .log("stopped");
+                            clientGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+                            houseGroup
+                                    .shutdownGracefully(0, 1, TimeUnit.SECONDS)
+                                    .addListener(done -> stopped.complete(null));
+                        });
     }
 }
--- a/src/main/java/sagepulley/gateway/House.java
+++ b/src/main/java/sagepulley/gateway/House.java
@@ -33,16 +33,16 @@
 import sagepulley.books.GatewayBook;
 import sagepulley.control.Control;
 import sagepulley.control.WaitView;
-import sagepulley.host.Clock;
 import sagepulley.directory.DirectoryLink;
 import sagepulley.directory.DirectoryWire;
 import sagepulley.extents.Holders;
+import sagepulley.host.Clock;
+import sagepulley.lists.HoldersFile;
 import sagepulley.membership.KeptList;
 import sagepulley.membership.Membership;
 import sagepulley.membership.NodeLine;
 import sagepulley.membership.Returning;
 import sagepulley.membership.Told;
-import sagepulley.lists.HoldersFile;
 import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
@@ -66,20 +66,29 @@
 import sagepulley.wire.Alarm;
 
 /**
- * Hosts Control in service: tells it what happens and carries out what it answers. Everything here but the
- * methods said otherwise runs on one loop, which also owns the links to nodes and directory.
+ * Hosts Control in service: tells it what happens and carries out what it answers. Everything here
+ * but the methods said otherwise runs on one loop, which also owns the links to nodes and
+ * directory.
  */
 final class House implements DirectoryLink.Owner {
     /** A shard that no node has: Control keeps such an operation until its holder is found. */
     private static final int NOT_FOUND_YET = Integer.MAX_VALUE;
+
     private static final int LEAST_BLOCK = 512;
     private static final int PREFERRED_BLOCK = 4096;
+
     /** A first list is asked for again after pauses from this on, up to that. */
     private static final double START_AGAIN = 100;
+
     private static final double START_AGAIN_LONGEST = 5_000;
     private static final long MEMBERS_BEAT_MS = 50;
-    /** A subscription that says nothing is tried this often, so that a list is not believed for a silence. */
+
+    /**
+     * A subscription that says nothing is tried this often, so that a list is not believed for a
+     * silence.
+     */
     private static final double CONFIRMED_EVERY = 30_000;
+
     private static final double LIST_KEPT_EVERY = 30_000;
     private static final int HOLDERS_AT_ONCE = 1 << 14;
     private static final int COPIED_AT_ONCE = 64;
@@ -100,40 +109,61 @@
     private final Tally tally = new Tally();
     private final Map<String, Disk> disks = new LinkedHashMap<>();
     private final Map<Integer, Place> places = new LinkedHashMap<>();
+
     /** The ready node of each cell. */
     private final Map<Integer, Node> byCell = new HashMap<>();
+
     private final Holders<Part> holders = new Holders<>();
+
     /** Parts whose attempt is out, by the attempt's number on the wire. */
     private final Map<Long, Part> out = new HashMap<>();
+
     private final Map<Session, Set<Request>> requests = new HashMap<>();
+
     /** Parts in hand whose holder is not known, by extent. */
     private final Map<Long, Set<Part>> seeking = new HashMap<>();
+
     private final Accounts accounts;
+
     /** Null where no trace goes anywhere. */
     private final Tracer tracer;
+
     private final TailSampler sampler;
+
     /** Parts that wait at Control, in the order in which they are asked why. */
     private final Set<Part> waiting = new LinkedHashSet<>();
-    /** When the latest versions of the list came, by the wall's clock: by these, gateways' books are set together. */
+
+    /**
+     * When the latest versions of the list came, by the wall's clock: by these, gateways' books are
+     * set together.
+     */
     private final Map<Long, Double> told = new LinkedHashMap<>();
+
     private final Membership membership;
     private final Returning returning;
-    /** Extents whose holder is known from disk only: the first node that is asked says whether it is so. */
+
+    /**
+     * Extents whose holder is known from disk only: the first node that is asked says whether it is
+     * so.
+     */
     private final Set<Long> unverified = new HashSet<>();
+
     private long attemptIds;
     private boolean settleDue;
     private final Alarm alarm;
     private ScheduledFuture<?> beat;
     private ScheduledFuture<?> membersBeat;
     private boolean listed;
+
     /** The directory cannot be reached: nobody but Control's asking for the list tries it. */
     private boolean directoryDown;
+
     private double confirmAt = Double.NEGATIVE_INFINITY;
     private boolean listChanged;
     private boolean holdersChanged;
     private double listKeptAt = Double.NEGATIVE_INFINITY;
     private boolean stopping;
-    private Runnable whenReady = () -> { };
+    private Runnable whenReady = () -> {};
     private Runnable whenEmpty;
 
     /** A node of the list with its link, which is opened when an attempt needs it. */
@@ -173,11 +203,22 @@
         @Override
         public boolean welcomed(StoreWire.Welcome welcome) {
             startedAt = welcome.startedAt();
-            Membership.Welcome meaning = membership.welcomed(node.id, welcome.node(), welcome.cell(),
-                    welcome.draining(), welcome.startedAt(), wall());
-            LOG.atInfo().addKeyValue("node", node.id).addKeyValue("started", startedAt)
-                    .addKeyValue("meaning", meaning).log("node connected");
-            if (meaning != Membership.Welcome.GO || !node.takesNew || node.standing != Node.Standing.READY) {
+            Membership.Welcome meaning =
+                    membership.welcomed(
+                            node.id,
+                            welcome.node(),
+                            welcome.cell(),
+                            welcome.draining(),
+                            welcome.startedAt(),
+                            wall());
+            LOG.atInfo()
+                    .addKeyValue("node", node.id)
+                    .addKeyValue("started", startedAt)
+                    .addKeyValue("meaning", meaning)
+                    .log("node connected");
+            if (meaning != Membership.Welcome.GO
+                    || !node.takesNew
+                    || node.standing != Node.Standing.READY) {
                 adopt();
             }
             return meaning == Membership.Welcome.GO && node.standing == Node.Standing.READY;
@@ -196,58 +237,108 @@
         }
     }
 
-    House(Site site, EventLoop loop, Class<? extends Channel> kind, Clock clock, long seed, Control control,
-          Membership membership, Tracer tracer) {
+    House(
+            Site site,
+            EventLoop loop,
+            Class<? extends Channel> kind,
+            Clock clock,
+            long seed,
+            Control control,
+            Membership membership,
+            Tracer tracer) {
         this.site = site;
         this.loop = loop;
         this.alarm = new Alarm(loop, clock::now, this::settleNow);
         this.kind = kind;
         this.clock = clock;
         this.control = control;
-        this.accounts = new Accounts(site.books().keep() ? Accounts.Bounds.USUAL : Accounts.Bounds.NONE, clock.wall(0),
-                site.volumes().stream().limit(Gateway.SUMMED_VOLUMES).map(line -> (long) line.id())
-                        .collect(Collectors.toSet()));
+        this.accounts =
+                new Accounts(
+                        site.books().keep() ? Accounts.Bounds.USUAL : Accounts.Bounds.NONE,
+                        clock.wall(0),
+                        site.volumes().stream()
+                                .limit(Gateway.SUMMED_VOLUMES)
+                                .map(line -> (long) line.id())
+                                .collect(Collectors.toSet()));
         this.tracer = tracer;
         SplittableRandom chance = new SplittableRandom(seed);
         this.membership = membership;
         this.returning = new Returning(START_AGAIN, START_AGAIN_LONGEST, chance.split());
-        this.sampler = new TailSampler(site.traces().perSecond(), site.traces().chance(), chance.split());
+        this.sampler =
+                new TailSampler(site.traces().perSecond(), site.traces().chance(), chance.split());
         this.splitter = new Splitter(site);
         this.hello = new StoreWire.Hello(seed, site.name());
-        this.directory = new DirectoryLink(loop, kind, site.directory().socket(), seed, site.name(), this);
+        this.directory =
+                new DirectoryLink(loop, kind, site.directory().socket(), seed, site.name(), this);
         for (VolumeLine line : site.volumes()) {
             Volume volume = new Volume(line.id(), site.deployment().plans().get(line.plan()));
             volume.gateways = line.gateways();
-            // A flush reaches every write acknowledged by this gateway, whatever connection it came by.
-            disks.put(line.name(), new Disk(line, volume, new Export(line.name(), line.description(),
-                    line.size(), line.readOnly(), true, LEAST_BLOCK, PREFERRED_BLOCK, site.mostRequest())));
+            // A flush reaches every write acknowledged by this gateway, whatever connection it came
+            // by.
+            disks.put(
+                    line.name(),
+                    new Disk(
+                            line,
+                            volume,
+                            new Export(
+                                    line.name(),
+                                    line.description(),
+                                    line.size(),
+                                    line.readOnly(),
+                                    true,
+                                    LEAST_BLOCK,
+                                    PREFERRED_BLOCK,
+                                    site.mostRequest())));
         }
     }
 
     /** Asks for the list and the holders; runs the callback once both came. */
     void start(Runnable ready) {
         whenReady = ready;
-        membership.fixed(site.members().nodes().stream().map(node -> new NodeLine(node.node(), node.cell(),
-                node.zone(), 0, NodeLine.Standing.READY, 0, 1, node.address().host(), node.address().port())).toList());
-        membersBeat = loop.scheduleAtFixedRate(this::members, MEMBERS_BEAT_MS, MEMBERS_BEAT_MS,
-                TimeUnit.MILLISECONDS);
+        membership.fixed(
+                site.members().nodes().stream()
+                        .map(
+                                node ->
+                                        new NodeLine(
+                                                node.node(),
+                                                node.cell(),
+                                                node.zone(),
+                                                0,
+                                                NodeLine.Standing.READY,
+                                                0,
+                                                1,
+                                                node.address().host(),
+                                                node.address().port()))
+                        .toList());
+        membersBeat =
+                loop.scheduleAtFixedRate(
+                        this::members, MEMBERS_BEAT_MS, MEMBERS_BEAT_MS, TimeUnit.MILLISECONDS);
         if (membership.empty()) {
             directory.fetch();
         } else {
             // Control asks for the list from here on; what is known serves meanwhile.
-            LOG.atInfo().addKeyValue("trust", membership.trust(wall())).addKeyValue("age", membership.age(wall()))
+            LOG.atInfo()
+                    .addKeyValue("trust", membership.trust(wall()))
+                    .addKeyValue("age", membership.age(wall()))
                     .log("starts with what is known of the nodes");
             listed = true;
             adopt();
             whenReady.run();
         }
         if (site.books().keep()) {
-            beat = loop.scheduleAtFixedRate(this::accountForWaiting, ACCOUNT_BEAT_MS, ACCOUNT_BEAT_MS,
-                    TimeUnit.MILLISECONDS);
+            beat =
+                    loop.scheduleAtFixedRate(
+                            this::accountForWaiting,
+                            ACCOUNT_BEAT_MS,
+                            ACCOUNT_BEAT_MS,
+                            TimeUnit.MILLISECONDS);
         }
     }
 
-    /** What an earlier life kept: the list (or null), and the cells of volumes' extents. On the loop, before the start. */
+    /**
+     * What an earlier life kept: the list (or null), and the cells of volumes' extents. On the
+     * loop, before the start.
+     */
     void restore(KeptList list, Map<Integer, int[]> cells) {
         if (list != null) {
             membership.kept(list, wall());
@@ -275,33 +366,47 @@
     /** The list as it goes to disk; null if nothing is new. From any thread. */
     CompletableFuture<KeptList> keptList() {
         CompletableFuture<KeptList> told = new CompletableFuture<>();
-        loop.execute(() -> {
-            boolean due = listed && (listChanged || wall() - listKeptAt >= LIST_KEPT_EVERY);
-            if (due) {
-                listChanged = false;
-                listKeptAt = wall();
-            }
-            told.complete(due ? membership.kept() : null);
-        });
+        loop.execute(
+                () -> {
+                    boolean due = listed && (listChanged || wall() - listKeptAt >= LIST_KEPT_EVERY);
+                    if (due) {
+                        listChanged = false;
+                        listKeptAt = wall();
+                    }
+                    told.complete(due ? membership.kept() : null);
+                });
         return told;
     }
 
-    /** The known cells of all volumes' extents, gathered piece by piece; null if nothing is new. From any thread. */
+    /**
+     * The known cells of all volumes' extents, gathered piece by piece; null if nothing is new.
+     * From any thread.
+     */
     CompletableFuture<Map<Integer, int[]>> keptHolders() {
         CompletableFuture<Map<Integer, int[]>> told = new CompletableFuture<>();
-        loop.execute(() -> {
-            if (!holdersChanged) {
-                told.complete(null);
-                return;
-            }
-            holdersChanged = false;
-            gather(new LinkedHashMap<>(), new ArrayList<>(disks.values()), 0, HoldersFile.MOST_EXTENTS, told);
-        });
+        loop.execute(
+                () -> {
+                    if (!holdersChanged) {
+                        told.complete(null);
+                        return;
+                    }
+                    holdersChanged = false;
+                    gather(
+                            new LinkedHashMap<>(),
+                            new ArrayList<>(disks.values()),
+                            0,
+                            HoldersFile.MOST_EXTENTS,
+                            told);
+                });
         return told;
     }
 
-    private void gather(Map<Integer, int[]> rows, List<Disk> left, int from, long room,
-                        CompletableFuture<Map<Integer, int[]>> told) {
+    private void gather(
+            Map<Integer, int[]> rows,
+            List<Disk> left,
+            int from,
+            long room,
+            CompletableFuture<Map<Integer, int[]>> told) {
         if (left.isEmpty() || room <= 0) {
             told.complete(rows);
             return;
@@ -314,29 +419,50 @@
             row[i] = holders.cell(Holders.key(id, i));
         }
         boolean more = end < length;
-        loop.execute(() -> gather(rows, more ? left : left.subList(1, left.size()), more ? end : 0,
-                more ? room : room - length, told));
+        loop.execute(
+                () ->
+                        gather(
+                                rows,
+                                more ? left : left.subList(1, left.size()),
+                                more ? end : 0,
+                                more ? room : room - length,
+                                told));
     }
 
     /** The nodes as they are seen, for operators. From any thread. */
     CompletableFuture<NodesView> nodesView() {
         CompletableFuture<NodesView> told = new CompletableFuture<>();
-        loop.execute(() -> told.complete(new NodesView(site.name(), membership.trust(wall()), membership.age(wall()),
-                !directoryDown && directory.isOpen(), unverified.size(), membership.seen(wall()))));
+        loop.execute(
+                () ->
+                        told.complete(
+                                new NodesView(
+                                        site.name(),
+                                        membership.trust(wall()),
+                                        membership.age(wall()),
+                                        !directoryDown && directory.isOpen(),
+                                        unverified.size(),
+                                        membership.seen(wall()))));
         return told;
     }
 
     /** Each volume's account of the last so many milliseconds, by name. From any thread. */
     CompletableFuture<Map<String, Report>> accounts(double lately) {
         CompletableFuture<Map<String, Report>> told = new CompletableFuture<>();
-        loop.execute(() -> {
-            double now = clock.now();
-            Book book = accounts.book();
-            Map<String, Report> reports = new LinkedHashMap<>();
-            disks.forEach((name, disk) -> reports.put(name, book.report(disk.line.id(), clock.wall(now - lately),
-                    clock.wall(now))));
-            told.complete(reports);
-        });
+        loop.execute(
+                () -> {
+                    double now = clock.now();
+                    Book book = accounts.book();
+                    Map<String, Report> reports = new LinkedHashMap<>();
+                    disks.forEach(
+                            (name, disk) ->
+                                    reports.put(
+                                            name,
+                                            book.report(
+                                                    disk.line.id(),
+                                                    clock.wall(now - lately),
+                                                    clock.wall(now))));
+                    told.complete(reports);
+                });
         return told;
     }
 
@@ -347,20 +473,28 @@
         return told;
     }
 
-    /** The accounts as they go to disk: copied piece by piece, and written out off this loop. From any thread. */
+    /**
+     * The accounts as they go to disk: copied piece by piece, and written out off this loop. From
+     * any thread.
+     */
     CompletableFuture<GatewayBook> writtenBook() {
         CompletableFuture<BookAt> copied = new CompletableFuture<>();
         loop.execute(() -> copyBook(accounts.copy(), copied));
-        return copied.thenApplyAsync(at -> {
-            Map<Long, String> names = new LinkedHashMap<>();
-            disks.forEach((name, disk) -> names.put((long) disk.line.id(), name));
-            return new GatewayBook(site.name(), (long) clock.wall(clock.now()), names, at.told, Kept.of(at.book));
-        });
+        return copied.thenApplyAsync(
+                at -> {
+                    Map<Long, String> names = new LinkedHashMap<>();
+                    disks.forEach((name, disk) -> names.put((long) disk.line.id(), name));
+                    return new GatewayBook(
+                            site.name(),
+                            (long) clock.wall(clock.now()),
+                            names,
+                            at.told,
+                            Kept.of(at.book));
+                });
     }
 
     /** A copy of the accounts, and which versions of the list had been told when it was whole. */
-    private record BookAt(Book book, Map<Long, Double> told) {
-    }
+    private record BookAt(Book book, Map<Long, Double> told) {}
 
     private void copyBook(BookCopy copy, CompletableFuture<BookAt> copied) {
         Book whole = copy.more(COPIED_AT_ONCE);
@@ -432,8 +566,13 @@
             close(request);
         }
         for (Part part : request.parts) {
-            part.meter = accounts.begin(request.disk.line.id(), part.operation.band, part.kind.changes(),
-                    part.operation.units, request.arrivedAt);
+            part.meter =
+                    accounts.begin(
+                            request.disk.line.id(),
+                            part.operation.band,
+                            part.kind.changes(),
+                            part.operation.units,
+                            request.arrivedAt);
         }
         for (Part part : List.copyOf(request.parts)) {
             if (part.kind == StoreWire.Kind.FLUSH) {
@@ -446,47 +585,58 @@
     }
 
     private void flush(Request request) {
-        request.disk.unflushed.forEach((cell, at) -> {
-            Part part = splitter.flush(request, cell);
-            part.writesBefore = at.writes;
-            part.since = at.since;
-            request.parts.add(part);
-        });
-    }
-
-    /** Extents without a holder are holes; the directory alone knows, for another gateway may have written. */
+        request.disk.unflushed.forEach(
+                (cell, at) -> {
+                    Part part = splitter.flush(request, cell);
+                    part.writesBefore = at.writes;
+                    part.since = at.since;
+                    request.parts.add(part);
+                });
+    }
+
+    /**
+     * Extents without a holder are holes; the directory alone knows, for another gateway may have
+     * written.
+     */
     private void blockStatus(Request request) {
         long offset = request.asked.offset();
         long end = offset + Integer.toUnsignedLong(request.asked.length());
         long first = offset / site.extentBytes();
         int count = (int) Math.min(HOLDERS_AT_ONCE, (end - 1) / site.extentBytes() - first + 1);
-        directory.lookup(request.disk.line.id(), first, count, (cells, failure) -> {
-            if (!inHand(request)) {
-                return;
-            }
-            if (cells == null) {
-                request.fail(-1, Nbd.EIO, "the directory did not answer: " + failure);
-            } else {
-                List<Integer> blocks = new ArrayList<>();
-                long at = offset;
-                for (int i = 0; i < cells.length; i++) {
-                    long until = Math.min(end, (first + i + 1) * site.extentBytes());
-                    int state = cells[i] < 0 ? Nbd.STATE_HOLE | Nbd.STATE_ZERO : 0;
-                    int last = blocks.size() - 1;
-                    if (last > 0 && blocks.get(last) == state) {
-                        blocks.set(last - 1, blocks.get(last - 1) + (int) (until - at));
+        directory.lookup(
+                request.disk.line.id(),
+                first,
+                count,
+                (cells, failure) -> {
+                    if (!inHand(request)) {
+                        return;
+                    }
+                    if (cells == null) {
+                        request.fail(-1, Nbd.EIO, "the directory did not answer: " + failure);
                     } else {
-                        blocks.add((int) (until - at));
-                        blocks.add(state);
+                        List<Integer> blocks = new ArrayList<>();
+                        long at = offset;
+                        for (int i = 0; i < cells.length; i++) {
+                            long until = Math.min(end, (first + i + 1) * site.extentBytes());
+                            int state = cells[i] < 0 ? Nbd.STATE_HOLE | Nbd.STATE_ZERO : 0;
+                            int last = blocks.size() - 1;
+                            if (last > 0 && blocks.get(last) == state) {
+                                blocks.set(last - 1, blocks.get(last - 1) + (int) (until - at));
+                            } else {
+                                blocks.add((int) (until - at));
+                                blocks.add(state);
+                            }
+                            at = until;
+                        }
+                        boolean one = (request.asked.flags() & Nbd.CMD_FLAG_REQ_ONE) != 0;
+                        request.blocks =
+                                blocks.stream()
+                                        .limit(one ? 2 : Long.MAX_VALUE)
+                                        .mapToInt(Integer::intValue)
+                                        .toArray();
                     }
-                    at = until;
-                }
-                boolean one = (request.asked.flags() & Nbd.CMD_FLAG_REQ_ONE) != 0;
-                request.blocks = blocks.stream().limit(one ? 2 : Long.MAX_VALUE)
-                        .mapToInt(Integer::intValue).toArray();
-            }
-            close(request);
-        });
+                    close(request);
+                });
     }
 
     private boolean inHand(Request request) {
@@ -496,22 +646,23 @@
 
     /** The client's connection has ended: nothing is owed to it. From the client's loop. */
     void left(Session session) {
-        loop.execute(() -> {
-            Set<Request> gone = requests.remove(session);
-            if (gone != null) {
-                for (Request request : gone) {
-                    for (Part part : List.copyOf(request.parts)) {
-                        if (!part.operation.over) {
-                            leave(part);
+        loop.execute(
+                () -> {
+                    Set<Request> gone = requests.remove(session);
+                    if (gone != null) {
+                        for (Request request : gone) {
+                            for (Part part : List.copyOf(request.parts)) {
+                                if (!part.operation.over) {
+                                    leave(part);
+                                }
+                            }
+                            request.release();
+                            request.session.answer(request);
                         }
+                        settle();
                     }
-                    request.release();
-                    request.session.answer(request);
-                }
-                settle();
-            }
-            emptied();
-        });
+                    emptied();
+                });
     }
 
     private void leave(Part part) {
@@ -556,11 +707,14 @@
 
     /** Whether the extent must have a holder afterwards. */
     private static boolean creates(Part part) {
-        return part.kind == StoreWire.Kind.WRITE || part.kind == StoreWire.Kind.ZERO
-                && (part.request.asked.flags() & Nbd.CMD_FLAG_NO_HOLE) != 0;
+        return part.kind == StoreWire.Kind.WRITE
+                || part.kind == StoreWire.Kind.ZERO
+                        && (part.request.asked.flags() & Nbd.CMD_FLAG_NO_HOLE) != 0;
     }
 
-    /** Asked after the operation came: an older answer could not know of a write acknowledged since. */
+    /**
+     * Asked after the operation came: an older answer could not know of a write acknowledged since.
+     */
     private void lookUp(Part part) {
         if (directoryDown) {
             if (holders.unpark(part.operation.extent, part)) {
@@ -568,30 +722,34 @@
             }
             return;
         }
-        directory.lookup(part.request.disk.line.id(), part.extent, 1, (cells, failure) -> {
-            if (part.operation.over) {
-                return;
-            }
-            if (cells == null) {
-                directoryFailed();
-                if (holders.unpark(part.operation.extent, part)) {
-                    handOn(part);
-                }
-            } else if (cells[0] >= 0) {
-                found(part.operation.extent, cells[0]);
-            } else {
-                if (part.shown) {
-                    part.operation.over = true;
-                    control.needless(part.operation);
-                }
-                tally.holes.increment();
-                if (part.kind == StoreWire.Kind.READ) {
-                    part.request.found.add(new Request.Found(part.at, part.length, null));
-                }
-                satisfied(part);
-            }
-            settle();
-        });
+        directory.lookup(
+                part.request.disk.line.id(),
+                part.extent,
+                1,
+                (cells, failure) -> {
+                    if (part.operation.over) {
+                        return;
+                    }
+                    if (cells == null) {
+                        directoryFailed();
+                        if (holders.unpark(part.operation.extent, part)) {
+                            handOn(part);
+                        }
+                    } else if (cells[0] >= 0) {
+                        found(part.operation.extent, cells[0]);
+                    } else {
+                        if (part.shown) {
+                            part.operation.over = true;
+                            control.needless(part.operation);
+                        }
+                        tally.holes.increment();
+                        if (part.kind == StoreWire.Kind.READ) {
+                            part.request.found.add(new Request.Found(part.at, part.length, null));
+                        }
+                        satisfied(part);
+                    }
+                    settle();
+                });
     }
 
     /** A holder became known: whoever waited for it, here or at Control, goes there. */
@@ -671,34 +829,39 @@
     private void claim(Part part, Attempt attempt) {
         long key = part.operation.extent;
         holders.claims(key);
-        // Other first writes to the extent wait for this claim, or they would lose theirs against it.
+        // Other first writes to the extent wait for this claim, or they would lose theirs against
+        // it.
         refile(key, NOT_FOUND_YET);
-        directory.claim(part.request.disk.line.id(), part.extent, attempt.node.cell, (cell, failure) -> {
-            if (cell != null) {
-                found(key, cell);
-            }
-            if (cell == null) {
-                directoryFailed();
-                refile(key, newShard());
-                if (directoryDown && !part.operation.over) {
-                    control.found(part.operation, NOT_FOUND_YET);
-                }
-            }
-            for (Part waiting : holders.claimed(key)) {
-                handOn(waiting);
-            }
-            if (attempt.outcome != null) {
-                settle();
-                return;
-            }
-            if (cell != null && cell == attempt.node.cell) {
-                hand(part, attempt);
-            } else {
-                // Another node holds it, or nobody can say: the attempt never went out.
-                out.remove(part.attempt);
-                ended(part, Outcome.MOOT);
-            }
-        });
+        directory.claim(
+                part.request.disk.line.id(),
+                part.extent,
+                attempt.node.cell,
+                (cell, failure) -> {
+                    if (cell != null) {
+                        found(key, cell);
+                    }
+                    if (cell == null) {
+                        directoryFailed();
+                        refile(key, newShard());
+                        if (directoryDown && !part.operation.over) {
+                            control.found(part.operation, NOT_FOUND_YET);
+                        }
+                    }
+                    for (Part waiting : holders.claimed(key)) {
+                        handOn(waiting);
+                    }
+                    if (attempt.outcome != null) {
+                        settle();
+                        return;
+                    }
+                    if (cell != null && cell == attempt.node.cell) {
+                        hand(part, attempt);
+                    } else {
+                        // Another node holds it, or nobody can say: the attempt never went out.
+                        out.remove(part.attempt);
+                        ended(part, Outcome.MOOT);
+                    }
+                });
     }
 
     // ---- Control's answers ----
@@ -725,8 +888,11 @@
                 part.handed = false;
                 out.put(part.attempt, part);
                 long number = part.attempt;
-                part.timer = loop.schedule(() -> timedOut(number),
-                        Math.max(1, (long) (placement.timeout() * NS)), TimeUnit.NANOSECONDS);
+                part.timer =
+                        loop.schedule(
+                                () -> timedOut(number),
+                                Math.max(1, (long) (placement.timeout() * NS)),
+                                TimeUnit.NANOSECONDS);
                 if (operation.shard < 0) {
                     accounts.claims(part.meter, attempt.node.id, clock.now());
                     claim(part, attempt);
@@ -736,14 +902,27 @@
             }
             case DECLINE -> {
                 tally.declined.increment();
-                String when = placement.advice() > 0
-                        ? "; come back in " + (long) Math.ceil(placement.advice()) + " ms" : "";
-                finish(part, Accounts.End.DECLINED, placement.reason(), Nbd.ENOMEM, "declined ("
-                        + word(placement.reason()) + "): asking again does no harm" + when);
+                String when =
+                        placement.advice() > 0
+                                ? "; come back in " + (long) Math.ceil(placement.advice()) + " ms"
+                                : "";
+                finish(
+                        part,
+                        Accounts.End.DECLINED,
+                        placement.reason(),
+                        Nbd.ENOMEM,
+                        "declined ("
+                                + word(placement.reason())
+                                + "): asking again does no harm"
+                                + when);
             }
             case SCRAP -> {
                 tally.scrapped.increment();
-                finish(part, Accounts.End.SCRAPPED, placement.reason(), Nbd.EIO,
+                finish(
+                        part,
+                        Accounts.End.SCRAPPED,
+                        placement.reason(),
+                        Nbd.EIO,
                         "scrapped: it may have taken effect or not");
             }
             case WAIT -> throw new IllegalStateException("seen above");
@@ -763,7 +942,10 @@
         accounts.waits(part.meter, spent, nodeOf(part.operation.shard), now);
     }
 
-    /** Operations wait for reasons that change without anything happening to them: some are asked at each beat. */
+    /**
+     * Operations wait for reasons that change without anything happening to them: some are asked at
+     * each beat.
+     */
     private void accountForWaiting() {
         double now = clock.now();
         Iterator<Part> each = waiting.iterator();
@@ -790,11 +972,22 @@
         Place place = places.get(attempt.node.id);
         tally.attempts.increment();
         boolean durable = (part.request.asked.flags() & Nbd.CMD_FLAG_FUA) != 0;
-        StoreWire.Send send = new StoreWire.Send(part.kind, part.operation.band.index(), durable,
-                part.operation.band.repeat().ordinal(), part.operation.id, attempt.number,
-                part.request.disk.line.id(), part.extent, part.offset, part.length,
-                (float) part.operation.units, part.since,
-                part.kind != StoreWire.Kind.FLUSH && unverified.contains(part.operation.extent));
+        StoreWire.Send send =
+                new StoreWire.Send(
+                        part.kind,
+                        part.operation.band.index(),
+                        durable,
+                        part.operation.band.repeat().ordinal(),
+                        part.operation.id,
+                        attempt.number,
+                        part.request.disk.line.id(),
+                        part.extent,
+                        part.offset,
+                        part.length,
+                        (float) part.operation.units,
+                        part.since,
+                        part.kind != StoreWire.Kind.FLUSH
+                                && unverified.contains(part.operation.extent));
         place.link.send(part.attempt, send, part.payload.retainedDuplicate());
     }
 
@@ -806,26 +999,33 @@
             payload.release();
             return;
         }
-        Outcome outcome = switch (answer.code()) {
-            case SATISFIED -> Outcome.SATISFIED;
-            case FAULT -> Outcome.FAULT;
-            case FULL, DRAINING -> Outcome.FULL;
-            // Whose pen was taken by another gateway never ran, and the node is not to blame.
-            case MOOT, STALE_PEN -> Outcome.MOOT;
-            case CALLED_OFF -> Outcome.CALLED_OFF;
-        };
+        Outcome outcome =
+                switch (answer.code()) {
+                    case SATISFIED -> Outcome.SATISFIED;
+                    case FAULT -> Outcome.FAULT;
+                    case FULL, DRAINING -> Outcome.FULL;
+                    // Whose pen was taken by another gateway never ran, and the node is not to
+                    // blame.
+                    case MOOT, STALE_PEN -> Outcome.MOOT;
+                    case CALLED_OFF -> Outcome.CALLED_OFF;
+                };
         Attempt attempt = lastAttempt(part);
         attempt.usedPercent = answer.used() == 0 ? Double.NaN : answer.used() - 1;
         attempt.othersUnits = answer.others();
         attempt.report = widened(answer.report());
-        boolean denied = answer.code() == StoreWire.Code.MOOT && unverified.remove(part.operation.extent);
+        boolean denied =
+                answer.code() == StoreWire.Code.MOOT && unverified.remove(part.operation.extent);
         if (denied) {
             deny(part);
         }
         if (answer.code() == StoreWire.Code.SATISFIED) {
             unverified.remove(part.operation.extent);
-            accounts.answered(part.meter, answer.waited(), answer.worked(),
-                    answer.report().length == 0 ? Double.NaN : answer.report()[0], clock.now());
+            accounts.answered(
+                    part.meter,
+                    answer.waited(),
+                    answer.worked(),
+                    answer.report().length == 0 ? Double.NaN : answer.report()[0],
+                    clock.now());
         }
         int due = part.kind == StoreWire.Kind.READ ? part.length : 0;
         if (outcome == Outcome.SATISFIED && payload.readableBytes() != due) {
@@ -842,10 +1042,15 @@
         }
     }
 
-    /** The holder that the disk named does not hold the extent: nobody is believed to, until it is found. */
+    /**
+     * The holder that the disk named does not hold the extent: nobody is believed to, until it is
+     * found.
+     */
     private void deny(Part part) {
         long key = part.operation.extent;
-        LOG.atInfo().addKeyValue("volume", part.request.disk.line.name()).addKeyValue("extent", part.extent)
+        LOG.atInfo()
+                .addKeyValue("volume", part.request.disk.line.name())
+                .addKeyValue("extent", part.extent)
                 .log("its holder by the disk denies it");
         holders.forget(key);
         holdersChanged = true;
@@ -938,20 +1143,47 @@
         Operation operation = part.operation;
         List<Story.Step> steps = new ArrayList<>(part.meter.steps());
         for (int i = 0; i < part.meter.steps(); i++) {
-            steps.add(new Story.Step(part.meter.step(i), part.meter.stepNode(i), part.meter.stepLength(i)));
+            steps.add(
+                    new Story.Step(
+                            part.meter.step(i), part.meter.stepNode(i), part.meter.stepLength(i)));
         }
         List<Story.Attempt> attempts = new ArrayList<>(operation.attempts.size());
         for (Attempt attempt : operation.attempts) {
-            attempts.add(new Story.Attempt(attempt.number, attempt.node.id, attempt.owed,
-                    attempt.sentAt - operation.arrivedAt, attempt.took, attempt.outcome));
+            attempts.add(
+                    new Story.Attempt(
+                            attempt.number,
+                            attempt.node.id,
+                            attempt.owed,
+                            attempt.sentAt - operation.arrivedAt,
+                            attempt.took,
+                            attempt.outcome));
         }
         Cause cause = part.meter.mainCause();
-        String named = cause == null ? "" : word(cause.kind()) + (cause.volume() == 0 ? "" : ", volume "
-                + cause.volume()) + (cause.node() == 0 ? "" : ", node " + cause.node())
-                + (cause.estimate() ? ", estimate" : "");
-        return new Story(site.name(), operation.id, part.request.asked.cookie(), part.request.disk.line.name(),
-                operation.band.name(), word(part.kind), part.extent, operation.units,
-                clock.wall(operation.arrivedAt), took, how, reason, named, sampler.why(), standsFor, steps, attempts);
+        String named =
+                cause == null
+                        ? ""
+                        : word(cause.kind())
+                                + (cause.volume() == 0 ? "" : ", volume " + cause.volume())
+                                + (cause.node() == 0 ? "" : ", node " + cause.node())
+                                + (cause.estimate() ? ", estimate" : "");
+        return new Story(
+                site.name(),
+                operation.id,
+                part.request.asked.cookie(),
+                part.request.disk.line.name(),
+                operation.band.name(),
+                word(part.kind),
+                part.extent,
+                operation.units,
+                clock.wall(operation.arrivedAt),
+                took,
+                how,
+                reason,
+                named,
+                sampler.why(),
+                standsFor,
+                steps,
+                attempts);
     }
 
     private void finish(Part part, Accounts.End how, Reason reason, int error, String why) {
@@ -1009,7 +1241,7 @@
             switch (pause.call()) {
                 case SUBSCRIBE -> directory.subscribe();
                 case FETCH -> directory.fetch();
-                case NONE -> { }
+                case NONE -> {}
             }
             boolean moved = false;
             for (Operation operation : pause.due()) {
@@ -1047,11 +1279,22 @@
     @Override
     public void listed(DirectoryWire.Listing listing) {
         directoryAnswered();
-        Membership.Belief belief = membership.told(new Told(listing.site(), listing.history(), listing.version(),
-                listing.whole(), listing.lines().stream().map(House::line).toList()), wall());
-        LOG.atInfo().addKeyValue("version", listing.version()).addKeyValue("whole", listing.whole())
-                .addKeyValue("lines", listing.lines().size()).addKeyValue("believed", belief.believed())
-                .addKeyValue("why", belief.why()).log("list of nodes");
+        Membership.Belief belief =
+                membership.told(
+                        new Told(
+                                listing.site(),
+                                listing.history(),
+                                listing.version(),
+                                listing.whole(),
+                                listing.lines().stream().map(House::line).toList()),
+                        wall());
+        LOG.atInfo()
+                .addKeyValue("version", listing.version())
+                .addKeyValue("whole", listing.whole())
+                .addKeyValue("lines", listing.lines().size())
+                .addKeyValue("believed", belief.believed())
+                .addKeyValue("why", belief.why())
+                .log("list of nodes");
         if (belief.believed() || belief.changed()) {
             adopt();
         }
@@ -1075,11 +1318,20 @@
     }
 
     private static NodeLine line(DirectoryWire.Line line) {
-        return new NodeLine(line.node(), line.cell(), line.zone(), line.kind(), switch (line.standing()) {
-            case READY -> NodeLine.Standing.READY;
-            case DRAINING -> NodeLine.Standing.DRAINING;
-            case GONE -> NodeLine.Standing.GONE;
-        }, line.startedAt(), line.weight(), line.host(), line.port());
+        return new NodeLine(
+                line.node(),
+                line.cell(),
+                line.zone(),
+                line.kind(),
+                switch (line.standing()) {
+                    case READY -> NodeLine.Standing.READY;
+                    case DRAINING -> NodeLine.Standing.DRAINING;
+                    case GONE -> NodeLine.Standing.GONE;
+                },
+                line.startedAt(),
+                line.weight(),
+                line.host(),
+                line.port());
     }
 
     /** Uses the nodes as membership sees them now. */
@@ -1089,7 +1341,8 @@
         for (Membership.Seen seen : membership.seen(wall())) {
             Node node = place(seen);
             nodes.add(node);
-            accounts.node(node.id, node.zone, node.startedAt + site.deployment().rules().coldTime());
+            accounts.node(
+                    node.id, node.zone, node.startedAt + site.deployment().rules().coldTime());
             if (node.standing == Node.Standing.READY) {
                 byCell.put(node.cell, node);
             }
@@ -1099,7 +1352,9 @@
         settle();
     }
 
-    /** What time and the nodes' own words change: a few nodes are asked who they are at each beat. */
+    /**
+     * What time and the nodes' own words change: a few nodes are asked who they are at each beat.
+     */
     private void members() {
         double wall = wall();
         if (listed && membership.pass(wall)) {
@@ -1110,11 +1365,15 @@
         }
         if (directory.isSubscribed() && wall >= confirmAt && !disks.isEmpty()) {
             confirmAt = wall + CONFIRMED_EVERY;
-            directory.lookup(disks.values().iterator().next().line.id(), 0, 1, (cells, failure) -> {
-                if (cells != null && membership.confirmed(wall())) {
-                    adopt();
-                }
-            });
+            directory.lookup(
+                    disks.values().iterator().next().line.id(),
+                    0,
+                    1,
+                    (cells, failure) -> {
+                        if (cells != null && membership.confirmed(wall())) {
+                            adopt();
+                        }
+                    });
         }
     }
 
@@ -1128,17 +1387,19 @@
         node.weight = line.weight();
         node.startedAt = clock.atWall(line.startedAt());
         node.takesNew = seen.takesNew();
-        node.standing = switch (seen.use()) {
-            case READY -> Node.Standing.READY;
-            case DRAINING -> Node.Standing.DRAINING;
-            case GONE -> Node.Standing.GONE;
-        };
+        node.standing =
+                switch (seen.use()) {
+                    case READY -> Node.Standing.READY;
+                    case DRAINING -> Node.Standing.DRAINING;
+                    case GONE -> Node.Standing.GONE;
+                };
         SocketAddress address = new InetSocketAddress(line.host(), line.port());
         if (place.link == null || !place.link.address().equals(address)) {
             if (place.link != null) {
                 place.link.close();
             }
-            place.link = new NodeLink(loop, kind, site.extentBytes(), node.id, address, hello, place);
+            place.link =
+                    new NodeLink(loop, kind, site.extentBytes(), node.id, address, hello, place);
         }
         return node;
     }
@@ -1159,7 +1420,10 @@
         }
     }
 
-    /** Learns the holders of all extents of the volumes; what cannot be learned now is asked when needed. */
+    /**
+     * Learns the holders of all extents of the volumes; what cannot be learned now is asked when
+     * needed.
+     */
     private void preload(List<Disk> left, long first) {
         if (left.isEmpty()) {
             whenReady.run();
@@ -1168,31 +1432,36 @@
         Disk disk = left.get(0);
         long extents = (disk.line.size() - 1) / site.extentBytes() + 1;
         int count = (int) Math.min(HOLDERS_AT_ONCE, extents - first);
-        directory.lookup(disk.line.id(), first, count, (cells, failure) -> {
-            if (cells == null) {
-                LOG.atWarn().addKeyValue("why", failure).log("holders not told at start");
-                whenReady.run();
-                return;
-            }
-            for (int i = 0; i < cells.length; i++) {
-                if (cells[i] >= 0) {
-                    found(Holders.key(disk.line.id(), first + i), cells[i]);
-                }
-            }
-            boolean more = first + count < extents;
-            preload(more ? left : left.subList(1, left.size()), more ? first + count : 0);
-        });
+        directory.lookup(
+                disk.line.id(),
+                first,
+                count,
+                (cells, failure) -> {
+                    if (cells == null) {
+                        LOG.atWarn().addKeyValue("why", failure).log("holders not told at start");
+                        whenReady.run();
+                        return;
+                    }
+                    for (int i = 0; i < cells.length; i++) {
+                        if (cells[i] >= 0) {
+                            found(Holders.key(disk.line.id(), first + i), cells[i]);
+                        }
+                    }
+                    boolean more = first + count < extents;
+                    preload(more ? left : left.subList(1, left.size()), more ? first + count : 0);
+                });
     }
 
     // ---- the end ----
 
     /** Takes nothing more, and runs the callback once all that is in hand has its final answer. */
     void stop(Runnable empty) {
-        loop.execute(() -> {
-            stopping = true;
-            whenEmpty = empty;
-            emptied();
-        });
+        loop.execute(
+                () -> {
+                    stopping = true;
+                    whenEmpty = empty;
+                    emptied();
+                });
     }
 
     private void emptied() {
--- a/src/main/java/sagepulley/gateway/NodesView.java
+++ b/src/main/java/sagepulley/gateway/NodesView.java
@@ -5,9 +5,14 @@
 import sagepulley.membership.Trust;
 
 /**
- * What a gateway knows of its nodes: how far and for what age of the list (milliseconds since a directory confirmed
- * it; infinity if none did), whether the directory is reached, extents whose holder is known from disk only.
+ * What a gateway knows of its nodes: how far and for what age of the list (milliseconds since a
+ * directory confirmed it; infinity if none did), whether the directory is reached, extents whose
+ * holder is known from disk only.
  */
-public record NodesView(String gateway, Trust trust, double age, boolean directory, int unverifiedExtents,
-                        List<Membership.Seen> nodes) {
-}
+public record NodesView(
+        String gateway,
+        Trust trust,
+        double age,
+        boolean directory,
+        int unverifiedExtents,
+        List<Membership.Seen> nodes) {}
--- a/src/main/java/sagepulley/gateway/Part.java
+++ b/src/main/java/sagepulley/gateway/Part.java
@@ -6,33 +6,55 @@
 import sagepulley.model.Operation;
 import sagepulley.store.StoreWire;
 
-/** The part of a request that lies in one extent: one operation, from its taking to its one final answer. */
+/**
+ * The part of a request that lies in one extent: one operation, from its taking to its one final
+ * answer.
+ */
 final class Part {
     final Request request;
     final Operation operation;
     final StoreWire.Kind kind;
     final long extent;
+
     /** Bytes in the extent, and where it starts in the export. */
     final int offset;
+
     final int length;
     final long at;
+
     /** What is written; empty for all else. Given back when the part is over. */
     ByteBuf payload;
+
     /** The attempt that is out: its number on the wire (0: none), and the timer of its end. */
     long attempt;
+
     ScheduledFuture<?> timer;
+
     /** Whether the attempt has been handed to a link, and not merely waits for a claim. */
     boolean handed;
+
     /** Whether it was shown to Control, or still waits for the directory. */
     boolean shown;
+
     /** Its account of time. */
     Meter meter;
-    /** For a flush: how many writes stood when it began, and the node's start that must still hold. */
+
+    /**
+     * For a flush: how many writes stood when it began, and the node's start that must still hold.
+     */
     long writesBefore;
+
     long since;
 
-    Part(Request request, Operation operation, StoreWire.Kind kind, long extent, int offset, int length,
-         long at, ByteBuf payload) {
+    Part(
+            Request request,
+            Operation operation,
+            StoreWire.Kind kind,
+            long extent,
+            int offset,
+            int length,
+            long at,
+            ByteBuf payload) {
         this.request = request;
         this.operation = operation;
         this.kind = kind;
--- a/src/main/java/sagepulley/gateway/Request.java
+++ b/src/main/java/sagepulley/gateway/Request.java
@@ -7,17 +7,16 @@
 import sagepulley.nbd.NbdRequest;
 
 /**
- * An NBD request in hand. Its one reply is written when all its parts have ended; what several parts say is
- * folded here: of errors the gravest counts (scrapped over declined), and each tells its own offset.
+ * An NBD request in hand. Its one reply is written when all its parts have ended; what several
+ * parts say is folded here: of errors the gravest counts (scrapped over declined), and each tells
+ * its own offset.
  */
 final class Request {
     /** What a part of a read brought: data, or a hole of so many bytes where the data is null. */
-    record Found(long at, int length, ByteBuf data) {
-    }
+    record Found(long at, int length, ByteBuf data) {}
 
     /** A part that failed. */
-    record Failed(long at, int error, String why) {
-    }
+    record Failed(long at, int error, String why) {}
 
     final Session session;
     final NbdRequest asked;
@@ -26,8 +25,10 @@
     final List<Part> parts = new ArrayList<>(1);
     final List<Found> found = new ArrayList<>(1);
     final List<Failed> failed = new ArrayList<>(0);
+
     /** Lengths and flags, for a block status. */
     int[] blocks;
+
     int open;
 
     Request(Session session, NbdRequest asked, Disk disk, double arrivedAt) {
--- a/src/main/java/sagepulley/gateway/Room.java
+++ b/src/main/java/sagepulley/gateway/Room.java
@@ -4,8 +4,8 @@
 import sagepulley.nbd.Gate;
 
 /**
- * How many bytes of requests may be in hand, in all and for each client. What does not fit waits in order, and
- * its socket is not read meanwhile. Used from every client's loop.
+ * How many bytes of requests may be in hand, in all and for each client. What does not fit waits in
+ * order, and its socket is not read meanwhile. Used from every client's loop.
  */
 public final class Room {
     private final long most;
@@ -30,8 +30,10 @@
     public final class Client implements Gate {
         private final long clientMost;
         private long clientUsed;
+
         /** What it waits for; 0 for nothing. */
         private long wanted;
+
         private boolean granted;
         private Runnable later;
 
@@ -70,7 +72,10 @@
             synchronized (Room.this) {
                 clientUsed -= bytes;
                 used -= bytes;
-                if (wanted > 0 && !granted && clientUsed + wanted <= clientMost && !queue.contains(this)) {
+                if (wanted > 0
+                        && !granted
+                        && clientUsed + wanted <= clientMost
+                        && !queue.contains(this)) {
                     queue.add(this);
                 }
                 grant();
@@ -103,7 +108,9 @@
     }
 
     private void grant() {
-        for (Client first = queue.peek(); first != null && used + first.wanted <= most; first = queue.peek()) {
+        for (Client first = queue.peek();
+                first != null && used + first.wanted <= most;
+                first = queue.peek()) {
             queue.poll();
             first.take(first.wanted);
             first.granted = true;
--- a/src/main/java/sagepulley/gateway/Session.java
+++ b/src/main/java/sagepulley/gateway/Session.java
@@ -18,12 +18,16 @@
 import sagepulley.nbd.Replies;
 import sagepulley.wire.BadBytes;
 
-/** One client's connection: requests to the house, and each one's reply back. Lives on the client's loop. */
+/**
+ * One client's connection: requests to the house, and each one's reply back. Lives on the client's
+ * loop.
+ */
 final class Session extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = LoggerFactory.getLogger(Session.class);
     private static final int ZEROES_AT_ONCE = 1 << 16;
-    private static final ByteBuf ZEROES = Unpooled.unreleasableBuffer(
-            Unpooled.directBuffer(ZEROES_AT_ONCE).writeZero(ZEROES_AT_ONCE).asReadOnly());
+    private static final ByteBuf ZEROES =
+            Unpooled.unreleasableBuffer(
+                    Unpooled.directBuffer(ZEROES_AT_ONCE).writeZero(ZEROES_AT_ONCE).asReadOnly());
 
     private final House house;
     private final Room.Client room;
@@ -51,21 +55,33 @@
             disk = house.disk(attached.export().name());
             structured = attached.structured();
             baseAllocation = attached.baseAllocation();
-            LOG.atInfo().addKeyValue("volume", disk.line.name()).addKeyValue("client", channel.remoteAddress())
-                    .addKeyValue("structured", structured).log("client attached");
+            LOG.atInfo()
+                    .addKeyValue("volume", disk.line.name())
+                    .addKeyValue("client", channel.remoteAddress())
+                    .addKeyValue("structured", structured)
+                    .log("client attached");
         } else if (event instanceof IdleStateEvent idle) {
             idle(idle.state());
         }
     }
 
-    /** A client that stops in the middle of a message, or reads no replies, holds what others could use. */
+    /**
+     * A client that stops in the middle of a message, or reads no replies, holds what others could
+     * use.
+     */
     private void idle(IdleState state) {
-        boolean stuckReading = state == IdleState.READER_IDLE && house.waitsForRest(channel)
-                && channel.config().isAutoRead();
+        boolean stuckReading =
+                state == IdleState.READER_IDLE
+                        && house.waitsForRest(channel)
+                        && channel.config().isAutoRead();
         boolean stuckWriting = state == IdleState.WRITER_IDLE && !channel.isWritable();
         if (stuckReading || stuckWriting) {
-            LOG.atInfo().addKeyValue("client", channel.remoteAddress())
-                    .log(stuckReading ? "client stopped inside a message" : "client reads no replies");
+            LOG.atInfo()
+                    .addKeyValue("client", channel.remoteAddress())
+                    .log(
+                            stuckReading
+                                    ? "client stopped inside a message"
+                                    : "client reads no replies");
             channel.close();
         }
     }
@@ -88,10 +104,19 @@
             room.give(asked.admitted());
             return;
         }
-        Request.Failed wrong = Splitter.wrong(asked.command(), asked.flags(), asked.offset(),
-                Integer.toUnsignedLong(asked.length()), disk, structured, baseAllocation);
+        Request.Failed wrong =
+                Splitter.wrong(
+                        asked.command(),
+                        asked.flags(),
+                        asked.offset(),
+                        Integer.toUnsignedLong(asked.length()),
+                        disk,
+                        structured,
+                        baseAllocation);
         if (wrong == null && asked.admitted() == 0) {
-            wrong = new Request.Failed(-1, Nbd.EINVAL, "longer than " + disk.export.mostBlock() + " bytes");
+            wrong =
+                    new Request.Failed(
+                            -1, Nbd.EINVAL, "longer than " + disk.export.mostBlock() + " bytes");
         }
         inHand++;
         if (wrong != null) {
@@ -123,10 +148,12 @@
         written.addListener(done -> gone(request));
         if (!flushDue) {
             flushDue = true;
-            channel.eventLoop().execute(() -> {
-                flushDue = false;
-                channel.flush();
-            });
+            channel.eventLoop()
+                    .execute(
+                            () -> {
+                                flushDue = false;
+                                channel.flush();
+                            });
         }
     }
 
@@ -164,14 +191,23 @@
         ChannelFuture last = null;
         for (Request.Found found : request.found) {
             boolean end = --left == 0;
-            last = found.data() == null ? Replies.hole(channel, cookie, found.at(), found.length(), end)
-                    : Replies.data(channel, cookie, found.at(), found.data(), end);
+            last =
+                    found.data() == null
+                            ? Replies.hole(channel, cookie, found.at(), found.length(), end)
+                            : Replies.data(channel, cookie, found.at(), found.data(), end);
         }
         request.found.clear();
         // The gravest first: clients take the first error for the request's.
         request.failed.sort(Comparator.comparing(failed -> failed.error() == Nbd.ENOMEM));
         for (Request.Failed failed : request.failed) {
-            last = Replies.error(channel, cookie, failed.error(), failed.why(), failed.at(), --left == 0);
+            last =
+                    Replies.error(
+                            channel,
+                            cookie,
+                            failed.error(),
+                            failed.why(),
+                            failed.at(),
+                            --left == 0);
         }
         return last;
     }
@@ -209,10 +245,15 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof BadBytes) {
             house.tally().badClients.increment();
-            LOG.atInfo().addKeyValue("client", channel.remoteAddress()).addKeyValue("why", cause.getMessage())
+            LOG.atInfo()
+                    .addKeyValue("client", channel.remoteAddress())
+                    .addKeyValue("why", cause.getMessage())
                     .log("client ended for what it sent");
         } else if (!(cause instanceof java.io.IOException)) {
-            LOG.atError().setCause(cause).addKeyValue("client", channel.remoteAddress()).log("session failed");
+            LOG.atError()
+                    .setCause(cause)
+                    .addKeyValue("client", channel.remoteAddress())
+                    .log("session failed");
         }
         ctx.close();
     }
--- a/src/main/java/sagepulley/gateway/Tally.java
+++ b/src/main/java/sagepulley/gateway/Tally.java
@@ -8,8 +8,10 @@
     public final LongAdder satisfied = new LongAdder();
     public final LongAdder declined = new LongAdder();
     public final LongAdder scrapped = new LongAdder();
+
     /** Ended because the client left. */
     public final LongAdder left = new LongAdder();
+
     public final LongAdder attempts = new LongAdder();
     public final LongAdder moot = new LongAdder();
     public final LongAdder holes = new LongAdder();
--- a/src/main/java/sagepulley/host/Clock.java
+++ b/src/main/java/sagepulley/host/Clock.java
@@ -1,6 +1,9 @@
 package sagepulley.host;
 
-/** The one clock of a gateway: milliseconds with fractions that only move forward, tied to the wall once. */
+/**
+ * The one clock of a gateway: milliseconds with fractions that only move forward, tied to the wall
+ * once.
+ */
 public final class Clock {
     private final long startNanos = System.nanoTime();
     private final double wallAtStart = System.currentTimeMillis();
@@ -9,7 +12,10 @@
         return (System.nanoTime() - startNanos) / 1e6;
     }
 
-    /** The wall-clock time, in milliseconds, at a time of this clock; a step of the wall's clock since changes none. */
+    /**
+     * The wall-clock time, in milliseconds, at a time of this clock; a step of the wall's clock
+     * since changes none.
+     */
     public double wall(double time) {
         return wallAtStart + time;
     }
--- a/src/main/java/sagepulley/host/FirstMessage.java
+++ b/src/main/java/sagepulley/host/FirstMessage.java
@@ -10,8 +10,8 @@
 import sagepulley.model.Rulebook;
 
 /**
- * The settings that a gateway is told first, as path=value pairs, read into a deployment. Unknown keys are
- * skipped.
+ * The settings that a gateway is told first, as path=value pairs, read into a deployment. Unknown
+ * keys are skipped.
  */
 public final class FirstMessage {
     private static final double NS = 1e6;
@@ -52,68 +52,108 @@
         double gateways = whole("balancers");
         double me = whole("me");
         if (me < 0 || me >= gateways) {
-            throw new MissingFigure("me=" + (int) me + " does not lie below balancers=" + (int) gateways);
+            throw new MissingFigure(
+                    "me=" + (int) me + " does not lie below balancers=" + (int) gateways);
         }
         boolean mustAsk = optional("discovery", "automatic").equals("subscribe");
         return new Deployment(
-                (int) me, (int) gateways, (int) optionalNumber("az", 0), bands, plans, rules(ordered),
-                time("tickNs", 0), (int) optionalNumber("domain.shards", 0),
-                optionalNumber("domain.usualUnits", 1), optionalNumber("domain.maxUnits", 1),
-                optionalNumber("domain.shareWorth", 1), optionalNumber("domain.beyondShare", 0),
-                time("domain.usePeriodNs", 0), flag("domain.saysOthers"),
-                mustAsk, mustAsk ? number("contract.askEveryNs") / NS : Double.POSITIVE_INFINITY,
-                Double.POSITIVE_INFINITY, flag("limits.mayProbe"), flag("limits.cancel"), flag("limits.retryAfter"),
-                time("limits.maxRetryAfterNs", 0), optionalNumber("charges.crossZone", 0),
-                optionalNumber("charges.probe", 0), optionalNumber("charges.waste", 0),
+                (int) me,
+                (int) gateways,
+                (int) optionalNumber("az", 0),
+                bands,
+                plans,
+                rules(ordered),
+                time("tickNs", 0),
+                (int) optionalNumber("domain.shards", 0),
+                optionalNumber("domain.usualUnits", 1),
+                optionalNumber("domain.maxUnits", 1),
+                optionalNumber("domain.shareWorth", 1),
+                optionalNumber("domain.beyondShare", 0),
+                time("domain.usePeriodNs", 0),
+                flag("domain.saysOthers"),
+                mustAsk,
+                mustAsk ? number("contract.askEveryNs") / NS : Double.POSITIVE_INFINITY,
+                Double.POSITIVE_INFINITY,
+                flag("limits.mayProbe"),
+                flag("limits.cancel"),
+                flag("limits.retryAfter"),
+                time("limits.maxRetryAfterNs", 0),
+                optionalNumber("charges.crossZone", 0),
+                optionalNumber("charges.probe", 0),
+                optionalNumber("charges.waste", 0),
                 !optional("weights", "silent").equals("silent"),
                 how.equals("silent") || fields.isEmpty() ? List.of() : List.of(fields.split(",")));
     }
 
     private Rulebook rules(boolean ordered) {
-        boolean rationed = pairs.containsKey("contract.extraWindowNs")
-                || pairs.containsKey("contract.extraFloor") || pairs.containsKey("contract.extraRatio");
+        boolean rationed =
+                pairs.containsKey("contract.extraWindowNs")
+                        || pairs.containsKey("contract.extraFloor")
+                        || pairs.containsKey("contract.extraRatio");
         return new Rulebook(
-                time("contract.graceToAnswerNs", 0), number("contract.drainGraceNs") / NS,
-                number("contract.coldFrom"), number("contract.coldNs") / NS, number("contract.fallMultiple"),
-                number("contract.overloadForNs") / NS, number("domain.coldBears"),
+                time("contract.graceToAnswerNs", 0),
+                number("contract.drainGraceNs") / NS,
+                number("contract.coldFrom"),
+                number("contract.coldNs") / NS,
+                number("contract.fallMultiple"),
+                number("contract.overloadForNs") / NS,
+                number("domain.coldBears"),
                 ordered ? number("contract.keyRestNs") / NS : 0,
                 rationed ? number("contract.extraFloor") : Double.NaN,
                 rationed ? number("contract.extraRatio") : Double.NaN,
                 rationed ? number("contract.extraWindowNs") / NS : Double.NaN,
-                (int) number("limits.mostTries"), truth("limits.mayDuplicate"));
+                (int) number("limits.mostTries"),
+                truth("limits.mayDuplicate"));
     }
 
     private Band band(int index, boolean writes) {
         String path = "classes." + index + ".";
-        Band.Repeat repeat = switch (text(path + "effect")) {
-            case "retryable" -> Band.Repeat.IDEMPOTENT;
-            case "dedup" -> Band.Repeat.DEDUPLICATED;
-            case "fragile" -> Band.Repeat.UNREPEATABLE;
-            default -> throw unreadable(path + "effect");
-        };
+        Band.Repeat repeat =
+                switch (text(path + "effect")) {
+                    case "retryable" -> Band.Repeat.IDEMPOTENT;
+                    case "dedup" -> Band.Repeat.DEDUPLICATED;
+                    case "fragile" -> Band.Repeat.UNREPEATABLE;
+                    default -> throw unreadable(path + "effect");
+                };
         Band.Group group = Band.Group.ALL;
         double memory = 0;
         if (repeat == Band.Repeat.DEDUPLICATED) {
-            group = switch (text(path + "dedupScope")) {
-                case "all" -> Band.Group.ALL;
-                case "zone" -> Band.Group.ZONE;
-                case "cell" -> Band.Group.CELL;
-                default -> throw unreadable(path + "dedupScope");
-            };
+            group =
+                    switch (text(path + "dedupScope")) {
+                        case "all" -> Band.Group.ALL;
+                        case "zone" -> Band.Group.ZONE;
+                        case "cell" -> Band.Group.CELL;
+                        default -> throw unreadable(path + "dedupScope");
+                    };
             memory = number(path + "keyTtlNs") / NS;
         }
-        return new Band(index, optional(path + "name", "band " + index), repeat, group, memory,
-                flag(path + "fifoByKey"), writes, number(path + "sloNs") / NS,
-                optionalNumber(path + "aimStretch", 0), number(path + "hardLimitNs") / NS,
-                optionalNumber(path + "worth", 1), optionalNumber(path + "lateShare", 0));
+        return new Band(
+                index,
+                optional(path + "name", "band " + index),
+                repeat,
+                group,
+                memory,
+                flag(path + "fifoByKey"),
+                writes,
+                number(path + "sloNs") / NS,
+                optionalNumber(path + "aimStretch", 0),
+                number(path + "hardLimitNs") / NS,
+                optionalNumber(path + "worth", 1),
+                optionalNumber(path + "lateShare", 0));
     }
 
     private Plan plan(int index) {
         String path = "plans." + index + ".";
         double limit = optionalNumber(path + "cap", 0);
-        return new Plan(index, optional(path + "name", "plan " + index), optionalNumber(path + "rate", 0),
-                optionalNumber(path + "guaranteed", 0), optionalNumber(path + "weight", 1),
-                optionalNumber(path + "price", 1), limit, limit > 0 ? number(path + "limitBurst") : 0,
+        return new Plan(
+                index,
+                optional(path + "name", "plan " + index),
+                optionalNumber(path + "rate", 0),
+                optionalNumber(path + "guaranteed", 0),
+                optionalNumber(path + "weight", 1),
+                optionalNumber(path + "price", 1),
+                limit,
+                limit > 0 ? number(path + "limitBurst") : 0,
                 limit > 0 ? number(path + "slack") : 0);
     }
 
--- a/src/main/java/sagepulley/host/Host.java
+++ b/src/main/java/sagepulley/host/Host.java
@@ -15,8 +15,8 @@
 import sagepulley.control.BandView;
 import sagepulley.control.Control;
 import sagepulley.control.WaitView;
-import sagepulley.model.Deployment;
 import sagepulley.model.Attempt;
+import sagepulley.model.Deployment;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -27,8 +27,9 @@
 import sagepulley.model.Volume;
 
 /**
- * One gateway round the module that decides for it: its operations in hand, its nodes and volumes, and the
- * settle loop. Told what happens by whoever owns the wire; what is decided goes out by the exit. One thread.
+ * One gateway round the module that decides for it: its operations in hand, its nodes and volumes,
+ * and the settle loop. Told what happens by whoever owns the wire; what is decided goes out by the
+ * exit. One thread.
  */
 public final class Host {
     private static final double GONE_FOR_GOOD = 30_000;
@@ -40,6 +41,7 @@
     private final Map<Long, Volume> volumes = new HashMap<>();
     private final Map<Integer, Node> nodes = new LinkedHashMap<>();
     private final Map<Integer, Double> goneSince = new HashMap<>();
+
     /** Taken, and not yet placed: all that came at one moment is known before anything is sent. */
     private final Queue<Operation> arrivals = new ArrayDeque<>();
 
@@ -54,8 +56,8 @@
     }
 
     /**
-     * The list as it stands after a message of the given entries; a whole list drops what it lacks. Gives the
-     * nodes that were gone for long and are forgotten now.
+     * The list as it stands after a message of the given entries; a whole list drops what it lacks.
+     * Gives the nodes that were gone for long and are forgotten now.
      */
     public List<Node> listed(List<ListEntry> entries, boolean whole, double now) {
         if (whole) {
@@ -71,7 +73,10 @@
         return forgotten;
     }
 
-    /** A node that vanished may come back as it was; by then it will not, and nothing may grow with those. */
+    /**
+     * A node that vanished may come back as it was; by then it will not, and nothing may grow with
+     * those.
+     */
     private List<Node> longGone(double now) {
         Set<Node> busy = new HashSet<>();
         for (Operation operation : operations.values()) {
@@ -85,7 +90,8 @@
         for (Node node : nodes.values()) {
             if (node.standing != Node.Standing.GONE) {
                 goneSince.remove(node.id);
-            } else if (now - goneSince.computeIfAbsent(node.id, any -> now) > GONE_FOR_GOOD && !busy.contains(node)) {
+            } else if (now - goneSince.computeIfAbsent(node.id, any -> now) > GONE_FOR_GOOD
+                    && !busy.contains(node)) {
                 node.forgotten = true;
                 forgotten.add(node);
             }
@@ -125,7 +131,9 @@
         control.listMoved(now);
     }
 
-    /** Takes an operation; it is placed when things are settled, if its client has not left by then. */
+    /**
+     * Takes an operation; it is placed when things are settled, if its client has not left by then.
+     */
     public void arrived(Operation operation) {
         operations.put(operation.id, operation);
         arrivals.add(operation);
@@ -208,7 +216,10 @@
         }
     }
 
-    /** After all that happened at this moment: whatever is due now, and when to be woken for what is later. */
+    /**
+     * After all that happened at this moment: whatever is due now, and when to be woken for what is
+     * later.
+     */
     public void settle(double now) {
         for (Operation fresh = arrivals.poll(); fresh != null; fresh = arrivals.poll()) {
             answer(fresh, control.place(fresh, now));
@@ -220,7 +231,7 @@
             switch (pause.call()) {
                 case SUBSCRIBE -> exit.subscribe();
                 case FETCH -> exit.fetch();
-                case NONE -> { }
+                case NONE -> {}
             }
             boolean moved = false;
             for (Operation operation : pause.due()) {
@@ -238,9 +249,12 @@
 
     private void answer(Operation operation, Placement placement) {
         switch (placement.kind()) {
-            case SEND -> exit.send(operation.attempts.get(operation.attempts.size() - 1), placement.timeout());
+            case SEND ->
+                    exit.send(
+                            operation.attempts.get(operation.attempts.size() - 1),
+                            placement.timeout());
             case DECLINE, SCRAP -> exit.giveUp(operation, placement);
-            case WAIT -> { }
+            case WAIT -> {}
         }
         forget(operation);
     }
--- a/src/main/java/sagepulley/host/ListEntry.java
+++ b/src/main/java/sagepulley/host/ListEntry.java
@@ -3,8 +3,14 @@
 import sagepulley.model.Node;
 
 /** One line of a list of nodes. */
-public record ListEntry(int zone, int cell, int store, Node.Standing standing, double startedAt, int kind,
-                 double weight) {
+public record ListEntry(
+        int zone,
+        int cell,
+        int store,
+        Node.Standing standing,
+        double startedAt,
+        int kind,
+        double weight) {
 
     void copyTo(Node node) {
         node.zone = zone;
--- a/src/main/java/sagepulley/keep/Generations.java
+++ b/src/main/java/sagepulley/keep/Generations.java
@@ -17,9 +17,10 @@
 import java.util.zip.CRC32C;
 
 /**
- * A file that is replaced whole and survives a kill at any byte: written beside, forced to the disk, and put in
- * place by renaming, with some earlier generations kept. A line at its head says what it is, whose, how old and
- * how long, with a CRC32C over all else; what does not agree with its head is not believed.
+ * A file that is replaced whole and survives a kill at any byte: written beside, forced to the
+ * disk, and put in place by renaming, with some earlier generations kept. A line at its head says
+ * what it is, whose, how old and how long, with a CRC32C over all else; what does not agree with
+ * its head is not believed.
  */
 public final class Generations {
     private static final String MAGIC = "sagepulley";
@@ -27,24 +28,30 @@
     private static final long MOST_BODY = 1L << 30;
 
     /** The steps of a write, in order; what a test cuts short. */
-    public enum Step { WRITTEN, FORCED, OLDER_MOVED, MOVED_AWAY, PUT_IN_PLACE, FOLDER_FORCED }
+    public enum Step {
+        WRITTEN,
+        FORCED,
+        OLDER_MOVED,
+        MOVED_AWAY,
+        PUT_IN_PLACE,
+        FOLDER_FORCED
+    }
 
     /** Told after each step of a write; what it throws ends the write there. */
     public interface Steps {
         void done(Step step, int generation) throws IOException;
     }
 
-    /** A body that was found whole, when it was written (wall-clock milliseconds), and its number. */
-    public record Found(byte[] body, long writtenAt, long number, Path file) {
-    }
+    /**
+     * A body that was found whole, when it was written (wall-clock milliseconds), and its number.
+     */
+    public record Found(byte[] body, long writtenAt, long number, Path file) {}
 
     /** A file that is not believed, and why. */
-    public record Refused(Path file, String why) {
-    }
+    public record Refused(Path file, String why) {}
 
     /** The newest that can be believed (null if none can) and what could not be. */
-    public record Reading(Found found, List<Refused> refused) {
-    }
+    public record Reading(Found found, List<Refused> refused) {}
 
     private final Path file;
     private final String kind;
@@ -54,9 +61,12 @@
     private final Steps steps;
     private long number = -1;
 
-    /** Of this kind and format, of this owner (a site, or a gateway), with so many earlier generations kept. */
+    /**
+     * Of this kind and format, of this owner (a site, or a gateway), with so many earlier
+     * generations kept.
+     */
     public Generations(Path file, String kind, int format, String owner, int kept) {
-        this(file, kind, format, owner, kept, (step, generation) -> { });
+        this(file, kind, format, owner, kept, (step, generation) -> {});
     }
 
     Generations(Path file, String kind, int format, String owner, int kept, Steps steps) {
@@ -78,7 +88,10 @@
 
     // ---- writing ----
 
-    /** Puts a new body in place. What fails leaves every earlier generation as it was, or moved up by one. */
+    /**
+     * Puts a new body in place. What fails leaves every earlier generation as it was, or moved up
+     * by one.
+     */
     public synchronized void write(byte[] body, long writtenAt) throws IOException {
         if (number < 0) {
             Reading before = read();
@@ -86,8 +99,12 @@
         }
         Files.createDirectories(file.getParent());
         byte[] head = head(body, writtenAt, number + 1);
-        try (FileChannel to = FileChannel.open(fresh(), StandardOpenOption.CREATE,
-                StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+        try (FileChannel to =
+                FileChannel.open(
+                        fresh(),
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.TRUNCATE_EXISTING,
+                        StandardOpenOption.WRITE)) {
             writeAll(to, ByteBuffer.wrap(head));
             writeAll(to, ByteBuffer.wrap(body));
             steps.done(Step.WRITTEN, 0);
@@ -102,7 +119,8 @@
             moveIfThere(file, generation(1));
             steps.done(Step.MOVED_AWAY, 1);
         }
-        Files.move(fresh(), file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        Files.move(
+                fresh(), file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         steps.done(Step.PUT_IN_PLACE, 0);
         try (FileChannel folder = FileChannel.open(file.getParent(), StandardOpenOption.READ)) {
             folder.force(true);
@@ -119,15 +137,28 @@
 
     private static void moveIfThere(Path from, Path to) throws IOException {
         if (Files.exists(from)) {
-            Files.move(from, to, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            Files.move(
+                    from, to, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         }
     }
 
     private byte[] head(byte[] body, long writtenAt, long its) {
-        String text = MAGIC + " " + kind + " " + format + " "
-                + URLEncoder.encode(owner, StandardCharsets.UTF_8) + " " + writtenAt + " " + its + " "
-                + body.length;
-        return (text + " " + Integer.toHexString(sum(text, body)) + "\n").getBytes(StandardCharsets.US_ASCII);
+        String text =
+                MAGIC
+                        + " "
+                        + kind
+                        + " "
+                        + format
+                        + " "
+                        + URLEncoder.encode(owner, StandardCharsets.UTF_8)
+                        + " "
+                        + writtenAt
+                        + " "
+                        + its
+                        + " "
+                        + body.length;
+        return (text + " " + Integer.toHexString(sum(text, body)) + "\n")
+                .getBytes(StandardCharsets.US_ASCII);
     }
 
     private static int sum(String head, byte[] body) {
@@ -152,7 +183,8 @@
             } catch (NoSuchFileException e) {
                 // none of that age
             } catch (IOException e) {
-                refused.add(new Refused(path, e.getMessage() == null ? e.toString() : e.getMessage()));
+                refused.add(
+                        new Refused(path, e.getMessage() == null ? e.toString() : e.getMessage()));
             }
         }
         return new Reading(best, refused);
@@ -167,7 +199,10 @@
         return all;
     }
 
-    /** Moves what is not believed out of the way, to a name that says so; the latest such one is kept. */
+    /**
+     * Moves what is not believed out of the way, to a name that says so; the latest such one is
+     * kept.
+     */
     public synchronized Path setAside(Path refused) throws IOException {
         Path aside = refused.resolveSibling(refused.getFileName() + ".set-aside");
         Files.move(refused, aside, StandardCopyOption.REPLACE_EXISTING);
@@ -185,7 +220,8 @@
             end++;
         }
         if (end == all.length || end == MOST_HEAD) {
-            throw new IOException(all.length == 0 ? "is empty" : "has no head: cut off, or no file of ours");
+            throw new IOException(
+                    all.length == 0 ? "is empty" : "has no head: cut off, or no file of ours");
         }
         String line = new String(all, 0, end, StandardCharsets.US_ASCII);
         String[] words = line.split(" ", -1);
@@ -196,10 +232,14 @@
         try {
             // Torn before foreign: of a damaged file nothing that it says is believed.
             if (Long.parseLong(words[6]) != body.length) {
-                throw new IOException("is cut off, or longer than it says: " + body.length + " bytes of "
-                        + words[6]);
+                throw new IOException(
+                        "is cut off, or longer than it says: "
+                                + body.length
+                                + " bytes of "
+                                + words[6]);
             }
-            if (Integer.parseUnsignedInt(words[7], 16) != sum(line.substring(0, line.lastIndexOf(' ')), body)) {
+            if (Integer.parseUnsignedInt(words[7], 16)
+                    != sum(line.substring(0, line.lastIndexOf(' ')), body)) {
                 throw new IOException("is damaged: its checksum does not agree");
             }
             if (!words[1].equals(kind)) {
--- a/src/main/java/sagepulley/keep/Periodic.java
+++ b/src/main/java/sagepulley/keep/Periodic.java
@@ -12,8 +12,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Writes something down from time to time, on a thread of its own, so that no disk ever holds up who owns it; what
- * fails is logged once and tried again each time.
+ * Writes something down from time to time, on a thread of its own, so that no disk ever holds up
+ * who owns it; what fails is logged once and tried again each time.
  *
  * @param <T> what is written; a source that gives null has nothing new
  */
@@ -33,16 +33,20 @@
     private boolean failing;
 
     /** Every so many milliseconds, the pauses counted from one end to the next begin. */
-    public Periodic(String name, double every, Supplier<CompletableFuture<T>> source, Sink<T> sink) {
+    public Periodic(
+            String name, double every, Supplier<CompletableFuture<T>> source, Sink<T> sink) {
         this.name = name;
         this.source = source;
         this.sink = sink;
-        this.writer = Executors.newSingleThreadScheduledExecutor(task -> {
-            Thread thread = new Thread(task, name);
-            thread.setDaemon(true);
-            return thread;
-        });
-        writer.scheduleWithFixedDelay(this::write, (long) every, (long) every, TimeUnit.MILLISECONDS);
+        this.writer =
+                Executors.newSingleThreadScheduledExecutor(
+                        task -> {
+                            Thread thread = new Thread(task, name);
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+        writer.scheduleWithFixedDelay(
+                this::write, (long) every, (long) every, TimeUnit.MILLISECONDS);
     }
 
     private void write() {
@@ -58,7 +62,9 @@
             failing = false;
         } catch (IOException | ExecutionException | TimeoutException | RuntimeException e) {
             if (!failing) {
-                LOG.atWarn().addKeyValue("what", name).addKeyValue("why", e.toString())
+                LOG.atWarn()
+                        .addKeyValue("what", name)
+                        .addKeyValue("why", e.toString())
                         .log("not written; tried again each time");
             }
             failing = true;
--- a/src/main/java/sagepulley/lists/HoldersFile.java
+++ b/src/main/java/sagepulley/lists/HoldersFile.java
@@ -12,12 +12,13 @@
 import sagepulley.keep.Generations;
 
 /**
- * Which cell holds which extent, on disk: for each volume the cells of its extents in a row (-1: not known), written
- * as runs and compressed. Of one site; one earlier generation is kept.
+ * Which cell holds which extent, on disk: for each volume the cells of its extents in a row (-1:
+ * not known), written as runs and compressed. Of one site; one earlier generation is kept.
  */
 public final class HoldersFile {
     /** Extents of all volumes together that are kept at most. */
     public static final int MOST_EXTENTS = 1 << 22;
+
     private static final int MOST_VOLUMES = 1 << 16;
     private static final int LEVEL = 3;
     private static final Logger LOG = LoggerFactory.getLogger(HoldersFile.class);
@@ -51,10 +52,16 @@
 
     private void aside(Path file, String why) {
         try {
-            LOG.atWarn().addKeyValue("file", file).addKeyValue("why", why)
-                    .addKeyValue("aside", generations.setAside(file)).log("holders not believed, set aside");
+            LOG.atWarn()
+                    .addKeyValue("file", file)
+                    .addKeyValue("why", why)
+                    .addKeyValue("aside", generations.setAside(file))
+                    .log("holders not believed, set aside");
         } catch (IOException e) {
-            LOG.atWarn().addKeyValue("file", file).addKeyValue("why", e.toString()).log("holders not believed");
+            LOG.atWarn()
+                    .addKeyValue("file", file)
+                    .addKeyValue("why", e.toString())
+                    .log("holders not believed");
         }
     }
 
@@ -64,17 +71,18 @@
             length += 12 + 8 * runs(cells);
         }
         ByteBuffer to = ByteBuffer.allocate(length).putInt(volumes.size());
-        volumes.forEach((volume, cells) -> {
-            to.putInt(volume).putInt(cells.length).putInt(runs(cells));
-            for (int at = 0; at < cells.length;) {
-                int end = at + 1;
-                while (end < cells.length && cells[end] == cells[at]) {
-                    end++;
-                }
-                to.putInt(cells[at]).putInt(end - at);
-                at = end;
-            }
-        });
+        volumes.forEach(
+                (volume, cells) -> {
+                    to.putInt(volume).putInt(cells.length).putInt(runs(cells));
+                    for (int at = 0; at < cells.length; ) {
+                        int end = at + 1;
+                        while (end < cells.length && cells[end] == cells[at]) {
+                            end++;
+                        }
+                        to.putInt(cells[at]).putInt(end - at);
+                        at = end;
+                    }
+                });
         return to.array();
     }
 
--- a/src/main/java/sagepulley/lists/ListFile.java
+++ b/src/main/java/sagepulley/lists/ListFile.java
@@ -19,9 +19,12 @@
     private static final JsonMapper JSON = new JsonMapper();
     private static final Logger LOG = LoggerFactory.getLogger(ListFile.class);
 
-    /** What a look at the files found: the newest list that can be believed (null: none), and what cannot. */
-    public record Look(KeptList list, Path from, long writtenAt, List<Generations.Refused> refused) {
-    }
+    /**
+     * What a look at the files found: the newest list that can be believed (null: none), and what
+     * cannot.
+     */
+    public record Look(
+            KeptList list, Path from, long writtenAt, List<Generations.Refused> refused) {}
 
     private final Generations generations;
     private final Path file;
@@ -48,7 +51,8 @@
             if (list == null) {
                 throw new IllegalArgumentException("no list of nodes");
             }
-            return new Look(list.checked(), reading.found().file(), reading.found().writtenAt(), refused);
+            return new Look(
+                    list.checked(), reading.found().file(), reading.found().writtenAt(), refused);
         } catch (JsonProcessingException e) {
             refused.add(new Generations.Refused(reading.found().file(), e.getOriginalMessage()));
         } catch (IOException | IllegalArgumentException e) {
@@ -63,11 +67,15 @@
             Look look = look();
             for (Generations.Refused refused : look.refused()) {
                 try {
-                    LOG.atWarn().addKeyValue("file", refused.file()).addKeyValue("why", refused.why())
+                    LOG.atWarn()
+                            .addKeyValue("file", refused.file())
+                            .addKeyValue("why", refused.why())
                             .addKeyValue("aside", generations.setAside(refused.file()))
                             .log("list of nodes not believed, set aside");
                 } catch (IOException e) {
-                    LOG.atWarn().addKeyValue("file", refused.file()).addKeyValue("why", e.toString())
+                    LOG.atWarn()
+                            .addKeyValue("file", refused.file())
+                            .addKeyValue("why", e.toString())
                             .log("list of nodes not believed, and cannot be set aside");
                     return look.list();
                 }
--- a/src/main/java/sagepulley/membership/KeptList.java
+++ b/src/main/java/sagepulley/membership/KeptList.java
@@ -3,13 +3,16 @@
 import java.util.List;
 
 /**
- * The list as it goes to disk: of which site, the directory's history and version that it stands at, and when a
- * directory last confirmed it (wall-clock milliseconds, 0 for never).
+ * The list as it goes to disk: of which site, the directory's history and version that it stands
+ * at, and when a directory last confirmed it (wall-clock milliseconds, 0 for never).
  */
-public record KeptList(String site, long history, long version, long confirmedAt, List<KeptLine> lines) {
-    /** A line, where it came from, and whether the node itself or this gateway knows better than the directory. */
-    public record KeptLine(NodeLine line, Source source, boolean selfDraining) {
-    }
+public record KeptList(
+        String site, long history, long version, long confirmedAt, List<KeptLine> lines) {
+    /**
+     * A line, where it came from, and whether the node itself or this gateway knows better than the
+     * directory.
+     */
+    public record KeptLine(NodeLine line, Source source, boolean selfDraining) {}
 
     private static final int MOST_LINES = 1 << 14;
 
@@ -19,14 +22,27 @@
      * @throws IllegalArgumentException if it can be no list
      */
     public KeptList checked() {
-        if (site == null || lines == null || lines.size() > MOST_LINES || version < 0 || confirmedAt < 0) {
+        if (site == null
+                || lines == null
+                || lines.size() > MOST_LINES
+                || version < 0
+                || confirmedAt < 0) {
             throw new IllegalArgumentException("no list of nodes");
         }
         for (KeptLine kept : lines) {
             NodeLine line = kept == null ? null : kept.line;
-            if (line == null || kept.source == null || line.standing() == null || line.host() == null
-                    || line.host().isEmpty() || line.host().length() > 255 || line.port() < 1 || line.port() > 65535
-                    || line.cell() < 0 || line.zone() < 0 || line.node() == 0 || line.startedAt() < 0
+            if (line == null
+                    || kept.source == null
+                    || line.standing() == null
+                    || line.host() == null
+                    || line.host().isEmpty()
+                    || line.host().length() > 255
+                    || line.port() < 1
+                    || line.port() > 65535
+                    || line.cell() < 0
+                    || line.zone() < 0
+                    || line.node() == 0
+                    || line.startedAt() < 0
                     || !(line.weight() >= 0)) {
                 throw new IllegalArgumentException("a line that can be no node's: " + kept);
             }
