--- a/src/main/java/sagepulley/membership/Membership.java
+++ b/src/main/java/sagepulley/membership/Membership.java
@@ -11,42 +11,56 @@
 import java.util.stream.Collectors;
 
 /**
- * One view of the nodes, made of what the directory, a list on disk, the site file and the nodes themselves say;
- * and how far each is believed (docs/membership.md). No I/O; times are wall-clock milliseconds that are handed in
- * and only move forward within a life; chance is handed in.
+ * One view of the nodes, made of what the directory, a list on disk, the site file and the nodes
+ * themselves say; and how far each is believed (docs/membership.md). No I/O; times are wall-clock
+ * milliseconds that are handed in and only move forward within a life; chance is handed in.
  *
- * What restricts is believed at once, from whomever it comes: draining, gone, another identity. What permits is
- * believed by the trust in its source, or when the node itself proves it.
+ * <p>What restricts is believed at once, from whomever it comes: draining, gone, another identity.
+ * What permits is believed by the trust in its source, or when the node itself proves it.
  */
 public class Membership {
     /**
-     * The trust's bounds: milliseconds until a list is aged, and old; nodes asked at a time, and the pause between
-     * two; how long a proof holds without a connection; how long omissions of a doubtful list wait; the first and
-     * the longest hold-down of a node that flaps.
+     * The trust's bounds: milliseconds until a list is aged, and old; nodes asked at a time, and
+     * the pause between two; how long a proof holds without a connection; how long omissions of a
+     * doubtful list wait; the first and the longest hold-down of a node that flaps.
      */
-    public record Bounds(double fresh, double aged, int askedAtOnce, double askedApart, double proofHolds,
-                         double doubt, double firstHold, double longestHold) {
-        public static final Bounds USUAL = new Bounds(300_000, 86_400_000, 4, 50, 60_000, 30_000, 5_000, 120_000);
+    public record Bounds(
+            double fresh,
+            double aged,
+            int askedAtOnce,
+            double askedApart,
+            double proofHolds,
+            double doubt,
+            double firstHold,
+            double longestHold) {
+        public static final Bounds USUAL =
+                new Bounds(300_000, 86_400_000, 4, 50, 60_000, 30_000, 5_000, 120_000);
     }
 
     /** What a node's welcome means for what was about to go to it. */
     public enum Welcome {
         /** It is who it should be, as it was believed to be. */
         GO,
-        /** It is, but drains or has just started: what was decided before it was known is to be decided anew. */
+        /**
+         * It is, but drains or has just started: what was decided before it was known is to be
+         * decided anew.
+         */
         THINK_AGAIN,
         /** It is another: nothing goes there. */
         NOT_THIS
     }
 
     /** What became of a list that was told. */
-    public record Belief(boolean believed, boolean changed, String why) {
-    }
+    public record Belief(boolean believed, boolean changed, String why) {}
 
     /** A node as it is to be used, and why so. */
-    public record Seen(NodeLine line, NodeLine.Standing use, boolean takesNew, boolean proven, Source source,
-                       String reason) {
-    }
+    public record Seen(
+            NodeLine line,
+            NodeLine.Standing use,
+            boolean takesNew,
+            boolean proven,
+            Source source,
+            String reason) {}
 
     private static final int FLIPS_BEFORE_HOLD = 3;
     private static final double FLIPS_WINDOW = 60_000;
@@ -54,28 +68,43 @@
     private static final double ASK_AGAIN_FIRST = 500;
     private static final double ASK_AGAIN_LONGEST = 30_000;
     private static final int MOST_NODES = 1 << 14;
-    /** A clock that shows the list's confirmation so far ahead was set back: the list's age is not known. */
+
+    /**
+     * A clock that shows the list's confirmation so far ahead was set back: the list's age is not
+     * known.
+     */
     private static final double CLOCK_SLACK = 1_000;
 
     private static final class Known {
         NodeLine line;
         Source source;
+
         /** The node said so itself, on the store protocol. */
         boolean selfDraining;
+
         boolean connected;
         double provenAt = Double.NEGATIVE_INFINITY;
+
         /** Why it is struck, at this gateway only; null if it is not. */
         String struck;
+
         /** Asking it: since when, how often in vain, and when again. */
         double askedAt = Double.NEGATIVE_INFINITY;
+
         int inVain;
         double askAgainAt = Double.NEGATIVE_INFINITY;
         boolean asking;
-        /** Of READY after something else: when, lately; and until when READY is not believed again. */
+
+        /**
+         * Of READY after something else: when, lately; and until when READY is not believed again.
+         */
         final Deque<Double> flips = new ArrayDeque<>();
+
         double heldUntil = Double.NEGATIVE_INFINITY;
+
         /** Missing in a doubtful list since; NaN if it was not. */
         double missingSince = Double.NaN;
+
         /** Was READY in the latest that the directory said, though it is not believed. */
         boolean permitted;
     }
@@ -103,7 +132,10 @@
         history = list.history();
         version = list.version();
         boolean clockSetBack = list.confirmedAt() > now + CLOCK_SLACK;
-        confirmedAt = list.confirmedAt() == 0 || clockSetBack ? Double.NEGATIVE_INFINITY : list.confirmedAt();
+        confirmedAt =
+                list.confirmedAt() == 0 || clockSetBack
+                        ? Double.NEGATIVE_INFINITY
+                        : list.confirmedAt();
         for (KeptList.KeptLine kept : list.lines()) {
             Known known = new Known();
             known.line = kept.line();
@@ -114,15 +146,20 @@
         trustBefore = trust(now);
     }
 
-    /** Nodes of the site file: each proves itself before it is used, and any other source knows better. */
+    /**
+     * Nodes of the site file: each proves itself before it is used, and any other source knows
+     * better.
+     */
     public void fixed(List<NodeLine> lines) {
         for (NodeLine line : lines) {
-            nodes.computeIfAbsent(line.node(), any -> {
-                Known known = new Known();
-                known.line = line;
-                known.source = Source.SITE;
-                return known;
-            });
+            nodes.computeIfAbsent(
+                    line.node(),
+                    any -> {
+                        Known known = new Known();
+                        known.line = line;
+                        known.source = Source.SITE;
+                        return known;
+                    });
         }
     }
 
@@ -142,7 +179,8 @@
         }
         if (older) {
             // Only what restricts was taken; what it permits, the nodes themselves must prove.
-            return new Belief(false, changed, "its version " + list.version() + " is older than " + version);
+            return new Belief(
+                    false, changed, "its version " + list.version() + " is older than " + version);
         }
         if (list.whole()) {
             changed |= omissions(list, other, now);
@@ -154,7 +192,10 @@
         }
         changed |= trust(now) != trustBefore;
         trustBefore = trust(now);
-        return new Belief(true, changed, other ? "of another history: what it leaves out is doubted for a while" : "");
+        return new Belief(
+                true,
+                changed,
+                other ? "of another history: what it leaves out is doubted for a while" : "");
     }
 
     private boolean line(NodeLine line, boolean older, double now) {
@@ -185,7 +226,8 @@
             flip(known, now);
         }
         // A node that told of a later start itself knows better than a directory that lags.
-        long startedAt = Math.max(line.startedAt(), before.sameAddress(line) ? before.startedAt() : 0);
+        long startedAt =
+                Math.max(line.startedAt(), before.sameAddress(line) ? before.startedAt() : 0);
         known.line = line.startedAt(startedAt);
         known.source = Source.DIRECTORY;
         known.permitted = permits;
@@ -211,16 +253,24 @@
         }
         int over = known.flips.size() - FLIPS_BEFORE_HOLD;
         if (over >= 0) {
-            known.heldUntil = now + Math.min(bounds.longestHold(), bounds.firstHold() * Math.pow(2, Math.min(over, 20)));
+            known.heldUntil =
+                    now
+                            + Math.min(
+                                    bounds.longestHold(),
+                                    bounds.firstHold() * Math.pow(2, Math.min(over, 20)));
         }
     }
 
-    /** Who is missing in a whole list is gone; in one of another history, only if it is missing for a while. */
+    /**
+     * Who is missing in a whole list is gone; in one of another history, only if it is missing for
+     * a while.
+     */
     private boolean omissions(Told list, boolean other, double now) {
         boolean changed = false;
         Set<Integer> listed = list.lines().stream().map(NodeLine::node).collect(Collectors.toSet());
         for (Known known : nodes.values()) {
-            if (listed.contains(known.line.node()) || known.line.standing() == NodeLine.Standing.GONE) {
+            if (listed.contains(known.line.node())
+                    || known.line.standing() == NodeLine.Standing.GONE) {
                 continue;
             }
             if (known.source == Source.SITE) {
@@ -238,16 +288,22 @@
 
     // ---- what nodes say ----
 
-    /** A node answered on connecting: who it is, its cell, whether it drains, when it started (0: long ago). */
-    public Welcome welcomed(int node, int who, int cell, boolean draining, long startedAt, double now) {
+    /**
+     * A node answered on connecting: who it is, its cell, whether it drains, when it started (0:
+     * long ago).
+     */
+    public Welcome welcomed(
+            int node, int who, int cell, boolean draining, long startedAt, double now) {
         Known known = nodes.get(node);
         if (known == null) {
             return Welcome.NOT_THIS;
         }
         known.asking = false;
         if (who != node || cell != known.line.cell()) {
-            known.struck = who != node ? "at its address node " + who + " answers"
-                    : "it holds cell " + cell + ", not " + known.line.cell();
+            known.struck =
+                    who != node
+                            ? "at its address node " + who + " answers"
+                            : "it holds cell " + cell + ", not " + known.line.cell();
             known.connected = false;
             again(known, now);
             return Welcome.NOT_THIS;
@@ -290,7 +346,10 @@
     }
 
     private void again(Known known, double now) {
-        double pause = Math.min(ASK_AGAIN_LONGEST, ASK_AGAIN_FIRST * Math.pow(2, Math.min(known.inVain++, 10)));
+        double pause =
+                Math.min(
+                        ASK_AGAIN_LONGEST,
+                        ASK_AGAIN_FIRST * Math.pow(2, Math.min(known.inVain++, 10)));
         known.askAgainAt = now + pause * (0.5 + random.nextDouble());
     }
 
@@ -302,7 +361,10 @@
         return age <= bounds.fresh() ? Trust.FRESH : age <= bounds.aged() ? Trust.AGED : Trust.OLD;
     }
 
-    /** Milliseconds since a directory confirmed the list; infinity if none did, or the clock was set back. */
+    /**
+     * Milliseconds since a directory confirmed the list; infinity if none did, or the clock was set
+     * back.
+     */
     public double age(double now) {
         return now - confirmedAt;
     }
@@ -330,7 +392,9 @@
                 next = known;
             }
         }
-        if (next != null && asking < bounds.askedAtOnce() && now >= lastAskedAt + bounds.askedApart()) {
+        if (next != null
+                && asking < bounds.askedAtOnce()
+                && now >= lastAskedAt + bounds.askedApart()) {
             next.asking = true;
             next.askedAt = now;
             lastAskedAt = now;
@@ -346,15 +410,22 @@
         if (known.line.standing() == NodeLine.Standing.GONE) {
             return false;
         }
-        return known.struck != null || !proven(known, now) && (trust(now) != Trust.FRESH
-                || known.source == Source.SITE || known.line.standing() != NodeLine.Standing.READY && known.permitted);
+        return known.struck != null
+                || !proven(known, now)
+                        && (trust(now) != Trust.FRESH
+                                || known.source == Source.SITE
+                                || known.line.standing() != NodeLine.Standing.READY
+                                        && known.permitted);
     }
 
     private boolean proven(Known known, double now) {
         return known.connected || now - known.provenAt <= bounds.proofHolds();
     }
 
-    /** Lets time do its work: omissions that were doubted long enough, trust that fades. Tells whether that changed. */
+    /**
+     * Lets time do its work: omissions that were doubted long enough, trust that fades. Tells
+     * whether that changed.
+     */
     public boolean pass(double now) {
         boolean changed = trust(now) != trustBefore;
         trustBefore = trust(now);
@@ -418,7 +489,11 @@
                 lines.add(new KeptList.KeptLine(known.line, known.source, known.selfDraining));
             }
         }
-        return new KeptList(site, history, version, confirmedAt == Double.NEGATIVE_INFINITY ? 0 : (long) confirmedAt,
+        return new KeptList(
+                site,
+                history,
+                version,
+                confirmedAt == Double.NEGATIVE_INFINITY ? 0 : (long) confirmedAt,
                 lines);
     }
 }
--- a/src/main/java/sagepulley/membership/Returning.java
+++ b/src/main/java/sagepulley/membership/Returning.java
@@ -3,8 +3,9 @@
 import java.util.random.RandomGenerator;
 
 /**
- * When to ask a directory again that did not answer: each pause is drawn between a least and three times the one
- * before, up to a longest, so that many gateways that lost it together do not come back together. Milliseconds.
+ * When to ask a directory again that did not answer: each pause is drawn between a least and three
+ * times the one before, up to a longest, so that many gateways that lost it together do not come
+ * back together. Milliseconds.
  */
 public final class Returning {
     private final double least;
--- a/src/main/java/sagepulley/membership/Source.java
+++ b/src/main/java/sagepulley/membership/Source.java
@@ -2,7 +2,8 @@
 
 /** Where a line came from. */
 public enum Source {
-    DIRECTORY, DISK,
+    DIRECTORY,
+    DISK,
     /** Brought by an operator. */
     IMPORT,
     /** Written in the site file. */
--- a/src/main/java/sagepulley/membership/Trust.java
+++ b/src/main/java/sagepulley/membership/Trust.java
@@ -4,7 +4,10 @@
 public enum Trust {
     /** As it is: what has changed since is told soon, as on any day. */
     FRESH,
-    /** Nodes may be sent to, and prove on connecting who they are; new objects go only where one has. */
+    /**
+     * Nodes may be sent to, and prove on connecting who they are; new objects go only where one
+     * has.
+     */
     AGED,
     /** Every node is asked first, few at a time, before any operation goes to it. */
     OLD
--- a/src/main/java/sagepulley/model/Attempt.java
+++ b/src/main/java/sagepulley/model/Attempt.java
@@ -6,18 +6,33 @@
     public final Node node;
     public final int number;
     public final double sentAt;
+
     /** The part of its plan that the operation was in when it was sent. */
     public Owed owed;
+
     /** Null while the attempt is out. */
     public Outcome outcome;
+
     /** How long it took, once it has an outcome. */
     public double took;
-    /** Percent of its plan's rate that the volume got everywhere in a finished period; NaN if not told. */
+
+    /**
+     * Percent of its plan's rate that the volume got everywhere in a finished period; NaN if not
+     * told.
+     */
     public double usedPercent = Double.NaN;
-    /** Units that the node served the volume through other gateways since its last answer to this one. */
+
+    /**
+     * Units that the node served the volume through other gateways since its last answer to this
+     * one.
+     */
     public double othersUnits;
-    /** The node's load report, in the order of the deployment's report fields; null if none came. */
+
+    /**
+     * The node's load report, in the order of the deployment's report fields; null if none came.
+     */
     public double[] report;
+
     /** Whatever the decision module keeps with the attempt; nobody else reads it. */
     public Object kept;
 
--- a/src/main/java/sagepulley/model/Band.java
+++ b/src/main/java/sagepulley/model/Band.java
@@ -1,6 +1,9 @@
 package sagepulley.model;
 
-/** A kind of operation: what it is worth, by when, and whether it may run again. Times are milliseconds. */
+/**
+ * A kind of operation: what it is worth, by when, and whether it may run again. Times are
+ * milliseconds.
+ */
 public record Band(
         int index,
         String name,
@@ -16,8 +19,16 @@
         double lateShare) {
 
     /** Whether an operation of the band may run a second time. */
-    public enum Repeat { IDEMPOTENT, DEDUPLICATED, UNREPEATABLE }
+    public enum Repeat {
+        IDEMPOTENT,
+        DEDUPLICATED,
+        UNREPEATABLE
+    }
 
     /** The nodes that drop each other's repeats of a deduplicated operation. */
-    public enum Group { ALL, ZONE, CELL }
+    public enum Group {
+        ALL,
+        ZONE,
+        CELL
+    }
 }
--- a/src/main/java/sagepulley/model/Deployment.java
+++ b/src/main/java/sagepulley/model/Deployment.java
@@ -3,8 +3,9 @@
 import java.util.List;
 
 /**
- * All that a gateway is told at its start. Times are milliseconds, rates are units a second. Within notifiedWithin
- * a change of the endpoint list counts as notified, arrived or not; it is infinite where changes cannot be missed.
+ * All that a gateway is told at its start. Times are milliseconds, rates are units a second. Within
+ * notifiedWithin a change of the endpoint list counts as notified, arrived or not; it is infinite
+ * where changes cannot be missed.
  */
 public record Deployment(
         int me,
@@ -34,13 +35,36 @@
         boolean weighsNodes,
         List<String> reportFields) {
     /**
-     * The same where lists come only on a watch that this gateway opens (those that are pushed, at once), and a change
-     * counts as notified within a span, whether or not it arrived.
+     * The same where lists come only on a watch that this gateway opens (those that are pushed, at
+     * once), and a change counts as notified within a span, whether or not it arrived.
      */
     public Deployment onWatch(double span) {
-        return new Deployment(me, gateways, zone, bands, plans, rules, tick, shards, usualUnits,
-                mostUnits, shareWorth, beyondWorth, usePeriod, saysOthers, true, mustAsk ? askWithin : 0, span, mayProbe,
-                mayCallOff, mayAdvise, longestAdvice, crossZonePrice, probePrice, wastePrice, weighsNodes,
+        return new Deployment(
+                me,
+                gateways,
+                zone,
+                bands,
+                plans,
+                rules,
+                tick,
+                shards,
+                usualUnits,
+                mostUnits,
+                shareWorth,
+                beyondWorth,
+                usePeriod,
+                saysOthers,
+                true,
+                mustAsk ? askWithin : 0,
+                span,
+                mayProbe,
+                mayCallOff,
+                mayAdvise,
+                longestAdvice,
+                crossZonePrice,
+                probePrice,
+                wastePrice,
+                weighsNodes,
                 reportFields);
     }
 }
--- a/src/main/java/sagepulley/model/Node.java
+++ b/src/main/java/sagepulley/model/Node.java
@@ -3,7 +3,11 @@
 /** A storage node as this gateway's list has it. */
 public final class Node {
     /** What the list says of the node. */
-    public enum Standing { READY, DRAINING, GONE }
+    public enum Standing {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     public final int id;
     public int zone;
@@ -11,12 +15,19 @@
     public int kind;
     public double weight = 1;
     public Standing standing = Standing.READY;
+
     /** Whether new objects may go there; what it holds is read and written all the same. */
     public boolean takesNew = true;
+
     /** When it last started, on the common clock; negative infinity for long ago. */
     public double startedAt = Double.NEGATIVE_INFINITY;
-    /** Set once it is gone for good and none of its attempts is out: it never comes back as this node. */
+
+    /**
+     * Set once it is gone for good and none of its attempts is out: it never comes back as this
+     * node.
+     */
     public boolean forgotten;
+
     /** Whatever the decision module keeps with the node; nobody else reads it. */
     public Object kept;
 
--- a/src/main/java/sagepulley/model/Operation.java
+++ b/src/main/java/sagepulley/model/Operation.java
@@ -8,25 +8,45 @@
     public final long id;
     public final Band band;
     public final Volume volume;
+
     /** The piece of data; 0 for none. */
     public final long extent;
+
     public final double units;
-    /** The cell whose node holds the data, or -1 for a new object; what waits is told by Control.found. */
+
+    /**
+     * The cell whose node holds the data, or -1 for a new object; what waits is told by
+     * Control.found.
+     */
     public int shard;
+
     public final double arrivedAt;
+
     /** When the client gives up on this try. */
     public final double deadline;
+
     public final boolean clientRepeat;
     public final List<Attempt> attempts = new ArrayList<>(2);
+
     /** Set once its one final answer is out, or the client has left. */
     public boolean over;
+
     /** Whatever the decision module keeps with the operation; nobody else reads it. */
     public Object kept;
+
     /** Whatever the host keeps with the operation; the decision module does not read it. */
     public Object held;
 
-    public Operation(long id, Band band, Volume volume, long extent, double units, int shard,
-                     double arrivedAt, double deadline, boolean clientRepeat) {
+    public Operation(
+            long id,
+            Band band,
+            Volume volume,
+            long extent,
+            double units,
+            int shard,
+            double arrivedAt,
+            double deadline,
+            boolean clientRepeat) {
         this.id = id;
         this.band = band;
         this.volume = volume;
--- a/src/main/java/sagepulley/model/Owed.java
+++ b/src/main/java/sagepulley/model/Owed.java
@@ -1,8 +1,13 @@
 package sagepulley.model;
 
-/** The part of its plan that an operation's units are taken from: reserve, weighted share, or beyond both. */
+/**
+ * The part of its plan that an operation's units are taken from: reserve, weighted share, or beyond
+ * both.
+ */
 public enum Owed {
-    RESERVE, SHARE, EXCESS;
+    RESERVE,
+    SHARE,
+    EXCESS;
 
     /** Why an operation in this part waits where a node's bound is full. */
     public Reason full() {
--- a/src/main/java/sagepulley/model/Plan.java
+++ b/src/main/java/sagepulley/model/Plan.java
@@ -10,5 +10,4 @@
         double price,
         double limit,
         double limitBurst,
-        double limitSlack) {
-}
+        double limitSlack) {}
--- a/src/main/java/sagepulley/model/Ring.java
+++ b/src/main/java/sagepulley/model/Ring.java
@@ -8,7 +8,10 @@
     private final double[] sums;
     private long newest = Long.MIN_VALUE;
 
-    /** Covers at least the window: one more bucket than divides it is kept for the part that is running. */
+    /**
+     * Covers at least the window: one more bucket than divides it is kept for the part that is
+     * running.
+     */
     public Ring(double window, int buckets) {
         this.bucket = window / buckets;
         this.sums = new double[buckets + 1];
--- a/src/main/java/sagepulley/model/Rulebook.java
+++ b/src/main/java/sagepulley/model/Rulebook.java
@@ -1,6 +1,9 @@
 package sagepulley.model;
 
-/** The figures of the seven rules. A rule that the deployment leaves out has an infinite or NaN figure. */
+/**
+ * The figures of the seven rules. A rule that the deployment leaves out has an infinite or NaN
+ * figure.
+ */
 public record Rulebook(
         double answerGrace,
         double drainGrace,
--- a/src/main/java/sagepulley/model/Volume.java
+++ b/src/main/java/sagepulley/model/Volume.java
@@ -4,8 +4,10 @@
 public final class Volume {
     public final long id;
     public final Plan plan;
+
     /** Through how many gateways its operations come, as the latest operation told. */
     public int gateways = 1;
+
     /** Whatever the decision module keeps with the volume; nobody else reads it. */
     public Object kept;
 
--- a/src/main/java/sagepulley/nbd/Export.java
+++ b/src/main/java/sagepulley/nbd/Export.java
@@ -1,11 +1,19 @@
 package sagepulley.nbd;
 
 /**
- * What the handshake tells of one export. Sizes are bytes; block sizes are those of 'Block size constraints':
- * requests are multiples of the least, at best of the preferred, and carry or ask for no more than the most.
+ * What the handshake tells of one export. Sizes are bytes; block sizes are those of 'Block size
+ * constraints': requests are multiples of the least, at best of the preferred, and carry or ask for
+ * no more than the most.
  */
-public record Export(String name, String description, long size, boolean readOnly, boolean multiConn,
-                     int leastBlock, int preferredBlock, int mostBlock) {
+public record Export(
+        String name,
+        String description,
+        long size,
+        boolean readOnly,
+        boolean multiConn,
+        int leastBlock,
+        int preferredBlock,
+        int mostBlock) {
 
     /** The transmission flags, 'Transmission flags'. */
     public int flags(boolean structured) {
--- a/src/main/java/sagepulley/nbd/Gate.java
+++ b/src/main/java/sagepulley/nbd/Gate.java
@@ -3,11 +3,14 @@
 /** Says whether a connection may take another request into its hands. */
 public interface Gate {
     /**
-     * Counts so many bytes (payload to come, or data asked for) and tells true; or tells false and calls
-     * later, on any thread, once it is worth asking again.
+     * Counts so many bytes (payload to come, or data asked for) and tells true; or tells false and
+     * calls later, on any thread, once it is worth asking again.
      */
     boolean admit(long bytes, Runnable later);
 
-    /** What was admitted but will never become a request, for its connection ended before it was whole. */
+    /**
+     * What was admitted but will never become a request, for its connection ended before it was
+     * whole.
+     */
     void returned(long bytes);
 }
--- a/src/main/java/sagepulley/nbd/Handshake.java
+++ b/src/main/java/sagepulley/nbd/Handshake.java
@@ -16,6 +16,7 @@
 final class Handshake extends ChannelInboundHandlerAdapter {
     /** A client may ask so many things before it must come to an end. */
     private static final int MOST_OPTIONS = 256;
+
     private static final int ZEROES = 124;
 
     private final Exports exports;
@@ -23,8 +24,10 @@
     private int clientFlags;
     private int options;
     private boolean structured;
+
     /** The export for which base:allocation was chosen; null for none. */
     private String metaExport;
+
     private boolean over;
 
     Handshake(Exports exports, NbdServerDecoder decoder) {
@@ -34,8 +37,12 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        ctx.writeAndFlush(ctx.alloc().ioBuffer(18).writeLong(Nbd.NBDMAGIC).writeLong(Nbd.IHAVEOPT)
-                .writeShort(Nbd.FLAG_FIXED_NEWSTYLE | Nbd.FLAG_NO_ZEROES));
+        ctx.writeAndFlush(
+                ctx.alloc()
+                        .ioBuffer(18)
+                        .writeLong(Nbd.NBDMAGIC)
+                        .writeLong(Nbd.IHAVEOPT)
+                        .writeShort(Nbd.FLAG_FIXED_NEWSTYLE | Nbd.FLAG_NO_ZEROES));
         ctx.fireChannelActive();
     }
 
@@ -47,7 +54,8 @@
             clientFlags = flags;
             // 'Client flags': an unknown flag ends the session.
             if ((flags & ~(Nbd.FLAG_FIXED_NEWSTYLE | Nbd.FLAG_NO_ZEROES)) != 0) {
-                ctx.fireExceptionCaught(new BadBytes("client flags 0x" + Integer.toHexString(flags)));
+                ctx.fireExceptionCaught(
+                        new BadBytes("client flags 0x" + Integer.toHexString(flags)));
             }
         } else {
             NbdOption option = (NbdOption) message;
@@ -75,7 +83,8 @@
             case Nbd.OPT_EXPORT_NAME -> exportName(ctx, option.data());
             case Nbd.OPT_ABORT -> {
                 over = true;
-                reply(ctx, code, Nbd.REP_ACK, Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+                reply(ctx, code, Nbd.REP_ACK, Unpooled.EMPTY_BUFFER)
+                        .addListener(ChannelFutureListener.CLOSE);
             }
             case Nbd.OPT_LIST -> list(ctx, option.data());
             case Nbd.OPT_INFO, Nbd.OPT_GO -> info(ctx, code, option.data());
@@ -87,9 +96,14 @@
                     reply(ctx, code, Nbd.REP_ACK, Unpooled.EMPTY_BUFFER);
                 }
             }
-            case Nbd.OPT_LIST_META_CONTEXT, Nbd.OPT_SET_META_CONTEXT -> meta(ctx, code, option.data());
-            default -> refuse(ctx, code, Nbd.REP_ERR_UNSUP, "option " + Integer.toUnsignedString(code)
-                    + " is not known here");
+            case Nbd.OPT_LIST_META_CONTEXT, Nbd.OPT_SET_META_CONTEXT ->
+                    meta(ctx, code, option.data());
+            default ->
+                    refuse(
+                            ctx,
+                            code,
+                            Nbd.REP_ERR_UNSUP,
+                            "option " + Integer.toUnsignedString(code) + " is not known here");
         }
     }
 
@@ -100,8 +114,11 @@
             ctx.fireExceptionCaught(new BadBytes("no such export"));
             return;
         }
-        ByteBuf reply = ctx.alloc().ioBuffer(10 + ZEROES).writeLong(export.size())
-                .writeShort(export.flags(structured));
+        ByteBuf reply =
+                ctx.alloc()
+                        .ioBuffer(10 + ZEROES)
+                        .writeLong(export.size())
+                        .writeShort(export.flags(structured));
         if ((clientFlags & Nbd.FLAG_NO_ZEROES) == 0) {
             reply.writeZero(ZEROES);
         }
@@ -117,8 +134,11 @@
         for (Export export : exports.all()) {
             byte[] name = export.name().getBytes(StandardCharsets.UTF_8);
             byte[] text = export.description().getBytes(StandardCharsets.UTF_8);
-            reply(ctx, Nbd.OPT_LIST, Nbd.REP_SERVER, ctx.alloc().ioBuffer()
-                    .writeInt(name.length).writeBytes(name).writeBytes(text));
+            reply(
+                    ctx,
+                    Nbd.OPT_LIST,
+                    Nbd.REP_SERVER,
+                    ctx.alloc().ioBuffer().writeInt(name.length).writeBytes(name).writeBytes(text));
         }
         reply(ctx, Nbd.OPT_LIST, Nbd.REP_ACK, Unpooled.EMPTY_BUFFER);
     }
@@ -146,11 +166,26 @@
             wantsName |= kind == Nbd.INFO_NAME;
             wantsText |= kind == Nbd.INFO_DESCRIPTION;
         }
-        reply(ctx, code, Nbd.REP_INFO, ctx.alloc().ioBuffer().writeShort(Nbd.INFO_EXPORT)
-                .writeLong(export.size()).writeShort(export.flags(structured)));
+        reply(
+                ctx,
+                code,
+                Nbd.REP_INFO,
+                ctx.alloc()
+                        .ioBuffer()
+                        .writeShort(Nbd.INFO_EXPORT)
+                        .writeLong(export.size())
+                        .writeShort(export.flags(structured)));
         // A server with limits should tell them even when not asked; it then serves any client.
-        reply(ctx, code, Nbd.REP_INFO, ctx.alloc().ioBuffer().writeShort(Nbd.INFO_BLOCK_SIZE)
-                .writeInt(export.leastBlock()).writeInt(export.preferredBlock()).writeInt(export.mostBlock()));
+        reply(
+                ctx,
+                code,
+                Nbd.REP_INFO,
+                ctx.alloc()
+                        .ioBuffer()
+                        .writeShort(Nbd.INFO_BLOCK_SIZE)
+                        .writeInt(export.leastBlock())
+                        .writeInt(export.preferredBlock())
+                        .writeInt(export.mostBlock()));
         if (wantsName) {
             reply(ctx, code, Nbd.REP_INFO, text(ctx, Nbd.INFO_NAME, export.name()));
         }
@@ -199,8 +234,9 @@
             refuse(ctx, code, Nbd.REP_ERR_UNKNOWN, "no such export");
             return;
         }
-        boolean chosen = queries.contains(Nbd.BASE_ALLOCATION)
-                || !set && (queries.isEmpty() || queries.contains("base:"));
+        boolean chosen =
+                queries.contains(Nbd.BASE_ALLOCATION)
+                        || !set && (queries.isEmpty() || queries.contains("base:"));
         if (chosen) {
             ByteBuf reply = ctx.alloc().ioBuffer().writeInt(set ? Nbd.BASE_ALLOCATION_ID : 0);
             ByteBufUtil.writeUtf8(reply, Nbd.BASE_ALLOCATION);
@@ -215,10 +251,13 @@
     private void attach(ChannelHandlerContext ctx, Export export) {
         over = true;
         decoder.startTransmission(export.mostBlock());
-        ctx.fireUserEventTriggered(new Attached(export, structured, export.name().equals(metaExport)));
+        ctx.fireUserEventTriggered(
+                new Attached(export, structured, export.name().equals(metaExport)));
     }
 
-    /** A string with its length before it; null where it is cut off or longer than the text allows. */
+    /**
+     * A string with its length before it; null where it is cut off or longer than the text allows.
+     */
     private static String string(ByteBuf data) {
         if (data.readableBytes() < 4) {
             return null;
@@ -234,10 +273,15 @@
         reply(ctx, option, error, ByteBufUtil.writeUtf8(ctx.alloc(), why));
     }
 
-    private static ChannelFuture reply(ChannelHandlerContext ctx, int option, int type,
-                                                        ByteBuf data) {
-        ctx.write(ctx.alloc().ioBuffer(20).writeLong(Nbd.OPTION_REPLY_MAGIC).writeInt(option).writeInt(type)
-                .writeInt(data.readableBytes()));
+    private static ChannelFuture reply(
+            ChannelHandlerContext ctx, int option, int type, ByteBuf data) {
+        ctx.write(
+                ctx.alloc()
+                        .ioBuffer(20)
+                        .writeLong(Nbd.OPTION_REPLY_MAGIC)
+                        .writeInt(option)
+                        .writeInt(type)
+                        .writeInt(data.readableBytes()));
         return ctx.writeAndFlush(data);
     }
 }
--- a/src/main/java/sagepulley/nbd/Nbd.java
+++ b/src/main/java/sagepulley/nbd/Nbd.java
@@ -81,6 +81,7 @@
 
     /** The one metadata context known here, and its number on the wire. */
     public static final String BASE_ALLOCATION = "base:allocation";
+
     public static final int BASE_ALLOCATION_ID = 1;
     public static final int STATE_HOLE = 1;
     public static final int STATE_ZERO = 2;
@@ -88,6 +89,5 @@
     /** The longest name or message that the text allows in bytes. */
     public static final int LONGEST_STRING = 4096;
 
-    private Nbd() {
-    }
+    private Nbd() {}
 }
--- a/src/main/java/sagepulley/nbd/NbdClient.java
+++ b/src/main/java/sagepulley/nbd/NbdClient.java
@@ -22,19 +22,22 @@
 import sagepulley.wire.BadBytes;
 
 /**
- * A client's connection to one export: fixed newstyle, structured replies and base:allocation where the server
- * has them. Requests may be asked from any thread; their ends are told on the connection's loop.
+ * A client's connection to one export: fixed newstyle, structured replies and base:allocation where
+ * the server has them. Requests may be asked from any thread; their ends are told on the
+ * connection's loop.
  */
 public final class NbdClient {
     /** How an attempt to open an export goes about it. */
-    public enum Style { GO, GO_SIMPLE, EXPORT_NAME }
+    public enum Style {
+        GO,
+        GO_SIMPLE,
+        EXPORT_NAME
+    }
 
     /** Told the reply, which it must release, or why there will be none. */
-    public interface Ended extends BiConsumer<NbdReply, Throwable> {
-    }
+    public interface Ended extends BiConsumer<NbdReply, Throwable> {}
 
-    private record Asked(int dataLength, NbdReply reply, Ended ended) {
-    }
+    private record Asked(int dataLength, NbdReply reply, Ended ended) {}
 
     private final Channel channel;
     private final Map<Long, Asked> asked = new HashMap<>();
@@ -51,23 +54,37 @@
     }
 
     /** Opens an export; fails with what the server answered, or with the connection. */
-    public static CompletableFuture<NbdClient> open(EventLoopGroup loops,
-            Class<? extends Channel> kind, SocketAddress server, String export, Style style) {
+    public static CompletableFuture<NbdClient> open(
+            EventLoopGroup loops,
+            Class<? extends Channel> kind,
+            SocketAddress server,
+            String export,
+            Style style) {
         CompletableFuture<NbdClient> opened = new CompletableFuture<>();
-        new Bootstrap().group(loops).channel(kind).option(ChannelOption.TCP_NODELAY, true)
+        new Bootstrap()
+                .group(loops)
+                .channel(kind)
+                .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 5000)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        NbdClient client = new NbdClient(channel);
-                        NbdClientDecoder decoder = new NbdClientDecoder(client::dataLength);
-                        channel.pipeline().addLast(decoder, client.new Talk(decoder, export, style, opened));
-                    }
-                }).connect(server).addListener(done -> {
-                    if (!done.isSuccess()) {
-                        opened.completeExceptionally(done.cause());
-                    }
-                });
+                .handler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                NbdClient client = new NbdClient(channel);
+                                NbdClientDecoder decoder = new NbdClientDecoder(client::dataLength);
+                                channel.pipeline()
+                                        .addLast(
+                                                decoder,
+                                                client.new Talk(decoder, export, style, opened));
+                            }
+                        })
+                .connect(server)
+                .addListener(
+                        done -> {
+                            if (!done.isSuccess()) {
+                                opened.completeExceptionally(done.cause());
+                            }
+                        });
         return opened;
     }
 
@@ -102,25 +119,33 @@
     }
 
     /** Sends a request; the payload (for writes) changes hands. */
-    public void ask(int command, int commandFlags, long offset, int length, ByteBuf payload, Ended ended) {
+    public void ask(
+            int command, int commandFlags, long offset, int length, ByteBuf payload, Ended ended) {
         if (channel.eventLoop().inEventLoop()) {
             askNow(command, commandFlags, offset, length, payload, ended);
         } else {
-            channel.eventLoop().execute(() -> askNow(command, commandFlags, offset, length, payload, ended));
+            channel.eventLoop()
+                    .execute(() -> askNow(command, commandFlags, offset, length, payload, ended));
         }
     }
 
     /** The same, with the end as a future. */
-    public CompletableFuture<NbdReply> ask(int command, int commandFlags, long offset, int length,
-                                           ByteBuf payload) {
+    public CompletableFuture<NbdReply> ask(
+            int command, int commandFlags, long offset, int length, ByteBuf payload) {
         CompletableFuture<NbdReply> future = new CompletableFuture<>();
-        ask(command, commandFlags, offset, length, payload, (reply, failure) -> {
-            if (failure != null) {
-                future.completeExceptionally(failure);
-            } else {
-                future.complete(reply);
-            }
-        });
+        ask(
+                command,
+                commandFlags,
+                offset,
+                length,
+                payload,
+                (reply, failure) -> {
+                    if (failure != null) {
+                        future.completeExceptionally(failure);
+                    } else {
+                        future.complete(reply);
+                    }
+                });
         return future;
     }
 
@@ -134,14 +159,17 @@
 
     /** Says goodbye (NBD_CMD_DISC) and closes; what is still out gets no reply. */
     public CompletableFuture<Void> disconnect() {
-        channel.eventLoop().execute(() -> {
-            channel.writeAndFlush(request(Nbd.CMD_DISC, 0, 0, 0, 0))
-                    .addListener(done -> channel.close());
-        });
+        channel.eventLoop()
+                .execute(
+                        () -> {
+                            channel.writeAndFlush(request(Nbd.CMD_DISC, 0, 0, 0, 0))
+                                    .addListener(done -> channel.close());
+                        });
         return closed;
     }
 
-    private void askNow(int command, int commandFlags, long offset, int length, ByteBuf payload, Ended ended) {
+    private void askNow(
+            int command, int commandFlags, long offset, int length, ByteBuf payload, Ended ended) {
         if (!channel.isActive()) {
             payload.release();
             ended.accept(null, new IOException("the connection has ended"));
@@ -154,8 +182,14 @@
     }
 
     private ByteBuf request(int command, int commandFlags, long cookie, long offset, int length) {
-        return channel.alloc().ioBuffer(28).writeInt(Nbd.REQUEST_MAGIC).writeShort(commandFlags)
-                .writeShort(command).writeLong(cookie).writeLong(offset).writeInt(length);
+        return channel.alloc()
+                .ioBuffer(28)
+                .writeInt(Nbd.REQUEST_MAGIC)
+                .writeShort(commandFlags)
+                .writeShort(command)
+                .writeLong(cookie)
+                .writeLong(offset)
+                .writeInt(length);
     }
 
     private int dataLength(long cookie) {
@@ -171,7 +205,11 @@
         private final CompletableFuture<NbdClient> opened;
         private boolean structured;
 
-        Talk(NbdClientDecoder decoder, String export, Style style, CompletableFuture<NbdClient> opened) {
+        Talk(
+                NbdClientDecoder decoder,
+                String export,
+                Style style,
+                CompletableFuture<NbdClient> opened) {
             this.decoder = decoder;
             this.export = export;
             this.style = style;
@@ -186,8 +224,11 @@
                 Asked request = asked.remove(simple.cookie());
                 request.reply().error = simple.error();
                 if (simple.data().isReadable()) {
-                    request.reply().pieces.add(new NbdReply.Piece(0, simple.data().readableBytes(),
-                            simple.data()));
+                    request.reply()
+                            .pieces
+                            .add(
+                                    new NbdReply.Piece(
+                                            0, simple.data().readableBytes(), simple.data()));
                 } else {
                     simple.data().release();
                 }
@@ -199,8 +240,12 @@
                     reply.data().release();
                 }
             } else {
-                ctx.write(ctx.alloc().ioBuffer(4).writeInt((Integer) message
-                        & (Nbd.FLAG_FIXED_NEWSTYLE | Nbd.FLAG_NO_ZEROES)));
+                ctx.write(
+                        ctx.alloc()
+                                .ioBuffer(4)
+                                .writeInt(
+                                        (Integer) message
+                                                & (Nbd.FLAG_FIXED_NEWSTYLE | Nbd.FLAG_NO_ZEROES)));
                 if (style == Style.EXPORT_NAME) {
                     decoder.expectExport(((Integer) message & Nbd.FLAG_NO_ZEROES) == 0);
                     option(ctx, Nbd.OPT_EXPORT_NAME, ByteBufUtil.writeUtf8(ctx.alloc(), export));
@@ -241,8 +286,10 @@
                 }
                 case Nbd.OPT_GO -> {
                     if (failed) {
-                        opened.completeExceptionally(new IOException("the server refuses: "
-                                + reply.data().toString(StandardCharsets.UTF_8)));
+                        opened.completeExceptionally(
+                                new IOException(
+                                        "the server refuses: "
+                                                + reply.data().toString(StandardCharsets.UTF_8)));
                         ctx.close();
                     } else if (reply.type() == Nbd.REP_INFO) {
                         info(reply.data());
@@ -281,8 +328,12 @@
         }
 
         private void option(ChannelHandlerContext ctx, int code, ByteBuf data) {
-            ctx.write(ctx.alloc().ioBuffer(16).writeLong(Nbd.IHAVEOPT).writeInt(code)
-                    .writeInt(data.readableBytes()));
+            ctx.write(
+                    ctx.alloc()
+                            .ioBuffer(16)
+                            .writeLong(Nbd.IHAVEOPT)
+                            .writeInt(code)
+                            .writeInt(data.readableBytes()));
             ctx.writeAndFlush(data);
         }
 
@@ -290,10 +341,15 @@
             Asked request = asked.get(chunk.cookie());
             NbdReply reply = request.reply();
             switch (chunk.type()) {
-                case Nbd.CHUNK_OFFSET_DATA -> reply.pieces.add(new NbdReply.Piece(chunk.offset(),
-                        chunk.data().readableBytes(), chunk.data()));
+                case Nbd.CHUNK_OFFSET_DATA ->
+                        reply.pieces.add(
+                                new NbdReply.Piece(
+                                        chunk.offset(),
+                                        chunk.data().readableBytes(),
+                                        chunk.data()));
                 case Nbd.CHUNK_OFFSET_HOLE -> {
-                    reply.pieces.add(new NbdReply.Piece(chunk.offset(), chunk.data().readInt(), null));
+                    reply.pieces.add(
+                            new NbdReply.Piece(chunk.offset(), chunk.data().readInt(), null));
                     chunk.data().release();
                 }
                 case Nbd.CHUNK_BLOCK_STATUS -> {
--- a/src/main/java/sagepulley/nbd/NbdClientDecoder.java
+++ b/src/main/java/sagepulley/nbd/NbdClientDecoder.java
@@ -6,29 +6,45 @@
 import sagepulley.wire.BadBytes;
 import sagepulley.wire.PieceDecoder;
 
-/** What a server sends, cut into its messages; the client says of each cookie how long its data is. */
+/**
+ * What a server sends, cut into its messages; the client says of each cookie how long its data is.
+ */
 final class NbdClientDecoder extends PieceDecoder {
     private static final int LONGEST_OPTION_REPLY = 64 << 10;
     private static final int LONGEST_CHUNK = (64 << 20) + 64;
 
     /** An answer to an option. */
-    record OptionReply(int option, int type, ByteBuf data) {
-    }
+    record OptionReply(int option, int type, ByteBuf data) {}
 
     /** A simple reply. */
-    record Simple(long cookie, int error, ByteBuf data) {
-    }
+    record Simple(long cookie, int error, ByteBuf data) {}
 
     /** A chunk of a structured reply, checked for its shape. */
-    record Chunk(boolean done, int type, long cookie, long offset, int error, String message, ByteBuf data) {
-    }
+    record Chunk(
+            boolean done,
+            int type,
+            long cookie,
+            long offset,
+            int error,
+            String message,
+            ByteBuf data) {}
 
     /** Tells how much data follows a simple reply without error, or -1 for an unknown cookie. */
     interface Expected {
         int dataLength(long cookie);
     }
 
-    private enum Phase { GREETING, OPTION, OPTION_DATA, EXPORT, MAGIC, SIMPLE, SIMPLE_DATA, CHUNK, CHUNK_DATA }
+    private enum Phase {
+        GREETING,
+        OPTION,
+        OPTION_DATA,
+        EXPORT,
+        MAGIC,
+        SIMPLE,
+        SIMPLE_DATA,
+        CHUNK,
+        CHUNK_DATA
+    }
 
     private final Expected expected;
     private Phase phase = Phase.GREETING;
@@ -41,7 +57,10 @@
         expect(18);
     }
 
-    /** After NBD_OPT_EXPORT_NAME the server sends size and flags with no head; zeroes unless given up. */
+    /**
+     * After NBD_OPT_EXPORT_NAME the server sends size and flags with no head; zeroes unless given
+     * up.
+     */
     void expectExport(boolean zeroes) {
         next(Phase.EXPORT, zeroes ? 134 : 10);
     }
@@ -59,7 +78,8 @@
     protected void piece(ChannelHandlerContext ctx, ByteBuf piece) throws BadBytes {
         switch (phase) {
             case GREETING -> {
-                boolean known = piece.readLong() == Nbd.NBDMAGIC && piece.readLong() == Nbd.IHAVEOPT;
+                boolean known =
+                        piece.readLong() == Nbd.NBDMAGIC && piece.readLong() == Nbd.IHAVEOPT;
                 int flags = piece.readUnsignedShort();
                 piece.release();
                 if (!known || (flags & Nbd.FLAG_FIXED_NEWSTYLE) == 0) {
@@ -119,8 +139,11 @@
                 int length = piece.readInt();
                 piece.release();
                 if (length < 0 || length > LONGEST_CHUNK || expected.dataLength(cookie) < 0) {
-                    throw new BadBytes("chunk of " + Integer.toUnsignedString(length)
-                            + " bytes for cookie " + cookie);
+                    throw new BadBytes(
+                            "chunk of "
+                                    + Integer.toUnsignedString(length)
+                                    + " bytes for cookie "
+                                    + cookie);
                 }
                 chunk = new Chunk((flags & Nbd.CHUNK_DONE) != 0, type, cookie, -1, 0, "", null);
                 next(Phase.CHUNK_DATA, length);
@@ -134,18 +157,24 @@
 
     private Chunk whole(ByteBuf piece) throws BadBytes {
         int type = chunk.type();
-        int least = switch (type) {
-            case Nbd.CHUNK_NONE -> 0;
-            case Nbd.CHUNK_OFFSET_DATA -> 9;
-            case Nbd.CHUNK_OFFSET_HOLE, Nbd.CHUNK_BLOCK_STATUS -> 12;
-            case Nbd.CHUNK_ERROR -> 6;
-            case Nbd.CHUNK_ERROR_OFFSET -> 14;
-            default -> -1;
-        };
+        int least =
+                switch (type) {
+                    case Nbd.CHUNK_NONE -> 0;
+                    case Nbd.CHUNK_OFFSET_DATA -> 9;
+                    case Nbd.CHUNK_OFFSET_HOLE, Nbd.CHUNK_BLOCK_STATUS -> 12;
+                    case Nbd.CHUNK_ERROR -> 6;
+                    case Nbd.CHUNK_ERROR_OFFSET -> 14;
+                    default -> -1;
+                };
         boolean error = (type & 0x8000) != 0;
         int size = piece.readableBytes();
-        boolean fits = least >= 0 && size >= least
-                && (error || type == Nbd.CHUNK_OFFSET_DATA || type == Nbd.CHUNK_BLOCK_STATUS || size == least);
+        boolean fits =
+                least >= 0
+                        && size >= least
+                        && (error
+                                || type == Nbd.CHUNK_OFFSET_DATA
+                                || type == Nbd.CHUNK_BLOCK_STATUS
+                                || size == least);
         if (fits && error) {
             fits = size == least + piece.getUnsignedShort(piece.readerIndex() + 4);
         }
@@ -155,12 +184,15 @@
         }
         if (error) {
             int number = piece.readInt();
-            String message = piece.readCharSequence(piece.readUnsignedShort(), StandardCharsets.UTF_8).toString();
+            String message =
+                    piece.readCharSequence(piece.readUnsignedShort(), StandardCharsets.UTF_8)
+                            .toString();
             long offset = type == Nbd.CHUNK_ERROR_OFFSET ? piece.readLong() : -1;
             piece.release();
             return new Chunk(chunk.done(), type, chunk.cookie(), offset, number, message, null);
         }
         boolean placed = type == Nbd.CHUNK_OFFSET_DATA || type == Nbd.CHUNK_OFFSET_HOLE;
-        return new Chunk(chunk.done(), type, chunk.cookie(), placed ? piece.readLong() : -1, 0, "", piece);
+        return new Chunk(
+                chunk.done(), type, chunk.cookie(), placed ? piece.readLong() : -1, 0, "", piece);
     }
 }
--- a/src/main/java/sagepulley/nbd/NbdReply.java
+++ b/src/main/java/sagepulley/nbd/NbdReply.java
@@ -8,20 +8,22 @@
 import java.util.List;
 
 /**
- * All that a server said of one request. Error is 0 or a number of the protocol text; of several the first
- * counts, and the offset is negative where none was told. The holder releases it.
+ * All that a server said of one request. Error is 0 or a number of the protocol text; of several
+ * the first counts, and the offset is negative where none was told. The holder releases it.
  */
 public final class NbdReply {
     /** One piece of a read: data, or a hole of so many bytes where the data is null. */
-    public record Piece(long offset, int length, ByteBuf data) {
-    }
+    public record Piece(long offset, int length, ByteBuf data) {}
 
     public int error;
     public String message = "";
     public long errorOffset = -1;
+
     /** Where each error of a structured reply was said to lie. */
     public final List<Long> errorOffsets = new ArrayList<>(0);
+
     public final List<Piece> pieces = new ArrayList<>(1);
+
     /** Lengths and flags of base:allocation by turns. */
     public int[] blocks = {};
 
@@ -33,8 +35,11 @@
         }
         CompositeByteBuf all = Unpooled.compositeBuffer(Integer.MAX_VALUE);
         for (Piece piece : pieces) {
-            all.addComponent(true, piece.data() != null ? piece.data()
-                    : Unpooled.wrappedBuffer(new byte[piece.length()]));
+            all.addComponent(
+                    true,
+                    piece.data() != null
+                            ? piece.data()
+                            : Unpooled.wrappedBuffer(new byte[piece.length()]));
         }
         pieces.clear();
         return all;
--- a/src/main/java/sagepulley/nbd/NbdServerDecoder.java
+++ b/src/main/java/sagepulley/nbd/NbdServerDecoder.java
@@ -7,19 +7,30 @@
 import sagepulley.wire.PieceDecoder;
 
 /**
- * What a client sends: its flags, options, then requests. Reads no payload before the gate admits it, and
- * stops reading from the socket until then.
+ * What a client sends: its flags, options, then requests. Reads no payload before the gate admits
+ * it, and stops reading from the socket until then.
  */
 final class NbdServerDecoder extends PieceDecoder {
     /** What a request weighs besides its bytes: it bounds how many may be in hand. */
     static final int REQUEST_WEIGHT = 1024;
+
     private static final int OPTION_HEAD = 16;
     private static final int REQUEST_HEAD = 28;
+
     /** Options longer than this are not kept; longer than the second, the connection ends. */
     private static final int LONGEST_OPTION = 64 << 10;
+
     private static final int LONGEST_SKIPPED_OPTION = 1 << 20;
 
-    private enum Phase { FLAGS, OPTION, OPTION_DATA, TOO_BIG, REQUEST, PAYLOAD, UNWANTED }
+    private enum Phase {
+        FLAGS,
+        OPTION,
+        OPTION_DATA,
+        TOO_BIG,
+        REQUEST,
+        PAYLOAD,
+        UNWANTED
+    }
 
     private final Gate gate;
     private Phase phase = Phase.FLAGS;
@@ -66,8 +77,15 @@
             case REQUEST -> request(ctx, piece);
             case PAYLOAD -> {
                 expectRequest();
-                NbdRequest whole = new NbdRequest(request.flags(), request.command(), request.cookie(),
-                        request.offset(), request.length(), piece, admitted);
+                NbdRequest whole =
+                        new NbdRequest(
+                                request.flags(),
+                                request.command(),
+                                request.cookie(),
+                                request.offset(),
+                                request.length(),
+                                piece,
+                                admitted);
                 admitted = 0;
                 ctx.fireChannelRead(whole);
             }
@@ -122,7 +140,8 @@
         long bytes = Integer.toUnsignedLong(length);
         request = new NbdRequest(flags, command, cookie, offset, length, Unpooled.EMPTY_BUFFER, 0);
         if (command == Nbd.CMD_WRITE && bytes > mostBlock) {
-            // The text lets the server end the connection, or read it all and answer EINVAL: the second, while
+            // The text lets the server end the connection, or read it all and answer EINVAL: the
+            // second, while
             // it is not out of all proportion.
             if (bytes > 4L * mostBlock) {
                 throw new BadBytes("write of " + bytes + " bytes, at most " + mostBlock);
@@ -138,12 +157,17 @@
     }
 
     private void admit(ChannelHandlerContext ctx, long bytes) {
-        Runnable later = () -> ctx.channel().eventLoop().execute(() -> {
-            if (ctx.isRemoved() || !ctx.channel().isActive()) {
-                return;
-            }
-            admit(ctx, bytes);
-        });
+        Runnable later =
+                () ->
+                        ctx.channel()
+                                .eventLoop()
+                                .execute(
+                                        () -> {
+                                            if (ctx.isRemoved() || !ctx.channel().isActive()) {
+                                                return;
+                                            }
+                                            admit(ctx, bytes);
+                                        });
         if (gate.admit(bytes, later)) {
             admitted = bytes;
             resume();
--- a/src/main/java/sagepulley/nbd/Replies.java
+++ b/src/main/java/sagepulley/nbd/Replies.java
@@ -6,17 +6,20 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Writes replies of the transmission phase ('Simple reply message', 'Structured reply chunk message') to a
- * channel. Nothing is flushed here. Payloads change hands.
+ * Writes replies of the transmission phase ('Simple reply message', 'Structured reply chunk
+ * message') to a channel. Nothing is flushed here. Payloads change hands.
  */
 public final class Replies {
-    private Replies() {
-    }
+    private Replies() {}
 
     /** A simple reply; the data is empty but for a read that went well. */
     public static ChannelFuture simple(Channel channel, long cookie, int error, ByteBuf data) {
-        ByteBuf head = channel.alloc().ioBuffer(16).writeInt(Nbd.SIMPLE_REPLY_MAGIC).writeInt(error)
-                .writeLong(cookie);
+        ByteBuf head =
+                channel.alloc()
+                        .ioBuffer(16)
+                        .writeInt(Nbd.SIMPLE_REPLY_MAGIC)
+                        .writeInt(error)
+                        .writeLong(cookie);
         return withData(channel, head, data);
     }
 
@@ -26,22 +29,34 @@
     }
 
     /** Data at an offset of the export. */
-    public static ChannelFuture data(Channel channel, long cookie, long offset, ByteBuf data, boolean last) {
-        ByteBuf head = chunk(channel, last ? Nbd.CHUNK_DONE : 0, Nbd.CHUNK_OFFSET_DATA, cookie,
-                8 + data.readableBytes()).writeLong(offset);
+    public static ChannelFuture data(
+            Channel channel, long cookie, long offset, ByteBuf data, boolean last) {
+        ByteBuf head =
+                chunk(
+                                channel,
+                                last ? Nbd.CHUNK_DONE : 0,
+                                Nbd.CHUNK_OFFSET_DATA,
+                                cookie,
+                                8 + data.readableBytes())
+                        .writeLong(offset);
         return withData(channel, head, data);
     }
 
     /** So many bytes at an offset of the export that read as zeroes. */
-    public static ChannelFuture hole(Channel channel, long cookie, long offset, int length, boolean last) {
-        return channel.write(chunk(channel, last ? Nbd.CHUNK_DONE : 0, Nbd.CHUNK_OFFSET_HOLE, cookie, 12)
-                .writeLong(offset).writeInt(length));
+    public static ChannelFuture hole(
+            Channel channel, long cookie, long offset, int length, boolean last) {
+        return channel.write(
+                chunk(channel, last ? Nbd.CHUNK_DONE : 0, Nbd.CHUNK_OFFSET_HOLE, cookie, 12)
+                        .writeLong(offset)
+                        .writeInt(length));
     }
 
     /** States of base:allocation; lengths and flags by turns. */
-    public static ChannelFuture blockStatus(Channel channel, long cookie, int[] lengthsAndFlags, int count) {
-        ByteBuf head = chunk(channel, Nbd.CHUNK_DONE, Nbd.CHUNK_BLOCK_STATUS, cookie, 4 + 4 * count)
-                .writeInt(Nbd.BASE_ALLOCATION_ID);
+    public static ChannelFuture blockStatus(
+            Channel channel, long cookie, int[] lengthsAndFlags, int count) {
+        ByteBuf head =
+                chunk(channel, Nbd.CHUNK_DONE, Nbd.CHUNK_BLOCK_STATUS, cookie, 4 + 4 * count)
+                        .writeInt(Nbd.BASE_ALLOCATION_ID);
         for (int i = 0; i < count; i++) {
             head.writeInt(lengthsAndFlags[i]);
         }
@@ -49,20 +64,32 @@
     }
 
     /** An error with its reason; with the offset where it occurred unless that is negative. */
-    public static ChannelFuture error(Channel channel, long cookie, int error, String why, long offset,
-                                      boolean last) {
+    public static ChannelFuture error(
+            Channel channel, long cookie, int error, String why, long offset, boolean last) {
         byte[] text = why.getBytes(StandardCharsets.UTF_8);
         int length = Math.min(text.length, Nbd.LONGEST_STRING);
         boolean placed = offset >= 0;
-        ByteBuf head = chunk(channel, last ? Nbd.CHUNK_DONE : 0,
-                placed ? Nbd.CHUNK_ERROR_OFFSET : Nbd.CHUNK_ERROR, cookie, 6 + length + (placed ? 8 : 0))
-                .writeInt(error).writeShort(length).writeBytes(text, 0, length);
+        ByteBuf head =
+                chunk(
+                                channel,
+                                last ? Nbd.CHUNK_DONE : 0,
+                                placed ? Nbd.CHUNK_ERROR_OFFSET : Nbd.CHUNK_ERROR,
+                                cookie,
+                                6 + length + (placed ? 8 : 0))
+                        .writeInt(error)
+                        .writeShort(length)
+                        .writeBytes(text, 0, length);
         return channel.write(placed ? head.writeLong(offset) : head);
     }
 
     private static ByteBuf chunk(Channel channel, int flags, int type, long cookie, int length) {
-        return channel.alloc().ioBuffer(32).writeInt(Nbd.STRUCTURED_REPLY_MAGIC).writeShort(flags)
-                .writeShort(type).writeLong(cookie).writeInt(length);
+        return channel.alloc()
+                .ioBuffer(32)
+                .writeInt(Nbd.STRUCTURED_REPLY_MAGIC)
+                .writeShort(flags)
+                .writeShort(type)
+                .writeLong(cookie)
+                .writeInt(length);
     }
 
     private static ChannelFuture withData(Channel channel, ByteBuf head, ByteBuf data) {
--- a/src/main/java/sagepulley/platform/AcceptFailures.java
+++ b/src/main/java/sagepulley/platform/AcceptFailures.java
@@ -6,9 +6,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * An accept that fails (a client that has gone, descriptors or buffers used up) holds back the next one only for a
- * moment. Netty's own handling accepts nothing for a second, in which clients that the machine has accepted wait and the
- * listener could close over them.
+ * An accept that fails (a client that has gone, descriptors or buffers used up) holds back the next
+ * one only for a moment. Netty's own handling accepts nothing for a second, in which clients that
+ * the machine has accepted wait and the listener could close over them.
  */
 final class AcceptFailures extends ChannelInboundHandlerAdapter {
     private static final long PAUSE_MS = 10;
@@ -18,10 +18,17 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (failures++ % LOGGED_EVERY == 0) {
-            Log.warn("a connection could not be accepted", "why", cause.getMessage(), "failures", failures);
+            Log.warn(
+                    "a connection could not be accepted",
+                    "why",
+                    cause.getMessage(),
+                    "failures",
+                    failures);
         }
         ChannelConfig config = ctx.channel().config();
         config.setAutoRead(false);
-        ctx.channel().eventLoop().schedule(() -> config.setAutoRead(true), PAUSE_MS, TimeUnit.MILLISECONDS);
+        ctx.channel()
+                .eventLoop()
+                .schedule(() -> config.setAutoRead(true), PAUSE_MS, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/sagepulley/platform/Addresses.java
+++ b/src/main/java/sagepulley/platform/Addresses.java
@@ -9,8 +9,7 @@
 final class Addresses {
     private static final int MOST_PORT = 65_535;
 
-    private Addresses() {
-    }
+    private Addresses() {}
 
     /** The address that a text names; null if it names none. */
     static InetSocketAddress read(String text) {
--- a/src/main/java/sagepulley/platform/Answer.java
+++ b/src/main/java/sagepulley/platform/Answer.java
@@ -11,8 +11,7 @@
     private static final int REPORT = 2;
     private static final double MOST_FIGURE = 1e9;
 
-    private Answer() {
-    }
+    private Answer() {}
 
     /** The value of an answer that satisfied. */
     static byte[] value(Resp answer) {
@@ -21,7 +20,9 @@
 
     /** Notes with the attempt what its answer tells; what cannot be read of it was not told. */
     static void tell(Attempt attempt, Resp answer, List<String> reportFields) {
-        if (answer instanceof Resp.Array array && array.items() != null && array.items().size() > REPORT) {
+        if (answer instanceof Resp.Array array
+                && array.items() != null
+                && array.items().size() > REPORT) {
             use(attempt, text(array.items().get(USE)));
             attempt.report = report(array.items().get(REPORT), reportFields);
         } else if (answer instanceof Resp.Line line && line.isError()) {
@@ -67,7 +68,10 @@
         return item instanceof Resp.Bulk bulk && !bulk.isNull() ? bulk.text() : "";
     }
 
-    /** The figure of this name in a list of names and values; NaN if it is not there or cannot be read. */
+    /**
+     * The figure of this name in a list of names and values; NaN if it is not there or cannot be
+     * read.
+     */
     private static double figure(String text, String name) {
         for (String part : text.split(",")) {
             if (part.startsWith(name + "=")) {
--- a/src/main/java/sagepulley/platform/Arrival.java
+++ b/src/main/java/sagepulley/platform/Arrival.java
@@ -6,11 +6,14 @@
 import io.netty.channel.epoll.EpollTcpInfo;
 
 /**
- * How long ago the bytes read last came to this machine, by the kernel's book: a loop that had no CPU reads them
- * late, and that is no node's queue and no client's haste. One for each loop.
+ * How long ago the bytes read last came to this machine, by the kernel's book: a loop that had no
+ * CPU reads them late, and that is no node's queue and no client's haste. One for each loop.
  */
 final class Arrival {
-    /** The kernel counts in ticks of 4 ms mostly and tells a figure that is half of one too long on average. */
+    /**
+     * The kernel counts in ticks of 4 ms mostly and tells a figure that is half of one too long on
+     * average.
+     */
     private static final double HALF_TICK = 2;
 
     private final EpollTcpInfo info = new EpollTcpInfo();
--- a/src/main/java/sagepulley/platform/BlockCommand.java
+++ b/src/main/java/sagepulley/platform/BlockCommand.java
@@ -10,12 +10,17 @@
 import sagepulley.model.Plan;
 import sagepulley.resp.Resp;
 
-/** A client's read or write of a piece of data, checked field by field, and the words that go to a node. */
+/**
+ * A client's read or write of a piece of data, checked field by field, and the words that go to a
+ * node.
+ */
 final class BlockCommand {
     static final String READ = "BLK.READ";
     static final String WRITE = "BLK.WRITE";
+
     /** Bytes of the longest list of fields. */
     static final int LONGEST_FIELDS = 1024;
+
     private static final int MOST_FIELDS = 32;
     private static final int READ_WORDS = 4;
     private static final double LONGEST_PATIENCE = 24 * 3_600_000;
@@ -31,8 +36,10 @@
     final int gateways;
     final boolean repeat;
     private final List<byte[]> words;
+
     /** The fields as they came, less the patience, whose place is known. */
     private final String beforePatience;
+
     private final String afterPatience;
 
     private BlockCommand(List<byte[]> words, Deployment deployment) throws BadCommand {
--- a/src/main/java/sagepulley/platform/ClientConnection.java
+++ b/src/main/java/sagepulley/platform/ClientConnection.java
@@ -15,13 +15,22 @@
 import sagepulley.resp.RespDecoder;
 
 /**
- * One client's connection: its commands in, its answers out in the order of the commands. However it ends, it ends
- * the same way: open, draining, half-closed, closed. Input is read in every phase, so that the peer's end is seen
- * and no close meets bytes unread in the kernel, which would make a reset of it. On the loop.
+ * One client's connection: its commands in, its answers out in the order of the commands. However
+ * it ends, it ends the same way: open, draining, half-closed, closed. Input is read in every phase,
+ * so that the peer's end is seen and no close meets bytes unread in the kernel, which would make a
+ * reset of it. On the loop.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
-    /** Draining: what it asks is refused; half-closed: all is answered, the output is shut, input is dropped. */
-    private enum Phase { OPEN, DRAINING, HALF_CLOSED, CLOSED }
+    /**
+     * Draining: what it asks is refused; half-closed: all is answered, the output is shut, input is
+     * dropped.
+     */
+    private enum Phase {
+        OPEN,
+        DRAINING,
+        HALF_CLOSED,
+        CLOSED
+    }
 
     /** Commands unanswered on one connection; with more, nothing is read from it. */
     private static final int MOST_UNANSWERED = 64;
@@ -43,6 +52,7 @@
     static final class Slot {
         private final ClientConnection connection;
         private ByteBuf answer;
+
         /** What the answer is to; null once it is answered. */
         Object held;
 
@@ -65,17 +75,27 @@
     private ClientOutput output;
     private Phase phase = Phase.OPEN;
     private boolean shutting;
+
     /** When it connected, when it last asked or was answered, and when it last sent a byte. */
     double connectedAt;
+
     double activeAt;
     double heardAt;
+
     /** Since when a command has been under way. */
     double partialSince = Double.POSITIVE_INFINITY;
-    /** Since when it has read nothing of what waits, and since when all is answered on a connection that ends. */
+
+    /**
+     * Since when it has read nothing of what waits, and since when all is answered on a connection
+     * that ends.
+     */
     double stuckSince = Double.POSITIVE_INFINITY;
+
     double doneSince = Double.POSITIVE_INFINITY;
+
     /** Whether a whole command that could be read has come. */
     boolean asked;
+
     /** Why this side ended it; null while it has not. */
     private String endReason;
 
@@ -147,8 +167,10 @@
             case BlockCommand.READ, BlockCommand.WRITE -> owner.asked(this, slot, words);
             case "PING" -> {
                 asked = true;
-                slot.answer(words.size() == 1 ? RespBytes.simple("PONG")
-                        : RespBytes.error("ERR wrong number of words"));
+                slot.answer(
+                        words.size() == 1
+                                ? RespBytes.simple("PONG")
+                                : RespBytes.error("ERR wrong number of words"));
             }
             default -> slot.answer(RespBytes.error("ERR unknown command"));
         }
@@ -182,8 +204,10 @@
         if (phase == Phase.DRAINING && unanswered.isEmpty() && !shutting) {
             shutting = true;
             doneSince = owner.now();
-            output.afterAll(() -> channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                    .addListener(flushed -> shutOutput()));
+            output.afterAll(
+                    () ->
+                            channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
+                                    .addListener(flushed -> shutOutput()));
         }
         pace();
     }
@@ -203,8 +227,12 @@
 
     private void pace() {
         if (phase != Phase.CLOSED) {
-            channel.config().setAutoRead(shutting || unanswered.size() < MOST_UNANSWERED
-                    && channel.isWritable() && !output.isWaiting());
+            channel.config()
+                    .setAutoRead(
+                            shutting
+                                    || unanswered.size() < MOST_UNANSWERED
+                                            && channel.isWritable()
+                                            && !output.isWaiting());
         }
     }
 
@@ -215,8 +243,8 @@
     }
 
     /**
-     * Told by the close itself: the pipeline's word comes a task later, after what this turn of the loop has read
-     * was sent on.
+     * Told by the close itself: the pipeline's word comes a task later, after what this turn of the
+     * loop has read was sent on.
      */
     private void gone() {
         phase = Phase.CLOSED;
@@ -247,7 +275,12 @@
             // A reset is how many clients leave; anything else is worth a line.
             endReason = String.valueOf(cause.getMessage());
             if (!(cause instanceof IOException)) {
-                Log.warn("a client's connection failed", "why", cause, "unanswered", unanswered.size());
+                Log.warn(
+                        "a client's connection failed",
+                        "why",
+                        cause,
+                        "unanswered",
+                        unanswered.size());
             }
             ctx.close();
         }
--- a/src/main/java/sagepulley/platform/ClientOutput.java
+++ b/src/main/java/sagepulley/platform/ClientOutput.java
@@ -12,9 +12,10 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Writes answers to one client's socket. They are given to the system at once, and what it has no room for to Netty, which
- * waits until there is. A system without buffers (ENOBUFS, ENOMEM) is asked again a moment later: Netty would close the
- * connection, and the answer would be lost. On the loop.
+ * Writes answers to one client's socket. They are given to the system at once, and what it has no
+ * room for to Netty, which waits until there is. A system without buffers (ENOBUFS, ENOMEM) is
+ * asked again a moment later: Netty would close the connection, and the answer would be lost. On
+ * the loop.
  */
 final class ClientOutput {
     private static final long RETRY_MS = 1;
@@ -24,7 +25,7 @@
     private final Channel channel;
     private final Runnable resumed;
     private final ArrayDeque<ByteBuf> waiting = new ArrayDeque<>();
-    private Runnable whenPassed = () -> { };
+    private Runnable whenPassed = () -> {};
     private boolean retries;
 
     /** The task runs when what had to wait has been passed on. */
@@ -75,7 +76,7 @@
             }
         }
         Runnable task = whenPassed;
-        whenPassed = () -> { };
+        whenPassed = () -> {};
         task.run();
     }
 
@@ -122,12 +123,16 @@
 
     private void retryLater() {
         retries = true;
-        channel.eventLoop().schedule(() -> {
-            retries = false;
-            if (channel.isOpen()) {
-                flush();
-                resumed.run();
-            }
-        }, RETRY_MS, TimeUnit.MILLISECONDS);
+        channel.eventLoop()
+                .schedule(
+                        () -> {
+                            retries = false;
+                            if (channel.isOpen()) {
+                                flush();
+                                resumed.run();
+                            }
+                        },
+                        RETRY_MS,
+                        TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/sagepulley/platform/Config.java
+++ b/src/main/java/sagepulley/platform/Config.java
@@ -14,7 +14,10 @@
 import sagepulley.host.FirstMessage;
 import sagepulley.model.Deployment;
 
-/** What a gateway is told at its start, and again at SIGHUP: the file named by GW_CONFIG, and GW_* beside it. */
+/**
+ * What a gateway is told at its start, and again at SIGHUP: the file named by GW_CONFIG, and GW_*
+ * beside it.
+ */
 record Config(
         String name,
         SocketAddress listen,
@@ -30,8 +33,13 @@
         double idleTime,
         int mostOpen) {
     private static final long LARGEST_FILE = 16 << 20;
-    /** A change of the endpoint list counts as notified so long after discovery had it, arrived or not. */
+
+    /**
+     * A change of the endpoint list counts as notified so long after discovery had it, arrived or
+     * not.
+     */
     private static final double NOTIFIED_WITHIN_MS = 6_000;
+
     private static final int LEAST_SOCKETS = 64;
     private static final int LEAST_MEMORY_MB = 16;
 
@@ -65,15 +73,31 @@
     }
 
     private static String oneLine(Exception bad) {
-        String text = bad instanceof NoSuchFileException ? "there is no such file"
-                : bad.getMessage() == null ? bad.getClass().getSimpleName() : bad.getMessage();
+        String text =
+                bad instanceof NoSuchFileException
+                        ? "there is no such file"
+                        : bad.getMessage() == null
+                                ? bad.getClass().getSimpleName()
+                                : bad.getMessage();
         return text.lines().findFirst().orElse("cannot be read");
     }
 
     /** The same at other addresses, with all nodes known at one. */
     Config at(SocketAddress front, SocketAddress list, SocketAddress node) {
-        return new Config(name, front, list, seed, sockets, memoryMb, known.at(node), deployment, zones, kinds,
-                connectTimeout, idleTime, mostOpen);
+        return new Config(
+                name,
+                front,
+                list,
+                seed,
+                sockets,
+                memoryMb,
+                known.at(node),
+                deployment,
+                zones,
+                kinds,
+                connectTimeout,
+                idleTime,
+                mostOpen);
     }
 
     static Config of(Map<String, Object> file, Map<String, String> environment)
@@ -86,19 +110,30 @@
         Map<String, String> pairs = new HashMap<>();
         flatten("", settings, pairs);
         FirstMessage first = new FirstMessage(pairs);
-        return new Config(name, listen, discovery, seed(file.get("seed")),
-                (int) atLeast(limits, "sockets", LEAST_SOCKETS), atLeast(limits, "memory_mb", LEAST_MEMORY_MB),
-                file.get("known") instanceof Map<?, ?> known ? Listing.read(named(known))
+        return new Config(
+                name,
+                listen,
+                discovery,
+                seed(file.get("seed")),
+                (int) atLeast(limits, "sockets", LEAST_SOCKETS),
+                atLeast(limits, "memory_mb", LEAST_MEMORY_MB),
+                file.get("known") instanceof Map<?, ?> known
+                        ? Listing.read(named(known))
                         : new Listing(0, true, List.of(), List.of()),
-                first.deployment().onWatch(NOTIFIED_WITHIN_MS), names(settings.get("zones")), names(settings.get("kinds")),
-                first.time("limits.dialTimeoutNs", 250), first.time("limits.connIdleNs", 15_000),
+                first.deployment().onWatch(NOTIFIED_WITHIN_MS),
+                names(settings.get("zones")),
+                names(settings.get("kinds")),
+                first.time("limits.dialTimeoutNs", 250),
+                first.time("limits.connIdleNs", 15_000),
                 (int) Math.min(Integer.MAX_VALUE, first.optionalNumber("limits.maxOpen", 20_000)));
     }
 
     /** Paths and values as the simulator's first message has them, one to a line. */
     private static void flatten(String path, Object value, Map<String, String> pairs) {
         if (value instanceof Map<?, ?> object) {
-            object.forEach((name, item) -> flatten(path.isEmpty() ? "" + name : path + "." + name, item, pairs));
+            object.forEach(
+                    (name, item) ->
+                            flatten(path.isEmpty() ? "" + name : path + "." + name, item, pairs));
         } else if (value instanceof List<?> items) {
             if (items.stream().anyMatch(Map.class::isInstance)) {
                 pairs.put(path + ".count", Integer.toString(items.size()));
@@ -106,14 +141,16 @@
                     flatten(path + "." + i, items.get(i), pairs);
                 }
             } else {
-                pairs.put(path, items.stream().map(String::valueOf).collect(Collectors.joining(",")));
+                pairs.put(
+                        path, items.stream().map(String::valueOf).collect(Collectors.joining(",")));
             }
         } else if (value != null) {
             pairs.put(path, value.toString());
         }
     }
 
-    private static String text(Map<String, Object> file, String key, String without) throws ConfigError {
+    private static String text(Map<String, Object> file, String key, String without)
+            throws ConfigError {
         Object value = file.getOrDefault(key, without);
         if (!(value instanceof String text) || text.isEmpty()) {
             throw new ConfigError(key + " is missing");
@@ -140,8 +177,14 @@
 
     private static double atLeast(Map<?, ?> limits, String key, double least) throws ConfigError {
         if (!(limits.get(key) instanceof Number number) || !(number.doubleValue() >= least)) {
-            throw new ConfigError("limits." + key + "=" + limits.get(key) + ", at least " + (int) least
-                    + " are needed");
+            throw new ConfigError(
+                    "limits."
+                            + key
+                            + "="
+                            + limits.get(key)
+                            + ", at least "
+                            + (int) least
+                            + " are needed");
         }
         return number.doubleValue();
     }
@@ -157,7 +200,9 @@
     }
 
     private static List<String> names(Object value) {
-        return value instanceof List<?> names ? names.stream().map(String::valueOf).toList() : List.of();
+        return value instanceof List<?> names
+                ? names.stream().map(String::valueOf).toList()
+                : List.of();
     }
 
     private static Map<String, Object> named(Map<?, ?> object) {
--- a/src/main/java/sagepulley/platform/Counts.java
+++ b/src/main/java/sagepulley/platform/Counts.java
@@ -26,7 +26,8 @@
 
     void ended(Outcome outcome, Node node) {
         outcomes.merge(outcome, 1L, Long::sum);
-        lately.computeIfAbsent(node.id, any -> new EnumMap<>(Outcome.class)).merge(outcome, 1, Integer::sum);
+        lately.computeIfAbsent(node.id, any -> new EnumMap<>(Outcome.class))
+                .merge(outcome, 1, Integer::sum);
     }
 
     void satisfied(Operation operation, double now) {
@@ -54,8 +55,25 @@
 
     @Override
     public String toString() {
-        return "taken=" + taken + " on-time=" + onTime + " late=" + late + " left=" + left + " bad=" + badCommands
-                + " no-room=" + noRoom + " hops=" + attempts + " outcomes=" + outcomes + " given-up=" + givenUp
-                + " waits=" + waits;
+        return "taken="
+                + taken
+                + " on-time="
+                + onTime
+                + " late="
+                + late
+                + " left="
+                + left
+                + " bad="
+                + badCommands
+                + " no-room="
+                + noRoom
+                + " hops="
+                + attempts
+                + " outcomes="
+                + outcomes
+                + " given-up="
+                + givenUp
+                + " waits="
+                + waits;
     }
 }
--- a/src/main/java/sagepulley/platform/DiscoveryLink.java
+++ b/src/main/java/sagepulley/platform/DiscoveryLink.java
@@ -9,9 +9,10 @@
 import sagepulley.platform.ListCall.Role;
 
 /**
- * The calls to discovery: one watch, and now and then the whole list. It asks nothing again by itself; each
- * call or watch that fails is told once. A call that is overdue counts as failed, but is kept open beside the next one:
- * discovery may be slow, and what it still answers is taken. All on one loop.
+ * The calls to discovery: one watch, and now and then the whole list. It asks nothing again by
+ * itself; each call or watch that fails is told once. A call that is overdue counts as failed, but
+ * is kept open beside the next one: discovery may be slow, and what it still answers is taken. All
+ * on one loop.
  */
 final class DiscoveryLink implements ListCall.Owner {
     /** Told what discovery says, on the loop. */
@@ -21,7 +22,9 @@
         /** What has been listed by now was all that discovery had at this time. */
         void listConfirmed(double asOf);
 
-        /** A call that began at this time was refused: no process listens where discovery should be. */
+        /**
+         * A call that began at this time was refused: no process listens where discovery should be.
+         */
         void discoveryUnreachable(double at);
 
         /** A call failed or is overdue, or the watch has ended. */
@@ -37,17 +40,29 @@
     private long revision;
     private ListCall watch;
     private ListCall fetch;
+
     /** Calls that are kept open beside the watch, the oldest first. */
     private final Deque<ListCall> overdue = new ArrayDeque<>();
+
     private int calls;
 
-    DiscoveryLink(Transport transport, SocketAddress address, long revision, Owner owner, DoubleSupplier clock) {
+    DiscoveryLink(
+            Transport transport,
+            SocketAddress address,
+            long revision,
+            Owner owner,
+            DoubleSupplier clock) {
         this(transport, address, revision, owner, clock, Patience.USUAL);
     }
 
     /** The same with another patience. */
-    DiscoveryLink(Transport transport, SocketAddress address, long revision, Owner owner, DoubleSupplier clock,
-                  Patience patience) {
+    DiscoveryLink(
+            Transport transport,
+            SocketAddress address,
+            long revision,
+            Owner owner,
+            DoubleSupplier clock,
+            Patience patience) {
         this.transport = transport;
         this.address = address;
         this.revision = revision;
@@ -68,7 +83,10 @@
         return watch != null && watch.isAnswered();
     }
 
-    /** Opens a watch in place of one that stands; that one goes on until one of the two has told a list. */
+    /**
+     * Opens a watch in place of one that stands; that one goes on until one of the two has told a
+     * list.
+     */
     void subscribe() {
         if (watch != null) {
             keepOpen(watch);
@@ -86,12 +104,14 @@
     }
 
     private ListCall call(boolean watches) {
-        return new ListCall(transport, address, ++calls, watches, revision, patience, arrival, clock, this);
+        return new ListCall(
+                transport, address, ++calls, watches, revision, patience, arrival, clock, this);
     }
 
     /**
-     * Discovery has another address from now on. What the old one still tells on its watch counts as told and is taken,
-     * until the new one has told a list; it confirms nothing any more, and its end is no failure. Whether it moved.
+     * Discovery has another address from now on. What the old one still tells on its watch counts
+     * as told and is taken, until the new one has told a list; it confirms nothing any more, and
+     * its end is no failure. Whether it moved.
      */
     boolean moveTo(SocketAddress fresh) {
         if (fresh.equals(address)) {
@@ -139,8 +159,13 @@
         overdue.add(call);
         if (overdue.size() > ListCallPolicy.MOST_OVERDUE) {
             ListCall oldest = overdue.peekFirst();
-            ListCall dropped = ListCallPolicy.oldestGivesWay(oldest.role() == Role.FORMER, oldest.openFor(),
-                    oldest.quietFor()) ? oldest : overdue.peekLast();
+            ListCall dropped =
+                    ListCallPolicy.oldestGivesWay(
+                                    oldest.role() == Role.FORMER,
+                                    oldest.openFor(),
+                                    oldest.quietFor())
+                            ? oldest
+                            : overdue.peekLast();
             overdue.remove(dropped);
             dropped.drop("overdue");
         }
@@ -181,7 +206,8 @@
         if (call.watches() && !isFormer) {
             relyOn(call);
         }
-        // Lower numbers come from a discovery that started anew, which a new call's first list tells; or from
+        // Lower numbers come from a discovery that started anew, which a new call's first list
+        // tells; or from
         // an answer that something newer has overtaken.
         boolean startedAnew = call.hasOneList() && call.after() == revision;
         if (listing.revision() < revision && !startedAnew) {
@@ -205,7 +231,10 @@
         owner.listConfirmed(asOf);
     }
 
-    /** Discovery ends its watches when it goes down, and it may be down for long: up to then the list was current. */
+    /**
+     * Discovery ends its watches when it goes down, and it may be down for long: up to then the
+     * list was current.
+     */
     @Override
     public void endsAtRest(ListCall call, double asOf) {
         if (call == watch) {
--- a/src/main/java/sagepulley/platform/EventLog.java
+++ b/src/main/java/sagepulley/platform/EventLog.java
@@ -3,8 +3,9 @@
 import java.util.function.DoubleSupplier;
 
 /**
- * Log lines about single requests, connections and endpoints: at most a fixed number each second, so that an overload
- * does not log itself to death. What is left out is counted, and told with the next second's first line.
+ * Log lines about single requests, connections and endpoints: at most a fixed number each second,
+ * so that an overload does not log itself to death. What is left out is counted, and told with the
+ * next second's first line.
  */
 final class EventLog {
     private static final int MOST_A_SECOND = 100;
--- a/src/main/java/sagepulley/platform/Figures.java
+++ b/src/main/java/sagepulley/platform/Figures.java
@@ -1,12 +1,14 @@
 package sagepulley.platform;
 
-/** Numbers in commands and answers, read strictly and without a pattern: each operation has a dozen of them. */
+/**
+ * Numbers in commands and answers, read strictly and without a pattern: each operation has a dozen
+ * of them.
+ */
 final class Figures {
     private static final int HEX_DIGITS = 16;
     private static final int MOST_DIGITS = 12;
 
-    private Figures() {
-    }
+    private Figures() {}
 
     /** Whether the text is 16 hex digits in lower case, as all ids are. */
     static boolean isId(String text) {
@@ -21,8 +23,10 @@
     /** A number of 0 or more, with or without a fraction; NaN if it is none. */
     static double number(String text) {
         int point = text.indexOf('.');
-        boolean well = point < 0 ? digits(text, 0, text.length())
-                : digits(text, 0, point) && digits(text, point + 1, text.length());
+        boolean well =
+                point < 0
+                        ? digits(text, 0, text.length())
+                        : digits(text, 0, point) && digits(text, point + 1, text.length());
         return well ? Double.parseDouble(text) : Double.NaN;
     }
 
--- a/src/main/java/sagepulley/platform/Front.java
+++ b/src/main/java/sagepulley/platform/Front.java
@@ -16,26 +16,45 @@
 import sagepulley.resp.RespDecoder;
 import sagepulley.resp.RespLimits;
 
-/** Where clients connect: takes connections up to a number, and ends those that nobody uses. On the loop. */
+/**
+ * Where clients connect: takes connections up to a number, and ends those that nobody uses. On the
+ * loop.
+ */
 final class Front {
     /** Bytes of a value, as the protocol allows. */
     static final int LONGEST_VALUE = 65_536;
+
     private static final int LONGEST_LINE = 64;
     private static final int MOST_WORDS = 8;
     private static final int WORDS_BESIDE_VALUE = 4096;
     private static final int BACKLOG = 1024;
     private static final int UNREAD_LOW = 65_536;
     private static final int UNREAD_HIGH = 262_144;
-    /** A connection that owes bytes, of a command or of its first one, is ended after this long without any. */
+
+    /**
+     * A connection that owes bytes, of a command or of its first one, is ended after this long
+     * without any.
+     */
     private static final double SILENT_TIME = 2_000;
+
     /** A client that means to ask has done so by then. */
     private static final double FIRST_COMMAND_TIME = 100;
+
     private static final double STUCK_TIME = 5_000;
-    /** A connection that has said its end waits so long for the peer's, and at most so many wait. */
+
+    /**
+     * A connection that has said its end waits so long for the peer's, and at most so many wait.
+     */
     private static final double LINGER_TIME = 1_000;
+
     private static final int MOST_LINGERING = 16;
-    /** One that nobody uses may go after this long where room is short, and goes after that long anyway. */
+
+    /**
+     * One that nobody uses may go after this long where room is short, and goes after that long
+     * anyway.
+     */
     private static final double UNUSED_TIME = 2_000;
+
     private static final double LONG_UNUSED_TIME = 15_000;
 
     private final Transport transport;
@@ -50,7 +69,10 @@
     long accepted;
     long turnedAway;
 
-    /** So many connections at most; a command that takes longer than the slowest time to come is of no use. */
+    /**
+     * So many connections at most; a command that takes longer than the slowest time to come is of
+     * no use.
+     */
     Front(Transport transport, int most, double slowest, ClientConnection.Owner owner) {
         this.transport = transport;
         this.loop = transport.loops().next();
@@ -60,29 +82,40 @@
     }
 
     ChannelFuture listen(SocketAddress address) {
-        RespLimits limits = RespLimits.commands(LONGEST_LINE, LONGEST_VALUE,
-                LONGEST_VALUE + WORDS_BESIDE_VALUE, MOST_WORDS);
-        ServerBootstrap server = new ServerBootstrap().group(transport.loops()).channel(transport.server())
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK,
-                        new WriteBufferWaterMark(UNREAD_LOW, UNREAD_HIGH))
-                .handler(new AcceptFailures())
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        accepted++;
-                        if (!hasRoom()) {
-                            turnedAway++;
-                            channel.close();
-                            return;
-                        }
-                        RespDecoder decoder = new RespDecoder(limits);
-                        ClientConnection connection = new ClientConnection(owner, decoder);
-                        connections.add(connection);
-                        channel.pipeline().addLast(decoder, connection);
-                    }
-                });
+        RespLimits limits =
+                RespLimits.commands(
+                        LONGEST_LINE,
+                        LONGEST_VALUE,
+                        LONGEST_VALUE + WORDS_BESIDE_VALUE,
+                        MOST_WORDS);
+        ServerBootstrap server =
+                new ServerBootstrap()
+                        .group(transport.loops())
+                        .channel(transport.server())
+                        .childOption(
+                                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                                new WriteBufferWaterMark(UNREAD_LOW, UNREAD_HIGH))
+                        .handler(new AcceptFailures())
+                        .childHandler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel channel) {
+                                        accepted++;
+                                        if (!hasRoom()) {
+                                            turnedAway++;
+                                            channel.close();
+                                            return;
+                                        }
+                                        RespDecoder decoder = new RespDecoder(limits);
+                                        ClientConnection connection =
+                                                new ClientConnection(owner, decoder);
+                                        connections.add(connection);
+                                        channel.pipeline().addLast(decoder, connection);
+                                    }
+                                });
         if (address instanceof InetSocketAddress) {
-            server.option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+            server.option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .option(ChannelOption.SO_REUSEADDR, true)
                     .childOption(ChannelOption.TCP_NODELAY, true);
         }
         ChannelFuture bound = server.bind(address);
@@ -123,8 +156,9 @@
     }
 
     /**
-     * Ends one connection without an open command: the oldest that never asked, if what it would ask must have
-     * come by now, else whoever was unused longest, and of those rather one that has begun no command.
+     * Ends one connection without an open command: the oldest that never asked, if what it would
+     * ask must have come by now, else whoever was unused longest, and of those rather one that has
+     * begun no command.
      */
     private boolean makeRoom() {
         ClientConnection worst = null;
@@ -137,8 +171,10 @@
                 worst = connection;
                 break;
             }
-            if (worst == null || worst.inMiddle() && !connection.inMiddle()
-                    || worst.inMiddle() == connection.inMiddle() && connection.activeAt < worst.activeAt) {
+            if (worst == null
+                    || worst.inMiddle() && !connection.inMiddle()
+                    || worst.inMiddle() == connection.inMiddle()
+                            && connection.activeAt < worst.activeAt) {
                 worst = connection;
             }
         }
@@ -155,13 +191,19 @@
         for (ClientConnection connection : new ArrayList<>(connections)) {
             double quiet = now - connection.activeAt;
             double silent = now - connection.heardAt;
-            if (now - connection.stuckSince > STUCK_TIME || now - connection.doneSince > LINGER_TIME) {
-                connection.close(now - connection.stuckSince > STUCK_TIME ? "reads nothing" : "peer never ends");
+            if (now - connection.stuckSince > STUCK_TIME
+                    || now - connection.doneSince > LINGER_TIME) {
+                connection.close(
+                        now - connection.stuckSince > STUCK_TIME
+                                ? "reads nothing"
+                                : "peer never ends");
             } else if (connection.hasOpen()) {
                 continue;
-            } else if (connection.inMiddle() ? silent > SILENT_TIME || now - connection.partialSince > slowest
-                    : !connection.asked ? now - connection.connectedAt > SILENT_TIME
-                    : !keeping && quiet > (crowded ? UNUSED_TIME : LONG_UNUSED_TIME)) {
+            } else if (connection.inMiddle()
+                    ? silent > SILENT_TIME || now - connection.partialSince > slowest
+                    : !connection.asked
+                            ? now - connection.connectedAt > SILENT_TIME
+                            : !keeping && quiet > (crowded ? UNUSED_TIME : LONG_UNUSED_TIME)) {
                 connection.end("unused");
             } else if (ending && now - connection.connectedAt > FIRST_COMMAND_TIME) {
                 connection.end("stop");
@@ -184,8 +226,9 @@
     }
 
     /**
-     * Takes no new connections, and ends each of those that stand once all that it asked is answered. What the
-     * kernel has accepted by now is taken first, and may still ask: the sweep ends it.
+     * Takes no new connections, and ends each of those that stand once all that it asked is
+     * answered. What the kernel has accepted by now is taken first, and may still ask: the sweep
+     * ends it.
      */
     void end() {
         ending = true;
@@ -198,7 +241,10 @@
         }
     }
 
-    /** Closes it in a turn of the loop in which it was asked for connections and nobody was there to be accepted. */
+    /**
+     * Closes it in a turn of the loop in which it was asked for connections and nobody was there to
+     * be accepted.
+     */
     private void closeListener(long acceptedBefore) {
         if (listener == null) {
             return;
@@ -209,7 +255,8 @@
             return;
         }
         long acceptedNow = accepted;
-        // Not executed but scheduled: the loop looks at its sockets before it runs what was scheduled meanwhile.
+        // Not executed but scheduled: the loop looks at its sockets before it runs what was
+        // scheduled meanwhile.
         loop.schedule(() -> closeListener(acceptedNow), 1, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/sagepulley/platform/Json.java
+++ b/src/main/java/sagepulley/platform/Json.java
@@ -10,15 +10,23 @@
 import java.util.List;
 import java.util.Map;
 
-/** One JSON value as maps, lists, strings, numbers and booleans. Only Jackson's parser is loaded for it. */
+/**
+ * One JSON value as maps, lists, strings, numbers and booleans. Only Jackson's parser is loaded for
+ * it.
+ */
 final class Json {
     private static final int DEPTH = 50;
     private static final int TEXT = 100_000;
-    private static final JsonFactory FACTORY = JsonFactory.builder().streamReadConstraints(
-            StreamReadConstraints.builder().maxNestingDepth(DEPTH).maxStringLength(TEXT).build()).build();
+    private static final JsonFactory FACTORY =
+            JsonFactory.builder()
+                    .streamReadConstraints(
+                            StreamReadConstraints.builder()
+                                    .maxNestingDepth(DEPTH)
+                                    .maxStringLength(TEXT)
+                                    .build())
+                    .build();
 
-    private Json() {
-    }
+    private Json() {}
 
     /** Reads the one object that the bytes hold. */
     static Map<String, Object> object(byte[] bytes) throws IOException {
--- a/src/main/java/sagepulley/platform/ListCall.java
+++ b/src/main/java/sagepulley/platform/ListCall.java
@@ -34,16 +34,22 @@
 import sagepulley.control.ListCallPolicy;
 
 /**
- * One call to discovery and its answer: lists as JSON values, in any pieces and with any white space between. It tells its
- * owner what came and how it ended, each once, and knows of no other call. All on one loop; times are milliseconds on the
- * monotonic clock.
+ * One call to discovery and its answer: lists as JSON values, in any pieces and with any white
+ * space between. It tells its owner what came and how it ended, each once, and knows of no other
+ * call. All on one loop; times are milliseconds on the monotonic clock.
  */
 final class ListCall extends SimpleChannelInboundHandler<HttpObject> {
     private static final String PATH = "/v1/endpoints";
+
     /** A list of 3,200 endpoints, indented, takes a little over 1 MB. */
     private static final int LONGEST_LIST = 8 << 20;
-    /** A line on a watch was written at most so long before it came, or as long as the watch's first list took. */
+
+    /**
+     * A line on a watch was written at most so long before it came, or as long as the watch's first
+     * list took.
+     */
     private static final double LONGEST_LINE_DELAY = 1_000;
+
     /** A line's end that comes so soon behind a list belongs to that list, and is no empty line. */
     private static final double LIST_END = 500;
 
@@ -57,11 +63,16 @@
         FORMER
     }
 
-    private enum Progress { WAITING, ANSWERED, OVER }
+    private enum Progress {
+        WAITING,
+        ANSWERED,
+        OVER
+    }
 
     /** How long a first list, and a sign of life on a watch, are waited for. */
     record Patience(long firstListMs, long silenceMs) {
-        static final Patience USUAL = new Patience(ListCallPolicy.FIRST_LIST_WITHIN, ListCallPolicy.SILENCE);
+        static final Patience USUAL =
+                new Patience(ListCallPolicy.FIRST_LIST_WITHIN, ListCallPolicy.SILENCE);
     }
 
     /** Told what happens to a call. */
@@ -75,7 +86,10 @@
         /** An empty line of a watch: nothing had changed at a time. */
         void livesOn(ListCall call, double asOf);
 
-        /** The connection ends with no list under way: all that discovery had to tell at a time has come. */
+        /**
+         * The connection ends with no list under way: all that discovery had to tell at a time has
+         * come.
+         */
         void endsAtRest(ListCall call, double asOf);
 
         /** Nothing came in time; the call goes on. */
@@ -101,10 +115,13 @@
     private final Values values = new Values();
     private final double beganAt;
     private double requestedAt = Double.NaN;
+
     /** How long the first list took. */
     private double firstListTook;
+
     /** When the first bytes of the list under way came, and when the last list was whole. */
     private double listBeganAt = Double.NaN;
+
     private double listEndedAt = Double.NEGATIVE_INFINITY;
     private double lastByteAt = Double.NEGATIVE_INFINITY;
     private Channel channel;
@@ -115,9 +132,20 @@
     private Progress progress = Progress.WAITING;
     private Role role = Role.CURRENT;
 
-    /** The first call has number 1; it asks for what changed after a revision if it watches, and else for the whole list. */
-    ListCall(Transport transport, SocketAddress address, int number, boolean watches, long after, Patience patience,
-             Arrival arrival, DoubleSupplier clock, Owner owner) {
+    /**
+     * The first call has number 1; it asks for what changed after a revision if it watches, and
+     * else for the whole list.
+     */
+    ListCall(
+            Transport transport,
+            SocketAddress address,
+            int number,
+            boolean watches,
+            long after,
+            Patience patience,
+            Arrival arrival,
+            DoubleSupplier clock,
+            Owner owner) {
         this.transport = transport;
         this.loop = transport.loops().next();
         this.address = address;
@@ -132,28 +160,60 @@
     }
 
     void open() {
-        Log.info("list call begins", "call", number, "watches", watches, "after", after, "address", address);
-        ChannelFuture connecting = transport.connector()
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, ListCallPolicy.CONNECT_WITHIN)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel fresh) {
-                        fresh.pipeline().addLast(new HttpClientCodec(), ListCall.this, values, new Reader());
-                    }
-                }).connect(address);
+        Log.info(
+                "list call begins",
+                "call",
+                number,
+                "watches",
+                watches,
+                "after",
+                after,
+                "address",
+                address);
+        ChannelFuture connecting =
+                transport
+                        .connector()
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, ListCallPolicy.CONNECT_WITHIN)
+                        .handler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel fresh) {
+                                        fresh.pipeline()
+                                                .addLast(
+                                                        new HttpClientCodec(),
+                                                        ListCall.this,
+                                                        values,
+                                                        new Reader());
+                                    }
+                                })
+                        .connect(address);
         channel = Transport.channelOf(connecting);
         overdueIn(patience.firstListMs());
-        Transport.whenFailed(connecting, loop, cause -> {
-            if (!isOver() && isRefused(cause)) {
-                owner.refused(this);
-            }
-            fail("no connection: " + rootOf(cause).getMessage());
-        });
+        Transport.whenFailed(
+                connecting,
+                loop,
+                cause -> {
+                    if (!isOver() && isRefused(cause)) {
+                        owner.refused(this);
+                    }
+                    fail("no connection: " + rootOf(cause).getMessage());
+                });
     }
 
     /** Ends the call, and nobody is told. */
     void drop(String why) {
-        Log.info("list call ends", "call", number, "after-ms", openMs(), "bytes", bytes, "lists", lists, "why", why);
+        Log.info(
+                "list call ends",
+                "call",
+                number,
+                "after-ms",
+                openMs(),
+                "bytes",
+                bytes,
+                "lists",
+                lists,
+                "why",
+                why);
         progress = Progress.OVER;
         silence.cancel(false);
         if (channel != null) {
@@ -210,7 +270,8 @@
     }
 
     private static boolean isRefused(Throwable cause) {
-        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException)
+        return cause instanceof ConnectException
+                && !(cause instanceof ConnectTimeoutException)
                 && String.valueOf(cause.getMessage()).contains("refused");
     }
 
@@ -235,13 +296,19 @@
         return isAnswered() ? why : why + ", called for " + openMs() + " ms";
     }
 
-    /** Nothing came in time: that counts as a failure, but the answer is taken if it comes after all. */
+    /**
+     * Nothing came in time: that counts as a failure, but the answer is taken if it comes after
+     * all.
+     */
     private void overdueIn(long most) {
         if (silence != null) {
             silence.cancel(false);
         }
-        silence = loop.schedule(() -> owner.overdue(this, described("nothing came for " + most + " ms")), most,
-                TimeUnit.MILLISECONDS);
+        silence =
+                loop.schedule(
+                        () -> owner.overdue(this, described("nothing came for " + most + " ms")),
+                        most,
+                        TimeUnit.MILLISECONDS);
     }
 
     private void connectionEnded(String why) {
@@ -251,7 +318,10 @@
         fail(why);
     }
 
-    /** A time at which a line had not been written yet whose first bytes came then, as far as that can be told. */
+    /**
+     * A time at which a line had not been written yet whose first bytes came then, as far as that
+     * can be told.
+     */
     private double writtenAt(double cameAt) {
         return cameAt - Math.min(firstListTook, LONGEST_LINE_DELAY);
     }
@@ -262,13 +332,16 @@
     public void channelActive(ChannelHandlerContext ctx) {
         requestedAt = clock.getAsDouble();
         String query = watches ? "?watch=1&after=" + after : "";
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, PATH + query);
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, PATH + query);
         request.headers().set(HttpHeaderNames.HOST, hostOf(address));
         ctx.writeAndFlush(request);
     }
 
     private static String hostOf(SocketAddress address) {
-        return address instanceof InetSocketAddress socket ? NetUtil.toSocketAddressString(socket) : "here";
+        return address instanceof InetSocketAddress socket
+                ? NetUtil.toSocketAddressString(socket)
+                : "here";
     }
 
     @Override
@@ -301,7 +374,8 @@
     private void contentCame(ChannelHandlerContext ctx, ByteBuf content) {
         bytes += content.readableBytes();
         lastByteAt = clock.getAsDouble();
-        boolean endsLine = content.indexOf(content.readerIndex(), content.writerIndex(), (byte) '\n') >= 0;
+        boolean endsLine =
+                content.indexOf(content.readerIndex(), content.writerIndex(), (byte) '\n') >= 0;
         double cameAt = lastByteAt - arrival.ago(channel, patience.silenceMs());
         if (!values.inMiddle()) {
             listBeganAt = cameAt;
@@ -311,7 +385,8 @@
         if (lists > listsBefore) {
             listBeganAt = cameAt; // of the next one, if it is under way
         }
-        // Only a whole list or an empty line is a sign of life: half a list that trickles is silence too.
+        // Only a whole list or an empty line is a sign of life: half a list that trickles is
+        // silence too.
         if (isAnswered() && endsLine && !values.inMiddle() && cameAt - listEndedAt > LIST_END) {
             signOfLife();
             owner.livesOn(this, writtenAt(cameAt));
@@ -351,7 +426,8 @@
             progress = Progress.ANSWERED;
         }
         signOfLife();
-        // The first list is what discovery had at some time after it was asked, however long it was on its way.
+        // The first list is what discovery had at some time after it was asked, however long it was
+        // on its way.
         owner.listed(this, listing, hasOneList() ? requestedAt : writtenAt(listBeganAt));
     }
 
--- a/src/main/java/sagepulley/platform/Listing.java
+++ b/src/main/java/sagepulley/platform/Listing.java
@@ -12,15 +12,35 @@
 /** A list of nodes, or changes of it, in discovery's form. */
 record Listing(long revision, boolean whole, List<Member> members, List<String> unreadable) {
     /** One entry; started is wall-clock milliseconds, 0 for long ago. */
-    record Member(String id, SocketAddress address, String locality, String flavor, int cell,
-                  Node.Standing standing, double weight, long started) {
-    }
+    record Member(
+            String id,
+            SocketAddress address,
+            String locality,
+            String flavor,
+            int cell,
+            Node.Standing standing,
+            double weight,
+            long started) {}
 
     /** The same list with all its nodes at one address. */
     Listing at(SocketAddress address) {
-        return new Listing(revision, whole, members.stream().map(member -> new Member(member.id(), address,
-                member.locality(), member.flavor(), member.cell(), member.standing(), member.weight(),
-                member.started())).toList(), unreadable);
+        return new Listing(
+                revision,
+                whole,
+                members.stream()
+                        .map(
+                                member ->
+                                        new Member(
+                                                member.id(),
+                                                address,
+                                                member.locality(),
+                                                member.flavor(),
+                                                member.cell(),
+                                                member.standing(),
+                                                member.weight(),
+                                                member.started()))
+                        .toList(),
+                unreadable);
     }
 
     /** Reads a list; an entry that cannot be read is left out and named. */
@@ -44,13 +64,15 @@
     }
 
     private static Member member(Map<?, ?> fields) {
-        Node.Standing standing = switch (String.valueOf(fields.get("phase")).toUpperCase(Locale.ROOT)) {
-            case "SERVING" -> Node.Standing.READY;
-            case "DRAINING" -> Node.Standing.DRAINING;
-            case "DELETED" -> Node.Standing.GONE;
-            default -> null;
-        };
-        InetSocketAddress address = fields.get("host_port") instanceof String text ? Addresses.read(text) : null;
+        Node.Standing standing =
+                switch (String.valueOf(fields.get("phase")).toUpperCase(Locale.ROOT)) {
+                    case "SERVING" -> Node.Standing.READY;
+                    case "DRAINING" -> Node.Standing.DRAINING;
+                    case "DELETED" -> Node.Standing.GONE;
+                    default -> null;
+                };
+        InetSocketAddress address =
+                fields.get("host_port") instanceof String text ? Addresses.read(text) : null;
         if (standing == null || !(fields.get("id") instanceof String id) || id.isEmpty()) {
             return null;
         }
@@ -59,13 +81,20 @@
         if (!placed && standing != Node.Standing.GONE) {
             return null;
         }
-        return new Member(id, address, String.valueOf(fields.get("locality")),
-                String.valueOf(fields.get("flavor")), (int) number(fields.get("cell"), -1), standing,
-                number(fields.get("size"), 1), (long) number(fields.get("up_since_ms"), 0));
+        return new Member(
+                id,
+                address,
+                String.valueOf(fields.get("locality")),
+                String.valueOf(fields.get("flavor")),
+                (int) number(fields.get("cell"), -1),
+                standing,
+                number(fields.get("size"), 1),
+                (long) number(fields.get("up_since_ms"), 0));
     }
 
     private static double number(Object value, double without) {
         return value instanceof Number number && Double.isFinite(number.doubleValue())
-                ? number.doubleValue() : without;
+                ? number.doubleValue()
+                : without;
     }
 }
--- a/src/main/java/sagepulley/platform/Log.java
+++ b/src/main/java/sagepulley/platform/Log.java
@@ -7,8 +7,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Lines of names and values on standard error, written by a thread of their own: whoever logs never waits, and
- * what does not fit is counted. Logback is not used here: 510 of the 2,941 classes of a start were its own.
+ * Lines of names and values on standard error, written by a thread of their own: whoever logs never
+ * waits, and what does not fit is counted. Logback is not used here: 510 of the 2,941 classes of a
+ * start were its own.
  */
 final class Log {
     private static final int MOST_WAITING = 1000;
@@ -23,8 +24,7 @@
         writer.start();
     }
 
-    private Log() {
-    }
+    private Log() {}
 
     static void info(String what, Object... namesAndValues) {
         if (!isRehearsal()) {
@@ -44,10 +44,18 @@
     }
 
     private static void offer(String level, String what, Object... namesAndValues) {
-        StringBuilder line = new StringBuilder(200).append(Instant.now()).append(' ').append(level).append(' ')
-                .append(what);
+        StringBuilder line =
+                new StringBuilder(200)
+                        .append(Instant.now())
+                        .append(' ')
+                        .append(level)
+                        .append(' ')
+                        .append(what);
         for (int i = 0; i + 1 < namesAndValues.length; i += 2) {
-            line.append(' ').append(namesAndValues[i]).append('=').append(value(namesAndValues[i + 1]));
+            line.append(' ')
+                    .append(namesAndValues[i])
+                    .append('=')
+                    .append(value(namesAndValues[i + 1]));
         }
         UNWRITTEN.incrementAndGet();
         if (!LINES.offer(line.toString())) {
--- a/src/main/java/sagepulley/platform/NodeBook.java
+++ b/src/main/java/sagepulley/platform/NodeBook.java
@@ -10,7 +10,9 @@
 import sagepulley.host.ListEntry;
 import sagepulley.model.Node;
 
-/** Discovery's names of nodes against the numbers that nodes have inside, and where each listens. */
+/**
+ * Discovery's names of nodes against the numbers that nodes have inside, and where each listens.
+ */
 final class NodeBook {
     private final List<String> zones;
     private final List<String> kinds;
@@ -28,8 +30,13 @@
 
     /** The entries as the host takes them; starts are turned into its clock's time. */
     List<ListEntry> entries(Listing listing) {
-        return listing.members().stream().filter(member -> member.standing() != Node.Standing.GONE
-                || numbers.containsKey(member.id())).map(this::entry).toList();
+        return listing.members().stream()
+                .filter(
+                        member ->
+                                member.standing() != Node.Standing.GONE
+                                        || numbers.containsKey(member.id()))
+                .map(this::entry)
+                .toList();
     }
 
     /** What of a list differs from what is known of these endpoints, for the log. */
@@ -52,8 +59,14 @@
         if (member.address() != null) {
             addresses.put(number, member.address());
         }
-        return new ListEntry(zones.indexOf(member.locality()), member.cell(), number, member.standing(),
-                clock.atWall(member.started()), kinds.indexOf(member.flavor()), member.weight());
+        return new ListEntry(
+                zones.indexOf(member.locality()),
+                member.cell(),
+                number,
+                member.standing(),
+                clock.atWall(member.started()),
+                kinds.indexOf(member.flavor()),
+                member.weight());
     }
 
     SocketAddress address(Node node) {
--- a/src/main/java/sagepulley/platform/NodeLinks.java
+++ b/src/main/java/sagepulley/platform/NodeLinks.java
@@ -31,25 +31,38 @@
 import sagepulley.resp.RespLimits;
 
 /**
- * The connections to the nodes: one call at a time on each, and those that are free used again. Carries out
- * and decides nothing: no call is sent twice, and each ends in one outcome. All on one loop.
+ * The connections to the nodes: one call at a time on each, and those that are free used again.
+ * Carries out and decides nothing: no call is sent twice, and each ends in one outcome. All on one
+ * loop.
  */
 final class NodeLinks {
     private static final int LONGEST_LINE = 512;
     private static final int MOST_ITEMS = 3;
     private static final int BESIDE_VALUE = 2048;
-    /** What comes some milliseconds late behind an answer must meet a connection that carries nothing. */
+
+    /**
+     * What comes some milliseconds late behind an answer must meet a connection that carries
+     * nothing.
+     */
     private static final double REST = 25;
+
     /** A time that a command tells is in whole milliseconds: with less left, nothing is sent. */
     private static final double LEAST_LEFT = 1;
+
     private static final double NS = 1e6;
 
-    /** The words of a command to a node that is given so many milliseconds; null if it may not begin any more. */
+    /**
+     * The words of a command to a node that is given so many milliseconds; null if it may not begin
+     * any more.
+     */
     interface Command {
         List<byte[]> words(double left);
     }
 
-    /** Told the end of a call, once: the answer if one could be read, else null, and when it came to the machine. */
+    /**
+     * Told the end of a call, once: the answer if one could be read, else null, and when it came to
+     * the machine.
+     */
     interface Ended {
         void accept(Outcome outcome, Resp answer, double at);
     }
@@ -61,26 +74,42 @@
     private final double idleTime;
     private final double stallTime;
     private final DoubleSupplier clock;
-    private final RespLimits limits = RespLimits.replies(LONGEST_LINE, Front.LONGEST_VALUE,
-            Front.LONGEST_VALUE + BESIDE_VALUE, MOST_ITEMS);
+    private final RespLimits limits =
+            RespLimits.replies(
+                    LONGEST_LINE,
+                    Front.LONGEST_VALUE,
+                    Front.LONGEST_VALUE + BESIDE_VALUE,
+                    MOST_ITEMS);
+
     /** Free connections, the one used last first. */
     private final Map<SocketAddress, ArrayDeque<Link>> free = new HashMap<>();
+
     private final Arrival arrival = new Arrival();
     private final ByteBuffer oneByte = ByteBuffer.allocateDirect(1);
     private final Map<Attempt, Link> out = new IdentityHashMap<>();
     private final Map<SocketAddress, Integer> openTo = new HashMap<>();
     private int open;
-    private BiConsumer<SocketAddress, String> closeListener = (address, why) -> { };
+    private BiConsumer<SocketAddress, String> closeListener = (address, why) -> {};
     long opened;
     long refusedForRoom;
-    /** Free connections that were found to have ended, or to have brought something, when they were wanted. */
+
+    /**
+     * Free connections that were found to have ended, or to have brought something, when they were
+     * wanted.
+     */
     long foundSpent;
+
     /** Answers that were no use, by what was wrong with them. */
     final Map<String, Integer> spoilt = new TreeMap<>();
 
     /** An answer that has begun and brings nothing more for the stall time is spoilt. */
-    NodeLinks(Transport transport, int most, double connectTimeout, double idleTime, double stallTime,
-              DoubleSupplier clock) {
+    NodeLinks(
+            Transport transport,
+            int most,
+            double connectTimeout,
+            double idleTime,
+            double stallTime,
+            DoubleSupplier clock) {
         this.transport = transport;
         this.loop = transport.loops().next();
         this.most = most;
@@ -109,11 +138,17 @@
     }
 
     /** Sends an attempt's command, and waits so many milliseconds for its answer. */
-    void send(Attempt attempt, SocketAddress address, Command command, double timeout, Ended ended) {
-        Link link = call(address, command, timeout, (outcome, answer, at) -> {
-            out.remove(attempt);
-            ended.accept(outcome, answer, at);
-        });
+    void send(
+            Attempt attempt, SocketAddress address, Command command, double timeout, Ended ended) {
+        Link link =
+                call(
+                        address,
+                        command,
+                        timeout,
+                        (outcome, answer, at) -> {
+                            out.remove(attempt);
+                            ended.accept(outcome, answer, at);
+                        });
         if (link != null) {
             out.put(attempt, link);
         }
@@ -124,7 +159,10 @@
         call(address, left -> words, timeout, ended);
     }
 
-    /** Nobody waits for this attempt any longer: its connection ends with it at once; its outcome is told later. */
+    /**
+     * Nobody waits for this attempt any longer: its connection ends with it at once; its outcome is
+     * told later.
+     */
     void callOff(Attempt attempt) {
         Link link = out.get(attempt);
         if (link != null) {
@@ -160,7 +198,7 @@
             return null;
         }
         double now = clock.getAsDouble();
-        for (Iterator<Link> each = links.iterator(); each.hasNext();) {
+        for (Iterator<Link> each = links.iterator(); each.hasNext(); ) {
             Link link = each.next();
             if (now - link.freeSince >= REST) {
                 each.remove();
@@ -202,7 +240,8 @@
     /** Closes all connections; attempts that are out are called off. */
     void close() {
         List.copyOf(out.keySet()).forEach(this::callOff);
-        List.copyOf(free.values()).forEach(links -> List.copyOf(links).forEach(link -> link.close("stop")));
+        List.copyOf(free.values())
+                .forEach(links -> List.copyOf(links).forEach(link -> link.close("stop")));
     }
 
     /** One connection. */
@@ -232,7 +271,9 @@
             ended = whenEnded;
             written = false;
             freeSince = Double.NaN;
-            timer = loop.schedule(this::timedOut, (long) Math.max(1, timeout * NS), TimeUnit.NANOSECONDS);
+            timer =
+                    loop.schedule(
+                            this::timedOut, (long) Math.max(1, timeout * NS), TimeUnit.NANOSECONDS);
             if (connected) {
                 write();
             } else {
@@ -244,14 +285,20 @@
             open++;
             openTo.merge(address, 1, Integer::sum);
             opened++;
-            ChannelFuture connecting = transport.connector()
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout))
-                    .handler(new ChannelInitializer<Channel>() {
-                        @Override
-                        protected void initChannel(Channel fresh) {
-                            fresh.pipeline().addLast(decoder, Link.this);
-                        }
-                    }).connect(address);
+            ChannelFuture connecting =
+                    transport
+                            .connector()
+                            .option(
+                                    ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                                    (int) Math.max(1, connectTimeout))
+                            .handler(
+                                    new ChannelInitializer<Channel>() {
+                                        @Override
+                                        protected void initChannel(Channel fresh) {
+                                            fresh.pipeline().addLast(decoder, Link.this);
+                                        }
+                                    })
+                            .connect(address);
             channel = Transport.channelOf(connecting);
             Transport.whenFailed(connecting, loop, cause -> end(Outcome.NO_CONNECTION));
         }
@@ -264,14 +311,19 @@
                 end(left < LEAST_LEFT ? Outcome.NO_CONNECTION : Outcome.MOOT);
                 return;
             }
-            channel.writeAndFlush(RespBytes.command(words)).addListener(done -> {
-                if (done.isSuccess()) {
-                    written = true;
-                }
-            });
+            channel.writeAndFlush(RespBytes.command(words))
+                    .addListener(
+                            done -> {
+                                if (done.isSuccess()) {
+                                    written = true;
+                                }
+                            });
         }
 
-        /** Whether the kernel holds what has not been read here: its end, or bytes that nobody asked for. */
+        /**
+         * Whether the kernel holds what has not been read here: its end, or bytes that nobody asked
+         * for.
+         */
         boolean isSpent() {
             if (!(channel instanceof UnixChannel socket)) {
                 return false;
@@ -294,7 +346,8 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             if (ended == null) {
-                close("bytes that belong to no answer"); // more than belongs to an answer: nothing of it may meet the next call
+                close("bytes that belong to no answer"); // more than belongs to an answer:
+                // nothing of it may meet the next call
                 return;
             }
             Resp answer = (Resp) message;
@@ -325,7 +378,9 @@
             if (stall != null) {
                 stall.cancel(false);
             }
-            stall = loop.schedule(this::stoppedInside, (long) (stallTime * NS), TimeUnit.NANOSECONDS);
+            stall =
+                    loop.schedule(
+                            this::stoppedInside, (long) (stallTime * NS), TimeUnit.NANOSECONDS);
         }
 
         private void stoppedInside() {
@@ -348,8 +403,11 @@
         }
 
         private Outcome outcome(Resp answer) {
-            if (answer instanceof Resp.Array array && array.items() != null && array.items().size() == MOST_ITEMS
-                    && array.items().get(0) instanceof Resp.Bulk value && !value.isNull()) {
+            if (answer instanceof Resp.Array array
+                    && array.items() != null
+                    && array.items().size() == MOST_ITEMS
+                    && array.items().get(0) instanceof Resp.Bulk value
+                    && !value.isNull()) {
                 return Outcome.SATISFIED;
             }
             if (answer instanceof Resp.Line line && line.isError()) {
@@ -385,8 +443,8 @@
         }
 
         /**
-         * Ends the connection, and the call that is out, if any, without an answer. Whoever waits is told a task later,
-         * never from within the call that ends it.
+         * Ends the connection, and the call that is out, if any, without an answer. Whoever waits
+         * is told a task later, never from within the call that ends it.
          */
         void end(Outcome outcome) {
             Ended call = finish();
--- a/src/main/java/sagepulley/platform/PlatformGateway.java
+++ b/src/main/java/sagepulley/platform/PlatformGateway.java
@@ -14,8 +14,8 @@
 import sagepulley.host.Clock;
 import sagepulley.host.Exit;
 import sagepulley.host.Host;
-import sagepulley.model.Band;
 import sagepulley.model.Attempt;
+import sagepulley.model.Band;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -26,37 +26,53 @@
 import sagepulley.wire.Alarm;
 
 /**
- * One gateway on the platform: clients, nodes and discovery on one event loop, round the host of Control. It
- * tells the host what happens and carries out what comes back.
+ * One gateway on the platform: clients, nodes and discovery on one event loop, round the host of
+ * Control. It tells the host what happens and carries out what comes back.
  */
 final class PlatformGateway implements Exit, ClientConnection.Owner, DiscoveryLink.Owner {
     private static final long SWEEP_MS = 200;
     private static final long REPORT_MS = 5_000;
+
     /**
-     * SIGKILL comes no sooner after SIGTERM than the longest patience, at most this, and a little more. Clients go
-     * on using the connections that they have, and find nobody else: they are served for as long as that.
+     * SIGKILL comes no sooner after SIGTERM than the longest patience, at most this, and a little
+     * more. Clients go on using the connections that they have, and find nobody else: they are
+     * served for as long as that.
      */
     private static final double LONGEST_STOP = 3_000;
+
     private static final double KILL_AFTER = 700;
+
     /**
-     * Before that, by so much, all is answered, and before that, by so much, nothing more is taken. A process may be held
-     * up for 0.15 s at each of the two moments.
+     * Before that, by so much, all is answered, and before that, by so much, nothing more is taken.
+     * A process may be held up for 0.15 s at each of the two moments.
      */
     private static final double ANSWERED_BEFORE = 350;
+
     private static final double LAST_TAKEN = 250;
+
     /** The part of the idle time told after which a free connection to a node is closed. */
     private static final double IDLE_PART = 0.4;
-    /** The part of the shortest target time that an answer may pause inside: it leaves time for another attempt. */
+
+    /**
+     * The part of the shortest target time that an answer may pause inside: it leaves time for
+     * another attempt.
+     */
     private static final double STALL_PART = 0.3;
+
     /** Descriptors: some for the program itself, and of the rest this part for clients. */
     private static final int OWN_SOCKETS = 40;
+
     private static final double CLIENT_PART = 0.7;
+
     /** The part of the memory that clients' bytes in hand may take. */
     private static final double BYTES_PART = 0.1;
+
     private static final double PROBE_TIMEOUT = 250;
+
     /**
-     * A first list is waited for so long, while nobody is served: what could be had 6 s ago counts as told from the
-     * first moment. A fleet's first calls come within 2.5 s, and a call waits for a second or two.
+     * A first list is waited for so long, while nobody is served: what could be had 6 s ago counts
+     * as told from the first moment. A fleet's first calls come within 2.5 s, and a call waits for
+     * a second or two.
      */
     private static final long FIRST_LIST_MS = 4_000;
 
@@ -81,13 +97,17 @@
     private volatile int reloads;
     private boolean listening;
     private boolean stopping;
-    /** Completes with the first list that discovery tells, or when it has been waited for long enough. */
+
+    /**
+     * Completes with the first list that discovery tells, or when it has been waited for long
+     * enough.
+     */
     private final CompletableFuture<Void> firstList = new CompletableFuture<>();
+
     private double stopAt = Double.POSITIVE_INFINITY;
 
     /** What is kept of an operation in hand: its command, and where its answer goes. */
-    private record Held(BlockCommand command, ClientConnection.Slot slot) {
-    }
+    private record Held(BlockCommand command, ClientConnection.Slot slot) {}
 
     PlatformGateway(Config config, Transport transport) {
         this.loop = transport.loops().next();
@@ -98,11 +118,20 @@
         int sockets = config.sockets() - OWN_SOCKETS;
         int clients = (int) (sockets * CLIENT_PART);
         this.front = new Front(transport, clients, longestPatience(config), this);
-        this.nodes = new NodeLinks(transport, sockets - clients, config.connectTimeout(),
-                config.idleTime() * IDLE_PART, shortestTarget(config) * STALL_PART, clock::now);
-        this.nodes.onClose((address, why) -> events.line("endpoint connection closed", "address", address, "why", why));
-        this.discovery = new DiscoveryLink(transport, config.discovery(), config.known().revision(), this,
-                clock::now);
+        this.nodes =
+                new NodeLinks(
+                        transport,
+                        sockets - clients,
+                        config.connectTimeout(),
+                        config.idleTime() * IDLE_PART,
+                        shortestTarget(config) * STALL_PART,
+                        clock::now);
+        this.nodes.onClose(
+                (address, why) ->
+                        events.line("endpoint connection closed", "address", address, "why", why));
+        this.discovery =
+                new DiscoveryLink(
+                        transport, config.discovery(), config.known().revision(), this, clock::now);
         this.mostBytes = (long) (config.memoryMb() * (1 << 20) * BYTES_PART);
     }
 
@@ -116,21 +145,26 @@
 
     /** Asks for the list, and nothing else yet. */
     void begin() {
-        loop.execute(() -> {
-            listed(config.known());
-            settleNow();
-            loop.schedule(() -> firstList.complete(null), FIRST_LIST_MS, TimeUnit.MILLISECONDS);
-        });
+        loop.execute(
+                () -> {
+                    listed(config.known());
+                    settleNow();
+                    loop.schedule(
+                            () -> firstList.complete(null), FIRST_LIST_MS, TimeUnit.MILLISECONDS);
+                });
     }
 
     /** Completes with the address once clients can connect there; it has begun. */
     CompletableFuture<SocketAddress> start() {
         CompletableFuture<SocketAddress> ready = new CompletableFuture<>();
-        loop.execute(() -> {
-            loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-            loop.scheduleWithFixedDelay(this::report, REPORT_MS, REPORT_MS, TimeUnit.MILLISECONDS);
-            firstList.thenRun(() -> listen(ready));
-        });
+        loop.execute(
+                () -> {
+                    loop.scheduleWithFixedDelay(
+                            this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+                    loop.scheduleWithFixedDelay(
+                            this::report, REPORT_MS, REPORT_MS, TimeUnit.MILLISECONDS);
+                    firstList.thenRun(() -> listen(ready));
+                });
         return ready;
     }
 
@@ -142,13 +176,14 @@
         }
         listening = true;
         ChannelFuture bound = front.listen(config.listen());
-        bound.addListener(done -> {
-            if (done.isSuccess()) {
-                ready.complete(bound.channel().localAddress());
-            } else {
-                ready.completeExceptionally(done.cause());
-            }
-        });
+        bound.addListener(
+                done -> {
+                    if (done.isSuccess()) {
+                        ready.complete(bound.channel().localAddress());
+                    } else {
+                        ready.completeExceptionally(done.cause());
+                    }
+                });
     }
 
     /** Completes once the gateway has stopped, with all that it took answered. */
@@ -183,7 +218,8 @@
             slot.answer(RespBytes.error("BUSY"));
             return;
         }
-        if (bytesInHand + command.bytes() > mostBytes || host.inHand().size() >= config.mostOpen()) {
+        if (bytesInHand + command.bytes() > mostBytes
+                || host.inHand().size() >= config.mostOpen()) {
             counts.noRoom++;
             events.line("request refused", "id", Figures.id(command.id), "why", "NO_ROOM");
             slot.answer(RespBytes.error("BUSY"));
@@ -195,8 +231,17 @@
         volume.gateways = command.gateways;
         double cameAt = now - connection.cameAgo(arrival);
         double deadline = Math.min(cameAt + command.patience, Math.max(now + 1, stopAt));
-        Operation operation = new Operation(command.id, command.band, volume, command.extent, command.units,
-                command.shard, cameAt, deadline, command.repeat);
+        Operation operation =
+                new Operation(
+                        command.id,
+                        command.band,
+                        volume,
+                        command.extent,
+                        command.units,
+                        command.shard,
+                        cameAt,
+                        deadline,
+                        command.repeat);
         operation.held = new Held(command, slot);
         slot.held = operation;
         host.arrived(operation);
@@ -217,8 +262,14 @@
     @Override
     public void closed(ClientConnection connection) {
         if (connection.endReason() != null) {
-            events.line("client connection closed", "why", connection.endReason(), "age-ms",
-                    Math.round(clock.now() - connection.connectedAt), "asked", connection.asked);
+            events.line(
+                    "client connection closed",
+                    "why",
+                    connection.endReason(),
+                    "age-ms",
+                    Math.round(clock.now() - connection.connectedAt),
+                    "asked",
+                    connection.asked);
         }
         front.closed(connection);
         checkEnd();
@@ -227,9 +278,18 @@
     @Override
     public void giveUp(Operation operation, Placement placement) {
         boolean declined = placement.kind() == Placement.Kind.DECLINE;
-        events.line(declined ? "request refused" : "request failed", "id", Figures.id(operation.id), "band",
-                operation.band.name(), "why", placement.reason(), "after-ms",
-                Math.round(clock.now() - operation.arrivedAt), "attempts", attempts(operation));
+        events.line(
+                declined ? "request refused" : "request failed",
+                "id",
+                Figures.id(operation.id),
+                "band",
+                operation.band.name(),
+                "why",
+                placement.reason(),
+                "after-ms",
+                Math.round(clock.now() - operation.arrivedAt),
+                "attempts",
+                attempts(operation));
         counts.gaveUp(operation.band, placement.reason());
         if (!declined) {
             answer(operation, RespBytes.error("ERR failed"));
@@ -244,7 +304,9 @@
     private String attempts(Operation operation) {
         StringBuilder text = new StringBuilder();
         for (Attempt attempt : operation.attempts) {
-            text.append(text.isEmpty() ? "" : ",").append(book.name(attempt.node)).append(':')
+            text.append(text.isEmpty() ? "" : ",")
+                    .append(book.name(attempt.node))
+                    .append(':')
                     .append(attempt.outcome == null ? "OUT" : attempt.outcome);
         }
         return text.toString();
@@ -269,13 +331,20 @@
     public void send(Attempt attempt, double timeout) {
         counts.attempts++;
         if (attempt.number > 0) {
-            events.line("request retried", "id", Figures.id(attempt.operation.id), "attempts",
+            events.line(
+                    "request retried",
+                    "id",
+                    Figures.id(attempt.operation.id),
+                    "attempts",
                     attempts(attempt.operation));
         }
         SocketAddress address = book.address(attempt.node);
         BlockCommand command = ((Held) attempt.operation.held).command();
-        nodes.send(attempt, address,
-                left -> host.mayBegin(attempt, clock.now()) ? command.forNode(left) : null, timeout,
+        nodes.send(
+                attempt,
+                address,
+                left -> host.mayBegin(attempt, clock.now()) ? command.forNode(left) : null,
+                timeout,
                 (outcome, answer, at) -> attemptEnded(attempt, outcome, answer, at));
     }
 
@@ -304,17 +373,30 @@
     @Override
     public void probe(Node node) {
         boolean load = !config.deployment().reportFields().isEmpty();
-        List<byte[]> words = (load ? List.of("INFO", "load") : List.of("PING")).stream()
-                .map(word -> word.getBytes(StandardCharsets.US_ASCII)).toList();
+        List<byte[]> words =
+                (load ? List.of("INFO", "load") : List.of("PING"))
+                        .stream().map(word -> word.getBytes(StandardCharsets.US_ASCII)).toList();
         double sentAt = clock.now();
-        nodes.probe(book.address(node), words, PROBE_TIMEOUT, (outcome, answer, at) -> {
-            boolean well = answer instanceof Resp.Bulk bulk && !bulk.isNull()
-                    || answer instanceof Resp.Line line && !line.isError();
-            double[] report = answer instanceof Resp.Bulk bulk
-                    ? Answer.report(bulk, config.deployment().reportFields()) : null;
-            host.probed(node.id, well ? Outcome.SATISFIED : outcome, at - sentAt, report, clock.now());
-            settle();
-        });
+        nodes.probe(
+                book.address(node),
+                words,
+                PROBE_TIMEOUT,
+                (outcome, answer, at) -> {
+                    boolean well =
+                            answer instanceof Resp.Bulk bulk && !bulk.isNull()
+                                    || answer instanceof Resp.Line line && !line.isError();
+                    double[] report =
+                            answer instanceof Resp.Bulk bulk
+                                    ? Answer.report(bulk, config.deployment().reportFields())
+                                    : null;
+                    host.probed(
+                            node.id,
+                            well ? Outcome.SATISFIED : outcome,
+                            at - sentAt,
+                            report,
+                            clock.now());
+                    settle();
+                });
     }
 
     // ---- discovery ----
@@ -331,7 +413,13 @@
 
     @Override
     public void listed(Listing listing) {
-        Log.info("list of nodes", "revision", listing.revision(), "whole", listing.whole(), "entries",
+        Log.info(
+                "list of nodes",
+                "revision",
+                listing.revision(),
+                "whole",
+                listing.whole(),
+                "entries",
                 listing.members().size());
         List<String> changes = book.changes(listing, host::node);
         if (!changes.isEmpty()) {
@@ -369,10 +457,11 @@
     private void settle() {
         if (!settleDue) {
             settleDue = true;
-            loop.execute(() -> {
-                settleDue = false;
-                settleNow();
-            });
+            loop.execute(
+                    () -> {
+                        settleDue = false;
+                        settleNow();
+                    });
         }
     }
 
@@ -398,19 +487,60 @@
 
     private void report() {
         Runtime runtime = Runtime.getRuntime();
-        Log.info("state", "in-hand", host.inHand().size(), "bytes", bytesInHand, "hops-out", nodes.attemptsOut(),
-                "node-connections", nodes.open(), "opened", nodes.opened, "no-room-for-hop",
-                nodes.refusedForRoom, "found-spent", nodes.foundSpent, "spoilt", nodes.spoilt, "clients",
-                front.size(), "accepted", front.accepted,
-                "turned-away", front.turnedAway, "revision", discovery.revision(), "watching",
-                discovery.isWatching(), "lag-ms", Math.round(worstLag), "heap-kb",
-                (runtime.totalMemory() - runtime.freeMemory()) >> 10, "counts", counts, "bands", host.bands());
+        Log.info(
+                "state",
+                "in-hand",
+                host.inHand().size(),
+                "bytes",
+                bytesInHand,
+                "hops-out",
+                nodes.attemptsOut(),
+                "node-connections",
+                nodes.open(),
+                "opened",
+                nodes.opened,
+                "no-room-for-hop",
+                nodes.refusedForRoom,
+                "found-spent",
+                nodes.foundSpent,
+                "spoilt",
+                nodes.spoilt,
+                "clients",
+                front.size(),
+                "accepted",
+                front.accepted,
+                "turned-away",
+                front.turnedAway,
+                "revision",
+                discovery.revision(),
+                "watching",
+                discovery.isWatching(),
+                "lag-ms",
+                Math.round(worstLag),
+                "heap-kb",
+                (runtime.totalMemory() - runtime.freeMemory()) >> 10,
+                "counts",
+                counts,
+                "bands",
+                host.bands());
         worstLag = 0;
         for (Node node : host.nodes()) {
             Map<Outcome, Integer> ended = counts.lately(node);
             if (node.standing != Node.Standing.GONE || !ended.isEmpty()) {
-                Log.info("node", "id", book.name(node), "standing", node.standing, "cell", node.cell, "view",
-                        NodeView.of(node), "ended", ended, "connections", nodes.open(book.address(node)));
+                Log.info(
+                        "node",
+                        "id",
+                        book.name(node),
+                        "standing",
+                        node.standing,
+                        "cell",
+                        node.cell,
+                        "view",
+                        NodeView.of(node),
+                        "ended",
+                        ended,
+                        "connections",
+                        nodes.open(book.address(node)));
             }
         }
     }
@@ -427,29 +557,41 @@
     }
 
     /**
-     * A new configuration was told at a time. What discovery has counts as notified some seconds after that, however long
-     * the file takes to read.
+     * A new configuration was told at a time. What discovery has counts as notified some seconds
+     * after that, however long the file takes to read.
      */
     void reloadTold(double toldAt) {
-        loop.execute(() -> {
-            Log.info("a new configuration is told", "ago-ms", Math.round(clock.now() - toldAt));
-            host.reloadTold(toldAt);
-        });
+        loop.execute(
+                () -> {
+                    Log.info(
+                            "a new configuration is told",
+                            "ago-ms",
+                            Math.round(clock.now() - toldAt));
+                    host.reloadTold(toldAt);
+                });
     }
 
-    /** The file was read, beginning at a time: discovery moves; what else differs holds from the next start on. */
+    /**
+     * The file was read, beginning at a time: discovery moves; what else differs holds from the
+     * next start on.
+     */
     void reload(Config fresh, double readAt) {
-        loop.execute(() -> {
-            Log.info("configuration read anew", "discovery", fresh.discovery(), "after-ms",
-                    Math.round(clock.now() - readAt));
-            boolean moved = discovery.moveTo(fresh.discovery());
-            host.reloadRead(readAt);
-            if (moved) {
-                host.listMoved(clock.now());
-                settle();
-            }
-            reloads++;
-        });
+        loop.execute(
+                () -> {
+                    Log.info(
+                            "configuration read anew",
+                            "discovery",
+                            fresh.discovery(),
+                            "after-ms",
+                            Math.round(clock.now() - readAt));
+                    boolean moved = discovery.moveTo(fresh.discovery());
+                    host.reloadRead(readAt);
+                    if (moved) {
+                        host.listMoved(clock.now());
+                        settle();
+                    }
+                    reloads++;
+                });
     }
 
     /** The file was read, beginning at a time, and cannot be used: all stays as it was. */
@@ -460,33 +602,46 @@
     /** Goes on serving while clients still come, then answers what it has and ends. */
     void stop() {
         double toldAt = clock.now();
-        loop.execute(() -> {
-            if (stopping) {
-                return;
-            }
-            stopping = true;
-            if (!listening) {
-                firstList.complete(null);
-                return;
-            }
-            double left = Math.min(longestPatience(config), LONGEST_STOP) + KILL_AFTER - ANSWERED_BEFORE;
-            stopAt = toldAt + left;
-            double now = clock.now();
-            front.keepUnused();
-            Log.info("stopping", "in-hand", host.inHand().size());
-            loop.schedule(() -> {
-                front.end();
-                checkEnd();
-            }, (long) (stopAt - LAST_TAKEN - now), TimeUnit.MILLISECONDS);
-            loop.schedule(this::giveUpAll, (long) (stopAt - now), TimeUnit.MILLISECONDS);
-        });
+        loop.execute(
+                () -> {
+                    if (stopping) {
+                        return;
+                    }
+                    stopping = true;
+                    if (!listening) {
+                        firstList.complete(null);
+                        return;
+                    }
+                    double left =
+                            Math.min(longestPatience(config), LONGEST_STOP)
+                                    + KILL_AFTER
+                                    - ANSWERED_BEFORE;
+                    stopAt = toldAt + left;
+                    double now = clock.now();
+                    front.keepUnused();
+                    Log.info("stopping", "in-hand", host.inHand().size());
+                    loop.schedule(
+                            () -> {
+                                front.end();
+                                checkEnd();
+                            },
+                            (long) (stopAt - LAST_TAKEN - now),
+                            TimeUnit.MILLISECONDS);
+                    loop.schedule(this::giveUpAll, (long) (stopAt - now), TimeUnit.MILLISECONDS);
+                });
     }
 
     /** The time is up: whatever is still in hand gets the answer that promises nothing. */
     private void giveUpAll() {
         for (Operation operation : new ArrayList<>(host.inHand())) {
             if (operation.held != null) {
-                events.line("request failed", "id", Figures.id(operation.id), "why", "STOPPING", "attempts",
+                events.line(
+                        "request failed",
+                        "id",
+                        Figures.id(operation.id),
+                        "why",
+                        "STOPPING",
+                        "attempts",
                         attempts(operation));
                 answer(operation, RespBytes.error("ERR the gateway stops"));
                 host.left(operation.id, clock.now());
@@ -503,12 +658,13 @@
 
     /** Ends at once. */
     void finish() {
-        loop.execute(() -> {
-            Log.info("stopped", "in-hand", host.inHand().size(), "counts", counts);
-            front.end();
-            discovery.close();
-            nodes.close();
-            ended.complete(null);
-        });
+        loop.execute(
+                () -> {
+                    Log.info("stopped", "in-hand", host.inHand().size(), "counts", counts);
+                    front.end();
+                    discovery.close();
+                    nodes.close();
+                    ended.complete(null);
+                });
     }
 }
--- a/src/main/java/sagepulley/platform/Rehearsal.java
+++ b/src/main/java/sagepulley/platform/Rehearsal.java
@@ -30,9 +30,9 @@
 import sagepulley.resp.RespLimits;
 
 /**
- * A short run of a whole gateway with a node, a discovery and clients of its own. The build does it once on
- * loopback, so that the JVM can write down which classes a start needs; a gateway does it inside the program
- * before it listens, so that its code is compiled when clients come.
+ * A short run of a whole gateway with a node, a discovery and clients of its own. The build does it
+ * once on loopback, so that the JVM can write down which classes a start needs; a gateway does it
+ * inside the program before it listens, so that its code is compiled when clients come.
  */
 public final class Rehearsal {
     private static final int CLIENTS = 4;
@@ -41,8 +41,10 @@
     private static final long END_MS = 1_000;
     private static final byte[] NODE_ANSWER =
             "*3\r\n$5\r\nvalue\r\n$6\r\ncost=1\r\n$-1\r\n".getBytes(StandardCharsets.US_ASCII);
-    private static final byte[] LIST_ANSWER = ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-            + "2e\r\n{\"revision\":2,\"complete\":false,\"members\":[]}\n\r\n").getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] LIST_ANSWER =
+            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + "2e\r\n{\"revision\":2,\"complete\":false,\"members\":[]}\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII);
 
     private final Transport transport;
     private final SocketAddress listen;
@@ -58,7 +60,14 @@
     /** On loopback, for the build, and inside the program as at each start. */
     public static void onLoopback() throws IOException, ConfigError {
         inside(OPERATIONS, 10_000);
-        run(Transport.sockets(), Transport.sockets(), loopback(), loopback(), loopback(), OPERATIONS, 10_000);
+        run(
+                Transport.sockets(),
+                Transport.sockets(),
+                loopback(),
+                loopback(),
+                loopback(),
+                OPERATIONS,
+                10_000);
         aStart();
     }
 
@@ -82,7 +91,8 @@
 
     /** The same for clients at this port. */
     static String listeningAt(int port) throws IOException {
-        return text().replace("\"listen\": \"127.0.0.1:1\"", "\"listen\": \"127.0.0.1:" + port + "\"");
+        return text().replace(
+                        "\"listen\": \"127.0.0.1:1\"", "\"listen\": \"127.0.0.1:" + port + "\"");
     }
 
     static int freePort() throws IOException {
@@ -94,8 +104,14 @@
     /** Inside the program, for so many operations or milliseconds. */
     static void inside(int operations, long most) {
         try {
-            run(Transport.local(), Transport.local(), new LocalAddress("rehearsal-gateway"),
-                    new LocalAddress("rehearsal-node"), new LocalAddress("rehearsal-discovery"), operations, most);
+            run(
+                    Transport.local(),
+                    Transport.local(),
+                    new LocalAddress("rehearsal-gateway"),
+                    new LocalAddress("rehearsal-node"),
+                    new LocalAddress("rehearsal-discovery"),
+                    operations,
+                    most);
         } catch (IOException | ConfigError e) {
             Log.warn("the rehearsal failed", "why", e.getMessage());
         }
@@ -106,8 +122,14 @@
     }
 
     /** The gateway has a loop of its own, as in service; all others share one. */
-    private static void run(Transport own, Transport others, SocketAddress listen, SocketAddress node,
-                            SocketAddress discovery, int operations, long most)
+    private static void run(
+            Transport own,
+            Transport others,
+            SocketAddress listen,
+            SocketAddress node,
+            SocketAddress discovery,
+            int operations,
+            long most)
             throws IOException, ConfigError {
         try {
             SocketAddress nodeAt = server(others, node, Rehearsal::node);
@@ -133,16 +155,24 @@
     /** The configuration that is rehearsed, at these addresses. */
     static Config config(SocketAddress listen, SocketAddress discovery, SocketAddress node)
             throws IOException, ConfigError {
-        return Config.of(Json.object(text().getBytes(StandardCharsets.UTF_8)), Map.of()).at(listen, discovery, node);
+        return Config.of(Json.object(text().getBytes(StandardCharsets.UTF_8)), Map.of())
+                .at(listen, discovery, node);
     }
 
     private interface Pipeline {
         void fill(Channel channel);
     }
 
-    private static SocketAddress server(Transport transport, SocketAddress address, Pipeline pipeline) {
-        return new ServerBootstrap().group(transport.loops()).channel(transport.server())
-                .childHandler(initializer(pipeline)).bind(address).syncUninterruptibly().channel().localAddress();
+    private static SocketAddress server(
+            Transport transport, SocketAddress address, Pipeline pipeline) {
+        return new ServerBootstrap()
+                .group(transport.loops())
+                .channel(transport.server())
+                .childHandler(initializer(pipeline))
+                .bind(address)
+                .syncUninterruptibly()
+                .channel()
+                .localAddress();
     }
 
     private static ChannelInitializer<Channel> initializer(Pipeline pipeline) {
@@ -155,56 +185,90 @@
     }
 
     private static void node(Channel channel) {
-        channel.pipeline().addLast(new RespDecoder(RespLimits.commands(64, 2048, 4096, 8)),
-                new SimpleChannelInboundHandler<Resp>() {
-                    @Override
-                    protected void channelRead0(ChannelHandlerContext ctx, Resp command) {
-                        ctx.writeAndFlush(Unpooled.wrappedBuffer(NODE_ANSWER));
-                    }
-                });
+        channel.pipeline()
+                .addLast(
+                        new RespDecoder(RespLimits.commands(64, 2048, 4096, 8)),
+                        new SimpleChannelInboundHandler<Resp>() {
+                            @Override
+                            protected void channelRead0(ChannelHandlerContext ctx, Resp command) {
+                                ctx.writeAndFlush(Unpooled.wrappedBuffer(NODE_ANSWER));
+                            }
+                        });
     }
 
     private static void discovery(Channel channel) {
-        channel.pipeline().addLast(new HttpServerCodec(), new SimpleChannelInboundHandler<HttpObject>() {
-            @Override
-            protected void channelRead0(ChannelHandlerContext ctx, HttpObject request) {
-                if (request instanceof LastHttpContent) {
-                    // Past the encoder, as it goes over the wire.
-                    ctx.channel().pipeline().firstContext().writeAndFlush(Unpooled.wrappedBuffer(LIST_ANSWER));
-                }
-            }
-        });
+        channel.pipeline()
+                .addLast(
+                        new HttpServerCodec(),
+                        new SimpleChannelInboundHandler<HttpObject>() {
+                            @Override
+                            protected void channelRead0(
+                                    ChannelHandlerContext ctx, HttpObject request) {
+                                if (request instanceof LastHttpContent) {
+                                    // Past the encoder, as it goes over the wire.
+                                    ctx.channel()
+                                            .pipeline()
+                                            .firstContext()
+                                            .writeAndFlush(Unpooled.wrappedBuffer(LIST_ANSWER));
+                                }
+                            }
+                        });
     }
 
     /** Asks one thing after the other, and now and then what nobody can answer. */
     private void client() {
-        transport.connector().handler(initializer(channel ->
-                channel.pipeline().addLast(new RespDecoder(RespLimits.replies(512, 2048, 4096, 8)),
-                        new SimpleChannelInboundHandler<Resp>() {
-                            @Override
-                            public void channelActive(ChannelHandlerContext ctx) {
-                                ask(ctx);
-                            }
+        transport
+                .connector()
+                .handler(
+                        initializer(
+                                channel ->
+                                        channel.pipeline()
+                                                .addLast(
+                                                        new RespDecoder(
+                                                                RespLimits.replies(
+                                                                        512, 2048, 4096, 8)),
+                                                        new SimpleChannelInboundHandler<Resp>() {
+                                                            @Override
+                                                            public void channelActive(
+                                                                    ChannelHandlerContext ctx) {
+                                                                ask(ctx);
+                                                            }
 
-                            @Override
-                            protected void channelRead0(ChannelHandlerContext ctx, Resp answer) {
-                                left.countDown();
-                                ask(ctx);
-                            }
-                        }))).connect(listen);
+                                                            @Override
+                                                            protected void channelRead0(
+                                                                    ChannelHandlerContext ctx,
+                                                                    Resp answer) {
+                                                                left.countDown();
+                                                                ask(ctx);
+                                                            }
+                                                        })))
+                .connect(listen);
     }
 
     private void ask(ChannelHandlerContext ctx) {
         long number = ++asked;
         boolean writes = number % 3 == 0;
-        String fields = "c=" + (number % 20 == 0 ? "none" : writes ? "put" : "get") + ",t=any,d=900,volume="
-                + Figures.id(number % 7) + ",units=1,shard=" + (writes ? -1 : 0) + ",hosts=1";
+        String fields =
+                "c="
+                        + (number % 20 == 0 ? "none" : writes ? "put" : "get")
+                        + ",t=any,d=900,volume="
+                        + Figures.id(number % 7)
+                        + ",units=1,shard="
+                        + (writes ? -1 : 0)
+                        + ",hosts=1";
         List<byte[]> words = new ArrayList<>();
-        for (String word : number % 50 == 0 ? List.of("PING")
-                : List.of(writes ? BlockCommand.WRITE : BlockCommand.READ, Figures.id(number % 30),
-                        Figures.id(number), fields, "value")) {
+        for (String word :
+                number % 50 == 0
+                        ? List.of("PING")
+                        : List.of(
+                                writes ? BlockCommand.WRITE : BlockCommand.READ,
+                                Figures.id(number % 30),
+                                Figures.id(number),
+                                fields,
+                                "value")) {
             words.add(word.getBytes(StandardCharsets.US_ASCII));
         }
-        ctx.writeAndFlush(RespBytes.command(writes || words.size() == 1 ? words : words.subList(0, 4)));
+        ctx.writeAndFlush(
+                RespBytes.command(writes || words.size() == 1 ? words : words.subList(0, 4)));
     }
 }
--- a/src/main/java/sagepulley/platform/Reloads.java
+++ b/src/main/java/sagepulley/platform/Reloads.java
@@ -14,9 +14,10 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * New configurations. The file is read anew at SIGHUP, and again after a pause for as long as it cannot be used. A process
- * that was started with SIGHUP ignored, as nohup does, is never told: it looks at its file instead, and a change counts as
- * told. All on one thread, so that the last to read the file is the last to be heard.
+ * New configurations. The file is read anew at SIGHUP, and again after a pause for as long as it
+ * cannot be used. A process that was started with SIGHUP ignored, as nohup does, is never told: it
+ * looks at its file instead, and a change counts as told. All on one thread, so that the last to
+ * read the file is the last to be heard.
  */
 final class Reloads implements Closeable {
     private static final String HANG_UP = "HUP";
@@ -27,11 +28,18 @@
     private final PlatformGateway gateway;
     private final ScheduledExecutorService executor =
             Executors.newSingleThreadScheduledExecutor(new DefaultThreadFactory("reload", true));
-    /** What the file held when it was last looked at, and when that was; empty where it could not be read. */
+
+    /**
+     * What the file held when it was last looked at, and when that was; empty where it could not be
+     * read.
+     */
     private byte[] contents = {};
+
     private double lookedAt;
+
     /** Why the file could not be used, as it was last logged; null if it could. */
     private String failure;
+
     private boolean retries;
 
     Reloads(Map<String, String> environment, PlatformGateway gateway) {
@@ -45,7 +53,8 @@
             Signals.on(HANG_UP, () -> told(gateway.now()));
             return;
         }
-        Log.warn("SIGHUP has been ignored since before the start, the configuration file is looked at instead");
+        Log.warn(
+                "SIGHUP has been ignored since before the start, the configuration file is looked at instead");
         contents = contents();
         lookedAt = gateway.now();
         told(lookedAt); // the file may have changed since the start read it
@@ -79,7 +88,9 @@
         }
     }
 
-    /** Reads the file now; one that cannot be used leaves all as it was, and is read again later. */
+    /**
+     * Reads the file now; one that cannot be used leaves all as it was, and is read again later.
+     */
     void read() {
         double readAt = gateway.now();
         try {
--- a/src/main/java/sagepulley/platform/Serve.java
+++ b/src/main/java/sagepulley/platform/Serve.java
@@ -13,16 +13,16 @@
     private static final int REHEARSED = 60;
     private static final long REHEARSAL_MS = 1_200;
 
-    private Serve() {
-    }
+    private Serve() {}
 
     /** Returns once the gateway has stopped. */
     public static void run(Map<String, String> environment) throws ConfigError {
-        run(environment, gateway -> { });
+        run(environment, gateway -> {});
     }
 
     /** The same; the task is given the gateway once it is ready. */
-    static void run(Map<String, String> environment, Consumer<PlatformGateway> whenReady) throws ConfigError {
+    static void run(Map<String, String> environment, Consumer<PlatformGateway> whenReady)
+            throws ConfigError {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         Config config = Config.read(environment);
         PlatformGateway gateway = new PlatformGateway(config, Transport.sockets());
@@ -35,10 +35,21 @@
         try {
             gateway.start().join();
         } catch (CompletionException e) {
-            throw new ConfigError("cannot listen on " + config.listen() + ": " + e.getCause().getMessage());
+            throw new ConfigError(
+                    "cannot listen on " + config.listen() + ": " + e.getCause().getMessage());
         }
-        Log.info("ready", "name", config.name(), "listen", config.listen(), "bands", bands(config),
-                "idle-time", config.idleTime(), "connect-timeout", config.connectTimeout());
+        Log.info(
+                "ready",
+                "name",
+                config.name(),
+                "listen",
+                config.listen(),
+                "bands",
+                bands(config),
+                "idle-time",
+                config.idleTime(),
+                "connect-timeout",
+                config.connectTimeout());
         whenReady.accept(gateway);
         gateway.ended().join();
         reloads.close();
@@ -49,7 +60,11 @@
     private static String bands(Config config) {
         StringBuilder all = new StringBuilder();
         for (Band band : config.deployment().bands()) {
-            all.append(all.isEmpty() ? "" : ",").append(band.name()).append(':').append(band.targetTime()).append('/')
+            all.append(all.isEmpty() ? "" : ",")
+                    .append(band.name())
+                    .append(':')
+                    .append(band.targetTime())
+                    .append('/')
                     .append(band.patience());
         }
         return all.toString();
--- a/src/main/java/sagepulley/platform/Signals.java
+++ b/src/main/java/sagepulley/platform/Signals.java
@@ -5,22 +5,33 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 
-/** Signals of the operating system. The JDK's class for them is reached by name: it has no public one. */
+/**
+ * Signals of the operating system. The JDK's class for them is reached by name: it has no public
+ * one.
+ */
 final class Signals {
     private static final Path PROCESS_STATUS = Path.of("/proc/self/status");
     private static final String IGNORED_SIGNALS = "SigIgn:";
 
-    private Signals() {
-    }
+    private Signals() {}
 
-    /** Whether the process was started with this signal ignored: the JVM leaves it so, whoever asks for it. */
+    /**
+     * Whether the process was started with this signal ignored: the JVM leaves it so, whoever asks
+     * for it.
+     */
     static boolean isIgnored(String name) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
-            int number = (Integer) signal.getMethod("getNumber")
-                    .invoke(signal.getConstructor(String.class).newInstance(name));
-            return Files.readAllLines(PROCESS_STATUS).stream().filter(line -> line.startsWith(IGNORED_SIGNALS))
-                    .map(line -> Long.parseUnsignedLong(line.substring(IGNORED_SIGNALS.length()).trim(), 16))
+            int number =
+                    (Integer)
+                            signal.getMethod("getNumber")
+                                    .invoke(signal.getConstructor(String.class).newInstance(name));
+            return Files.readAllLines(PROCESS_STATUS).stream()
+                    .filter(line -> line.startsWith(IGNORED_SIGNALS))
+                    .map(
+                            line ->
+                                    Long.parseUnsignedLong(
+                                            line.substring(IGNORED_SIGNALS.length()).trim(), 16))
                     .anyMatch(ignored -> (ignored >>> (number - 1) & 1) == 1);
         } catch (IOException notLinux) {
             return false;
@@ -29,18 +40,24 @@
         }
     }
 
-    /** Runs the task on a thread of its own at each signal of this name, in place of what the JDK does. */
+    /**
+     * Runs the task on a thread of its own at each signal of this name, in place of what the JDK
+     * does.
+     */
     static void on(String name, Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object run = Proxy.newProxyInstance(Signals.class.getClassLoader(), new Class<?>[] {handler},
-                    (proxy, method, arguments) -> {
-                        if (method.getName().equals("handle")) {
-                            task.run();
-                        }
-                        return null;
-                    });
+            Object run =
+                    Proxy.newProxyInstance(
+                            Signals.class.getClassLoader(),
+                            new Class<?>[] {handler},
+                            (proxy, method, arguments) -> {
+                                if (method.getName().equals("handle")) {
+                                    task.run();
+                                }
+                                return null;
+                            });
             signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance(name), run);
         } catch (ReflectiveOperationException e) {
--- a/src/main/java/sagepulley/platform/Transport.java
+++ b/src/main/java/sagepulley/platform/Transport.java
@@ -17,7 +17,10 @@
 import sagepulley.wire.Loops;
 
 /** One loop, and the channels that a gateway opens on it: sockets, or pipes inside the program. */
-record Transport(EventLoopGroup loops, Class<? extends Channel> socket, Class<? extends ServerChannel> server) {
+record Transport(
+        EventLoopGroup loops,
+        Class<? extends Channel> socket,
+        Class<? extends ServerChannel> server) {
     /** How the names of the threads begin on which a gateway rehearses inside the program. */
     static final String REHEARSAL_THREADS = "rehearsal";
 
@@ -29,33 +32,45 @@
     Bootstrap connector() {
         Bootstrap connector = new Bootstrap().group(loops).channel(socket);
         return SocketChannel.class.isAssignableFrom(socket)
-                ? connector.option(ChannelOption.TCP_NODELAY, true) : connector;
+                ? connector.option(ChannelOption.TCP_NODELAY, true)
+                : connector;
     }
 
-    /** The channel of a connection that is being made; null where the system granted no socket for it. */
+    /**
+     * The channel of a connection that is being made; null where the system granted no socket for
+     * it.
+     */
     static Channel channelOf(ChannelFuture connecting) {
-        return connecting.isDone() && !connecting.channel().isRegistered() ? null : connecting.channel();
+        return connecting.isDone() && !connecting.channel().isRegistered()
+                ? null
+                : connecting.channel();
     }
 
     /**
-     * Tells a connection's failure on the loop. Where the system grants no socket, the future belongs to another thread
-     * and its channel cannot even be closed.
+     * Tells a connection's failure on the loop. Where the system grants no socket, the future
+     * belongs to another thread and its channel cannot even be closed.
      */
     static void whenFailed(ChannelFuture connecting, EventLoop loop, Consumer<Throwable> task) {
-        connecting.addListener(done -> {
-            if (done.isSuccess()) {
-                return;
-            }
-            if (loop.inEventLoop()) {
-                task.accept(done.cause());
-            } else {
-                loop.execute(() -> task.accept(done.cause()));
-            }
-        });
+        connecting.addListener(
+                done -> {
+                    if (done.isSuccess()) {
+                        return;
+                    }
+                    if (loop.inEventLoop()) {
+                        task.accept(done.cause());
+                    } else {
+                        loop.execute(() -> task.accept(done.cause()));
+                    }
+                });
     }
 
     static Transport local() {
-        return new Transport(new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory(REHEARSAL_THREADS, true),
-                LocalIoHandler.newFactory()), LocalChannel.class, LocalServerChannel.class);
+        return new Transport(
+                new MultiThreadIoEventLoopGroup(
+                        1,
+                        new DefaultThreadFactory(REHEARSAL_THREADS, true),
+                        LocalIoHandler.newFactory()),
+                LocalChannel.class,
+                LocalServerChannel.class);
     }
 }
--- a/src/main/java/sagepulley/resp/Resp.java
+++ b/src/main/java/sagepulley/resp/Resp.java
@@ -25,6 +25,5 @@
     }
 
     /** An array; null items for the null one. */
-    record Array(List<Resp> items) implements Resp {
-    }
+    record Array(List<Resp> items) implements Resp {}
 }
--- a/src/main/java/sagepulley/resp/RespBytes.java
+++ b/src/main/java/sagepulley/resp/RespBytes.java
@@ -10,8 +10,7 @@
     private static final byte[] CRLF = {'\r', '\n'};
     private static final int HEAD = 16;
 
-    private RespBytes() {
-    }
+    private RespBytes() {}
 
     /** A command of these words. */
     public static ByteBuf command(List<byte[]> words) {
@@ -31,7 +30,8 @@
     public static ByteBuf bulk(byte[] bytes) {
         ByteBuf first = Unpooled.buffer(HEAD);
         head(first, '$', bytes.length);
-        return Unpooled.wrappedBuffer(first, Unpooled.wrappedBuffer(bytes), Unpooled.wrappedBuffer(CRLF));
+        return Unpooled.wrappedBuffer(
+                first, Unpooled.wrappedBuffer(bytes), Unpooled.wrappedBuffer(CRLF));
     }
 
     /** A simple string; the text has neither CR nor LF. */
--- a/src/main/java/sagepulley/resp/RespDecoder.java
+++ b/src/main/java/sagepulley/resp/RespDecoder.java
@@ -9,9 +9,9 @@
 import java.util.List;
 
 /**
- * Reads RESP2 strictly. A length is refused as soon as it is read, and room is only made for bytes that have
- * come. After the first wrong byte, which is told once as a {@link CorruptedFrameException}, the rest is
- * dropped unread.
+ * Reads RESP2 strictly. A length is refused as soon as it is read, and room is only made for bytes
+ * that have come. After the first wrong byte, which is told once as a {@link
+ * CorruptedFrameException}, the rest is dropped unread.
  */
 public final class RespDecoder extends ByteToMessageDecoder {
     private static final int NONE = -1;
@@ -21,8 +21,10 @@
     private List<Resp> items;
     private int missing;
     private int held;
+
     /** The length of the bulk string under way. */
     private int bulk = NONE;
+
     private boolean broken;
 
     public RespDecoder(RespLimits limits) {
@@ -83,7 +85,9 @@
             return null;
         }
         char kind = (char) in.getUnsignedByte(in.readerIndex());
-        if (limits.commandsOnly() ? kind != (items == null ? '*' : '$') : "+-:$*".indexOf(kind) < 0) {
+        if (limits.commandsOnly()
+                ? kind != (items == null ? '*' : '$')
+                : "+-:$*".indexOf(kind) < 0) {
             throw new CorruptedFrameException("a value starts with byte " + (int) kind);
         }
         String text = line(in);
@@ -95,7 +99,8 @@
                 bulk = length(text, limits.bulk());
                 held += Math.max(0, bulk);
                 if (held > limits.array()) {
-                    throw new CorruptedFrameException("an array of over " + limits.array() + " bytes");
+                    throw new CorruptedFrameException(
+                            "an array of over " + limits.array() + " bytes");
                 }
                 yield bulk == NONE ? new Resp.Bulk(null) : bulkString(in);
             }
@@ -126,8 +131,11 @@
 
     /** The line behind the first byte, without its end; null if the end has not come. */
     private String line(ByteBuf in) {
-        int end = in.indexOf(in.readerIndex(),
-                in.readerIndex() + Math.min(in.readableBytes(), limits.line() + 3), (byte) '\n');
+        int end =
+                in.indexOf(
+                        in.readerIndex(),
+                        in.readerIndex() + Math.min(in.readableBytes(), limits.line() + 3),
+                        (byte) '\n');
         if (end < 0) {
             if (in.readableBytes() > limits.line() + 2) {
                 throw new CorruptedFrameException("a line of over " + limits.line() + " bytes");
--- a/src/main/java/sagepulley/resp/RespLimits.java
+++ b/src/main/java/sagepulley/resp/RespLimits.java
@@ -1,8 +1,9 @@
 package sagepulley.resp;
 
 /**
- * The most that is taken: bytes of a line, of a bulk string and of all that an array holds, and items of an
- * array. With commandsOnly, nothing but arrays of bulk strings is taken, as clients send them.
+ * The most that is taken: bytes of a line, of a bulk string and of all that an array holds, and
+ * items of an array. With commandsOnly, nothing but arrays of bulk strings is taken, as clients
+ * send them.
  */
 public record RespLimits(int line, int bulk, int array, int items, boolean commandsOnly) {
     public static RespLimits commands(int line, int bulk, int array, int items) {
--- a/src/main/java/sagepulley/simhost/Batch.java
+++ b/src/main/java/sagepulley/simhost/Batch.java
@@ -50,13 +50,18 @@
         return true;
     }
 
-    /** Grows the buffer as bytes come, so that a wrong length cannot claim memory that no input backs. */
+    /**
+     * Grows the buffer as bytes come, so that a wrong length cannot claim memory that no input
+     * backs.
+     */
     private void fill() throws IOException {
         int have = 0;
         while (have < length) {
             if (have == bytes.length) {
-                bytes = Arrays.copyOf(bytes,
-                        (int) Math.min((long) bytes.length * 2, Math.max(length, CHUNK)));
+                bytes =
+                        Arrays.copyOf(
+                                bytes,
+                                (int) Math.min((long) bytes.length * 2, Math.max(length, CHUNK)));
             }
             int got = in.readNBytes(bytes, have, Math.min(length, bytes.length) - have);
             if (got == 0) {
@@ -115,8 +120,15 @@
         long count = Integer.toUnsignedLong(u32(record, at + 4));
         int start = CLOCK + records * RECORD;
         if (offset + count * each > length - start) {
-            throw badRecord(record, "position " + offset + " with " + count + " is out of the tail's "
-                    + (length - start) + " bytes");
+            throw badRecord(
+                    record,
+                    "position "
+                            + offset
+                            + " with "
+                            + count
+                            + " is out of the tail's "
+                            + (length - start)
+                            + " bytes");
         }
         return start + (int) offset;
     }
--- a/src/main/java/sagepulley/simhost/Gateway.java
+++ b/src/main/java/sagepulley/simhost/Gateway.java
@@ -2,8 +2,8 @@
 
 import sagepulley.host.Exit;
 import sagepulley.host.Host;
-import sagepulley.model.Deployment;
 import sagepulley.model.Attempt;
+import sagepulley.model.Deployment;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Placement;
@@ -15,8 +15,10 @@
 
     final Reply reply;
     final Host host;
+
     /** Set while the instance has an event in the batch at hand. */
     boolean called;
+
     private long wakeNs = Long.MAX_VALUE;
     private long cookie;
     private long nowNs;
--- a/src/main/java/sagepulley/simhost/SimHost.java
+++ b/src/main/java/sagepulley/simhost/SimHost.java
@@ -13,15 +13,18 @@
 import sagepulley.host.FirstMessage;
 import sagepulley.host.ListEntry;
 import sagepulley.host.MissingFigure;
+import sagepulley.model.Attempt;
 import sagepulley.model.Band;
 import sagepulley.model.Deployment;
-import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
 import sagepulley.model.Volume;
 
-/** Speaks the simulator's wire: hands each event to its instance and writes the actions of each batch. */
+/**
+ * Speaks the simulator's wire: hands each event to its instance and writes the actions of each
+ * batch.
+ */
 public final class SimHost {
     private static final double NS = 1e6;
     private static final int POOLS = 16;
@@ -30,11 +33,15 @@
     private final Batch batch;
     private final OutputStream out;
     private final Map<Integer, Gateway> gateways = new HashMap<>();
+
     /** The instances with an event in this batch. */
     private final List<Gateway> called = new ArrayList<>();
+
     private final List<List<ListEntry>> pools = new ArrayList<>();
+
     /** The replies of the instances with an event in this batch, in the order of their first. */
     private final List<Reply> replies = new ArrayList<>();
+
     private final Map<Integer, Reply> replyOf = new HashMap<>();
 
     public SimHost(InputStream in, OutputStream out) {
@@ -84,14 +91,19 @@
 
     private void told(Gateway gateway, int code, int record, double now) throws MalformedFrame {
         switch (code) {
-            case 1 -> gateway.host.probed(batch.u32(record, 5), outcome(record, 9),
-                    batch.u64(record, 11) / NS, report(record, 19), now);
+            case 1 ->
+                    gateway.host.probed(
+                            batch.u32(record, 5),
+                            outcome(record, 9),
+                            batch.u64(record, 11) / NS,
+                            report(record, 19),
+                            now);
             case 4 -> topology(gateway, record, now);
             case 6 -> gateway.host.arrived(operation(gateway, record, now));
             case 7 -> gateway.host.left(batch.u64(record, 5), now);
             case 10 -> gateway.timer(batch.u64(record, 5));
             case 11 -> completed(gateway, record, now);
-            default -> { } // streams and messages of peers: nothing is decided by them
+            default -> {} // streams and messages of peers: nothing is decided by them
         }
     }
 
@@ -165,13 +177,20 @@
         if (phase < 0 || phase > 2) {
             return null;
         }
-        Node.Standing standing = switch (phase) {
-            case 1 -> Node.Standing.READY;
-            case 2 -> Node.Standing.DRAINING;
-            default -> Node.Standing.GONE;
-        };
-        return new ListEntry(zone, cell, store, standing,
-                started == 0 ? Double.NEGATIVE_INFINITY : started / 1e6, kind, weight);
+        Node.Standing standing =
+                switch (phase) {
+                    case 1 -> Node.Standing.READY;
+                    case 2 -> Node.Standing.DRAINING;
+                    default -> Node.Standing.GONE;
+                };
+        return new ListEntry(
+                zone,
+                cell,
+                store,
+                standing,
+                started == 0 ? Double.NEGATIVE_INFINITY : started / 1e6,
+                kind,
+                weight);
     }
 
     private void topology(Gateway gateway, int record, double now) throws MalformedFrame {
@@ -193,17 +212,30 @@
         int grade = batch.u8(record, 13);
         List<Band> bands = gateway.host.deployment().bands();
         if (grade >= bands.size()) {
-            throw batch.badRecord(record, "class " + grade + " of " + bands.size() + " is out of range");
+            throw batch.badRecord(
+                    record, "class " + grade + " of " + bands.size() + " is out of range");
         }
         long plan = Integer.toUnsignedLong(batch.u32(record, 14));
         if (plan >= gateway.host.deployment().plans().size()) {
-            throw batch.badRecord(record, "plan " + plan + " of " + gateway.host.deployment().plans().size()
-                    + " is out of range");
+            throw batch.badRecord(
+                    record,
+                    "plan "
+                            + plan
+                            + " of "
+                            + gateway.host.deployment().plans().size()
+                            + " is out of range");
         }
         Volume volume = gateway.host.volume(batch.u64(record, 34), (int) plan);
         volume.gateways = Math.max(1, (int) batch.f32(record, 50));
-        return new Operation(batch.u64(record, 5), bands.get(grade), volume, batch.u64(record, 18),
-                batch.f32(record, 42), (int) batch.f32(record, 46), now, batch.u64(record, 26) / NS,
+        return new Operation(
+                batch.u64(record, 5),
+                bands.get(grade),
+                volume,
+                batch.u64(record, 18),
+                batch.f32(record, 42),
+                (int) batch.f32(record, 46),
+                now,
+                batch.u64(record, 26) / NS,
                 (batch.u8(record, 54) & 2) != 0);
     }
 
--- a/src/main/java/sagepulley/site/BooksLine.java
+++ b/src/main/java/sagepulley/site/BooksLine.java
@@ -2,6 +2,8 @@
 
 import java.nio.file.Path;
 
-/** Whether latency accounts are kept, the file that they survive a restart in (null: none), and how often. */
-public record BooksLine(boolean keep, Path file, double every) {
-}
+/**
+ * Whether latency accounts are kept, the file that they survive a restart in (null: none), and how
+ * often.
+ */
+public record BooksLine(boolean keep, Path file, double every) {}
