--- a/src/main/java/sagepulley/site/Ini.java
+++ b/src/main/java/sagepulley/site/Ini.java
@@ -14,7 +14,10 @@
 import org.apache.commons.configuration2.SubnodeConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
 
-/** An INI file's sections, with values read by their kind; every mistake is noted, and told all together. */
+/**
+ * An INI file's sections, with values read by their kind; every mistake is noted, and told all
+ * together.
+ */
 final class Ini {
     private static final int LONGEST = 1 << 20;
     private final String file;
@@ -53,17 +56,29 @@
         for (String name : ini.getSections()) {
             Map<String, String> values = new LinkedHashMap<>();
             SubnodeConfiguration section = ini.getSection(name);
-            section.getKeys().forEachRemaining(key -> {
-                List<Object> all = section.getList(key);
-                String plain = key.replace("..", ".");
-                if (all.size() > 1) {
-                    mistakes.add(place(name, plain) + ": stands there " + all.size() + " times, once is allowed");
-                }
-                values.put(plain, String.valueOf(all.get(0)).trim());
-            });
+            section.getKeys()
+                    .forEachRemaining(
+                            key -> {
+                                List<Object> all = section.getList(key);
+                                String plain = key.replace("..", ".");
+                                if (all.size() > 1) {
+                                    mistakes.add(
+                                            place(name, plain)
+                                                    + ": stands there "
+                                                    + all.size()
+                                                    + " times, once is allowed");
+                                }
+                                values.put(plain, String.valueOf(all.get(0)).trim());
+                            });
             if (name == null) {
-                values.keySet().forEach(key ->
-                        mistakes.add(file + ": " + key + ": stands before the first section"));
+                values.keySet()
+                        .forEach(
+                                key ->
+                                        mistakes.add(
+                                                file
+                                                        + ": "
+                                                        + key
+                                                        + ": stands before the first section"));
             } else {
                 sections.put(name, values);
             }
@@ -110,8 +125,15 @@
             // told below, as what is out of bounds
         }
         if (!text.isEmpty() || has(section, key)) {
-            mistake(section, key, "is '" + text + "', allowed is a number from " + plain(least) + " to "
-                    + plain(most));
+            mistake(
+                    section,
+                    key,
+                    "is '"
+                            + text
+                            + "', allowed is a number from "
+                            + plain(least)
+                            + " to "
+                            + plain(most));
         }
         return least;
     }
@@ -126,18 +148,40 @@
 
     /** A time in milliseconds, written as '250 ms', '2 s' or '5 min'. */
     double time(String section, String key, String without, double least, double most) {
-        return measured(section, key, without, least, most, new String[] {"ms", "s", "min", "h"},
-                new double[] {1, 1000, 60_000, 3_600_000}, "ms");
+        return measured(
+                section,
+                key,
+                without,
+                least,
+                most,
+                new String[] {"ms", "s", "min", "h"},
+                new double[] {1, 1000, 60_000, 3_600_000},
+                "ms");
     }
 
     /** Bytes, written as '512', '64 KiB', '32 MiB' or '4 GiB'. */
     long bytes(String section, String key, String without, long least, long most) {
-        return (long) measured(section, key, without, least, most, new String[] {"B", "KiB", "MiB", "GiB", "TiB"},
-                new double[] {1, 1 << 10, 1 << 20, 1 << 30, 1L << 40}, "B");
+        return (long)
+                measured(
+                        section,
+                        key,
+                        without,
+                        least,
+                        most,
+                        new String[] {"B", "KiB", "MiB", "GiB", "TiB"},
+                        new double[] {1, 1 << 10, 1 << 20, 1 << 30, 1L << 40},
+                        "B");
     }
 
-    private double measured(String section, String key, String without, double least, double most,
-                            String[] units, double[] factors, String bare) {
+    private double measured(
+            String section,
+            String key,
+            String without,
+            double least,
+            double most,
+            String[] units,
+            double[] factors,
+            String bare) {
         String text = text(section, key, without);
         if (text.isEmpty()) {
             return least;
@@ -159,8 +203,19 @@
                 }
             }
         }
-        mistake(section, key, "is '" + text + "', allowed is a number with one of " + String.join(", ", units)
-                + ", from " + plain(least) + " to " + plain(most) + " " + bare);
+        mistake(
+                section,
+                key,
+                "is '"
+                        + text
+                        + "', allowed is a number with one of "
+                        + String.join(", ", units)
+                        + ", from "
+                        + plain(least)
+                        + " to "
+                        + plain(most)
+                        + " "
+                        + bare);
         return least;
     }
 
@@ -177,7 +232,10 @@
         String text = text(section, key, without);
         int at = words.indexOf(text);
         if (at < 0 && !(text.isEmpty() && without == null)) {
-            mistake(section, key, "is '" + text + "', allowed is one of " + String.join(", ", words));
+            mistake(
+                    section,
+                    key,
+                    "is '" + text + "', allowed is one of " + String.join(", ", words));
         }
         return Math.max(0, at);
     }
@@ -192,26 +250,34 @@
 
     /** Tells all mistakes, and every section or key that nobody asked for. */
     void finish(Set<String> words) throws SiteError {
-        sections.forEach((section, values) -> {
-            String word = section.split(" ")[0];
-            if (!words.contains(word)) {
-                mistakes.add(file + ": [" + section + "]: is not known, allowed are " + String.join(", ",
-                        words.stream().sorted().toList()));
-                return;
-            }
-            values.keySet().forEach(key -> {
-                if (!read.contains(section + "\n" + key)) {
-                    mistake(section, key, "is not known");
-                }
-            });
-        });
+        sections.forEach(
+                (section, values) -> {
+                    String word = section.split(" ")[0];
+                    if (!words.contains(word)) {
+                        mistakes.add(
+                                file
+                                        + ": ["
+                                        + section
+                                        + "]: is not known, allowed are "
+                                        + String.join(", ", words.stream().sorted().toList()));
+                        return;
+                    }
+                    values.keySet()
+                            .forEach(
+                                    key -> {
+                                        if (!read.contains(section + "\n" + key)) {
+                                            mistake(section, key, "is not known");
+                                        }
+                                    });
+                });
         if (!mistakes.isEmpty()) {
             throw new SiteError(String.join("\n", mistakes));
         }
     }
 
     private static String plain(double value) {
-        return value == Math.rint(value) && Math.abs(value) < 1e15 ? Long.toString((long) value)
+        return value == Math.rint(value) && Math.abs(value) < 1e15
+                ? Long.toString((long) value)
                 : Double.toString(value);
     }
 }
--- a/src/main/java/sagepulley/site/MembersLine.java
+++ b/src/main/java/sagepulley/site/MembersLine.java
@@ -4,13 +4,17 @@
 import java.util.List;
 
 /**
- * Where the list of nodes and the extents' holders are kept on disk (null: nowhere), how long a list is fresh and
- * how long it is merely aged, in milliseconds; how many nodes are asked who they are at a time; and the nodes that
- * the site file itself names.
+ * Where the list of nodes and the extents' holders are kept on disk (null: nowhere), how long a
+ * list is fresh and how long it is merely aged, in milliseconds; how many nodes are asked who they
+ * are at a time; and the nodes that the site file itself names.
  */
-public record MembersLine(Path list, Path holders, double fresh, double aged, int askedAtOnce,
-                          List<FixedNode> nodes) {
+public record MembersLine(
+        Path list,
+        Path holders,
+        double fresh,
+        double aged,
+        int askedAtOnce,
+        List<FixedNode> nodes) {
     /** A node that the site file names. */
-    public record FixedNode(int node, int cell, int zone, HostPort address) {
-    }
+    public record FixedNode(int node, int cell, int zone, HostPort address) {}
 }
--- a/src/main/java/sagepulley/site/TracesLine.java
+++ b/src/main/java/sagepulley/site/TracesLine.java
@@ -3,10 +3,12 @@
 import java.nio.file.Path;
 
 /**
- * Where traces go: a file (null: none) of so many bytes with so many in all, and an OTLP receiver's address
- * (empty: none). At most so many operations a second are kept; an ordinary one by this chance.
+ * Where traces go: a file (null: none) of so many bytes with so many in all, and an OTLP receiver's
+ * address (empty: none). At most so many operations a second are kept; an ordinary one by this
+ * chance.
  */
-public record TracesLine(Path file, long fileBytes, int files, String otlp, double perSecond, double chance) {
+public record TracesLine(
+        Path file, long fileBytes, int files, String otlp, double perSecond, double chance) {
     /** Whether any trace goes anywhere. */
     public boolean wanted() {
         return perSecond > 0 && (file != null || !otlp.isEmpty());
--- a/src/main/java/sagepulley/site/VolumeLine.java
+++ b/src/main/java/sagepulley/site/VolumeLine.java
@@ -1,9 +1,18 @@
 package sagepulley.site;
 
 /**
- * A volume's section of the site file. Sizes are bytes; bands and plan are places in the deployment's lists.
- * Reads of bulkFrom bytes and more are of the bulk band.
+ * A volume's section of the site file. Sizes are bytes; bands and plan are places in the
+ * deployment's lists. Reads of bulkFrom bytes and more are of the bulk band.
  */
-public record VolumeLine(int id, String name, String description, long size, int plan, int gateways,
-                         boolean readOnly, int readBand, int writeBand, int bulkBand, long bulkFrom) {
-}
+public record VolumeLine(
+        int id,
+        String name,
+        String description,
+        long size,
+        int plan,
+        int gateways,
+        boolean readOnly,
+        int readBand,
+        int writeBand,
+        int bulkBand,
+        long bulkFrom) {}
--- a/src/main/java/sagepulley/standin/Faults.java
+++ b/src/main/java/sagepulley/standin/Faults.java
@@ -4,22 +4,31 @@
 public final class Faults {
     /** Takes operations, runs them and answers none, nor probes. */
     public volatile boolean silent;
+
     /** Reads nothing from its sockets, and serves nothing. */
     public volatile boolean paused;
+
     /** Turns every operation away as if its queue were full. */
     public volatile boolean refusing;
+
     /** The share of operations that run and end with an error. */
     public volatile double erring;
+
     /** The share of answers that are lost on the way, though probes are answered. */
     public volatile double losing;
+
     /** How many times longer everything takes. */
     public volatile double slow = 1;
+
     /** Accepts no connection. */
     public volatile boolean unreachable;
+
     /** The next answer is cut off in its middle, and the link's sending side closed. */
     public volatile boolean halfClose;
+
     /** The next answer is garbage, comes twice, or is for an attempt that was never sent. */
     public volatile boolean garble;
+
     public volatile boolean twice;
     public volatile boolean invent;
 }
--- a/src/main/java/sagepulley/standin/Registration.java
+++ b/src/main/java/sagepulley/standin/Registration.java
@@ -15,7 +15,10 @@
 import sagepulley.wire.FrameEncoder;
 import sagepulley.wire.Loops;
 
-/** Keeps a stand-in node registered at a directory: connects, says its line, connects anew when cut off. */
+/**
+ * Keeps a stand-in node registered at a directory: connects, says its line, connects anew when cut
+ * off.
+ */
 public final class Registration {
     private static final long AGAIN_MS = 500;
 
@@ -25,7 +28,8 @@
     private Channel channel;
     private volatile boolean closed;
 
-    public Registration(EventLoop loop, InetSocketAddress directory, Supplier<DirectoryWire.Line> line) {
+    public Registration(
+            EventLoop loop, InetSocketAddress directory, Supplier<DirectoryWire.Line> line) {
         this.loop = loop;
         this.directory = directory;
         this.line = line;
@@ -34,37 +38,50 @@
 
     /** Says the line again, as it is now. */
     public void again() {
-        loop.execute(() -> {
-            if (channel != null && channel.isActive()) {
-                channel.writeAndFlush(DirectoryWire.register(line.get()));
-            }
-        });
+        loop.execute(
+                () -> {
+                    if (channel != null && channel.isActive()) {
+                        channel.writeAndFlush(DirectoryWire.register(line.get()));
+                    }
+                });
     }
 
     public void close() {
         closed = true;
-        loop.execute(() -> {
-            if (channel != null) {
-                channel.close();
-            }
-        });
+        loop.execute(
+                () -> {
+                    if (channel != null) {
+                        channel.close();
+                    }
+                });
     }
 
     private void connect() {
         if (closed) {
             return;
         }
-        new Bootstrap().group(loop).channel(Loops.socket()).handler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel fresh) {
-                fresh.pipeline().addLast(new FrameDecoder(0), new FrameEncoder(), new Talk());
-            }
-        }).connect(directory).addListener((ChannelFuture done) -> {
-            channel = done.channel();
-            if (!done.isSuccess()) {
-                loop.schedule(this::connect, AGAIN_MS, TimeUnit.MILLISECONDS);
-            }
-        });
+        new Bootstrap()
+                .group(loop)
+                .channel(Loops.socket())
+                .handler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel fresh) {
+                                fresh.pipeline()
+                                        .addLast(
+                                                new FrameDecoder(0),
+                                                new FrameEncoder(),
+                                                new Talk());
+                            }
+                        })
+                .connect(directory)
+                .addListener(
+                        (ChannelFuture done) -> {
+                            channel = done.channel();
+                            if (!done.isSuccess()) {
+                                loop.schedule(this::connect, AGAIN_MS, TimeUnit.MILLISECONDS);
+                            }
+                        });
     }
 
     private final class Talk extends ChannelInboundHandlerAdapter {
--- a/src/main/java/sagepulley/standin/Shelf.java
+++ b/src/main/java/sagepulley/standin/Shelf.java
@@ -15,18 +15,19 @@
 import java.util.Set;
 
 /**
- * The data of a stand-in node, an array for each extent, or a file each. What was written but not flushed is
- * lost when the power fails, not when the program ends.
+ * The data of a stand-in node, an array for each extent, or a file each. What was written but not
+ * flushed is lost when the power fails, not when the program ends.
  */
 final class Shelf {
-    private record Key(int volume, long extent) {
-    }
+    private record Key(int volume, long extent) {}
 
     private final int extentBytes;
     private final Path folder;
     private final Map<Key, byte[]> memory = new HashMap<>();
+
     /** What was durable of the extents that have unflushed writes; null where nothing was. */
     private final Map<Key, byte[]> durable = new HashMap<>();
+
     private final Map<Key, FileChannel> files = new HashMap<>();
     private final Set<Key> dirtyFiles = new HashSet<>();
 
@@ -65,7 +66,8 @@
         return data == null ? into.writeZero(length) : into.writeBytes(data, offset, length);
     }
 
-    void write(int volume, long extent, int offset, ByteBuf data, boolean nowDurable) throws IOException {
+    void write(int volume, long extent, int offset, ByteBuf data, boolean nowDurable)
+            throws IOException {
         Key key = new Key(volume, extent);
         int length = data.readableBytes();
         if (folder != null) {
@@ -93,7 +95,8 @@
         }
     }
 
-    void zero(int volume, long extent, int offset, int length, boolean nowDurable) throws IOException {
+    void zero(int volume, long extent, int offset, int length, boolean nowDurable)
+            throws IOException {
         write(volume, extent, offset, Unpooled.wrappedBuffer(new byte[length]), nowDurable);
     }
 
@@ -117,13 +120,15 @@
     }
 
     void close() {
-        files.values().forEach(file -> {
-            try {
-                file.close();
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
-        });
+        files.values()
+                .forEach(
+                        file -> {
+                            try {
+                                file.close();
+                            } catch (IOException e) {
+                                throw new UncheckedIOException(e);
+                            }
+                        });
         files.clear();
     }
 
@@ -137,8 +142,12 @@
             return null;
         }
         Files.createDirectories(folder);
-        FileChannel file = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ,
-                StandardOpenOption.WRITE);
+        FileChannel file =
+                FileChannel.open(
+                        path,
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.READ,
+                        StandardOpenOption.WRITE);
         files.put(key, file);
         return file;
     }
--- a/src/main/java/sagepulley/standin/StandInDirectory.java
+++ b/src/main/java/sagepulley/standin/StandInDirectory.java
@@ -27,18 +27,19 @@
 import sagepulley.wire.Loops;
 
 /**
- * A small directory: the list of nodes, told late on purpose, and the holder of each extent, claimed once.
- * Nodes register over a socket and count as gone when their connection ends, or are put in by hand. All on
- * one loop; faults may be set from any thread.
+ * A small directory: the list of nodes, told late on purpose, and the holder of each extent,
+ * claimed once. Nodes register over a socket and count as gone when their connection ends, or are
+ * put in by hand. All on one loop; faults may be set from any thread.
  */
 public final class StandInDirectory {
-    private record Key(int volume, long extent) {
-    }
+    private record Key(int volume, long extent) {}
 
     private final EventLoop loop;
     private final Witness witness;
+
     /** The list as it is, and as it is told. */
     private final Map<Integer, DirectoryWire.Line> lines = new LinkedHashMap<>();
+
     private final Map<Integer, DirectoryWire.Line> toldLines = new LinkedHashMap<>();
     private final Map<Key, Integer> holders = new HashMap<>();
     private final List<Talk> talks = new ArrayList<>();
@@ -47,8 +48,10 @@
     private long version;
     private volatile double lag;
     private volatile double slow;
+
     /** Of which site it says it is; its own history, and the version that it counts from. */
     private volatile String siteName = "";
+
     private volatile long history = 1;
     private volatile long wholeLists;
     private volatile boolean silent;
@@ -62,23 +65,33 @@
 
     public CompletableFuture<StandInDirectory> start(InetSocketAddress at) {
         CompletableFuture<StandInDirectory> ready = new CompletableFuture<>();
-        new ServerBootstrap().group(loop).channel(Loops.server()).option(ChannelOption.SO_REUSEADDR, true)
+        new ServerBootstrap()
+                .group(loop)
+                .channel(Loops.server())
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new FrameDecoder(0), new FrameEncoder(), new Talk(channel));
-                    }
-                })
-                .bind(at).addListener((ChannelFuture bound) -> {
-                    if (!bound.isSuccess()) {
-                        ready.completeExceptionally(bound.cause());
-                        return;
-                    }
-                    listener = bound.channel();
-                    address = (InetSocketAddress) listener.localAddress();
-                    ready.complete(this);
-                });
+                .childHandler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                channel.pipeline()
+                                        .addLast(
+                                                new FrameDecoder(0),
+                                                new FrameEncoder(),
+                                                new Talk(channel));
+                            }
+                        })
+                .bind(at)
+                .addListener(
+                        (ChannelFuture bound) -> {
+                            if (!bound.isSuccess()) {
+                                ready.completeExceptionally(bound.cause());
+                                return;
+                            }
+                            listener = bound.channel();
+                            address = (InetSocketAddress) listener.localAddress();
+                            ready.complete(this);
+                        });
         return ready;
     }
 
@@ -96,22 +109,26 @@
         slow = milliseconds;
     }
 
-    /** From now on it is another directory: of this site, with a history, a version and lines of its own. */
-    public CompletableFuture<Void> becomes(String site, long itsHistory, long itsVersion,
-                                           List<DirectoryWire.Line> itsLines) {
+    /**
+     * From now on it is another directory: of this site, with a history, a version and lines of its
+     * own.
+     */
+    public CompletableFuture<Void> becomes(
+            String site, long itsHistory, long itsVersion, List<DirectoryWire.Line> itsLines) {
         CompletableFuture<Void> done = new CompletableFuture<>();
-        loop.execute(() -> {
-            siteName = site;
-            history = itsHistory;
-            version = itsVersion;
-            lines.clear();
-            toldLines.clear();
-            for (DirectoryWire.Line line : itsLines) {
-                lines.put(line.node(), line);
-                toldLines.put(line.node(), line);
-            }
-            done.complete(null);
-        });
+        loop.execute(
+                () -> {
+                    siteName = site;
+                    history = itsHistory;
+                    version = itsVersion;
+                    lines.clear();
+                    toldLines.clear();
+                    for (DirectoryWire.Line line : itsLines) {
+                        lines.put(line.node(), line);
+                        toldLines.put(line.node(), line);
+                    }
+                    done.complete(null);
+                });
         return done;
     }
 
@@ -138,14 +155,15 @@
     /** Goes down with every connection; the holders stay. */
     public CompletableFuture<Void> stop() {
         CompletableFuture<Void> stopped = new CompletableFuture<>();
-        loop.execute(() -> {
-            if (listener != null) {
-                listener.close();
-                listener = null;
-            }
-            List.copyOf(talks).forEach(talk -> talk.channel.close());
-            stopped.complete(null);
-        });
+        loop.execute(
+                () -> {
+                    if (listener != null) {
+                        listener.close();
+                        listener = null;
+                    }
+                    List.copyOf(talks).forEach(talk -> talk.channel.close());
+                    stopped.complete(null);
+                });
         return stopped;
     }
 
@@ -198,8 +216,10 @@
         void list(long call, boolean whole, List<DirectoryWire.Line> told) {
             wholeLists += whole ? 1 : 0;
             witness.told(gateway, whole, told, System.nanoTime());
-            channel.writeAndFlush(DirectoryWire.list(new DirectoryWire.Listing(call, version, whole, told,
-                    history, siteName)));
+            channel.writeAndFlush(
+                    DirectoryWire.list(
+                            new DirectoryWire.Listing(
+                                    call, version, whole, told, history, siteName)));
         }
 
         @Override
@@ -231,7 +251,8 @@
             } else if (slow > 0) {
                 frame.head().retain();
                 frame.payload().retain();
-                channel.eventLoop().schedule(() -> late(frame), (long) (slow * 1e6), TimeUnit.NANOSECONDS);
+                channel.eventLoop()
+                        .schedule(() -> late(frame), (long) (slow * 1e6), TimeUnit.NANOSECONDS);
             } else {
                 call(frame);
             }
@@ -273,7 +294,8 @@
                     int cell = head.readInt();
                     Integer holder = holders.putIfAbsent(key, cell);
                     claims++;
-                    channel.writeAndFlush(DirectoryWire.holder(frame.id(), holder == null ? cell : holder));
+                    channel.writeAndFlush(
+                            DirectoryWire.holder(frame.id(), holder == null ? cell : holder));
                 }
                 default -> throw new BadBytes("message " + frame.type() + " to the directory");
             }
@@ -283,9 +305,17 @@
         public void channelInactive(ChannelHandlerContext ctx) {
             talks.remove(this);
             if (registered != null && lines.get(registered.node()) == registered) {
-                changed(new DirectoryWire.Line(registered.node(), registered.cell(), registered.zone(),
-                        registered.kind(), DirectoryWire.Standing.GONE, registered.startedAt(),
-                        registered.weight(), registered.host(), registered.port()));
+                changed(
+                        new DirectoryWire.Line(
+                                registered.node(),
+                                registered.cell(),
+                                registered.zone(),
+                                registered.kind(),
+                                DirectoryWire.Standing.GONE,
+                                registered.startedAt(),
+                                registered.weight(),
+                                registered.host(),
+                                registered.port()));
             }
         }
 
--- a/src/main/java/sagepulley/standin/StandInNode.java
+++ b/src/main/java/sagepulley/standin/StandInNode.java
@@ -36,18 +36,22 @@
 import sagepulley.wire.Loops;
 
 /**
- * A small storage node: slots, a queue, a cold ramp on which it can be pushed over, writes of which a part is
- * put off, and faults on demand. All of it on one loop. It keeps the node's duties of docs/protocols.md: one
- * answer for each attempt, pens, one link for each gateway, repeats dropped where a band asks for it.
+ * A small storage node: slots, a queue, a cold ramp on which it can be pushed over, writes of which
+ * a part is put off, and faults on demand. All of it on one loop. It keeps the node's duties of
+ * docs/protocols.md: one answer for each attempt, pens, one link for each gateway, repeats dropped
+ * where a band asks for it.
  */
 public final class StandInNode {
     private static final int MARKS_KEPT = 100_000;
     private static final int RING_PARTS = 20;
-    /** A pen is kept this long at least, so that its taker's writes arrive before another's take it away. */
+
+    /**
+     * A pen is kept this long at least, so that its taker's writes arrive before another's take it
+     * away.
+     */
     private static final long PEN_KEPT_NS = 5_000_000;
 
-    private record PenKey(int volume, long extent) {
-    }
+    private record PenKey(int volume, long extent) {}
 
     /** Who may write an extent, since when, and who asked to be next. */
     private static final class Pen {
@@ -56,11 +60,9 @@
         final ArrayDeque<PenCall> next = new ArrayDeque<>(1);
     }
 
-    private record PenCall(Link link, long id) {
-    }
+    private record PenCall(Link link, long id) {}
 
-    private record Mark(long gateway, long number) {
-    }
+    private record Mark(long gateway, long number) {}
 
     /** An attempt that waits, or is worked on. */
     private static final class Work {
@@ -69,8 +71,10 @@
         final StoreWire.Send send;
         final ByteBuf payload;
         final long came = System.nanoTime();
+
         /** When work on it began; 0 before. */
         long begun;
+
         boolean calledOff;
 
         Work(Link link, long attempt, StoreWire.Send send, ByteBuf payload) {
@@ -90,17 +94,21 @@
     private final List<Link> links = new ArrayList<>();
     private final ArrayDeque<Work> queue = new ArrayDeque<>();
     private final Map<PenKey, Pen> pens = new HashMap<>();
+
     /** Marks of deduplicated operations that ran. */
-    private final Map<Mark, Boolean> marks = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
+    private final Map<Mark, Boolean> marks =
+            new LinkedHashMap<>() {
+                private static final long serialVersionUID = 1;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<Mark, Boolean> eldest) {
+                    return size() > MARKS_KEPT;
+                }
+            };
 
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Mark, Boolean> eldest) {
-            return size() > MARKS_KEPT;
-        }
-    };
     /** Units served, by volume; and by gateway and volume. */
     private final Map<Integer, Double> served = new HashMap<>();
+
     private Channel listener;
     private InetSocketAddress address;
     private int busy;
@@ -155,48 +163,62 @@
 
     private CompletableFuture<StandInNode> listen(InetSocketAddress at, boolean warm) {
         CompletableFuture<StandInNode> ready = new CompletableFuture<>();
-        loop.execute(() -> {
-            life++;
-            fallen = false;
-            startedWall = warm ? 0 : System.currentTimeMillis();
-            startedNanos = System.nanoTime() - (warm ? (long) (traits.coldTime() * 2e6) : 0);
-            pressure = new Ring(traits.fallTime(), RING_PARTS);
-            new ServerBootstrap().group(loop).channel(Loops.server())
-                    .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
-                    .childHandler(new ChannelInitializer<Channel>() {
-                        @Override
-                        protected void initChannel(Channel channel) {
-                            if (faults.unreachable) {
-                                channel.close();
-                                return;
-                            }
-                            channel.pipeline().addLast(new FrameDecoder(traits.extentBytes()),
-                                    new FrameEncoder(), new Link(channel));
-                        }
-                    })
-                    .bind(at).addListener((ChannelFuture bound) -> {
-                        if (!bound.isSuccess()) {
-                            ready.completeExceptionally(bound.cause());
-                            return;
-                        }
-                        listener = bound.channel();
-                        address = (InetSocketAddress) listener.localAddress();
-                        witness.started(traits.id(), warm ? Double.NaN : traits.unitsPerSecond(),
-                                System.nanoTime());
-                        ready.complete(this);
-                    });
-        });
+        loop.execute(
+                () -> {
+                    life++;
+                    fallen = false;
+                    startedWall = warm ? 0 : System.currentTimeMillis();
+                    startedNanos =
+                            System.nanoTime() - (warm ? (long) (traits.coldTime() * 2e6) : 0);
+                    pressure = new Ring(traits.fallTime(), RING_PARTS);
+                    new ServerBootstrap()
+                            .group(loop)
+                            .channel(Loops.server())
+                            .option(ChannelOption.SO_REUSEADDR, true)
+                            .childOption(ChannelOption.TCP_NODELAY, true)
+                            .childHandler(
+                                    new ChannelInitializer<Channel>() {
+                                        @Override
+                                        protected void initChannel(Channel channel) {
+                                            if (faults.unreachable) {
+                                                channel.close();
+                                                return;
+                                            }
+                                            channel.pipeline()
+                                                    .addLast(
+                                                            new FrameDecoder(traits.extentBytes()),
+                                                            new FrameEncoder(),
+                                                            new Link(channel));
+                                        }
+                                    })
+                            .bind(at)
+                            .addListener(
+                                    (ChannelFuture bound) -> {
+                                        if (!bound.isSuccess()) {
+                                            ready.completeExceptionally(bound.cause());
+                                            return;
+                                        }
+                                        listener = bound.channel();
+                                        address = (InetSocketAddress) listener.localAddress();
+                                        witness.started(
+                                                traits.id(),
+                                                warm ? Double.NaN : traits.unitsPerSecond(),
+                                                System.nanoTime());
+                                        ready.complete(this);
+                                    });
+                });
         return ready;
     }
 
     /** Ends every connection and all work, as a crash does; then it is gone until started again. */
     public CompletableFuture<Void> stop() {
         CompletableFuture<Void> stopped = new CompletableFuture<>();
-        loop.execute(() -> {
-            goDown();
-            shelf.close();
-            stopped.complete(null);
-        });
+        loop.execute(
+                () -> {
+                    goDown();
+                    shelf.close();
+                    stopped.complete(null);
+                });
         return stopped;
     }
 
@@ -224,22 +246,25 @@
     public CompletableFuture<StandInNode> powerFails() {
         InetSocketAddress at = address;
         CompletableFuture<Void> lost = new CompletableFuture<>();
-        loop.execute(() -> {
-            goDown();
-            lostData |= shelf.powerFails();
-            lost.complete(null);
-        });
+        loop.execute(
+                () -> {
+                    goDown();
+                    lostData |= shelf.powerFails();
+                    lost.complete(null);
+                });
         return lost.thenCompose(done -> listen(at, false));
     }
 
     /** Takes nothing new from now on. */
     public void drain() {
-        loop.execute(() -> {
-            draining = true;
-            if (!faults.silent) {
-                links.forEach(link -> link.channel.writeAndFlush(new Frame(StoreWire.DRAINS, 0)));
-            }
-        });
+        loop.execute(
+                () -> {
+                    draining = true;
+                    if (!faults.silent) {
+                        links.forEach(
+                                link -> link.channel.writeAndFlush(new Frame(StoreWire.DRAINS, 0)));
+                    }
+                });
     }
 
     /** Cuts every connection. */
@@ -250,12 +275,13 @@
     /** Stands still: looks at nothing that comes and serves nothing, until it goes on. */
     public void pause(boolean still) {
         faults.paused = still;
-        loop.execute(() -> {
-            if (!faults.paused) {
-                List.copyOf(links).forEach(Link::wake);
-                serve();
-            }
-        });
+        loop.execute(
+                () -> {
+                    if (!faults.paused) {
+                        List.copyOf(links).forEach(Link::wake);
+                        serve();
+                    }
+                });
     }
 
     // ---- work ----
@@ -304,7 +330,10 @@
         while (!pen.next.isEmpty()) {
             PenCall call = pen.next.peek();
             long kept = System.nanoTime() - pen.since;
-            boolean taken = pen.holder != null && pen.holder != call.link() && pen.holder.channel.isActive();
+            boolean taken =
+                    pen.holder != null
+                            && pen.holder != call.link()
+                            && pen.holder.channel.isActive();
             if (taken && kept < PEN_KEPT_NS) {
                 loop.schedule(() -> passPen(key, pen), PEN_KEPT_NS - kept, TimeUnit.NANOSECONDS);
                 return;
@@ -316,8 +345,10 @@
             }
             pen.holder = call.link();
             pen.since = System.nanoTime();
-            call.link().channel.writeAndFlush(
-                    StoreWire.pen(StoreWire.PEN, call.id(), key.volume(), key.extent()));
+            call.link()
+                    .channel
+                    .writeAndFlush(
+                            StoreWire.pen(StoreWire.PEN, call.id(), key.volume(), key.extent()));
         }
     }
 
@@ -334,8 +365,11 @@
     private boolean overPressed(double now) {
         double warm = warmth();
         double span = traits.fallTime() / 1000;
-        return warm < 1 && pressure.sumWithin(now) > Math.max(traits.coldUnits(),
-                traits.fallMultiple() * warm * traits.unitsPerSecond() * span);
+        return warm < 1
+                && pressure.sumWithin(now)
+                        > Math.max(
+                                traits.coldUnits(),
+                                traits.fallMultiple() * warm * traits.unitsPerSecond() * span);
     }
 
     private void serve() {
@@ -346,7 +380,8 @@
                 answer(work, StoreWire.Code.CALLED_OFF, Unpooled.EMPTY_BUFFER);
                 continue;
             }
-            // Work is begun in the order it came, and has its effect when it begins: no later write of an
+            // Work is begun in the order it came, and has its effect when it begins: no later write
+            // of an
             // extent can be undone by an earlier one.
             begin(work);
         }
@@ -388,15 +423,18 @@
         int then = life;
         StoreWire.Code end = code;
         ByteBuf data = result;
-        loop.schedule(() -> {
-            if (life != then) {
-                data.release();
-                return;
-            }
-            busy--;
-            answer(work, end, data);
-            serve();
-        }, (long) (cost * 1e6), TimeUnit.NANOSECONDS);
+        loop.schedule(
+                () -> {
+                    if (life != then) {
+                        data.release();
+                        return;
+                    }
+                    busy--;
+                    answer(work, end, data);
+                    serve();
+                },
+                (long) (cost * 1e6),
+                TimeUnit.NANOSECONDS);
     }
 
     private double cost(StoreWire.Send send) {
@@ -430,9 +468,20 @@
                 ByteBuf into = work.link.channel.alloc().ioBuffer(Math.max(1, send.length()));
                 return shelf.read(send.volume(), send.extent(), send.offset(), send.length(), into);
             }
-            case WRITE -> shelf.write(send.volume(), send.extent(), send.offset(), work.payload, send.durable());
-            case ZERO, TRIM -> shelf.zero(send.volume(), send.extent(), send.offset(), send.length(),
-                    send.durable());
+            case WRITE ->
+                    shelf.write(
+                            send.volume(),
+                            send.extent(),
+                            send.offset(),
+                            work.payload,
+                            send.durable());
+            case ZERO, TRIM ->
+                    shelf.zero(
+                            send.volume(),
+                            send.extent(),
+                            send.offset(),
+                            send.length(),
+                            send.durable());
             case FLUSH -> {
                 // Writes acknowledged by an earlier life are gone if the power failed since.
                 if (lostData && send.since() != startedWall) {
@@ -447,7 +496,13 @@
     private void answer(Work work, StoreWire.Code code, ByteBuf payload) {
         Link link = work.link;
         boolean lost = faults.silent || faults.losing > 0 && chance.nextDouble() < faults.losing;
-        witness.answered(traits.id(), link.gateway, work.send.mark(), work.send.number(), code, lost,
+        witness.answered(
+                traits.id(),
+                link.gateway,
+                work.send.mark(),
+                work.send.number(),
+                code,
+                lost,
                 System.nanoTime());
         if (lost || !link.channel.isActive()) {
             payload.release();
@@ -457,8 +512,16 @@
         float[] report = {queue.size()};
         long now = System.nanoTime();
         long begun = work.begun == 0 ? now : work.begun;
-        link.write(work.attempt, new StoreWire.Answer(code, 0, link.others(work.send.volume()),
-                (begun - work.came) / 1e6f, (now - begun) / 1e6f, report), payload);
+        link.write(
+                work.attempt,
+                new StoreWire.Answer(
+                        code,
+                        0,
+                        link.others(work.send.volume()),
+                        (begun - work.came) / 1e6f,
+                        (now - begun) / 1e6f,
+                        report),
+                payload);
     }
 
     /** One gateway's connection. */
@@ -466,11 +529,15 @@
         final Channel channel;
         long gateway;
         boolean greeted;
+
         /** Units served through this link, and those of all at the last answer, by volume. */
         final Map<Integer, Double> own = new HashMap<>();
+
         final Map<Integer, Double> told = new HashMap<>();
+
         /** Attempts without an answer, and what came while the node stood still. */
         private final Map<Long, StoreWire.Send> open = new HashMap<>();
+
         private final ArrayDeque<Frame> inbox = new ArrayDeque<>();
         private boolean flushDue;
 
@@ -490,9 +557,14 @@
             if (faults.garble) {
                 faults.garble = false;
                 payload.release();
-                channel.pipeline().firstContext().writeAndFlush(
-                        Unpooled.wrappedBuffer(new byte[] {9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9,
-                            9, 9, 9, 9, 9, 9, 9, 9, 9, 9}));
+                channel.pipeline()
+                        .firstContext()
+                        .writeAndFlush(
+                                Unpooled.wrappedBuffer(
+                                        new byte[] {
+                                            9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9, 9,
+                                            9, 9, 9, 9, 9, 9, 9, 9, 9
+                                        }));
                 return;
             }
             if (faults.halfClose && payload.isReadable()) {
@@ -511,24 +583,28 @@
             channel.write(StoreWire.answer(attempt, answer, payload));
             if (!flushDue) {
                 flushDue = true;
-                loop.execute(() -> {
-                    flushDue = false;
-                    channel.flush();
-                });
+                loop.execute(
+                        () -> {
+                            flushDue = false;
+                            channel.flush();
+                        });
             }
         }
 
         /** Half of the frame leaves, then the sending side is closed. */
         private void halfClose(long attempt, StoreWire.Answer answer, ByteBuf payload) {
-            EmbeddedChannel encoder =
-                    new EmbeddedChannel(new FrameEncoder());
+            EmbeddedChannel encoder = new EmbeddedChannel(new FrameEncoder());
             encoder.writeOutbound(StoreWire.answer(attempt, answer, payload));
             ByteBuf all = Unpooled.buffer();
-            for (ByteBuf part = encoder.readOutbound(); part != null; part = encoder.readOutbound()) {
+            for (ByteBuf part = encoder.readOutbound();
+                    part != null;
+                    part = encoder.readOutbound()) {
                 all.writeBytes(part);
                 part.release();
             }
-            channel.pipeline().firstContext().writeAndFlush(all.readSlice(all.readableBytes() / 2))
+            channel.pipeline()
+                    .firstContext()
+                    .writeAndFlush(all.readSlice(all.readableBytes() / 2))
                     .addListener(done -> ((DuplexChannel) channel).shutdownOutput());
         }
 
@@ -553,14 +629,20 @@
         /** What passed is noted when it came, though the node may stand still. */
         private void note(Frame frame) throws BadBytes {
             if (frame.type() == StoreWire.SEND) {
-                StoreWire.Send send = StoreWire.send(new Frame(frame.type(), frame.id(),
-                        frame.head().duplicate(), frame.payload()));
+                StoreWire.Send send =
+                        StoreWire.send(
+                                new Frame(
+                                        frame.type(),
+                                        frame.id(),
+                                        frame.head().duplicate(),
+                                        frame.payload()));
                 open.put(frame.id(), send);
                 witness.attemptCame(traits.id(), gateway, send, System.nanoTime());
             } else if (frame.type() == StoreWire.CALL_OFF) {
                 StoreWire.Send send = open.remove(frame.id());
                 if (send != null) {
-                    witness.calledOff(traits.id(), gateway, send.mark(), send.number(), System.nanoTime());
+                    witness.calledOff(
+                            traits.id(), gateway, send.mark(), send.number(), System.nanoTime());
                 }
             }
         }
@@ -598,18 +680,23 @@
                 case StoreWire.CALL_OFF -> callOff(frame.id());
                 case StoreWire.PROBE -> {
                     if (!faults.silent) {
-                        channel.writeAndFlush(StoreWire.probed(frame.id(), new float[] {queue.size()}));
+                        channel.writeAndFlush(
+                                StoreWire.probed(frame.id(), new float[] {queue.size()}));
                     }
                 }
                 case StoreWire.TAKE_PEN -> {
                     ByteBuf head = Fields.need(frame, 12);
-                    takePen(new PenKey(head.readInt(), head.readLong()), new PenCall(this, frame.id()));
+                    takePen(
+                            new PenKey(head.readInt(), head.readLong()),
+                            new PenCall(this, frame.id()));
                 }
                 default -> throw new BadBytes("message " + frame.type() + " from a gateway");
             }
         }
 
-        /** An older link of the same gateway ends first: nothing that it still holds can come late. */
+        /**
+         * An older link of the same gateway ends first: nothing that it still holds can come late.
+         */
         private void hello(StoreWire.Hello hello) {
             gateway = hello.gateway();
             greeted = true;
@@ -618,12 +705,19 @@
                     older.channel.close();
                 }
             }
-            channel.writeAndFlush(StoreWire.welcome(new StoreWire.Welcome(traits.id(), traits.cell(),
-                    traits.zone(), traits.kind(), draining, startedWall)));
+            channel.writeAndFlush(
+                    StoreWire.welcome(
+                            new StoreWire.Welcome(
+                                    traits.id(),
+                                    traits.cell(),
+                                    traits.zone(),
+                                    traits.kind(),
+                                    draining,
+                                    startedWall)));
         }
 
         private void callOff(long attempt) {
-            for (Iterator<Work> at = queue.iterator(); at.hasNext();) {
+            for (Iterator<Work> at = queue.iterator(); at.hasNext(); ) {
                 Work work = at.next();
                 if (work.link == this && work.attempt == attempt) {
                     at.remove();
--- a/src/main/java/sagepulley/standin/Witness.java
+++ b/src/main/java/sagepulley/standin/Witness.java
@@ -4,38 +4,39 @@
 import sagepulley.directory.DirectoryWire;
 import sagepulley.store.StoreWire;
 
-/** Notes what passes on the stand-ins' sockets. Called on their loops; times are nanoseconds of one clock. */
+/**
+ * Notes what passes on the stand-ins' sockets. Called on their loops; times are nanoseconds of one
+ * clock.
+ */
 public interface Witness {
     /** Notes nothing. */
-    Witness NOBODY = new Witness() {
-    };
+    Witness NOBODY = new Witness() {};
 
     /** An attempt was read from a gateway's link. */
-    default void attemptCame(int node, long gateway, StoreWire.Send send, long nanos) {
-    }
+    default void attemptCame(int node, long gateway, StoreWire.Send send, long nanos) {}
 
     /** An operation's work was begun; its effect is there from now on. */
-    default void ran(int node, long gateway, StoreWire.Send send, long nanos) {
-    }
+    default void ran(int node, long gateway, StoreWire.Send send, long nanos) {}
 
     /** An answer was handed to the socket, or kept back by a fault. */
-    default void answered(int node, long gateway, long mark, int number, StoreWire.Code code, boolean lost,
-                          long nanos) {
-    }
+    default void answered(
+            int node,
+            long gateway,
+            long mark,
+            int number,
+            StoreWire.Code code,
+            boolean lost,
+            long nanos) {}
 
     /** An attempt was called off by its gateway. */
-    default void calledOff(int node, long gateway, long mark, int number, long nanos) {
-    }
+    default void calledOff(int node, long gateway, long mark, int number, long nanos) {}
 
     /** A node began to serve after a start, with what it can do when warm in units a second. */
-    default void started(int node, double unitsPerSecond, long nanos) {
-    }
+    default void started(int node, double unitsPerSecond, long nanos) {}
 
     /** A cold node was sent too much and fell over. */
-    default void fell(int node, long nanos) {
-    }
+    default void fell(int node, long nanos) {}
 
     /** A gateway was told lines of the list. */
-    default void told(long gateway, boolean whole, List<DirectoryWire.Line> lines, long nanos) {
-    }
+    default void told(long gateway, boolean whole, List<DirectoryWire.Line> lines, long nanos) {}
 }
--- a/src/main/java/sagepulley/store/NodeLink.java
+++ b/src/main/java/sagepulley/store/NodeLink.java
@@ -24,21 +24,28 @@
 import sagepulley.wire.FrameEncoder;
 
 /**
- * The link of a gateway to one node: a connection that is opened when an attempt needs it. It carries out and
- * decides nothing: it never sends an attempt twice, nor opens a connection but when asked. All on one loop.
+ * The link of a gateway to one node: a connection that is opened when an attempt needs it. It
+ * carries out and decides nothing: it never sends an attempt twice, nor opens a connection but when
+ * asked. All on one loop.
  *
- * Before a write goes out, the link takes the extent's pen at the node (docs/protocols.md, Pens): a write of
- * another link that comes late is then refused there.
+ * <p>Before a write goes out, the link takes the extent's pen at the node (docs/protocols.md,
+ * Pens): a write of another link that comes late is then refused there.
  */
 public final class NodeLink {
-    /** Attempts that were given up but never answered; with more the connection is taken for dead. */
+    /**
+     * Attempts that were given up but never answered; with more the connection is taken for dead.
+     */
     static final int MOST_UNANSWERED = 10_000;
+
     private static final int MOST_PENS = 1 << 16;
     private static final int CONNECT_MS = 3_000;
     private static final Logger LOG = LoggerFactory.getLogger(NodeLink.class);
 
     /** How an attempt ended that got no answer. */
-    public enum Broken { NEVER_SENT, RESET }
+    public enum Broken {
+        NEVER_SENT,
+        RESET
+    }
 
     /** Told the ends of attempts, each once, on the loop. */
     public interface Owner {
@@ -47,9 +54,11 @@
 
         void broken(long attempt, Broken how);
 
-        /** An attempt that was given up was answered after all: all that counts is what the node tells of its time. */
-        default void late(StoreWire.Answer answer) {
-        }
+        /**
+         * An attempt that was given up was answered after all: all that counts is what the node
+         * tells of its time.
+         */
+        default void late(StoreWire.Answer answer) {}
 
         void probed(long id, float[] report);
 
@@ -57,19 +66,15 @@
         boolean welcomed(StoreWire.Welcome welcome);
 
         /** The node says that it drains. */
-        default void drains() {
-        }
+        default void drains() {}
 
         /** The connection is gone, or did not come about. */
-        default void lost() {
-        }
+        default void lost() {}
     }
 
-    private record PenKey(int volume, long extent) {
-    }
+    private record PenKey(int volume, long extent) {}
 
-    private record Parcel(long attempt, StoreWire.Send send, ByteBuf payload) {
-    }
+    private record Parcel(long attempt, StoreWire.Send send, ByteBuf payload) {}
 
     private static final class Pen {
         boolean granted;
@@ -83,10 +88,13 @@
     private final SocketAddress address;
     private final StoreWire.Hello hello;
     private final Owner owner;
+
     /** Attempts not yet written, in order: for the connection, or for a pen. */
     private final Map<Long, Parcel> unsent = new LinkedHashMap<>();
+
     /** Attempts written and not answered; false once given up here. */
     private final Map<Long, Boolean> out = new HashMap<>();
+
     private final Map<PenKey, Pen> pens = new HashMap<>();
     private final Map<Long, PenKey> pensAsked = new HashMap<>();
     private Channel channel;
@@ -94,8 +102,14 @@
     private boolean flushDue;
     private long penIds;
 
-    public NodeLink(EventLoop loop, Class<? extends Channel> kind, int longestPayload, int node,
-                    SocketAddress address, StoreWire.Hello hello, Owner owner) {
+    public NodeLink(
+            EventLoop loop,
+            Class<? extends Channel> kind,
+            int longestPayload,
+            int node,
+            SocketAddress address,
+            StoreWire.Hello hello,
+            Owner owner) {
         this.loop = loop;
         this.kind = kind;
         this.longestPayload = longestPayload;
@@ -109,7 +123,10 @@
         return address;
     }
 
-    /** Sends an attempt, once a connection stands; its number must be new. The payload changes hands. */
+    /**
+     * Sends an attempt, once a connection stands; its number must be new. The payload changes
+     * hands.
+     */
     public void send(long attempt, StoreWire.Send send, ByteBuf payload) {
         unsent.put(attempt, new Parcel(attempt, send, payload));
         if (channel == null) {
@@ -130,7 +147,9 @@
             out.put(attempt, false);
             write(new Frame(StoreWire.CALL_OFF, attempt));
             if (out.size() > MOST_UNANSWERED) {
-                LOG.atWarn().addKeyValue("node", node).log("too many hops without answer, link closed");
+                LOG.atWarn()
+                        .addKeyValue("node", node)
+                        .log("too many hops without answer, link closed");
                 close();
             }
         }
@@ -160,24 +179,35 @@
     }
 
     private void connect() {
-        Bootstrap bootstrap = new Bootstrap().group(loop).channel(kind).option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel fresh) {
-                        fresh.pipeline().addLast(new FrameDecoder(longestPayload), new FrameEncoder(),
-                                new Talk());
-                    }
-                });
+        Bootstrap bootstrap =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(kind)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                        .handler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel fresh) {
+                                        fresh.pipeline()
+                                                .addLast(
+                                                        new FrameDecoder(longestPayload),
+                                                        new FrameEncoder(),
+                                                        new Talk());
+                                    }
+                                });
         var connecting = bootstrap.connect(address);
         channel = connecting.channel();
-        connecting.addListener(done -> {
-            if (!done.isSuccess()) {
-                LOG.atInfo().addKeyValue("node", node).addKeyValue("why", done.cause().getMessage())
-                        .log("no connection to node");
-                lost(connecting.channel());
-            }
-        });
+        connecting.addListener(
+                done -> {
+                    if (!done.isSuccess()) {
+                        LOG.atInfo()
+                                .addKeyValue("node", node)
+                                .addKeyValue("why", done.cause().getMessage())
+                                .log("no connection to node");
+                        lost(connecting.channel());
+                    }
+                });
     }
 
     private void forward(long attempt) {
@@ -213,12 +243,13 @@
         // All that one turn of the loop sends goes to the socket together.
         if (!flushDue) {
             flushDue = true;
-            loop.execute(() -> {
-                flushDue = false;
-                if (channel != null) {
-                    channel.flush();
-                }
-            });
+            loop.execute(
+                    () -> {
+                        flushDue = false;
+                        if (channel != null) {
+                            channel.flush();
+                        }
+                    });
         }
     }
 
@@ -232,11 +263,12 @@
         pens.clear();
         pensAsked.clear();
         List<Long> reset = new ArrayList<>();
-        out.forEach((attempt, wanted) -> {
-            if (wanted) {
-                reset.add(attempt);
-            }
-        });
+        out.forEach(
+                (attempt, wanted) -> {
+                    if (wanted) {
+                        reset.add(attempt);
+                    }
+                });
         out.clear();
         returnUnsent();
         for (long attempt : reset) {
@@ -296,7 +328,8 @@
         private void welcome(StoreWire.Welcome welcome) throws BadBytes {
             boolean goesOut = owner.welcomed(welcome);
             if (welcome.node() != node) {
-                throw new BadBytes("node " + welcome.node() + " answers where " + node + " is listed");
+                throw new BadBytes(
+                        "node " + welcome.node() + " answers where " + node + " is listed");
             }
             if (welcomed) {
                 throw new BadBytes("a second welcome");
@@ -347,7 +380,10 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            LOG.atWarn().addKeyValue("node", node).addKeyValue("why", cause.getMessage()).log("link ends");
+            LOG.atWarn()
+                    .addKeyValue("node", node)
+                    .addKeyValue("why", cause.getMessage())
+                    .log("link ends");
             lost(ctx.channel());
             ctx.close();
         }
--- a/src/main/java/sagepulley/traces/SpanFile.java
+++ b/src/main/java/sagepulley/traces/SpanFile.java
@@ -20,7 +20,10 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** Writes spans to a file, a line of JSON each; a file that is full is moved on, and the oldest goes. */
+/**
+ * Writes spans to a file, a line of JSON each; a file that is full is moved on, and the oldest
+ * goes.
+ */
 final class SpanFile implements SpanExporter {
     private static final JsonMapper JSON = new JsonMapper();
 
--- a/src/main/java/sagepulley/traces/Story.java
+++ b/src/main/java/sagepulley/traces/Story.java
@@ -8,18 +8,35 @@
 import sagepulley.model.Reason;
 
 /**
- * One operation's life as plain values. The arrival is wall-clock milliseconds; steps follow one another from
- * it, and attempts are told from it too. Why it was kept, and how many such it stands for.
+ * One operation's life as plain values. The arrival is wall-clock milliseconds; steps follow one
+ * another from it, and attempts are told from it too. Why it was kept, and how many such it stands
+ * for.
  */
-public record Story(String gateway, long operation, long cookie, String volume, String band, String kind,
-                    long extent, double units, double arrived, double took, Accounts.End end, Reason reason,
-                    String mainCause, TailSampler.Why kept, double standsFor, List<Step> steps,
-                     List<Attempt> attempts) {
+public record Story(
+        String gateway,
+        long operation,
+        long cookie,
+        String volume,
+        String band,
+        String kind,
+        long extent,
+        double units,
+        double arrived,
+        double took,
+        Accounts.End end,
+        Reason reason,
+        String mainCause,
+        TailSampler.Why kept,
+        double standsFor,
+        List<Step> steps,
+        List<Attempt> attempts) {
     /** A stretch of time: what it went to, at which node (0: none), and how long. */
-    public record Step(Spent part, int node, double length) {
-    }
+    public record Step(Spent part, int node, double length) {}
 
-    /** One sending: whereto, in which part of the plan, how long after the arrival, and how it ended (null: out). */
-    public record Attempt(int number, int node, Owed owed, double after, double took, Outcome outcome) {
-    }
+    /**
+     * One sending: whereto, in which part of the plan, how long after the arrival, and how it ended
+     * (null: out).
+     */
+    public record Attempt(
+            int number, int node, Owed owed, double after, double took, Outcome outcome) {}
 }
--- a/src/main/java/sagepulley/traces/TailSampler.java
+++ b/src/main/java/sagepulley/traces/TailSampler.java
@@ -5,15 +5,22 @@
 import sagepulley.accounts.Accounts;
 
 /**
- * Decides after an operation's end whether its trace is kept: what was scrapped, declined, missed its target time
- * or is among the slowest of its band, and of the others some by chance, all within a budget a second. Each kind
- * has a part of the budget of its own, and what one leaves others may use. Where a kind has more than its part, a
- * share of it is kept by chance, evenly over the second, and each kept one says for how many it stands. No clock:
- * times are milliseconds handed in.
+ * Decides after an operation's end whether its trace is kept: what was scrapped, declined, missed
+ * its target time or is among the slowest of its band, and of the others some by chance, all within
+ * a budget a second. Each kind has a part of the budget of its own, and what one leaves others may
+ * use. Where a kind has more than its part, a share of it is kept by chance, evenly over the
+ * second, and each kept one says for how many it stands. No clock: times are milliseconds handed
+ * in.
  */
 public final class TailSampler {
     /** Why an operation's trace is kept. */
-    public enum Why { SCRAPPED, DECLINED, MISSED, SLOWEST, CHANCE }
+    public enum Why {
+        SCRAPPED,
+        DECLINED,
+        MISSED,
+        SLOWEST,
+        CHANCE
+    }
 
     private static final double[] PARTS = {0.2, 0.2, 0.3, 0.2, 0.1};
     private static final double RATE_WINDOW = 2_000;
@@ -29,8 +36,10 @@
     private final double[] counts = new double[PARTS.length];
     private double spare;
     private double at;
+
     /** By band: the time that few exceed, and how many have been seen. */
     private double[] slow = new double[0];
+
     private int[] seen = new int[0];
     private Why why;
     private long refused;
@@ -53,11 +62,13 @@
     public double keeps(Accounts.End end, boolean missed, int band, double took, double now) {
         fill(now);
         boolean slowest = slowest(band, took);
-        why = switch (end) {
-            case SCRAPPED -> Why.SCRAPPED;
-            case DECLINED -> Why.DECLINED;
-            case SATISFIED, LEFT -> missed ? Why.MISSED : slowest ? Why.SLOWEST : Why.CHANCE;
-        };
+        why =
+                switch (end) {
+                    case SCRAPPED -> Why.SCRAPPED;
+                    case DECLINED -> Why.DECLINED;
+                    case SATISFIED, LEFT ->
+                            missed ? Why.MISSED : slowest ? Why.SLOWEST : Why.CHANCE;
+                };
         int kind = why.ordinal();
         counts[kind]++;
         double rate = counts[kind] * 1000 / RATE_WINDOW;
@@ -83,7 +94,10 @@
         return why;
     }
 
-    /** How many were wanted and not kept since the start, because the budget was spent at that moment. */
+    /**
+     * How many were wanted and not kept since the start, because the budget was spent at that
+     * moment.
+     */
     public long refused() {
         return refused;
     }
--- a/src/main/java/sagepulley/traces/Tracer.java
+++ b/src/main/java/sagepulley/traces/Tracer.java
@@ -22,8 +22,9 @@
 import sagepulley.site.TracesLine;
 
 /**
- * Makes traces of stories that were found worth keeping, on a thread of its own, and sends them to a file and an
- * OTLP receiver. What neither can take in time is dropped and counted; no operation ever waits for it.
+ * Makes traces of stories that were found worth keeping, on a thread of its own, and sends them to
+ * a file and an OTLP receiver. What neither can take in time is dropped and counted; no operation
+ * ever waits for it.
  */
 public final class Tracer implements AutoCloseable {
     private static final int MOST_WAITING = 1024;
@@ -42,14 +43,22 @@
     private volatile boolean ending;
 
     public Tracer(TracesLine line, String gateway) {
-        SdkTracerProviderBuilder builder = SdkTracerProvider.builder()
-                .setResource(Resource.create(Attributes.of(SERVICE, "sagepulley/" + gateway)));
+        SdkTracerProviderBuilder builder =
+                SdkTracerProvider.builder()
+                        .setResource(
+                                Resource.create(Attributes.of(SERVICE, "sagepulley/" + gateway)));
         if (line.file() != null) {
-            builder.addSpanProcessor(batches(new SpanFile(line.file(), line.fileBytes(), line.files())));
+            builder.addSpanProcessor(
+                    batches(new SpanFile(line.file(), line.fileBytes(), line.files())));
         }
         if (!line.otlp().isEmpty()) {
-            builder.addSpanProcessor(batches(OtlpHttpSpanExporter.builder().setEndpoint(line.otlp())
-                    .setTimeout(LONGEST_EXPORT).setConnectTimeout(LONGEST_EXPORT).build()));
+            builder.addSpanProcessor(
+                    batches(
+                            OtlpHttpSpanExporter.builder()
+                                    .setEndpoint(line.otlp())
+                                    .setTimeout(LONGEST_EXPORT)
+                                    .setConnectTimeout(LONGEST_EXPORT)
+                                    .build()));
         }
         provider = builder.build();
         spans = provider.get("sagepulley");
@@ -58,8 +67,11 @@
     }
 
     private static BatchSpanProcessor batches(SpanExporter exporter) {
-        return BatchSpanProcessor.builder(exporter).setMaxQueueSize(MOST_SPANS)
-                .setScheduleDelay(Duration.ofMillis(500)).setExporterTimeout(LONGEST_EXPORT).build();
+        return BatchSpanProcessor.builder(exporter)
+                .setMaxQueueSize(MOST_SPANS)
+                .setScheduleDelay(Duration.ofMillis(500))
+                .setExporterTimeout(LONGEST_EXPORT)
+                .build();
     }
 
     /** Takes a story; drops it if too many wait. From any thread, without waiting. */
@@ -102,29 +114,52 @@
 
     private void make(Story story) {
         double end = story.arrived() + story.took();
-        Span root = spans.spanBuilder("operation").setNoParent()
-                .setStartTimestamp(at(story.arrived()), TimeUnit.NANOSECONDS)
-                .setAttribute("gateway", story.gateway()).setAttribute("operation", story.operation())
-                .setAttribute("cookie", story.cookie()).setAttribute("volume", story.volume())
-                .setAttribute("band", story.band()).setAttribute("kind", story.kind())
-                .setAttribute("extent", story.extent()).setAttribute("units", story.units())
-                .setAttribute("result", word(story.end())).setAttribute("reason", word(story.reason()))
-                .setAttribute("main_cause", story.mainCause()).setAttribute("kept", word(story.kept()))
-                .setAttribute("stands_for", story.standsFor()).startSpan();
+        Span root =
+                spans.spanBuilder("operation")
+                        .setNoParent()
+                        .setStartTimestamp(at(story.arrived()), TimeUnit.NANOSECONDS)
+                        .setAttribute("gateway", story.gateway())
+                        .setAttribute("operation", story.operation())
+                        .setAttribute("cookie", story.cookie())
+                        .setAttribute("volume", story.volume())
+                        .setAttribute("band", story.band())
+                        .setAttribute("kind", story.kind())
+                        .setAttribute("extent", story.extent())
+                        .setAttribute("units", story.units())
+                        .setAttribute("result", word(story.end()))
+                        .setAttribute("reason", word(story.reason()))
+                        .setAttribute("main_cause", story.mainCause())
+                        .setAttribute("kept", word(story.kept()))
+                        .setAttribute("stands_for", story.standsFor())
+                        .startSpan();
         Context within = Context.root().with(root);
         for (Story.Attempt attempt : story.attempts()) {
-            SpanBuilder one = spans.spanBuilder("hop").setParent(within)
-                    .setStartTimestamp(at(story.arrived() + attempt.after()), TimeUnit.NANOSECONDS)
-                    .setAttribute("number", attempt.number()).setAttribute("node", attempt.node())
-                    .setAttribute("owed", attempt.owed() == null ? "" : word(attempt.owed()))
-                    .setAttribute("result", attempt.outcome() == null ? "out" : word(attempt.outcome()));
-            double ended = attempt.outcome() == null ? end : story.arrived() + attempt.after() + attempt.took();
+            SpanBuilder one =
+                    spans.spanBuilder("hop")
+                            .setParent(within)
+                            .setStartTimestamp(
+                                    at(story.arrived() + attempt.after()), TimeUnit.NANOSECONDS)
+                            .setAttribute("number", attempt.number())
+                            .setAttribute("node", attempt.node())
+                            .setAttribute(
+                                    "owed", attempt.owed() == null ? "" : word(attempt.owed()))
+                            .setAttribute(
+                                    "result",
+                                    attempt.outcome() == null ? "out" : word(attempt.outcome()));
+            double ended =
+                    attempt.outcome() == null
+                            ? end
+                            : story.arrived() + attempt.after() + attempt.took();
             one.startSpan().end(at(ended), TimeUnit.NANOSECONDS);
         }
         double at = story.arrived();
         for (Story.Step step : story.steps()) {
-            spans.spanBuilder("step").setParent(within).setStartTimestamp(at(at), TimeUnit.NANOSECONDS)
-                    .setAttribute("spent", word(step.part())).setAttribute("node", step.node()).startSpan()
+            spans.spanBuilder("step")
+                    .setParent(within)
+                    .setStartTimestamp(at(at), TimeUnit.NANOSECONDS)
+                    .setAttribute("spent", word(step.part()))
+                    .setAttribute("node", step.node())
+                    .startSpan()
                     .end(at(at + step.length()), TimeUnit.NANOSECONDS);
             at += step.length();
         }
--- a/src/main/java/sagepulley/watch/Watch.java
+++ b/src/main/java/sagepulley/watch/Watch.java
@@ -37,8 +37,8 @@
 
 /**
  * A gateway's figures over HTTP, for Prometheus (/metrics, text) for 'top' (/accounts, JSON) and
- * for 'nodes' (/nodes, JSON). Labels are
- * bounded: volumes with an account of their own in the sums, and fixed words.
+ * for 'nodes' (/nodes, JSON). Labels are bounded: volumes with an account of their own in the sums,
+ * and fixed words.
  */
 public final class Watch implements AutoCloseable {
     private static final int THREADS = 2;
@@ -47,15 +47,22 @@
     private static final double LATELY = 600_000;
     private static final Logger LOG = LoggerFactory.getLogger(Watch.class);
 
-    /** What 'top' shows: the volumes' names and reports of the last minutes, and units by node and volume. */
-    public record View(String gateway, long at, Map<Long, String> names, List<Report> volumes,
-                       Map<Integer, Map<Long, double[]>> nodes) {
-    }
+    /**
+     * What 'top' shows: the volumes' names and reports of the last minutes, and units by node and
+     * volume.
+     */
+    public record View(
+            String gateway,
+            long at,
+            Map<Long, String> names,
+            List<Report> volumes,
+            Map<Integer, Map<Long, double[]>> nodes) {}
 
     private final Gateway gateway;
     private final HttpServer server;
     private final ThreadPoolExecutor threads;
-    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final PrometheusMeterRegistry registry =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private volatile Totals totals = new Totals(Set.of());
 
     /** Listens from now on. */
@@ -66,16 +73,26 @@
         System.setProperty("sun.net.httpserver.maxReqTime", "5");
         System.setProperty("sun.net.httpserver.maxRspTime", "10");
         server = HttpServer.create(address, MOST_WAITING);
-        threads = new ThreadPoolExecutor(THREADS, THREADS, 1, TimeUnit.SECONDS, new ArrayBlockingQueue<>(MOST_WAITING),
-                task -> {
-                    Thread thread = new Thread(task, "watch");
-                    thread.setDaemon(true);
-                    return thread;
-                });
+        threads =
+                new ThreadPoolExecutor(
+                        THREADS,
+                        THREADS,
+                        1,
+                        TimeUnit.SECONDS,
+                        new ArrayBlockingQueue<>(MOST_WAITING),
+                        task -> {
+                            Thread thread = new Thread(task, "watch");
+                            thread.setDaemon(true);
+                            return thread;
+                        });
         server.setExecutor(threads);
-        server.createContext("/metrics", exchange -> answer(exchange, "text/plain; version=0.0.4", this::metrics));
-        server.createContext("/accounts", exchange -> answer(exchange, "application/json", this::view));
-        server.createContext("/nodes", exchange -> answer(exchange, "application/json", this::nodes));
+        server.createContext(
+                "/metrics",
+                exchange -> answer(exchange, "text/plain; version=0.0.4", this::metrics));
+        server.createContext(
+                "/accounts", exchange -> answer(exchange, "application/json", this::view));
+        server.createContext(
+                "/nodes", exchange -> answer(exchange, "application/json", this::nodes));
         server.start();
         LOG.atInfo().addKeyValue("watch", server.getAddress()).log("figures over HTTP");
     }
@@ -85,7 +102,8 @@
     }
 
     private interface Body {
-        String text() throws IOException, InterruptedException, ExecutionException, TimeoutException;
+        String text()
+                throws IOException, InterruptedException, ExecutionException, TimeoutException;
     }
 
     private static void answer(HttpExchange exchange, String type, Body body) throws IOException {
@@ -115,17 +133,29 @@
         return registry.scrape();
     }
 
-    private String view() throws IOException, InterruptedException, ExecutionException, TimeoutException {
+    private String view()
+            throws IOException, InterruptedException, ExecutionException, TimeoutException {
         GatewayBook written = gateway.writtenBook().get(LONGEST_SECONDS, TimeUnit.SECONDS);
         Book book = written.kept().book();
         double now = written.writtenAt();
-        List<Report> reports = book.volumes().stream().map(volume -> book.report(volume, now - LATELY, now)).toList();
-        return new JsonMapper().writeValueAsString(new View(written.gateway(), written.writtenAt(), written.names(),
-                reports, book.flows(now - LATELY, now)));
+        List<Report> reports =
+                book.volumes().stream()
+                        .map(volume -> book.report(volume, now - LATELY, now))
+                        .toList();
+        return new JsonMapper()
+                .writeValueAsString(
+                        new View(
+                                written.gateway(),
+                                written.writtenAt(),
+                                written.names(),
+                                reports,
+                                book.flows(now - LATELY, now)));
     }
 
-    private String nodes() throws IOException, InterruptedException, ExecutionException, TimeoutException {
-        return new JsonMapper().writeValueAsString(gateway.nodes().get(LONGEST_SECONDS, TimeUnit.SECONDS));
+    private String nodes()
+            throws IOException, InterruptedException, ExecutionException, TimeoutException {
+        return new JsonMapper()
+                .writeValueAsString(gateway.nodes().get(LONGEST_SECONDS, TimeUnit.SECONDS));
     }
 
     // ---- figures ----
@@ -136,59 +166,126 @@
             names.put((long) line.id(), line.name());
         }
         names.put(0L, "others");
-        names.forEach((id, name) -> {
-            volume(id, name, "met", sum -> sum.met);
-            volume(id, name, "declined", sum -> sum.declined);
-            volume(id, name, "scrapped", sum -> sum.scrapped);
-            volume(id, name, "left", sum -> sum.left);
-            volume(id, name, "late", sum -> sum.missed - sum.declined - sum.scrapped - sum.left);
-            of(id, "sagepulley.volume.units", "units of operations ended", name, sum -> sum.units);
-            of(id, "sagepulley.volume.waited.seconds", "time not worked on by a node", name, sum -> sum.waited / 1000);
-            of(id, "sagepulley.volume.utility.lost", "utility of what was not met", name, sum -> sum.utilityLost);
-        });
+        names.forEach(
+                (id, name) -> {
+                    volume(id, name, "met", sum -> sum.met);
+                    volume(id, name, "declined", sum -> sum.declined);
+                    volume(id, name, "scrapped", sum -> sum.scrapped);
+                    volume(id, name, "left", sum -> sum.left);
+                    volume(
+                            id,
+                            name,
+                            "late",
+                            sum -> sum.missed - sum.declined - sum.scrapped - sum.left);
+                    of(
+                            id,
+                            "sagepulley.volume.units",
+                            "units of operations ended",
+                            name,
+                            sum -> sum.units);
+                    of(
+                            id,
+                            "sagepulley.volume.waited.seconds",
+                            "time not worked on by a node",
+                            name,
+                            sum -> sum.waited / 1000);
+                    of(
+                            id,
+                            "sagepulley.volume.utility.lost",
+                            "utility of what was not met",
+                            name,
+                            sum -> sum.utilityLost);
+                });
         for (Spent part : Spent.values()) {
-            sum("sagepulley.spent.seconds", "where operations' time went", "part", part,
+            sum(
+                    "sagepulley.spent.seconds",
+                    "where operations' time went",
+                    "part",
+                    part,
                     now -> now.part(part) / 1000);
         }
         for (Cause.Kind kind : Cause.Kind.values()) {
-            sum("sagepulley.cause.seconds", "waiting by its cause", "cause", kind,
+            sum(
+                    "sagepulley.cause.seconds",
+                    "waiting by its cause",
+                    "cause",
+                    kind,
                     now -> now.waited(kind) / 1000);
-            sum("sagepulley.cause.utility.lost", "utility lost by the cause of the wait", "cause", kind,
+            sum(
+                    "sagepulley.cause.utility.lost",
+                    "utility lost by the cause of the wait",
+                    "cause",
+                    kind,
                     now -> now.lost(kind));
         }
         for (PlanPart part : PlanPart.values()) {
-            sum("sagepulley.plan.units", "units of operations ended, by part of the plan", "part", part,
+            sum(
+                    "sagepulley.plan.units",
+                    "units of operations ended, by part of the plan",
+                    "part",
+                    part,
                     now -> now.units(part));
         }
         counter("sagepulley.hops", "hops sent to nodes", gate -> gate.tally().attempts.sum());
-        counter("sagepulley.hops.moot", "hops to a node that does not hold the extent", gate -> gate.tally().moot.sum());
-        counter("sagepulley.clients.connected", "connections taken", gate -> gate.tally().clients.sum());
-        counter("sagepulley.clients.bad", "connections ended for what they sent", gate -> gate.tally().badClients.sum());
+        counter(
+                "sagepulley.hops.moot",
+                "hops to a node that does not hold the extent",
+                gate -> gate.tally().moot.sum());
+        counter(
+                "sagepulley.clients.connected",
+                "connections taken",
+                gate -> gate.tally().clients.sum());
+        counter(
+                "sagepulley.clients.bad",
+                "connections ended for what they sent",
+                gate -> gate.tally().badClients.sum());
         counter("sagepulley.traces.made", "operations whose trace was kept", Gateway::tracesMade);
-        counter("sagepulley.traces.dropped", "traces dropped because exports were slow", Gateway::tracesDropped);
+        counter(
+                "sagepulley.traces.dropped",
+                "traces dropped because exports were slow",
+                Gateway::tracesDropped);
         Gauge.builder("sagepulley.operations.open", gateway, gate -> gate.tally().open())
-                .description("operations without a final answer").register(registry);
+                .description("operations without a final answer")
+                .register(registry);
         Gauge.builder("sagepulley.bytes.in.hand", gateway, Gateway::bytesInHand)
-                .description("bytes of requests in hand").register(registry);
+                .description("bytes of requests in hand")
+                .register(registry);
     }
 
-    private void volume(long id, String name, String end, ToDoubleFunction<Totals.OfVolume> figure) {
+    private void volume(
+            long id, String name, String end, ToDoubleFunction<Totals.OfVolume> figure) {
         FunctionCounter.builder("sagepulley.operations", this, watch -> watch.figure(id, figure))
-                .description("operations by their end").tags(Tags.of("volume", name, "end", end)).register(registry);
+                .description("operations by their end")
+                .tags(Tags.of("volume", name, "end", end))
+                .register(registry);
     }
 
-    private void of(long id, String metric, String what, String name, ToDoubleFunction<Totals.OfVolume> figure) {
-        FunctionCounter.builder(metric, this, watch -> watch.figure(id, figure)).description(what)
-                .tags(Tags.of("volume", name)).register(registry);
+    private void of(
+            long id,
+            String metric,
+            String what,
+            String name,
+            ToDoubleFunction<Totals.OfVolume> figure) {
+        FunctionCounter.builder(metric, this, watch -> watch.figure(id, figure))
+                .description(what)
+                .tags(Tags.of("volume", name))
+                .register(registry);
     }
 
     private double figure(long id, ToDoubleFunction<Totals.OfVolume> figure) {
         return figure.applyAsDouble(totals.of(id));
     }
 
-    private void sum(String metric, String what, String label, Enum<?> word, ToDoubleFunction<Totals> figure) {
-        FunctionCounter.builder(metric, this, watch -> figure.applyAsDouble(watch.totals)).description(what)
-                .tags(Tags.of(label, word.name().toLowerCase(Locale.ROOT))).register(registry);
+    private void sum(
+            String metric,
+            String what,
+            String label,
+            Enum<?> word,
+            ToDoubleFunction<Totals> figure) {
+        FunctionCounter.builder(metric, this, watch -> figure.applyAsDouble(watch.totals))
+                .description(what)
+                .tags(Tags.of(label, word.name().toLowerCase(Locale.ROOT)))
+                .register(registry);
     }
 
     private void counter(String metric, String what, ToDoubleFunction<Gateway> figure) {
--- a/src/main/java/sagepulley/wire/Alarm.java
+++ b/src/main/java/sagepulley/wire/Alarm.java
@@ -5,7 +5,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 
-/** Runs one task at the earliest of the times that were asked for; then it must be asked anew. On the loop. */
+/**
+ * Runs one task at the earliest of the times that were asked for; then it must be asked anew. On
+ * the loop.
+ */
 public final class Alarm {
     private static final double NS = 1e6;
     private static final long SHORTEST_NS = 1000;
@@ -33,10 +36,14 @@
         }
         dueAt = time;
         long wait = Math.max(SHORTEST_NS, (long) Math.ceil((time - clock.getAsDouble()) * NS));
-        due = loop.schedule(() -> {
-            due = null;
-            task.run();
-        }, wait, TimeUnit.NANOSECONDS);
+        due =
+                loop.schedule(
+                        () -> {
+                            due = null;
+                            task.run();
+                        },
+                        wait,
+                        TimeUnit.NANOSECONDS);
     }
 
     /** Forgets the time that was asked for. */
--- a/src/main/java/sagepulley/wire/Fields.java
+++ b/src/main/java/sagepulley/wire/Fields.java
@@ -7,19 +7,25 @@
 public final class Fields {
     private static final int LONGEST_NAME = 255;
 
-    private Fields() {
-    }
+    private Fields() {}
 
     /** The frame's head, of which at least so many bytes must be there. */
     public static ByteBuf need(Frame frame, int bytes) throws BadBytes {
         if (frame.head().readableBytes() < bytes) {
-            throw new BadBytes("message " + frame.type() + " has " + frame.head().readableBytes()
-                    + " bytes of fields, needs " + bytes);
+            throw new BadBytes(
+                    "message "
+                            + frame.type()
+                            + " has "
+                            + frame.head().readableBytes()
+                            + " bytes of fields, needs "
+                            + bytes);
         }
         return frame.head();
     }
 
-    /** A name of up to 255 bytes of UTF-8, its length before it; the rest of a longer one is cut. */
+    /**
+     * A name of up to 255 bytes of UTF-8, its length before it; the rest of a longer one is cut.
+     */
     public static ByteBuf string(ByteBuf to, String text) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         int length = Math.min(bytes.length, LONGEST_NAME);
--- a/src/main/java/sagepulley/wire/FrameDecoder.java
+++ b/src/main/java/sagepulley/wire/FrameDecoder.java
@@ -40,9 +40,11 @@
             throw new BadBytes("frame starts with 0x" + Integer.toHexString(magic));
         }
         if (piece.getByte(2) != Frame.VERSION) {
-            throw new BadBytes("frame of version " + piece.getUnsignedByte(2) + ", known is " + Frame.VERSION);
+            throw new BadBytes(
+                    "frame of version " + piece.getUnsignedByte(2) + ", known is " + Frame.VERSION);
         }
-        if (crc.start().add(piece, piece.readerIndex(), Frame.PREFIX - 4).value() != piece.getInt(20)) {
+        if (crc.start().add(piece, piece.readerIndex(), Frame.PREFIX - 4).value()
+                != piece.getInt(20)) {
             throw new BadBytes("frame prefix fails its checksum");
         }
         type = piece.getUnsignedByte(3);
@@ -50,12 +52,18 @@
         payloadLength = piece.getInt(8);
         id = piece.getLong(12);
         if (headLength < 0 || headLength > Frame.LONGEST_HEAD) {
-            throw new BadBytes("frame head of " + Integer.toUnsignedString(headLength) + " bytes, at most "
-                    + Frame.LONGEST_HEAD);
+            throw new BadBytes(
+                    "frame head of "
+                            + Integer.toUnsignedString(headLength)
+                            + " bytes, at most "
+                            + Frame.LONGEST_HEAD);
         }
         if (payloadLength < 0 || payloadLength > longestPayload) {
-            throw new BadBytes("frame payload of " + Integer.toUnsignedString(payloadLength)
-                    + " bytes, at most " + longestPayload);
+            throw new BadBytes(
+                    "frame payload of "
+                            + Integer.toUnsignedString(payloadLength)
+                            + " bytes, at most "
+                            + longestPayload);
         }
         inBody = true;
         expect(headLength + payloadLength + Frame.SUFFIX);
--- a/src/main/java/sagepulley/wire/FrameEncoder.java
+++ b/src/main/java/sagepulley/wire/FrameEncoder.java
@@ -15,11 +15,17 @@
         int headLength = frame.head().readableBytes();
         int payloadLength = frame.payload().readableBytes();
         boolean apart = payloadLength > 0;
-        ByteBuf start = ctx.alloc().ioBuffer(Frame.PREFIX + headLength + (apart ? 0 : Frame.SUFFIX));
-        start.writeShort(Frame.MAGIC).writeByte(Frame.VERSION).writeByte(frame.type())
-                .writeInt(headLength).writeInt(payloadLength).writeLong(frame.id());
+        ByteBuf start =
+                ctx.alloc().ioBuffer(Frame.PREFIX + headLength + (apart ? 0 : Frame.SUFFIX));
+        start.writeShort(Frame.MAGIC)
+                .writeByte(Frame.VERSION)
+                .writeByte(frame.type())
+                .writeInt(headLength)
+                .writeInt(payloadLength)
+                .writeLong(frame.id());
         start.writeInt(crc.start().add(start, 0, Frame.PREFIX - 4).value());
-        crc.start().add(frame.head(), frame.head().readerIndex(), headLength)
+        crc.start()
+                .add(frame.head(), frame.head().readerIndex(), headLength)
                 .add(frame.payload(), frame.payload().readerIndex(), payloadLength);
         start.writeBytes(frame.head());
         frame.head().release();
--- a/src/main/java/sagepulley/wire/Loops.java
+++ b/src/main/java/sagepulley/wire/Loops.java
@@ -17,12 +17,13 @@
 public final class Loops {
     private static final boolean EPOLL = Epoll.isAvailable();
 
-    private Loops() {
-    }
+    private Loops() {}
 
     /** Loops whose threads bear the name and do not keep the program running. */
     public static EventLoopGroup group(int loops, String name) {
-        return new MultiThreadIoEventLoopGroup(loops, new DefaultThreadFactory(name, true),
+        return new MultiThreadIoEventLoopGroup(
+                loops,
+                new DefaultThreadFactory(name, true),
                 EPOLL ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
     }
 
--- a/src/main/java/sagepulley/wire/PieceDecoder.java
+++ b/src/main/java/sagepulley/wire/PieceDecoder.java
@@ -8,9 +8,9 @@
 import java.util.ArrayDeque;
 
 /**
- * Cuts a stream of bytes into pieces whose lengths the subclass asks for, one after the other, without
- * copying: a piece is a slice of what the socket delivered, or several in a row. Nothing is kept that was not
- * asked for, but for what one read of the socket delivered beyond it.
+ * Cuts a stream of bytes into pieces whose lengths the subclass asks for, one after the other,
+ * without copying: a piece is a slice of what the socket delivered, or several in a row. Nothing is
+ * kept that was not asked for, but for what one read of the socket delivered beyond it.
  */
 public abstract class PieceDecoder extends ChannelInboundHandlerAdapter {
     private final ArrayDeque<ByteBuf> unread = new ArrayDeque<>(2);
@@ -22,7 +22,10 @@
     private boolean busy;
     private ChannelHandlerContext context;
 
-    /** The piece that was expected; empty after a skip. The subclass owns it and must say what comes next. */
+    /**
+     * The piece that was expected; empty after a skip. The subclass owns it and must say what comes
+     * next.
+     */
     protected abstract void piece(ChannelHandlerContext ctx, ByteBuf piece) throws BadBytes;
 
     /** The next piece has so many bytes, which are kept until all are there. */
@@ -133,8 +136,11 @@
         } else if (gathered instanceof CompositeByteBuf composite) {
             composite.addComponent(true, part);
         } else {
-            gathered = ctx.alloc().compositeBuffer(Integer.MAX_VALUE)
-                    .addComponent(true, gathered).addComponent(true, part);
+            gathered =
+                    ctx.alloc()
+                            .compositeBuffer(Integer.MAX_VALUE)
+                            .addComponent(true, gathered)
+                            .addComponent(true, part);
         }
     }
 
--- a/src/test/java/sagepulley/ArrowsTest.java
+++ b/src/test/java/sagepulley/ArrowsTest.java
@@ -11,56 +11,122 @@
 /** The packages' arrows point down only, and decisions know neither sockets, threads nor clocks. */
 @AnalyzeClasses(packages = "sagepulley", importOptions = ImportOption.DoNotIncludeTests.class)
 final class ArrowsTest {
-    private ArrowsTest() {
-    }
+    private ArrowsTest() {}
 
     @ArchTest
-    static final ArchRule NO_CYCLES = slices().matching("sagepulley.(*)..").should().beFreeOfCycles();
+    static final ArchRule NO_CYCLES =
+            slices().matching("sagepulley.(*)..").should().beFreeOfCycles();
 
     @ArchTest
-    static final ArchRule DECISIONS_ARE_PURE = noClasses()
-            .that().resideInAnyPackage("sagepulley.control..", "sagepulley.extents..", "sagepulley.model..",
-                    "sagepulley.accounts..", "sagepulley.membership..")
-            .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.net..", "java.io..",
-                    "java.nio..", "java.util.concurrent..", "java.time..", "org.slf4j..")
-            .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class,
-                    "currentTimeMillis").orShould().dependOnClassesThat().areAssignableTo(Thread.class);
+    static final ArchRule DECISIONS_ARE_PURE =
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(
+                            "sagepulley.control..",
+                            "sagepulley.extents..",
+                            "sagepulley.model..",
+                            "sagepulley.accounts..",
+                            "sagepulley.membership..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage(
+                            "io.netty..",
+                            "java.net..",
+                            "java.io..",
+                            "java.nio..",
+                            "java.util.concurrent..",
+                            "java.time..",
+                            "org.slf4j..")
+                    .orShould()
+                    .callMethod(System.class, "nanoTime")
+                    .orShould()
+                    .callMethod(System.class, "currentTimeMillis")
+                    .orShould()
+                    .dependOnClassesThat()
+                    .areAssignableTo(Thread.class);
 
     @ArchTest
-    static final ArchRule CODECS_DECIDE_NOTHING = noClasses()
-            .that().resideInAnyPackage("sagepulley.wire..", "sagepulley.nbd..", "sagepulley.store..",
-                    "sagepulley.directory..")
-            .should().dependOnClassesThat().resideInAnyPackage("sagepulley.control..", "sagepulley.gateway..",
-                    "sagepulley.standin..", "sagepulley.site..", "sagepulley.cli..", "sagepulley.drill..");
+    static final ArchRule CODECS_DECIDE_NOTHING =
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(
+                            "sagepulley.wire..",
+                            "sagepulley.nbd..",
+                            "sagepulley.store..",
+                            "sagepulley.directory..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage(
+                            "sagepulley.control..",
+                            "sagepulley.gateway..",
+                            "sagepulley.standin..",
+                            "sagepulley.site..",
+                            "sagepulley.cli..",
+                            "sagepulley.drill..");
 
     @ArchTest
-    static final ArchRule THE_GATEWAY_KNOWS_NO_STAND_IN = noClasses()
-            .that().resideInAPackage("sagepulley.gateway..")
-            .should().dependOnClassesThat().resideInAnyPackage("sagepulley.standin..", "sagepulley.drill..",
-                    "sagepulley.cli..", "sagepulley.simhost..");
+    static final ArchRule THE_GATEWAY_KNOWS_NO_STAND_IN =
+            noClasses()
+                    .that()
+                    .resideInAPackage("sagepulley.gateway..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage(
+                            "sagepulley.standin..",
+                            "sagepulley.drill..",
+                            "sagepulley.cli..",
+                            "sagepulley.simhost..");
 
     @ArchTest
-    static final ArchRule SIMHOST_STAYS_LIGHT = noClasses()
-            .that().resideInAPackage("sagepulley.simhost..")
-            .should().dependOnClassesThat().resideOutsideOfPackages("java..", "sagepulley.simhost..",
-                    "sagepulley.host..", "sagepulley.control..", "sagepulley.model..");
+    static final ArchRule SIMHOST_STAYS_LIGHT =
+            noClasses()
+                    .that()
+                    .resideInAPackage("sagepulley.simhost..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideOutsideOfPackages(
+                            "java..",
+                            "sagepulley.simhost..",
+                            "sagepulley.host..",
+                            "sagepulley.control..",
+                            "sagepulley.model..");
 
     @ArchTest
-    static final ArchRule THE_HOST_KNOWS_NO_WIRE = noClasses()
-            .that().resideInAPackage("sagepulley.host..")
-            .should().dependOnClassesThat().resideOutsideOfPackages("java..", "sagepulley.host..",
-                    "sagepulley.control..", "sagepulley.model..");
+    static final ArchRule THE_HOST_KNOWS_NO_WIRE =
+            noClasses()
+                    .that()
+                    .resideInAPackage("sagepulley.host..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideOutsideOfPackages(
+                            "java..",
+                            "sagepulley.host..",
+                            "sagepulley.control..",
+                            "sagepulley.model..");
 
     @ArchTest
-    static final ArchRule RESP_KNOWS_NETTY_ONLY = noClasses()
-            .that().resideInAPackage("sagepulley.resp..")
-            .should().dependOnClassesThat().resideOutsideOfPackages("java..", "io.netty..",
-                    "sagepulley.resp..");
+    static final ArchRule RESP_KNOWS_NETTY_ONLY =
+            noClasses()
+                    .that()
+                    .resideInAPackage("sagepulley.resp..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideOutsideOfPackages("java..", "io.netty..", "sagepulley.resp..");
 
     @ArchTest
-    static final ArchRule THE_PLATFORM_IS_ONE_MORE_ENTRY = noClasses()
-            .that().resideInAPackage("sagepulley.platform..")
-            .should().dependOnClassesThat().resideInAnyPackage("sagepulley.simhost..",
-                    "sagepulley.gateway..", "sagepulley.cli..", "sagepulley.standin..", "sagepulley.drill..",
-                    "sagepulley.nbd..", "sagepulley.store..", "sagepulley.directory..");
+    static final ArchRule THE_PLATFORM_IS_ONE_MORE_ENTRY =
+            noClasses()
+                    .that()
+                    .resideInAPackage("sagepulley.platform..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage(
+                            "sagepulley.simhost..",
+                            "sagepulley.gateway..",
+                            "sagepulley.cli..",
+                            "sagepulley.standin..",
+                            "sagepulley.drill..",
+                            "sagepulley.nbd..",
+                            "sagepulley.store..",
+                            "sagepulley.directory..");
 }
--- a/src/test/java/sagepulley/accounts/AccountsTest.java
+++ b/src/test/java/sagepulley/accounts/AccountsTest.java
@@ -20,15 +20,34 @@
 
 /** Where the time of operations went, by part. */
 class AccountsTest {
-    private static final Band BAND = new Band(0, "read", Band.Repeat.IDEMPOTENT, Band.Group.CELL, 0, false, false,
-            200, 0, 1000, 3, 0.2);
+    private static final Band BAND =
+            new Band(
+                    0,
+                    "read",
+                    Band.Repeat.IDEMPOTENT,
+                    Band.Group.CELL,
+                    0,
+                    false,
+                    false,
+                    200,
+                    0,
+                    1000,
+                    3,
+                    0.2);
     private static final Accounts.Bounds SMALL = new Accounts.Bounds(5, 60, 8);
 
     private final Accounts accounts = new Accounts(Accounts.Bounds.USUAL, 0);
 
     /** One attempt to a node and back. */
-    private Meter attempt(Accounts of, long volume, int node, Owed owed, double at, double waited, double worked,
-                      double queue) {
+    private Meter attempt(
+            Accounts of,
+            long volume,
+            int node,
+            Owed owed,
+            double at,
+            double waited,
+            double worked,
+            double queue) {
         Meter meter = of.begin(volume, BAND, false, 1, at);
         of.sent(meter, node, owed, at);
         of.answered(meter, waited, worked, queue, at + waited + worked);
@@ -37,15 +56,20 @@
     }
 
     /** Waits at the gateway for a node, and is given up. */
-    private void heldUntilDeclined(Accounts of, long volume, Spent why, int node, double from, double to) {
+    private void heldUntilDeclined(
+            Accounts of, long volume, Spent why, int node, double from, double to) {
         Meter meter = of.begin(volume, BAND, false, 1, from);
         of.waits(meter, why, node, from);
         of.end(meter, Accounts.End.DECLINED, Reason.LATE, node, to);
     }
 
-    /** Whatever happens to an operation, in any order, its parts sum to its whole time, and so do the causes. */
+    /**
+     * Whatever happens to an operation, in any order, its parts sum to its whole time, and so do
+     * the causes.
+     */
     @Property(tries = 300, seed = "31")
-    void partsSumToTheWhole(@ForAll @Size(min = 1, max = 60) List<@IntRange(min = 0, max = 46) Integer> steps,
+    void partsSumToTheWhole(
+            @ForAll @Size(min = 1, max = 60) List<@IntRange(min = 0, max = 46) Integer> steps,
             @ForAll @DoubleRange(min = 0, max = 1e7) double start,
             @ForAll @Size(min = 1, max = 5) List<@DoubleRange(min = 0, max = 900) Double> lengths) {
         Accounts all = new Accounts(SMALL, 1e12);
@@ -66,11 +90,17 @@
             } else if (step < 28) {
                 all.sent(meter, step % 4, Owed.values()[step % 3], now);
                 // A node may tell more than the attempt took.
-                all.answered(meter, length * (step - 16) / 6, length * (step - 20) / 4, step % 5, now + length);
+                all.answered(
+                        meter,
+                        length * (step - 16) / 6,
+                        length * (step - 20) / 4,
+                        step % 5,
+                        now + length);
                 now += length;
             } else {
                 all.sent(meter, step % 4, Owed.values()[step % 3], now);
-                all.failed(meter, Outcome.values()[step % Outcome.values().length], now + length / 2);
+                all.failed(
+                        meter, Outcome.values()[step % Outcome.values().length], now + length / 2);
                 now += length;
             }
         }
@@ -88,9 +118,14 @@
         Report report = all.report(7, start, now);
         double causes = report.causes().stream().mapToDouble(Report.Charged::waited).sum();
         assertEquals(sum, causes, 1e-6 * Math.max(1, now));
-        assertEquals(sum, report.parts().values().stream().mapToDouble(Double::doubleValue).sum(), 1e-6 * now + 1e-6);
+        assertEquals(
+                sum,
+                report.parts().values().stream().mapToDouble(Double::doubleValue).sum(),
+                1e-6 * now + 1e-6);
         for (Report.Charged charged : report.causes()) {
-            assertTrue(charged.least() <= charged.waited() + 1e-6 && charged.waited() <= charged.most() + 1e-6,
+            assertTrue(
+                    charged.least() <= charged.waited() + 1e-6
+                            && charged.waited() <= charged.most() + 1e-6,
                     charged.toString());
         }
     }
@@ -112,9 +147,15 @@
         assertEquals(4, report.main().node());
         assertEquals(7.0 / 8, report.main().share(), 0.02);
         assertEquals(3, report.utilityLost(), 1e-9);
-        assertEquals(3, report.causes().stream().mapToDouble(Report.Charged::utilityLost).sum(), 1e-6);
-        assertTrue(report.causes().stream().anyMatch(cause -> cause.kind() == Cause.Kind.NEIGHBOUR
-                && cause.volume() == 9), report.causes().toString());
+        assertEquals(
+                3, report.causes().stream().mapToDouble(Report.Charged::utilityLost).sum(), 1e-6);
+        assertTrue(
+                report.causes().stream()
+                        .anyMatch(
+                                cause ->
+                                        cause.kind() == Cause.Kind.NEIGHBOUR
+                                                && cause.volume() == 9),
+                report.causes().toString());
     }
 
     @Test
@@ -127,8 +168,10 @@
             heldUntilDeclined(accounts, 4, Spent.RESERVE_FULL, 1, 0, 10);
         }
         assertEquals(Cause.Kind.OWN_LOAD, accounts.report(2, 0, 100).main().kind());
-        assertTrue(accounts.report(2, 0, 100).causes().stream()
-                .noneMatch(cause -> cause.kind() == Cause.Kind.NEIGHBOUR), "nobody else is named");
+        assertTrue(
+                accounts.report(2, 0, 100).causes().stream()
+                        .noneMatch(cause -> cause.kind() == Cause.Kind.NEIGHBOUR),
+                "nobody else is named");
         Report reserved = accounts.report(4, 0, 100);
         assertEquals(Cause.Kind.NEIGHBOUR, reserved.main().kind());
         assertEquals(3, reserved.main().volume());
@@ -210,7 +253,10 @@
             accounts.end(lost, Accounts.End.SCRAPPED, Reason.MAY_HAVE_RUN, 1, 6900);
         }
         assertEquals(Cause.Kind.NEIGHBOUR, accounts.report(2, 0, 9000).main().kind());
-        assertEquals(Cause.Kind.FAULT, accounts.report(3, 0, 9000).main().kind(), "it answered others, not this one");
+        assertEquals(
+                Cause.Kind.FAULT,
+                accounts.report(3, 0, 9000).main().kind(),
+                "it answered others, not this one");
     }
 
     @Test
@@ -227,8 +273,10 @@
         assertTrue(small.volumes().size() <= 6, small.volumes().toString());
         assertTrue(small.windows() <= 60, "windows " + small.windows());
         assertTrue(small.report(0, 0, 10_000_000).causes().size() <= Window.MOST_CAUSES);
-        long operations = small.volumes().stream().mapToLong(volume ->
-                small.report(volume, 0, 10_000_000).operations()).sum();
+        long operations =
+                small.volumes().stream()
+                        .mapToLong(volume -> small.report(volume, 0, 10_000_000).operations())
+                        .sum();
         assertEquals(100_000, operations, "what is given up is detail, not sums");
     }
 
@@ -252,7 +300,8 @@
         accounts.answered(limited, 0, 5, 0, 55);
         accounts.end(limited, Accounts.End.SATISFIED, Reason.NONE, 1, 55);
         Report report = accounts.report(2, 0, 1000);
-        assertEquals(List.of(PlanPart.RESERVE, PlanPart.EXCESS, PlanPart.LIMIT),
+        assertEquals(
+                List.of(PlanPart.RESERVE, PlanPart.EXCESS, PlanPart.LIMIT),
                 report.plan().stream().map(Report.PlanLine::part).toList());
         Report.PlanLine excess = report.plan().get(1);
         assertEquals(1, excess.missed());
@@ -284,13 +333,22 @@
             attempt(victims, 2, 1, Owed.SHARE, 100 * i, 60, 5, 30);
         }
         assertEquals(Cause.Kind.ELSEWHERE, victims.report(2, 0, 10_000).main().kind());
-        Fleet.Merged merged = Fleet.merge(List.of(
-                new Fleet.Member("one", victims.book(), Map.of(4L, 1e12 + 1, 5L, 1e12 + 900)),
-                new Fleet.Member("two", flooder.book(), Map.of(4L, 1e12 + 3_600_003, 5L, 1e12 + 3_600_902))));
+        Fleet.Merged merged =
+                Fleet.merge(
+                        List.of(
+                                new Fleet.Member(
+                                        "one",
+                                        victims.book(),
+                                        Map.of(4L, 1e12 + 1, 5L, 1e12 + 900)),
+                                new Fleet.Member(
+                                        "two",
+                                        flooder.book(),
+                                        Map.of(4L, 1e12 + 3_600_003, 5L, 1e12 + 3_600_902))));
         assertEquals(3_600_002, merged.clocks().get(1).ahead(), 1);
         Report report = merged.book().report(2, 1e12, 1e12 + 10_000);
         assertEquals(Cause.Kind.NEIGHBOUR, report.main().kind(), report.causes().toString());
         assertEquals(9, report.main().volume());
-        assertNotEquals(Report.Confidence.HIGH, report.main().confidence(), "it is reckoned, not seen");
+        assertNotEquals(
+                Report.Confidence.HIGH, report.main().confidence(), "it is reckoned, not seen");
     }
 }
--- a/src/test/java/sagepulley/books/BookFileTest.java
+++ b/src/test/java/sagepulley/books/BookFileTest.java
@@ -25,10 +25,21 @@
 
 /** Files of accounts: what is written is read again, and what is damaged is told. */
 class BookFileTest {
-    private static final Band BAND = new Band(0, "read", Band.Repeat.IDEMPOTENT, Band.Group.CELL, 0, false, false,
-            200, 0, 1000, 3, 0.2);
-    @TempDir
-    private Path folder;
+    private static final Band BAND =
+            new Band(
+                    0,
+                    "read",
+                    Band.Repeat.IDEMPOTENT,
+                    Band.Group.CELL,
+                    0,
+                    false,
+                    false,
+                    200,
+                    0,
+                    1000,
+                    3,
+                    0.2);
+    @TempDir private Path folder;
 
     private static Accounts filled(long seed) {
         Random random = new Random(seed);
@@ -39,14 +50,17 @@
             Meter meter = accounts.begin(1 + random.nextInt(5), BAND, random.nextBoolean(), 1, now);
             accounts.waits(meter, Spent.values()[random.nextInt(11)], random.nextInt(4), now + 1);
             accounts.sent(meter, 1 + random.nextInt(4), Owed.values()[random.nextInt(3)], now + 10);
-            accounts.answered(meter, random.nextInt(50), random.nextInt(50), random.nextInt(9), now + 100);
-            accounts.end(meter, Accounts.End.values()[random.nextInt(4)], Reason.LATE, 1, now + 101);
+            accounts.answered(
+                    meter, random.nextInt(50), random.nextInt(50), random.nextInt(9), now + 100);
+            accounts.end(
+                    meter, Accounts.End.values()[random.nextInt(4)], Reason.LATE, 1, now + 101);
         }
         return accounts;
     }
 
     private static GatewayBook book(String gateway, Accounts accounts) {
-        return new GatewayBook(gateway, 5, Map.of(1L, "exams"), Map.of(3L, 7.5), Kept.of(accounts.book()));
+        return new GatewayBook(
+                gateway, 5, Map.of(1L, "exams"), Map.of(3L, 7.5), Kept.of(accounts.book()));
     }
 
     /** What is written is read again, figure by figure. */
@@ -58,7 +72,8 @@
         BookFile.Read read = BookFile.report(place.resolve("a"));
         assertEquals(Map.of(1L, "exams"), read.head().names());
         for (long volume : accounts.volumes()) {
-            assertEquals(accounts.report(volume, 0, 1e8).toString(),
+            assertEquals(
+                    accounts.report(volume, 0, 1e8).toString(),
                     read.book().report(volume, 1e12, 1e12 + 1e8).toString());
         }
         for (String name : new String[] {"a", "a.1"}) {
@@ -76,7 +91,9 @@
         byte[] whole = Files.readAllBytes(path);
         Files.write(path, java.util.Arrays.copyOf(whole, whole.length / 2));
         BookFile.Read read = new BookFile(path, "gw").goOn();
-        assertEquals(filled(1).report(1, 0, 1e8).toString(), read.book().report(1, 1e12, 1e12 + 1e8).toString());
+        assertEquals(
+                filled(1).report(1, 0, 1e8).toString(),
+                read.book().report(1, 1e12, 1e12 + 1e8).toString());
         assertTrue(Files.exists(folder.resolve("accounts.set-aside")));
     }
 
@@ -84,14 +101,17 @@
     void wholeFilesWithImpossibleFiguresAreNotBelieved() throws IOException {
         Path path = folder.resolve("accounts");
         for (String body : new String[] {"", "not CBOR at all", "\u00a0", "\u00f6"}) {
-            new Generations(path, "accounts", 1, "gw", 1).write(body.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1), 1);
+            new Generations(path, "accounts", 1, "gw", 1)
+                    .write(body.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1), 1);
             assertThrows(IOException.class, () -> BookFile.report(path), body);
         }
         assertNull(new BookFile(path, "gw").goOn());
         assertTrue(Files.notExists(path));
     }
 
-    /** Random damage inside a body whose checksum was made to agree: read or refused, nothing else. */
+    /**
+     * Random damage inside a body whose checksum was made to agree: read or refused, nothing else.
+     */
     @Property(tries = 200, seed = "9")
     void damagedBodiesAreReadOrRefused(@ForAll int at, @ForAll byte value) throws IOException {
         Path place = Files.createTempDirectory("books");
--- a/src/test/java/sagepulley/control/DiscoveryCrowdTest.java
+++ b/src/test/java/sagepulley/control/DiscoveryCrowdTest.java
@@ -11,8 +11,9 @@
 import sagepulley.model.Pause;
 
 /**
- * Many processes that start anew together and a discovery that serves their calls in turn. It works on calls that have
- * been given up as well, so that callers who come back too soon keep it busy with nothing for good.
+ * Many processes that start anew together and a discovery that serves their calls in turn. It works
+ * on calls that have been given up as well, so that callers who come back too soon keep it busy
+ * with nothing for good.
  */
 class DiscoveryCrowdTest {
     private static final double SERVICE_MS = 60;
@@ -20,8 +21,7 @@
     private static final double STEP_MS = 5;
     private static final double LENGTH_MS = 20_000;
 
-    private record Call(int gateway, double at) {
-    }
+    private record Call(int gateway, double at) {}
 
     @ParameterizedTest
     @ValueSource(ints = {20, 66, 100})
@@ -37,7 +37,8 @@
         double idleAt = now;
         for (double end = now + LENGTH_MS; now < end; now += STEP_MS) {
             for (int i = 0; i < gateways; i++) {
-                if (!listed[i] && hosts.get(i).control.pause(now).call() == Pause.ListCall.SUBSCRIBE) {
+                if (!listed[i]
+                        && hosts.get(i).control.pause(now).call() == Pause.ListCall.SUBSCRIBE) {
                     Call call = new Call(i, now);
                     queue.add(call);
                     waiting.add(call);
@@ -49,7 +50,9 @@
                     hosts.get(call.gateway()).control.listFailed(now);
                 }
             }
-            for (; !queue.isEmpty() && idleAt <= now; idleAt = Math.max(idleAt, queue.poll().at()) + SERVICE_MS) {
+            for (;
+                    !queue.isEmpty() && idleAt <= now;
+                    idleAt = Math.max(idleAt, queue.poll().at()) + SERVICE_MS) {
                 Call served = queue.peek();
                 if (waiting.remove(served)) {
                     FakeHost host = hosts.get(served.gateway());
--- a/src/test/java/sagepulley/control/EndpointLeaseTest.java
+++ b/src/test/java/sagepulley/control/EndpointLeaseTest.java
@@ -12,6 +12,7 @@
 class EndpointLeaseTest {
     private static final double SPAN = 6_000;
     private static final double GRACE = 1_000;
+
     /** What the lease keeps back of the grace, for a process that is held up before it writes. */
     private static final double RESERVED = 200;
 
@@ -72,7 +73,8 @@
         lease.reloadTold(300);
         lease.reloadRead(299);
         lease.confirmed(400);
-        assertFalse(lease.holds(100 + 4_000 + GRACE), "what was read is older than what was told last");
+        assertFalse(
+                lease.holds(100 + 4_000 + GRACE), "what was read is older than what was told last");
         lease.reloadRead(500);
         lease.confirmed(600);
         assertTrue(lease.holds(100 + 4_000 + GRACE));
--- a/src/test/java/sagepulley/control/FakeHost.java
+++ b/src/test/java/sagepulley/control/FakeHost.java
@@ -4,9 +4,9 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import sagepulley.model.Attempt;
 import sagepulley.model.Band;
 import sagepulley.model.Deployment;
-import sagepulley.model.Attempt;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -17,10 +17,15 @@
 import sagepulley.model.Sequel;
 import sagepulley.model.Volume;
 
-/** The smallest host of one gateway: a clock moved by hand, idle nodes, and a log of what was sent. */
+/**
+ * The smallest host of one gateway: a clock moved by hand, idle nodes, and a log of what was sent.
+ */
 final class FakeHost {
-    /** Bands by place: read, write, bulk read, deduplicated within a cell, unrepeatable, in order. */
+    /**
+     * Bands by place: read, write, bulk read, deduplicated within a cell, unrepeatable, in order.
+     */
     static final int READ = 0;
+
     static final int WRITE = 1;
     static final int BULK = 2;
     static final int DEDUPLICATED = 3;
@@ -36,12 +41,15 @@
     final List<Operation> held = new ArrayList<>();
     final Control control;
     final Deployment site;
+
     /** When the client declined last should come back. */
     double advice = Double.NaN;
+
     int listCalls;
     int probes;
     double now = 100_000;
     private long ids;
+
     /** Of an operation, as the settings say the usual one has. */
     static final double UNITS = 2;
 
@@ -54,22 +62,69 @@
     }
 
     /** The same where a change of the list counts as notified within a span. */
-    FakeHost(int nodeCount, int me, int gateways, boolean mustAsk, double budgetFree, double notifiedWithin) {
-        List<Band> bands = List.of(
-                band(READ, Band.Repeat.IDEMPOTENT, false, 250, 2000, 3),
-                band(WRITE, Band.Repeat.IDEMPOTENT, false, 300, 2000, 3),
-                band(BULK, Band.Repeat.IDEMPOTENT, false, 1500, 5000, 1),
-                band(DEDUPLICATED, Band.Repeat.DEDUPLICATED, false, 300, 2000, 3),
-                band(UNREPEATABLE, Band.Repeat.UNREPEATABLE, false, 300, 2000, 3),
-                band(ORDERED, Band.Repeat.IDEMPOTENT, true, 300, 2000, 3));
-        List<Plan> plans = List.of(
-                new Plan(0, "plain", 10, 0, 1, 1, 0, 0, 0),
-                new Plan(1, "reserved", 10, 10, 3, 1, 0, 0, 0),
-                new Plan(2, "limited", 10, 0, 1, 1, 10, 24, 2));
-        Rulebook rules = new Rulebook(8, 1000, 0.25, 10_000, 2, 2000, 6, 200,
-                budgetFree, 0.1, Double.isNaN(budgetFree) ? Double.NaN : 1000, 4, false);
-        site = new Deployment(me, gateways, 0, bands, plans, rules, 2, 99, 2, 6, 0.35, 0.05, 1000, true,
-                mustAsk, 10_000, notifiedWithin, true, true, true, 1000, 0, 0, 0.05, false, List.of());
+    FakeHost(
+            int nodeCount,
+            int me,
+            int gateways,
+            boolean mustAsk,
+            double budgetFree,
+            double notifiedWithin) {
+        List<Band> bands =
+                List.of(
+                        band(READ, Band.Repeat.IDEMPOTENT, false, 250, 2000, 3),
+                        band(WRITE, Band.Repeat.IDEMPOTENT, false, 300, 2000, 3),
+                        band(BULK, Band.Repeat.IDEMPOTENT, false, 1500, 5000, 1),
+                        band(DEDUPLICATED, Band.Repeat.DEDUPLICATED, false, 300, 2000, 3),
+                        band(UNREPEATABLE, Band.Repeat.UNREPEATABLE, false, 300, 2000, 3),
+                        band(ORDERED, Band.Repeat.IDEMPOTENT, true, 300, 2000, 3));
+        List<Plan> plans =
+                List.of(
+                        new Plan(0, "plain", 10, 0, 1, 1, 0, 0, 0),
+                        new Plan(1, "reserved", 10, 10, 3, 1, 0, 0, 0),
+                        new Plan(2, "limited", 10, 0, 1, 1, 10, 24, 2));
+        Rulebook rules =
+                new Rulebook(
+                        8,
+                        1000,
+                        0.25,
+                        10_000,
+                        2,
+                        2000,
+                        6,
+                        200,
+                        budgetFree,
+                        0.1,
+                        Double.isNaN(budgetFree) ? Double.NaN : 1000,
+                        4,
+                        false);
+        site =
+                new Deployment(
+                        me,
+                        gateways,
+                        0,
+                        bands,
+                        plans,
+                        rules,
+                        2,
+                        99,
+                        2,
+                        6,
+                        0.35,
+                        0.05,
+                        1000,
+                        true,
+                        mustAsk,
+                        10_000,
+                        notifiedWithin,
+                        true,
+                        true,
+                        true,
+                        1000,
+                        0,
+                        0,
+                        0.05,
+                        false,
+                        List.of());
         control = new Control(site, 7 + me);
         for (int i = 0; i < nodeCount; i++) {
             nodes.add(node(i));
@@ -78,10 +133,26 @@
         settle();
     }
 
-    private static Band band(int index, Band.Repeat repeat, boolean inOrder, double target, double patience,
-                             double utility) {
-        return new Band(index, "band " + index, repeat, Band.Group.CELL, 1000, inOrder, index == WRITE,
-                target, 0, patience, utility, 0.2);
+    private static Band band(
+            int index,
+            Band.Repeat repeat,
+            boolean inOrder,
+            double target,
+            double patience,
+            double utility) {
+        return new Band(
+                index,
+                "band " + index,
+                repeat,
+                Band.Group.CELL,
+                1000,
+                inOrder,
+                index == WRITE,
+                target,
+                0,
+                patience,
+                utility,
+                0.2);
     }
 
     Node node(int cell) {
@@ -94,7 +165,9 @@
         return new Volume(++ids, site.plans().get(plan));
     }
 
-    /** An operation of two units on a shard, of a volume with a reserve and an extent of its own. */
+    /**
+     * An operation of two units on a shard, of a volume with a reserve and an extent of its own.
+     */
     Operation take(int band, int shard) {
         return take(band, volume(1), ++ids, UNITS, shard);
     }
@@ -108,9 +181,19 @@
         return take(band, volume(1), extent, 2, shard, patience);
     }
 
-    private Operation take(int band, Volume volume, long extent, double units, int shard, double patience) {
-        Operation operation = new Operation(++ids, site.bands().get(band), volume, extent, units, shard, now,
-                now + patience, false);
+    private Operation take(
+            int band, Volume volume, long extent, double units, int shard, double patience) {
+        Operation operation =
+                new Operation(
+                        ++ids,
+                        site.bands().get(band),
+                        volume,
+                        extent,
+                        units,
+                        shard,
+                        now,
+                        now + patience,
+                        false);
         held.add(operation);
         answer(operation, control.place(operation, now));
         settle();
@@ -130,7 +213,9 @@
 
     /** Satisfies every attempt that is out now. */
     void satisfyAllOut() {
-        sent.stream().filter(attempt -> attempt.outcome == null).toList()
+        sent.stream()
+                .filter(attempt -> attempt.outcome == null)
+                .toList()
                 .forEach(attempt -> end(attempt, Outcome.SATISFIED));
     }
 
@@ -191,7 +276,7 @@
                 advice = placement.advice();
             }
             case SCRAP -> scrapped.add(operation);
-            case WAIT -> { }
+            case WAIT -> {}
         }
     }
 }
--- a/src/test/java/sagepulley/control/HealthTest.java
+++ b/src/test/java/sagepulley/control/HealthTest.java
@@ -29,7 +29,9 @@
         host.passTime(10);
         assertEquals(3, sentTo(host, 0), "one more trial");
         for (int i = 0; i < host.sent.size(); i++) {
-            if (host.sent.get(i).outcome == null) { host.end(host.sent.get(i), Outcome.SATISFIED); }
+            if (host.sent.get(i).outcome == null) {
+                host.end(host.sent.get(i), Outcome.SATISFIED);
+            }
         }
         host.passTime(6000);
         long before = sentTo(host, 0);
@@ -56,7 +58,8 @@
         Operation refused = host.take(FakeHost.BULK, 0);
         host.end(host.lastAttempt(refused), Outcome.FULL);
         host.take(FakeHost.BULK, 0);
-        assertEquals(3, sentTo(host, 0), "the hop refused, the one after it, and the next operation's");
+        assertEquals(
+                3, sentTo(host, 0), "the hop refused, the one after it, and the next operation's");
     }
 
     @Test
@@ -113,17 +116,22 @@
         for (int i = 0; i < 10; i++) {
             Operation operation = host.take(FakeHost.READ, 0);
             host.passTime(22);
-            if (operation.over) { continue; }
+            if (operation.over) {
+                continue;
+            }
             host.leave(operation);
             host.end(host.lastAttempt(operation), Outcome.CALLED_OFF);
-            // The node takes long for a while, so that no answer would come in the time that clients stay.
+            // The node takes long for a while, so that no answer would come in the time that
+            // clients stay.
             serve(host, 2, 60);
         }
         int before = host.sent.size();
         for (int i = 0; i < 200; i++) {
             Operation operation = host.take(FakeHost.READ, 0);
             host.passTime(10);
-            if (!operation.over) { host.end(host.lastAttempt(operation), Outcome.SATISFIED); }
+            if (!operation.over) {
+                host.end(host.lastAttempt(operation), Outcome.SATISFIED);
+            }
         }
         assertTrue(host.sent.size() - before > 100, "sent " + (host.sent.size() - before));
     }
@@ -133,7 +141,9 @@
         for (int i = 0; i < count; i++) {
             Operation operation = host.take(FakeHost.READ, 0);
             host.passTime(time);
-            if (!operation.over) { host.end(host.lastAttempt(operation), Outcome.SATISFIED); }
+            if (!operation.over) {
+                host.end(host.lastAttempt(operation), Outcome.SATISFIED);
+            }
         }
     }
 
@@ -183,7 +193,8 @@
             Operation write = host.take(FakeHost.WRITE, -1);
             host.passTime(6);
             Attempt attempt = host.lastAttempt(write);
-            host.end(attempt, attempt.node == host.nodes.get(0) ? Outcome.FAULT : Outcome.SATISFIED);
+            host.end(
+                    attempt, attempt.node == host.nodes.get(0) ? Outcome.FAULT : Outcome.SATISFIED);
             while (!write.over) {
                 host.end(host.lastAttempt(write), Outcome.SATISFIED);
             }
@@ -248,8 +259,9 @@
     }
 
     /**
-     * However often it failed, discovery is asked again within less than the time after which what it has counts as told,
-     * and not so often that a crowd of callers never ends (DiscoveryCrowdTest). What has not come by then, the lease covers.
+     * However often it failed, discovery is asked again within less than the time after which what
+     * it has counts as told, and not so often that a crowd of callers never ends
+     * (DiscoveryCrowdTest). What has not come by then, the lease covers.
      */
     @Test
     void howeverLongTheListCannotBeHadItIsAskedForSoonAgain() {
@@ -281,7 +293,10 @@
         assertEquals(calls + 1, host.listCalls);
     }
 
-    /** Many start anew at once while nodes drain: 6 s after a change that could be had it counts as told to all. */
+    /**
+     * Many start anew at once while nodes drain: 6 s after a change that could be had it counts as
+     * told to all.
+     */
     @Test
     void theLastOfManyGatewaysHasAskedForTheListBeforeItCountsAsTold() {
         FakeHost host = new FakeHost(1, 199, 200, true, Double.NaN);
@@ -301,7 +316,9 @@
             host.end(host.lastAttempt(read), Outcome.SATISFIED);
         }
         Volume surging = host.volume(0);
-        for (int i = 0; i < 8; i++) { host.take(FakeHost.READ, surging, 1000 + i, 6, 0); }
+        for (int i = 0; i < 8; i++) {
+            host.take(FakeHost.READ, surging, 1000 + i, 6, 0);
+        }
         host.passTime(90);
         host.satisfyAllOut();
         Operation over = host.take(FakeHost.READ, surging, 2000, 6, 0);
@@ -311,8 +328,13 @@
         host.end(host.lastAttempt(reserved), Outcome.SATISFIED);
         host.passTime(60_000);
         surging = host.volume(0);
-        for (int i = 0; i < 4; i++) { host.take(FakeHost.READ, surging, 3000 + i, 6, 0); }
-        assertEquals(4, host.sent.stream().filter(attempt -> attempt.outcome == null).count(), "the queue is forgotten");
+        for (int i = 0; i < 4; i++) {
+            host.take(FakeHost.READ, surging, 3000 + i, 6, 0);
+        }
+        assertEquals(
+                4,
+                host.sent.stream().filter(attempt -> attempt.outcome == null).count(),
+                "the queue is forgotten");
     }
 
     @Test
@@ -352,10 +374,14 @@
     @Test
     void aDeclineTellsAShortWaitForAQueueAndTheLongestWhereTheNodeDoesNotServe() {
         FakeHost host = new FakeHost(1);
-        for (int i = 0; i < 4; i++) { host.take(FakeHost.BULK, 0); }
+        for (int i = 0; i < 4; i++) {
+            host.take(FakeHost.BULK, 0);
+        }
         host.passTime(100);
         host.satisfyAllOut();
-        for (int i = 0; i < 40; i++) { host.take(FakeHost.READ, host.volume(0), 5000 + i, 6, 0); }
+        for (int i = 0; i < 40; i++) {
+            host.take(FakeHost.READ, host.volume(0), 5000 + i, 6, 0);
+        }
         host.passTime(120);
         host.satisfyAllOut();
         host.passTime(140);
--- a/src/test/java/sagepulley/control/PlacementTest.java
+++ b/src/test/java/sagepulley/control/PlacementTest.java
@@ -28,7 +28,8 @@
         assertEquals(1, early.attempts.size(), "the earliest deadline");
         host.end(host.sent.get(1), Outcome.SATISFIED);
         assertEquals(1, run1.attempts.size());
-        assertEquals(1, run2.attempts.size(), "the rest of the run goes along, a few over the bound");
+        assertEquals(
+                1, run2.attempts.size(), "the rest of the run goes along, a few over the bound");
     }
 
     @Test
--- a/src/test/java/sagepulley/control/RulesTest.java
+++ b/src/test/java/sagepulley/control/RulesTest.java
@@ -64,9 +64,13 @@
         assertEquals(2, repeated.attempts.size(), "sent again while the node remembers");
         assertTrue(host.control.mayBegin(host.lastAttempt(repeated), host.now));
         double forgets = repeated.attempts.get(0).sentAt + repeated.band.groupMemory();
-        assertFalse(host.control.mayBegin(host.lastAttempt(repeated), forgets), "not when it has forgotten");
+        assertFalse(
+                host.control.mayBegin(host.lastAttempt(repeated), forgets),
+                "not when it has forgotten");
         host.end(host.lastAttempt(once), Outcome.FULL);
-        assertTrue(host.control.mayBegin(host.lastAttempt(once), host.now), "the first has proved that it never ran");
+        assertTrue(
+                host.control.mayBegin(host.lastAttempt(once), host.now),
+                "the first has proved that it never ran");
         assertEquals(2, once.attempts.size());
         once.attempts.get(0).outcome = Outcome.RESET;
         assertFalse(host.control.mayBegin(host.lastAttempt(once), host.now), "or else it may not");
@@ -95,7 +99,9 @@
     @CsvSource({"1", "3", "40"})
     void allGatewaysTogetherNeverSendAColdNodeMoreThanItBears(int gateways) {
         List<FakeHost> hosts = new ArrayList<>();
-        for (int me = 0; me < gateways; me++) { hosts.add(new FakeHost(1, me, gateways, false, Double.NaN)); }
+        for (int me = 0; me < gateways; me++) {
+            hosts.add(new FakeHost(1, me, gateways, false, Double.NaN));
+        }
         double[] sent = new double[200];
         for (int turn = 0; turn < 1800; turn++) {
             FakeHost host = hosts.get(turn % gateways);
@@ -118,13 +124,17 @@
             assertTrue(window <= 2 * ramp * 4 * warm, window + " units in the window " + i);
             assertTrue(window > 0, "a cold node is used all the time");
         }
-        assertEquals(4 * warm, sent[30] + sent[31] + sent[32] + sent[33], warm / 2, "a warm node is no longer held");
+        assertEquals(
+                4 * warm,
+                sent[30] + sent[31] + sent[32] + sent[33],
+                warm / 2,
+                "a warm node is no longer held");
     }
 
     /**
-     * Traffic is uneven, a burst comes on top, and half of the gateways start anew after the node and learn of it from
-     * an old list first: over any window of the rule all of them together stay under what the settings allow then, N,
-     * and what chance may add to that.
+     * Traffic is uneven, a burst comes on top, and half of the gateways start anew after the node
+     * and learn of it from an old list first: over any window of the rule all of them together stay
+     * under what the settings allow then, N, and what chance may add to that.
      */
     @ParameterizedTest
     @CsvSource({"20, 1", "30, 1", "30, 1.5", "100, 1.5"})
@@ -161,12 +171,16 @@
             for (double due = rate * step / 1000; chance.nextDouble() < due; due--) {
                 double pick = chance.nextDouble() * weights;
                 int me = 0;
-                for (; me < gateways - 1 && pick >= weight[me]; me++) { pick -= weight[me]; }
+                for (; me < gateways - 1 && pick >= weight[me]; me++) {
+                    pick -= weight[me];
+                }
                 hosts[me].take(FakeHost.READ, 0);
             }
             for (FakeHost host : hosts) {
                 for (Attempt attempt : List.copyOf(host.sent)) {
-                    if (now >= startedAt && attempt.node == host.nodes.get(0)) { sentAt.add(now); }
+                    if (now >= startedAt && attempt.node == host.nodes.get(0)) {
+                        sentAt.add(now);
+                    }
                     host.sent.remove(attempt);
                     host.end(attempt, Outcome.SATISFIED);
                 }
@@ -177,7 +191,9 @@
             long sent = sentAt.stream().filter(at -> at >= start && at < start + 2_000).count();
             double ramp = 0.25 + 0.75 * (start - startedAt) / 10_000;
             double allowed = 2 * ramp * warm / FakeHost.UNITS * 2;
-            assertTrue(sent <= allowed + 2 * Math.sqrt(allowed) + 2, sent + " sent from " + start + ", N " + allowed);
+            assertTrue(
+                    sent <= allowed + 2 * Math.sqrt(allowed) + 2,
+                    sent + " sent from " + start + ", N " + allowed);
             assertTrue(sent > 0, "a cold node is used all the time");
         }
     }
@@ -202,7 +218,9 @@
         for (int i = 0; i < 60; i++) {
             Operation read = host.take(FakeHost.READ, surging, 2000 + i, 1, 0);
             sent += read.attempts.size();
-            if (!read.attempts.isEmpty()) { host.end(host.lastAttempt(read), Outcome.SATISFIED); }
+            if (!read.attempts.isEmpty()) {
+                host.end(host.lastAttempt(read), Outcome.SATISFIED);
+            }
         }
         assertTrue(sent > 0 && sent <= 4, "sent " + sent);
     }
@@ -266,7 +284,10 @@
         }
         assertEquals(1, taken.stream().mapToInt(operation -> operation.attempts.size() - 1).sum());
         host.passTime(200);
-        assertEquals(2, taken.stream().mapToInt(operation -> operation.attempts.size() - 1).sum(), "a window later");
+        assertEquals(
+                2,
+                taken.stream().mapToInt(operation -> operation.attempts.size() - 1).sum(),
+                "a window later");
     }
 
     @Test
@@ -277,7 +298,8 @@
         host.end(host.lastAttempt(kept), Outcome.FAULT);
         host.passTime(100);
         assertTrue(kept.attempts.stream().allMatch(attempt -> attempt.node == first));
-        assertTrue(host.declined.isEmpty(), "a decline would promise that asking again is harmless");
+        assertTrue(
+                host.declined.isEmpty(), "a decline would promise that asking again is harmless");
         host.passTime(2000);
         assertTrue(kept.over || kept.attempts.get(kept.attempts.size() - 1).outcome == null);
         Operation old = host.take(FakeHost.DEDUPLICATED, 0);
@@ -294,7 +316,9 @@
         Operation operation = host.take(FakeHost.BULK, 0);
         for (int i = 0; i < 5 && !operation.over; i++) {
             host.settle();
-            assertTrue(operation.attempts.stream().filter(attempt -> attempt.outcome == null).count() <= 1);
+            assertTrue(
+                    operation.attempts.stream().filter(attempt -> attempt.outcome == null).count()
+                            <= 1);
             host.end(host.lastAttempt(operation), Outcome.FAULT);
         }
         assertTrue(operation.over);
--- a/src/test/java/sagepulley/control/StartTimesTest.java
+++ b/src/test/java/sagepulley/control/StartTimesTest.java
@@ -13,7 +13,10 @@
     private static final double HOUR = 3_600_000;
     private static final double SPAN = 6_000;
 
-    /** Off by so much, a node that has just restarted still counts as cold from when that is first seen. */
+    /**
+     * Off by so much, a node that has just restarted still counts as cold from when that is first
+     * seen.
+     */
     @ParameterizedTest
     @ValueSource(doubles = {-HOUR, -30_000, -11_000, 0, 5_000, HOUR})
     void aRestartCountsFromWhenItIsFirstSeen(double clockError) {
--- a/src/test/java/sagepulley/drill/JudgeTest.java
+++ b/src/test/java/sagepulley/drill/JudgeTest.java
@@ -49,8 +49,14 @@
                 load some on vol 150 a second reads 40 %% over 4 extents
                 %s
                 end at 1500 ms
-                """.formatted(band.equals("budget") ? "budget-window = 1 s\nbudget-free = 2\nbudget-share = 0.1" : "",
-                band.equals("budget") ? "" : band, plan, rest);
+                """
+                .formatted(
+                        band.equals("budget")
+                                ? "budget-window = 1 s\nbudget-free = 2\nbudget-share = 0.1"
+                                : "",
+                        band.equals("budget") ? "" : band,
+                        plan,
+                        rest);
     }
 
     @ParameterizedTest
@@ -65,8 +71,8 @@
         "6, PLAIN, '', 'limit = 20|limit-burst = 10|limit-slack = 4', ''",
         "7, UNWRITTEN,     '',                        '',           ''",
     })
-    void aGatewayThatBreaksARuleIsCaught(int rule, Rogue.Way way, String band, String plan, String rest)
-            throws Exception {
+    void aGatewayThatBreaksARuleIsCaught(
+            int rule, Rogue.Way way, String band, String plan, String rest) throws Exception {
         Day day = DayReader.read("small", day(band, plan.replace('|', '\n'), rest));
         Drill.Result result = new Drill(day, new Rogue(way)).run();
         assertFalse(result.verdicts().get(rule).kept(), result.verdicts().get(rule).toString());
@@ -104,17 +110,20 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "nodes 3 slots|x:1:14: ",
-        "at 2 s node 9 silent|x:1:13: the node is 9, allowed is 1.0 to 6.0",
-        "load l on v 5 a second size 5 KiB|x:1:24: the size is 5120 bytes",
-        "at 1 s load nobody times 3|x:1:8: no load is called nobody",
-        "gateways 1000|x:1:10: the number of gateways is 1000",
-        "day 'single'|x:1:5: ",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "nodes 3 slots|x:1:14: ",
+                "at 2 s node 9 silent|x:1:13: the node is 9, allowed is 1.0 to 6.0",
+                "load l on v 5 a second size 5 KiB|x:1:24: the size is 5120 bytes",
+                "at 1 s load nobody times 3|x:1:8: no load is called nobody",
+                "gateways 1000|x:1:10: the number of gateways is 1000",
+                "day 'single'|x:1:5: ",
+            })
     void aMistakeInAScriptIsToldWithLineAndColumn(String text, String told) {
-        DayError error = org.junit.jupiter.api.Assertions.assertThrows(DayError.class,
-                () -> DayReader.read("x", text));
+        DayError error =
+                org.junit.jupiter.api.Assertions.assertThrows(
+                        DayError.class, () -> DayReader.read("x", text));
         assertTrue(error.getMessage().startsWith(told), error.getMessage());
     }
 }
--- a/src/test/java/sagepulley/drill/Rogue.java
+++ b/src/test/java/sagepulley/drill/Rogue.java
@@ -34,10 +34,19 @@
 import sagepulley.store.StoreWire;
 import sagepulley.wire.Loops;
 
-/** A gateway that heeds no rule: it sends everything on at once. The judge must see what it does. */
+/**
+ * A gateway that heeds no rule: it sends everything on at once. The judge must see what it does.
+ */
 final class Rogue implements Drill.Opener {
     /** What it does besides. */
-    enum Way { PLAIN, LATE, AFTERWARDS, AT_ONCE_TWICE, THRICE, UNWRITTEN }
+    enum Way {
+        PLAIN,
+        LATE,
+        AFTERWARDS,
+        AT_ONCE_TWICE,
+        THRICE,
+        UNWRITTEN
+    }
 
     private final Way way;
 
@@ -48,7 +57,9 @@
     @Override
     public Opened open(Site site, long seed) {
         Running running = new Running(site, seed);
-        return new Opened(running.address, running::kill,
+        return new Opened(
+                running.address,
+                running::kill,
                 () -> new GatewayBook("rogue", 0, Map.of(), Map.of(), Kept.of(new Book())));
     }
 
@@ -66,17 +77,34 @@
         Running(Site site, long seed) {
             this.site = site;
             this.seed = seed;
-            directory = new DirectoryLink(group.next(), Loops.socket(), site.directory().socket(), seed, "rogue",
-                    this);
+            directory =
+                    new DirectoryLink(
+                            group.next(),
+                            Loops.socket(),
+                            site.directory().socket(),
+                            seed,
+                            "rogue",
+                            this);
             group.next().execute(directory::subscribe);
             Town.await(listed);
-            listener = new ServerBootstrap().group(group).channel(Loops.server())
-                    .childHandler(new ChannelInitializer<Channel>() {
-                        @Override
-                        protected void initChannel(Channel client) {
-                            NbdServer.onto(client.pipeline(), Running.this, Running.this, new Client(Running.this));
-                        }
-                    }).bind(site.nbd().socket()).syncUninterruptibly().channel();
+            listener =
+                    new ServerBootstrap()
+                            .group(group)
+                            .channel(Loops.server())
+                            .childHandler(
+                                    new ChannelInitializer<Channel>() {
+                                        @Override
+                                        protected void initChannel(Channel client) {
+                                            NbdServer.onto(
+                                                    client.pipeline(),
+                                                    Running.this,
+                                                    Running.this,
+                                                    new Client(Running.this));
+                                        }
+                                    })
+                            .bind(site.nbd().socket())
+                            .syncUninterruptibly()
+                            .channel();
             address = (InetSocketAddress) listener.localAddress();
         }
 
@@ -88,15 +116,19 @@
         @Override
         public void listed(DirectoryWire.Listing listing) {
             for (DirectoryWire.Line line : listing.lines()) {
-                peers.computeIfAbsent(line.node(), node -> new Peer(this, node,
-                        new InetSocketAddress(line.host(), line.port())));
+                peers.computeIfAbsent(
+                        line.node(),
+                        node ->
+                                new Peer(
+                                        this,
+                                        node,
+                                        new InetSocketAddress(line.host(), line.port())));
             }
             listed.complete(null);
         }
 
         @Override
-        public void listFailed(String why) {
-        }
+        public void listFailed(String why) {}
 
         @Override
         public List<Export> all() {
@@ -105,8 +137,11 @@
 
         @Override
         public Export named(String name) {
-            return site.volumes().stream().filter(line -> line.name().equals(name)).findFirst()
-                    .map(line -> new Export(name, "", line.size(), false, true, 512, 4096, 1 << 20)).orElse(null);
+            return site.volumes().stream()
+                    .filter(line -> line.name().equals(name))
+                    .findFirst()
+                    .map(line -> new Export(name, "", line.size(), false, true, 512, 4096, 1 << 20))
+                    .orElse(null);
         }
 
         @Override
@@ -115,8 +150,7 @@
         }
 
         @Override
-        public void returned(long bytes) {
-        }
+        public void returned(long bytes) {}
 
         void later(double milliseconds, Runnable task) {
             group.next().schedule(task, (long) milliseconds, TimeUnit.MILLISECONDS);
@@ -129,8 +163,15 @@
         final Map<Long, java.util.function.Consumer<ByteBuf>> waiting = new HashMap<>();
 
         Peer(Running of, int node, InetSocketAddress address) {
-            link = new NodeLink(of.group.next(), Loops.socket(), 1 << 20, node, address,
-                    new StoreWire.Hello(of.seed, "rogue"), this);
+            link =
+                    new NodeLink(
+                            of.group.next(),
+                            Loops.socket(),
+                            1 << 20,
+                            node,
+                            address,
+                            new StoreWire.Hello(of.seed, "rogue"),
+                            this);
         }
 
         @Override
@@ -148,8 +189,7 @@
         }
 
         @Override
-        public void probed(long id, float[] report) {
-        }
+        public void probed(long id, float[] report) {}
 
         @Override
         public boolean welcomed(StoreWire.Welcome welcome) {
@@ -168,8 +208,11 @@
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
             if (event instanceof sagepulley.nbd.Attached attached) {
-                volume = of.site.volumes().stream().filter(line -> line.name().equals(attached.export().name()))
-                        .findFirst().orElseThrow();
+                volume =
+                        of.site.volumes().stream()
+                                .filter(line -> line.name().equals(attached.export().name()))
+                                .findFirst()
+                                .orElseThrow();
             }
         }
 
@@ -187,25 +230,52 @@
             int repeat = of.site.deployment().bands().get(band).repeat().ordinal();
             ByteBuf payload = Unpooled.wrappedBuffer(ByteBufUtil.getBytes(asked.payload()));
             asked.payload().release();
-            java.util.function.IntConsumer send = number -> {
-                long attempt = mark * 10 + number;
-                peer.waiting.put(attempt, data -> {
-                    boolean last = way != Way.THRICE || number == 2;
-                    if (!last) {
-                        again(attempt + 1, number + 1, peer, mark, kind, band, repeat, extent, asked, payload, ctx, data);
-                    } else if (number == (way == Way.THRICE ? 2 : 0)) {
-                        of.later(way == Way.LATE ? 900 : 0, () -> reply(ctx, asked, data));
-                    } else if (data != null) {
-                        data.release();
-                    }
-                });
-                if (way == Way.UNWRITTEN && !reads) {
-                    peer.waiting.remove(attempt).accept(Unpooled.EMPTY_BUFFER);
-                } else {
-                    peer.link.send(attempt, make(kind, band, repeat, mark, number, extent, asked, extentBytes),
-                            payload.retainedDuplicate());
-                }
-            };
+            java.util.function.IntConsumer send =
+                    number -> {
+                        long attempt = mark * 10 + number;
+                        peer.waiting.put(
+                                attempt,
+                                data -> {
+                                    boolean last = way != Way.THRICE || number == 2;
+                                    if (!last) {
+                                        again(
+                                                attempt + 1,
+                                                number + 1,
+                                                peer,
+                                                mark,
+                                                kind,
+                                                band,
+                                                repeat,
+                                                extent,
+                                                asked,
+                                                payload,
+                                                ctx,
+                                                data);
+                                    } else if (number == (way == Way.THRICE ? 2 : 0)) {
+                                        of.later(
+                                                way == Way.LATE ? 900 : 0,
+                                                () -> reply(ctx, asked, data));
+                                    } else if (data != null) {
+                                        data.release();
+                                    }
+                                });
+                        if (way == Way.UNWRITTEN && !reads) {
+                            peer.waiting.remove(attempt).accept(Unpooled.EMPTY_BUFFER);
+                        } else {
+                            peer.link.send(
+                                    attempt,
+                                    make(
+                                            kind,
+                                            band,
+                                            repeat,
+                                            mark,
+                                            number,
+                                            extent,
+                                            asked,
+                                            extentBytes),
+                                    payload.retainedDuplicate());
+                        }
+                    };
             send.accept(0);
             if (way == Way.AT_ONCE_TWICE) {
                 send.accept(1);
@@ -214,25 +284,70 @@
             }
         }
 
-        private StoreWire.Send make(StoreWire.Kind kind, int band, int repeat, long mark, int number, long extent,
-                                    NbdRequest asked, int extentBytes) {
-            return new StoreWire.Send(kind, band, false, repeat, mark, number, volume.id(), extent,
-                    (int) (asked.offset() % extentBytes), asked.length(), 1, 0);
+        private StoreWire.Send make(
+                StoreWire.Kind kind,
+                int band,
+                int repeat,
+                long mark,
+                int number,
+                long extent,
+                NbdRequest asked,
+                int extentBytes) {
+            return new StoreWire.Send(
+                    kind,
+                    band,
+                    false,
+                    repeat,
+                    mark,
+                    number,
+                    volume.id(),
+                    extent,
+                    (int) (asked.offset() % extentBytes),
+                    asked.length(),
+                    1,
+                    0);
         }
 
-        private void again(long attempt, int number, Peer peer, long mark, StoreWire.Kind kind, int band, int repeat,
-                           long extent, NbdRequest asked, ByteBuf payload, ChannelHandlerContext ctx, ByteBuf old) {
+        private void again(
+                long attempt,
+                int number,
+                Peer peer,
+                long mark,
+                StoreWire.Kind kind,
+                int band,
+                int repeat,
+                long extent,
+                NbdRequest asked,
+                ByteBuf payload,
+                ChannelHandlerContext ctx,
+                ByteBuf old) {
             if (old != null) {
                 old.release();
             }
-            peer.waiting.put(attempt, data -> {
-                if (number < 2) {
-                    again(attempt + 1, number + 1, peer, mark, kind, band, repeat, extent, asked, payload, ctx, data);
-                } else {
-                    reply(ctx, asked, data);
-                }
-            });
-            peer.link.send(attempt, make(kind, band, repeat, mark, number, extent, asked, of.site.extentBytes()),
+            peer.waiting.put(
+                    attempt,
+                    data -> {
+                        if (number < 2) {
+                            again(
+                                    attempt + 1,
+                                    number + 1,
+                                    peer,
+                                    mark,
+                                    kind,
+                                    band,
+                                    repeat,
+                                    extent,
+                                    asked,
+                                    payload,
+                                    ctx,
+                                    data);
+                        } else {
+                            reply(ctx, asked, data);
+                        }
+                    });
+            peer.link.send(
+                    attempt,
+                    make(kind, band, repeat, mark, number, extent, asked, of.site.extentBytes()),
                     payload.retainedDuplicate());
         }
 
--- a/src/test/java/sagepulley/faults/DescriptorsTest.java
+++ b/src/test/java/sagepulley/faults/DescriptorsTest.java
@@ -14,21 +14,26 @@
 import org.junit.jupiter.api.parallel.Execution;
 import org.junit.jupiter.api.parallel.ExecutionMode;
 
-/** A process whose descriptors run out: it may have fewer than its configuration says, and idle clients take them all. */
+/**
+ * A process whose descriptors run out: it may have fewer than its configuration says, and idle
+ * clients take them all.
+ */
 @Timeout(120)
 @Execution(ExecutionMode.CONCURRENT)
 class DescriptorsTest {
     /** The program's own files take some 90 where its libraries are files of their own. */
     private static final int DESCRIPTORS = 160;
+
     private static final int IDLE_CLIENTS = 150;
+
     /** Longer than 6 s, the grace of 1 s, and some seconds of sending. */
     private static final long WATCHED_MS = 12_000;
 
-    @TempDir
-    Path folder;
+    @TempDir Path folder;
 
     @Test
-    void whileIdleClientsHoldThemAllTheListIsStillBoundedAndANewConfigurationIsStillActedOn() throws Exception {
+    void whileIdleClientsHoldThemAllTheListIsStillBoundedAndANewConfigurationIsStillActedOn()
+            throws Exception {
         List<Socket> idle = new ArrayList<>();
         try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
             fleet.launchThrough("sh", "-c", "ulimit -n " + DESCRIPTORS + "; exec \"$0\" \"$@\"");
@@ -57,7 +62,8 @@
         }
     }
 
-    private static void fillWith(List<Socket> idle, GatewayProcess gateway) throws InterruptedException {
+    private static void fillWith(List<Socket> idle, GatewayProcess gateway)
+            throws InterruptedException {
         for (int i = 0; i < IDLE_CLIENTS; i++) {
             Socket socket = new Socket();
             idle.add(socket);
--- a/src/test/java/sagepulley/faults/FleetChecks.java
+++ b/src/test/java/sagepulley/faults/FleetChecks.java
@@ -11,8 +11,7 @@
 final class FleetChecks {
     private static final long SERVED_WITHIN_S = 10;
 
-    private FleetChecks() {
-    }
+    private FleetChecks() {}
 
     /** The store is listed as draining from now on. */
     static void drain(TestFleet fleet, int store) {
@@ -21,16 +20,33 @@
 
     static void assertNoSendAfterGrace(TestFleet fleet) {
         List<Request> requests = fleet.requests();
-        List<String> broken = new DrainRule(fleet.discovery, fleet.reloads()).broken(fleet.arrivals(), requests);
+        List<String> broken =
+                new DrainRule(fleet.discovery, fleet.reloads()).broken(fleet.arrivals(), requests);
         assertTrue(!requests.isEmpty(), "no request was made");
-        assertEquals(0, broken.size(), () -> broken.size() + " of " + requests.size() + " requests; the last: "
-                + broken.get(broken.size() - 1) + "\n" + fleet.gateways.get(fleet.gateways.size() - 1).logText());
+        assertEquals(
+                0,
+                broken.size(),
+                () ->
+                        broken.size()
+                                + " of "
+                                + requests.size()
+                                + " requests; the last: "
+                                + broken.get(broken.size() - 1)
+                                + "\n"
+                                + fleet.gateways.get(fleet.gateways.size() - 1).logText());
     }
 
     /** Some request that is sent from now on is served. */
     static void assertServedAgain(TestFleet fleet) {
         long from = System.nanoTime();
-        await().atMost(SERVED_WITHIN_S, TimeUnit.SECONDS).until(() -> fleet.requests().stream()
-                .anyMatch(request -> request.sentAt > from && request.end == Request.End.SERVED));
+        await().atMost(SERVED_WITHIN_S, TimeUnit.SECONDS)
+                .until(
+                        () ->
+                                fleet.requests().stream()
+                                        .anyMatch(
+                                                request ->
+                                                        request.sentAt > from
+                                                                && request.end
+                                                                        == Request.End.SERVED));
     }
 }
--- a/src/test/java/sagepulley/faults/ReloadTest.java
+++ b/src/test/java/sagepulley/faults/ReloadTest.java
@@ -13,7 +13,10 @@
 import org.junit.jupiter.api.parallel.Execution;
 import org.junit.jupiter.api.parallel.ExecutionMode;
 
-/** New configurations on a real process: each one is acted on, whatever stands in its way, and the list follows it. */
+/**
+ * New configurations on a real process: each one is acted on, whatever stands in its way, and the
+ * list follows it.
+ */
 @Timeout(90)
 @Execution(ExecutionMode.CONCURRENT)
 class ReloadTest {
@@ -22,11 +25,11 @@
     private static final long SHIM_SEED = 7;
     private static final long HOUR_MS = 3_600_000;
     private static final long ACTED_ON_WITHIN_S = 5;
+
     /** Longer than a reload's 4 s, the grace of 1 s, and some seconds of sending. */
     private static final long WATCHED_MS = 10_000;
 
-    @TempDir
-    Path folder;
+    @TempDir Path folder;
 
     @Test
     void eachSignalIsActedOnWhileSystemCallsFailAndTheWallClockSteps() throws Exception {
@@ -71,7 +74,10 @@
         }
     }
 
-    /** The file is no text for a while: what discovery has at its new address counts as notified all the same. */
+    /**
+     * The file is no text for a while: what discovery has at its new address counts as notified all
+     * the same.
+     */
     @Test
     void aConfigurationThatCannotBeReadAtFirstStopsTheLeaseAndIsReadAgain() throws Exception {
         try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
@@ -95,7 +101,10 @@
         }
     }
 
-    /** A file that is wrong leaves all as it was; the next one that is right is taken without another signal. */
+    /**
+     * A file that is wrong leaves all as it was; the next one that is right is taken without
+     * another signal.
+     */
     @Test
     void aConfigurationThatIsWrongLeavesAllAsItWasUntilItIsMended() throws Exception {
         try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
@@ -113,8 +122,14 @@
     }
 
     private static void awaitActedOn(TestFleet fleet, GatewayProcess gateway) {
-        String line = "configuration read anew discovery=/127.0.0.1:" + fleet.discoveryAddress(0).getPort();
-        await().atMost(ACTED_ON_WITHIN_S, TimeUnit.SECONDS).untilAsserted(() ->
-                assertTrue(gateway.logText().contains(line), () -> line + "\n" + gateway.logText()));
+        String line =
+                "configuration read anew discovery=/127.0.0.1:"
+                        + fleet.discoveryAddress(0).getPort();
+        await().atMost(ACTED_ON_WITHIN_S, TimeUnit.SECONDS)
+                .untilAsserted(
+                        () ->
+                                assertTrue(
+                                        gateway.logText().contains(line),
+                                        () -> line + "\n" + gateway.logText()));
     }
 }
--- a/src/test/java/sagepulley/faults/SoakTest.java
+++ b/src/test/java/sagepulley/faults/SoakTest.java
@@ -11,7 +11,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Seeded runs of real processes under overlapping faults; the command 'soak' runs any number of seeds by hand. */
+/**
+ * Seeded runs of real processes under overlapping faults; the command 'soak' runs any number of
+ * seeds by hand.
+ */
 @Timeout(180)
 @Execution(ExecutionMode.CONCURRENT)
 class SoakTest {
@@ -19,16 +22,23 @@
     private static final int SHOWN = 12;
     private static final int LEAST_SERVED = 100;
 
-    @TempDir
-    Path folder;
+    @TempDir Path folder;
 
     @ParameterizedTest(name = "seed {0}")
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void noRuleIsBroken(long seed) throws Exception {
         try (SoakRun run = new SoakRun(seed, folder, LENGTH_MS)) {
             List<String> broken = run.violations();
-            assertTrue(broken.isEmpty(), () -> broken.size() + " violations; "
-                    + String.join("\n  ", broken.subList(0, Math.min(SHOWN, broken.size()))) + "\n" + run.story());
+            assertTrue(
+                    broken.isEmpty(),
+                    () ->
+                            broken.size()
+                                    + " violations; "
+                                    + String.join(
+                                            "\n  ",
+                                            broken.subList(0, Math.min(SHOWN, broken.size())))
+                                    + "\n"
+                                    + run.story());
             assertTrue(run.served() > LEAST_SERVED, run::story);
         }
     }
--- a/src/test/java/sagepulley/faults/StaleEndpointsTest.java
+++ b/src/test/java/sagepulley/faults/StaleEndpointsTest.java
@@ -12,30 +12,32 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * The incident of issue 26 on real processes: discovery can be reached, and does not get its list to a gateway. What it
- * has counts as told 6 s later all the same, so that nothing may go to an endpoint that has drained by then.
+ * The incident of issue 26 on real processes: discovery can be reached, and does not get its list
+ * to a gateway. What it has counts as told 6 s later all the same, so that nothing may go to an
+ * endpoint that has drained by then.
  */
 @Timeout(90)
 @Execution(ExecutionMode.CONCURRENT)
 class StaleEndpointsTest {
     private static final long WATCHED_MS = 13_000;
 
-    @TempDir
-    Path folder;
+    @TempDir Path folder;
 
     static Stream<Arguments> unhelpfulDiscoveries() {
         DiscoveryServer.Behaviour healthy = DiscoveryServer.Behaviour.HEALTHY;
         return Stream.of(
                 Arguments.of("rejects every call", healthy.rejectsAll()),
                 Arguments.of("accepts calls and says nothing", healthy.saysNothing()),
-                Arguments.of("keeps calls waiting and then rejects them", healthy.inTurn(60_000, 2_000, 100)));
+                Arguments.of(
+                        "keeps calls waiting and then rejects them",
+                        healthy.inTurn(60_000, 2_000, 100)));
     }
 
     /** As n44 of the incident: killed, started anew, and no call of it is ever answered. */
     @ParameterizedTest(name = "{0}")
     @MethodSource("unhelpfulDiscoveries")
-    void aRestartedProcessWithoutAListSendsNothingToWhatHasDrained(String what, DiscoveryServer.Behaviour behaviour)
-            throws Exception {
+    void aRestartedProcessWithoutAListSendsNothingToWhatHasDrained(
+            String what, DiscoveryServer.Behaviour behaviour) throws Exception {
         try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
             fleet.start(0).awaitReady().kill();
             GatewayProcess restarted = fleet.start(0);
@@ -51,8 +53,8 @@
     /** A process that had a list, lost its watch, and is not answered any more. */
     @ParameterizedTest(name = "{0}")
     @MethodSource("unhelpfulDiscoveries")
-    void aProcessThatLostItsWatchSendsNothingToWhatHasDrained(String what, DiscoveryServer.Behaviour behaviour)
-            throws Exception {
+    void aProcessThatLostItsWatchSendsNothingToWhatHasDrained(
+            String what, DiscoveryServer.Behaviour behaviour) throws Exception {
         try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
             drainAfterTheWatchIsLost(fleet, behaviour, 2);
             fleet.discovery.behaviour = DiscoveryServer.Behaviour.HEALTHY;
@@ -86,7 +88,8 @@
     /** However slow its answers are, they come: the list has to be taken, and service goes on. */
     @ParameterizedTest(name = "{0}")
     @MethodSource("slowDiscoveries")
-    void aDiscoveryThatAnswersSlowlyIsHeard(String what, DiscoveryServer.Behaviour behaviour) throws Exception {
+    void aDiscoveryThatAnswersSlowlyIsHeard(String what, DiscoveryServer.Behaviour behaviour)
+            throws Exception {
         try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
             drainAfterTheWatchIsLost(fleet, behaviour, 4);
             FleetChecks.assertServedAgain(fleet);
@@ -110,8 +113,8 @@
         }
     }
 
-    private static void drainAfterTheWatchIsLost(TestFleet fleet, DiscoveryServer.Behaviour behaviour, long seed)
-            throws Exception {
+    private static void drainAfterTheWatchIsLost(
+            TestFleet fleet, DiscoveryServer.Behaviour behaviour, long seed) throws Exception {
         fleet.start(0).awaitReady();
         fleet.load(0, 6, ClientLoad.Habits.STEADY, seed);
         Thread.sleep(1_000);
--- a/src/test/java/sagepulley/faults/StopTest.java
+++ b/src/test/java/sagepulley/faults/StopTest.java
@@ -11,19 +11,23 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** A planned stop on a real process: clients go on using their connections, a store hangs, the process is held up. */
+/**
+ * A planned stop on a real process: clients go on using their connections, a store hangs, the
+ * process is held up.
+ */
 @Timeout(60)
 class StopTest {
     private static final long KILL_AFTER_MS = TestFleet.LONGEST_DEADLINE_MS + 700;
     private static final String HOLD_UP_SECONDS = "0.14";
+
     /** When no more is taken, and just before the kill. */
     private static final long[] HELD_UP_BEFORE_KILL_MS = {620, 160};
 
-    @TempDir
-    Path folder;
+    @TempDir Path folder;
 
     @Test
-    void allIsAnsweredAndTheProcessHasEndedBeforeTheEarliestKillThoughItIsHeldUp() throws Exception {
+    void allIsAnsweredAndTheProcessHasEndedBeforeTheEarliestKillThoughItIsHeldUp()
+            throws Exception {
         try (TestFleet fleet = new TestFleet(folder, 1, 4)) {
             GatewayProcess gateway = fleet.start(0).awaitReady();
             ClientLoad load = fleet.load(0, 12, ClientLoad.Habits.STEADY, 6);
@@ -45,14 +49,24 @@
             gateway.kill();
             load.stop();
             List<Request> requests = fleet.requests();
-            List<String> broken = new AnswerRule(List.of(new AnswerRule.Ending(0, toldAt, killedAt, System.nanoTime())),
-                    false).broken(fleet.arrivals(), requests);
+            List<String> broken =
+                    new AnswerRule(
+                                    List.of(
+                                            new AnswerRule.Ending(
+                                                    0, toldAt, killedAt, System.nanoTime())),
+                                    false)
+                            .broken(fleet.arrivals(), requests);
             assertEquals(List.of(), broken);
             assertFalse(alive, "it had not ended by the earliest kill");
             assertEquals(0, gateway.exitCode(), gateway::logText);
-            long lastSent = requests.stream().filter(each -> each.end == Request.End.SERVED)
-                    .mapToLong(each -> each.sentAt - toldAt).max().orElse(0);
-            assertTrue(TimeUnit.NANOSECONDS.toMillis(lastSent) > TestFleet.LONGEST_DEADLINE_MS - 200,
+            long lastSent =
+                    requests.stream()
+                            .filter(each -> each.end == Request.End.SERVED)
+                            .mapToLong(each -> each.sentAt - toldAt)
+                            .max()
+                            .orElse(0);
+            assertTrue(
+                    TimeUnit.NANOSECONDS.toMillis(lastSent) > TestFleet.LONGEST_DEADLINE_MS - 200,
                     "clients were served nearly to the end, the last asked after " + lastSent);
         }
     }
--- a/src/test/java/sagepulley/gateway/AccountsPathTest.java
+++ b/src/test/java/sagepulley/gateway/AccountsPathTest.java
@@ -19,9 +19,13 @@
 import sagepulley.standin.Witness;
 import sagepulley.wire.Loops;
 
-/** A volume that floods is named as the main cause of another's waits; a slow node is named where it is one. */
+/**
+ * A volume that floods is named as the main cause of another's waits; a slow node is named where it
+ * is one.
+ */
 class AccountsPathTest {
-    private static final String TWO = """
+    private static final String TWO =
+            """
 
             [volume flood]
             id = 9
@@ -34,8 +38,13 @@
 
     /** Keeps so many writes of a client in flight until told to stop. */
     private static void flood(NbdClient client, int number, AtomicBoolean stop) {
-        client.ask(Nbd.CMD_WRITE, 0, number % 64 * 131072L, 131072,
-                Unpooled.wrappedBuffer(new byte[131072]), (reply, failure) -> {
+        client.ask(
+                Nbd.CMD_WRITE,
+                0,
+                number % 64 * 131072L,
+                131072,
+                Unpooled.wrappedBuffer(new byte[131072]),
+                (reply, failure) -> {
                     if (!stop.get() && failure == null) {
                         flood(client, number + 1, stop);
                     }
@@ -43,18 +52,27 @@
     }
 
     private static NbdClient open(Town town, Gateway gateway, String volume) {
-        return Town.await(NbdClient.open(town.loops(), Loops.socket(), gateway.address(), volume,
-                NbdClient.Style.GO));
+        return Town.await(
+                NbdClient.open(
+                        town.loops(),
+                        Loops.socket(),
+                        gateway.address(),
+                        volume,
+                        NbdClient.Style.GO));
     }
 
     @Test
     void theFloodIsNamed() throws Exception {
         List<NodeTraits> traits = new ArrayList<>();
         for (int i = 1; i <= 2; i++) {
-            traits.add(new NodeTraits(i, i, 0, 0, 1, 8, 8, 256, Rig.MIB, 0.25, 10_000, 2, 2_000, 64, 0, 1_000, null));
+            traits.add(
+                    new NodeTraits(
+                            i, i, 0, 0, 1, 8, 8, 256, Rig.MIB, 0.25, 10_000, 2, 2_000, 64, 0, 1_000,
+                            null));
         }
         try (Town town = Town.start(traits, Witness.NOBODY, 2)) {
-            Gateway gateway = town.open(Town.demoSite("gw", 0, 1, 0, town.directory().address()) + TWO, 1);
+            Gateway gateway =
+                    town.open(Town.demoSite("gw", 0, 1, 0, town.directory().address()) + TWO, 1);
             NbdClient victim = open(town, gateway, "demo");
             NbdClient neighbour = open(town, gateway, "flood");
             for (int i = 0; i < 4; i++) {
--- a/src/test/java/sagepulley/gateway/BadClientsTest.java
+++ b/src/test/java/sagepulley/gateway/BadClientsTest.java
@@ -43,11 +43,13 @@
         "7, 0, 0, 0, 22",
         "99, 0, 0, 0, 22",
     })
-    void aWrongRequestIsAnsweredAndTheRestGoesOn(int command, int flags, long offset, int length, int error)
-            throws Exception {
+    void aWrongRequestIsAnsweredAndTheRestGoesOn(
+            int command, int flags, long offset, int length, int error) throws Exception {
         try (Rig rig = new Rig(1)) {
             NbdClient client = rig.client();
-            assertEquals(error, Rig.error(client.ask(command, flags, offset, length, Unpooled.EMPTY_BUFFER)));
+            assertEquals(
+                    error,
+                    Rig.error(client.ask(command, flags, offset, length, Unpooled.EMPTY_BUFFER)));
             assertEquals(0, Rig.error(client.read(0, 512)));
             // The reply reaches the client before the gateway is told that it was written.
             await().until(() -> rig.gateway.bytesInHand() == 0);
@@ -62,18 +64,26 @@
             assertEquals(Nbd.EINVAL, Rig.error(client.write(0, new byte[33 * Rig.MIB])));
             assertEquals(0, Rig.error(client.write(0, new byte[512])));
         }
-        try (Rig rig = new Rig(1, Witness.NOBODY, "size = 64 MiB", "size = 64 MiB\nread-only = yes")) {
+        try (Rig rig =
+                new Rig(1, Witness.NOBODY, "size = 64 MiB", "size = 64 MiB\nread-only = yes")) {
             NbdClient client = rig.client();
             assertTrue((client.flags() & Nbd.READ_ONLY) != 0);
             assertEquals(Nbd.EPERM, Rig.error(client.write(0, new byte[512])));
-            assertEquals(Nbd.EPERM, Rig.error(client.ask(Nbd.CMD_TRIM, 0, 0, 512, Unpooled.EMPTY_BUFFER)));
+            assertEquals(
+                    Nbd.EPERM,
+                    Rig.error(client.ask(Nbd.CMD_TRIM, 0, 0, 512, Unpooled.EMPTY_BUFFER)));
         }
     }
 
     /** The first bytes of a good session: flags, NBD_OPT_EXPORT_NAME 'demo'. */
     private static byte[] hello() {
-        return ByteBuffer.allocate(24).putInt(3).putLong(Nbd.IHAVEOPT).putInt(Nbd.OPT_EXPORT_NAME).putInt(4)
-                .put("demo".getBytes()).array();
+        return ByteBuffer.allocate(24)
+                .putInt(3)
+                .putLong(Nbd.IHAVEOPT)
+                .putInt(Nbd.OPT_EXPORT_NAME)
+                .putInt(4)
+                .put("demo".getBytes())
+                .array();
     }
 
     private static Socket connect(Rig rig) throws IOException {
@@ -84,15 +94,25 @@
     void clientsThatStopAnywhereLeaveNothingBehind() throws Exception {
         try (Rig rig = new Rig(2)) {
             NbdClient good = rig.client();
-            byte[] write = ByteBuffer.allocate(28 + 4096).putInt(Nbd.REQUEST_MAGIC).putShort((short) 0)
-                    .putShort((short) Nbd.CMD_WRITE).putLong(1).putLong(0).putInt(4096).array();
+            byte[] write =
+                    ByteBuffer.allocate(28 + 4096)
+                            .putInt(Nbd.REQUEST_MAGIC)
+                            .putShort((short) 0)
+                            .putShort((short) Nbd.CMD_WRITE)
+                            .putLong(1)
+                            .putLong(0)
+                            .putInt(4096)
+                            .array();
             byte[] whole = ByteBuffer.allocate(24 + write.length).put(hello()).put(write).array();
             for (int cut = 0; cut <= whole.length; cut += cut < 60 ? 1 : 512) {
                 try (Socket socket = connect(rig)) {
                     socket.getOutputStream().write(whole, 0, cut);
                 }
             }
-            await().until(() -> rig.gateway.tally().clients.sum() - 1 == rig.gateway.tally().clientsEnded.sum());
+            await().until(
+                            () ->
+                                    rig.gateway.tally().clients.sum() - 1
+                                            == rig.gateway.tally().clientsEnded.sum());
             await().until(() -> rig.gateway.bytesInHand() == 0);
             assertEquals(0, Rig.error(good.read(0, 4096)));
         }
@@ -127,16 +147,27 @@
     @Test
     void aClientThatReadsNoRepliesIsHeldToItsBytes() throws Exception {
         // 8 MiB for one client, 16 MiB in all.
-        try (Rig rig = new Rig(3, Witness.NOBODY, "[site]",
-                "client-bytes = 8 MiB\nall-bytes = 16 MiB\nmost-request = 4 MiB\n[site]")) {
+        try (Rig rig =
+                new Rig(
+                        3,
+                        Witness.NOBODY,
+                        "[site]",
+                        "client-bytes = 8 MiB\nall-bytes = 16 MiB\nmost-request = 4 MiB\n[site]")) {
             NbdClient good = rig.client();
             Rig.await(good.write(0, new byte[4 * Rig.MIB]));
             try (Socket deaf = connect(rig)) {
                 deaf.getOutputStream().write(hello());
                 DataInputStream in = new DataInputStream(deaf.getInputStream());
                 in.readFully(new byte[28]);
-                byte[] read = ByteBuffer.allocate(28).putInt(Nbd.REQUEST_MAGIC).putShort((short) 0)
-                        .putShort((short) Nbd.CMD_READ).putLong(1).putLong(0).putInt(Rig.MIB).array();
+                byte[] read =
+                        ByteBuffer.allocate(28)
+                                .putInt(Nbd.REQUEST_MAGIC)
+                                .putShort((short) 0)
+                                .putShort((short) Nbd.CMD_READ)
+                                .putLong(1)
+                                .putLong(0)
+                                .putInt(Rig.MIB)
+                                .array();
                 for (int i = 0; i < 200; i++) {
                     deaf.getOutputStream().write(read);
                 }
@@ -152,7 +183,12 @@
 
     @Test
     void writesWithoutEndStayWithinTheBoundAndOthersGoOn() throws Exception {
-        try (Rig rig = new Rig(3, Witness.NOBODY, "[site]", "client-bytes = 40 MiB\nall-bytes = 64 MiB\n[site]")) {
+        try (Rig rig =
+                new Rig(
+                        3,
+                        Witness.NOBODY,
+                        "[site]",
+                        "client-bytes = 40 MiB\nall-bytes = 64 MiB\n[site]")) {
             NbdClient good = rig.client();
             NbdClient flood = rig.client();
             byte[] big = new byte[32 * Rig.MIB];
--- a/src/test/java/sagepulley/gateway/FaultsTest.java
+++ b/src/test/java/sagepulley/gateway/FaultsTest.java
@@ -21,7 +21,10 @@
 import sagepulley.standin.StandInNode;
 import sagepulley.standin.Witness;
 
-/** Every fault of a node or directory: as many final answers as operations, all before patience ends. */
+/**
+ * Every fault of a node or directory: as many final answers as operations, all before patience
+ * ends.
+ */
 class FaultsTest {
     /** What may go wrong, on one of three nodes. */
     enum Fault {
@@ -39,10 +42,11 @@
         TWICE((rig, node) -> node.faults().twice = true),
         INVENTED((rig, node) -> node.faults().invent = true),
         GONE((rig, node) -> Rig.await(node.stop())),
-        UNREACHABLE((rig, node) -> {
-            node.faults().unreachable = true;
-            node.cut();
-        }),
+        UNREACHABLE(
+                (rig, node) -> {
+                    node.faults().unreachable = true;
+                    node.cut();
+                }),
         DIRECTORY_DOWN((rig, node) -> Rig.await(rig.town.directory().stop())),
         DIRECTORY_SILENT((rig, node) -> rig.town.directory().silent(true)),
         DIRECTORY_FAILING((rig, node) -> rig.town.directory().failing(true)),
@@ -65,20 +69,22 @@
     private static CompletableFuture<Told> ask(NbdClient client, int i) {
         long sent = System.nanoTime();
         long offset = i * 37L % 128 * (Rig.MIB / 2);
-        CompletableFuture<NbdReply> reply = i % 2 == 0 ? client.read(offset, 16384)
-                : client.write(offset, new byte[16384]);
-        return reply.thenApply(answer -> {
-            Told told = new Told(sent, System.nanoTime(), answer);
-            answer.release();
-            return told;
-        });
+        CompletableFuture<NbdReply> reply =
+                i % 2 == 0 ? client.read(offset, 16384) : client.write(offset, new byte[16384]);
+        return reply.thenApply(
+                answer -> {
+                    Told told = new Told(sent, System.nanoTime(), answer);
+                    answer.release();
+                    return told;
+                });
     }
 
     @ParameterizedTest
     @EnumSource(Fault.class)
     void eachOperationGetsOneAnswerInTime(Fault fault) throws Exception {
         // Patience is a second, so that each fault outlasts it.
-        try (Metronome machine = new Metronome(); Rig rig = new Rig(3, Witness.NOBODY, "patience = 4 s", "patience = 1 s")) {
+        try (Metronome machine = new Metronome();
+                Rig rig = new Rig(3, Witness.NOBODY, "patience = 4 s", "patience = 1 s")) {
             machine.watch(rig.town.loops());
             NbdClient client = rig.client();
             for (int i = 0; i < 32; i++) {
@@ -96,8 +102,11 @@
             int satisfied = 0;
             for (CompletableFuture<Told> one : asked) {
                 satisfied += one.join().reply().error == 0 ? 1 : 0;
-                // Reads have a patience of 2.5 s, writes of 1 s, besides what this machine stood still.
-                assertTrue(one.join().took() < 2500 + 100 + machine.stoodStill(), "took " + one.join().took());
+                // Reads have a patience of 2.5 s, writes of 1 s, besides what this machine stood
+                // still.
+                assertTrue(
+                        one.join().took() < 2500 + 100 + machine.stoodStill(),
+                        "took " + one.join().took());
             }
             Tally tally = rig.gateway.tally();
             assertEquals(0, tally.open());
@@ -119,7 +128,8 @@
             NbdClient leaver = rig.client();
             AtomicInteger ends = new AtomicInteger();
             for (int i = 0; i < 20; i++) {
-                leaver.read(i * 1024L, 1024).whenComplete((reply, failure) -> ends.incrementAndGet());
+                leaver.read(i * 1024L, 1024)
+                        .whenComplete((reply, failure) -> ends.incrementAndGet());
             }
             await().until(() -> rig.gateway.tally().taken.sum() >= 21);
             leaver.channel().close().syncUninterruptibly();
@@ -142,15 +152,19 @@
             byte[] fresh = Rig.noise(6, 4 * Rig.MIB);
             NbdReply reply = Rig.await(client.write(0, fresh));
             assertTrue(reply.error == Nbd.EIO || reply.error == Nbd.ENOMEM, "error " + reply.error);
-            assertTrue(reply.message.startsWith("declined") || reply.message.startsWith("scrapped"));
+            assertTrue(
+                    reply.message.startsWith("declined") || reply.message.startsWith("scrapped"));
             for (int extent = 0; extent < 4; extent++) {
                 NbdReply read = Rig.await(client.read(extent * (long) Rig.MIB, 4096));
                 boolean failed = reply.errorOffsets.contains(extent * (long) Rig.MIB);
                 // What is told to have failed lies on the dead node; the rest is written.
                 assertEquals(failed, read.error != 0);
                 if (!failed) {
-                    assertTrue(java.util.Arrays.equals(java.util.Arrays.copyOfRange(fresh, extent * Rig.MIB,
-                            extent * Rig.MIB + 4096), Rig.data(read)));
+                    assertTrue(
+                            java.util.Arrays.equals(
+                                    java.util.Arrays.copyOfRange(
+                                            fresh, extent * Rig.MIB, extent * Rig.MIB + 4096),
+                                    Rig.data(read)));
                 }
             }
         }
@@ -158,10 +172,15 @@
 
     /** Writes until it is satisfied: what is declined may be asked again. */
     private static CompletableFuture<Void> asked(NbdClient client, long at, byte[] data) {
-        return client.write(at, data).thenCompose(reply -> {
-            assertTrue(reply.error == 0 || reply.error == Nbd.ENOMEM, reply.message);
-            return reply.error == 0 ? CompletableFuture.<Void>completedFuture(null) : asked(client, at, data);
-        });
+        return client.write(at, data)
+                .thenCompose(
+                        reply -> {
+                            assertTrue(
+                                    reply.error == 0 || reply.error == Nbd.ENOMEM, reply.message);
+                            return reply.error == 0
+                                    ? CompletableFuture.<Void>completedFuture(null)
+                                    : asked(client, at, data);
+                        });
     }
 
     @Test
@@ -175,15 +194,24 @@
                 byte[] one = Rig.noise(extent, 8192);
                 byte[] two = Rig.noise(1000 + extent, 8192);
                 // The second half of the extent comes through both as well, at the same moment.
-                var all = List.of(asked(a, at, one), asked(b, at, two), asked(a, at + 65536, one),
-                        asked(b, at + 131072, two));
+                var all =
+                        List.of(
+                                asked(a, at, one),
+                                asked(b, at, two),
+                                asked(a, at + 65536, one),
+                                asked(b, at + 131072, two));
                 all.forEach(Rig::await);
                 byte[] seenA = Rig.data(Rig.await(a.read(at, 8192)));
                 byte[] seenB = Rig.data(Rig.await(b.read(at, 8192)));
                 assertTrue(java.util.Arrays.equals(seenA, seenB));
-                assertTrue(java.util.Arrays.equals(seenA, one) || java.util.Arrays.equals(seenA, two));
-                assertTrue(java.util.Arrays.equals(one, Rig.data(Rig.await(b.read(at + 65536, 8192)))));
-                assertTrue(java.util.Arrays.equals(two, Rig.data(Rig.await(a.read(at + 131072, 8192)))));
+                assertTrue(
+                        java.util.Arrays.equals(seenA, one) || java.util.Arrays.equals(seenA, two));
+                assertTrue(
+                        java.util.Arrays.equals(
+                                one, Rig.data(Rig.await(b.read(at + 65536, 8192)))));
+                assertTrue(
+                        java.util.Arrays.equals(
+                                two, Rig.data(Rig.await(a.read(at + 131072, 8192)))));
             }
             assertEquals(40, Rig.await(rig.town.directory().counts())[0]);
         }
@@ -235,7 +263,8 @@
             }
             await().until(() -> rig.gateway.tally().open() == 10);
             CompletableFuture<Void> stopped = rig.gateway.stop();
-            // Asked on the gateway's loop behind the stop: what comes after this cannot overtake it.
+            // Asked on the gateway's loop behind the stop: what comes after this cannot overtake
+            // it.
             Rig.await(rig.gateway.nodes());
             asked.add(client.ask(Nbd.CMD_READ, 0, 0, 512, Unpooled.EMPTY_BUFFER));
             for (var one : asked) {
@@ -254,19 +283,22 @@
             List<Integer> acknowledged = new ArrayList<>();
             for (int i = 0; i < 200; i++) {
                 int number = i;
-                client.write(i * 65536L, Rig.noise(i, 4096)).thenAccept(reply -> {
-                    if (reply.error == 0) {
-                        synchronized (acknowledged) {
-                            acknowledged.add(number);
-                        }
-                    }
-                });
+                client.write(i * 65536L, Rig.noise(i, 4096))
+                        .thenAccept(
+                                reply -> {
+                                    if (reply.error == 0) {
+                                        synchronized (acknowledged) {
+                                            acknowledged.add(number);
+                                        }
+                                    }
+                                });
             }
-            await().until(() -> {
-                synchronized (acknowledged) {
-                    return acknowledged.size() > 50;
-                }
-            });
+            await().until(
+                            () -> {
+                                synchronized (acknowledged) {
+                                    return acknowledged.size() > 50;
+                                }
+                            });
             Rig.await(rig.gateway.kill());
             Gateway again = rig.town.open(rig.site(0, 1), 99);
             NbdClient back = rig.client(again, NbdClient.Style.GO);
@@ -275,8 +307,10 @@
                 kept = List.copyOf(acknowledged);
             }
             for (int i : kept) {
-                assertTrue(java.util.Arrays.equals(Rig.noise(i, 4096),
-                        Rig.data(Rig.await(back.read(i * 65536L, 4096)))));
+                assertTrue(
+                        java.util.Arrays.equals(
+                                Rig.noise(i, 4096),
+                                Rig.data(Rig.await(back.read(i * 65536L, 4096)))));
             }
         }
     }
