--- a/src/test/java/sagepulley/gateway/Rig.java
+++ b/src/test/java/sagepulley/gateway/Rig.java
@@ -43,7 +43,8 @@
     }
 
     NbdClient client(Gateway of, NbdClient.Style style) {
-        NbdClient client = await(NbdClient.open(town.loops(), Loops.socket(), of.address(), "demo", style));
+        NbdClient client =
+                await(NbdClient.open(town.loops(), Loops.socket(), of.address(), "demo", style));
         clients.add(client);
         return client;
     }
--- a/src/test/java/sagepulley/gateway/WithoutDiscoveryTest.java
+++ b/src/test/java/sagepulley/gateway/WithoutDiscoveryTest.java
@@ -1,9 +1,9 @@
 package sagepulley.gateway;
 
+import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static org.awaitility.Awaitility.await;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -25,12 +25,15 @@
 /** Gateways that start, run and go on while the directory is down. */
 class WithoutDiscoveryTest {
     private static final String SITE = "sagepulley";
-    @TempDir
-    private Path folder;
+    @TempDir private Path folder;
 
     private String site(Rig rig) {
-        return rig.site(0, 1) + "\n[membership]\nlist = " + folder.resolve("nodes") + "\nholders = "
-                + folder.resolve("holders") + "\n";
+        return rig.site(0, 1)
+                + "\n[membership]\nlist = "
+                + folder.resolve("nodes")
+                + "\nholders = "
+                + folder.resolve("holders")
+                + "\n";
     }
 
     /** A gateway's first life: some extents get holders, and all is kept. */
@@ -49,8 +52,14 @@
     private void age(double by) throws Exception {
         ListFile file = new ListFile(folder.resolve("nodes"), SITE);
         KeptList list = file.look().list();
-        file.write(new KeptList(list.site(), list.history(), list.version(), list.confirmedAt() - (long) by,
-                list.lines()), System.currentTimeMillis());
+        file.write(
+                new KeptList(
+                        list.site(),
+                        list.history(),
+                        list.version(),
+                        list.confirmedAt() - (long) by,
+                        list.lines()),
+                System.currentTimeMillis());
     }
 
     private static Gateway start(String site, long seed) throws Exception {
@@ -102,7 +111,10 @@
             }
             assertTrue(again.tally().attempts.sum() > before);
             NodesView view = Rig.await(again.nodes());
-            assertEquals(NodeLine.Standing.DRAINING, view.nodes().get(0).use(), view.nodes().get(0).reason());
+            assertEquals(
+                    NodeLine.Standing.DRAINING,
+                    view.nodes().get(0).use(),
+                    view.nodes().get(0).reason());
             Rig.await(again.kill());
         }
     }
@@ -116,14 +128,17 @@
             NbdClient client = rig.client(again, NbdClient.Style.GO);
             assertEquals(Nbd.ENOMEM, Rig.error(client.write(40L * Rig.MIB, Rig.noise(40, 4096))));
             long attempts = again.tally().attempts.sum();
-            assertEquals(0, Rig.error(client.write(0, Rig.noise(0, 4096))), "a known extent is written");
+            assertEquals(
+                    0, Rig.error(client.write(0, Rig.noise(0, 4096))), "a known extent is written");
             assertEquals(attempts + 1, again.tally().attempts.sum());
             Rig.await(rig.town.directory().restart());
-            await().until(() -> {
-                NbdReply reply = Rig.await(client.write(40L * Rig.MIB, Rig.noise(40, 4096)));
-                reply.release();
-                return reply.error == 0;
-            });
+            await().until(
+                            () -> {
+                                NbdReply reply =
+                                        Rig.await(client.write(40L * Rig.MIB, Rig.noise(40, 4096)));
+                                reply.release();
+                                return reply.error == 0;
+                            });
             assertEquals(Trust.FRESH, Rig.await(again.nodes()).trust());
             Rig.await(again.kill());
         }
@@ -142,9 +157,14 @@
             file.write(java.util.Map.of(1, wrong), System.currentTimeMillis());
             Gateway again = start(site, 50);
             reads(rig.client(again, NbdClient.Style.GO));
-            assertTrue(again.tally().moot.sum() >= 6, "each was denied once: " + again.tally().moot.sum());
+            assertTrue(
+                    again.tally().moot.sum() >= 6,
+                    "each was denied once: " + again.tally().moot.sum());
             Rig.await(again.stop());
-            assertArrayEquals(Arrays.copyOf(cells, 6), Arrays.copyOf(file.start().get(1), 6), "and corrected");
+            assertArrayEquals(
+                    Arrays.copyOf(cells, 6),
+                    Arrays.copyOf(file.start().get(1), 6),
+                    "and corrected");
         }
     }
 
--- a/src/test/java/sagepulley/host/HostTest.java
+++ b/src/test/java/sagepulley/host/HostTest.java
@@ -13,7 +13,8 @@
 
 /** What a gateway keeps of nodes that come and go. */
 class HostTest {
-    private static final String SETTINGS = """
+    private static final String SETTINGS =
+            """
             me=0
             balancers=1
             classes.count=1
@@ -32,55 +33,71 @@
             limits.mayDuplicate=false
             """;
     private final List<Attempt> sent = new ArrayList<>();
-    private final Host host = new Host(FirstMessage.ofLines(SETTINGS).deployment(), 1, new Exit() {
-        @Override
-        public void send(Attempt attempt, double timeout) {
-            sent.add(attempt);
-        }
+    private final Host host =
+            new Host(
+                    FirstMessage.ofLines(SETTINGS).deployment(),
+                    1,
+                    new Exit() {
+                        @Override
+                        public void send(Attempt attempt, double timeout) {
+                            sent.add(attempt);
+                        }
 
-        @Override
-        public void giveUp(Operation operation, Placement placement) {
-            throw new AssertionError("given up: " + placement.reason());
-        }
+                        @Override
+                        public void giveUp(Operation operation, Placement placement) {
+                            throw new AssertionError("given up: " + placement.reason());
+                        }
 
-        @Override
-        public void callOff(Attempt attempt) {
-            throw new AssertionError("called off");
-        }
+                        @Override
+                        public void callOff(Attempt attempt) {
+                            throw new AssertionError("called off");
+                        }
 
-        @Override
-        public void probe(Node node) {
-            throw new AssertionError("probed");
-        }
+                        @Override
+                        public void probe(Node node) {
+                            throw new AssertionError("probed");
+                        }
 
-        @Override
-        public void subscribe() {
-            throw new AssertionError("this site pushes its list");
-        }
+                        @Override
+                        public void subscribe() {
+                            throw new AssertionError("this site pushes its list");
+                        }
 
-        @Override
-        public void fetch() {
-            throw new AssertionError("this site pushes its list");
-        }
+                        @Override
+                        public void fetch() {
+                            throw new AssertionError("this site pushes its list");
+                        }
 
-        @Override
-        public void wakeIn(double pause, double now) {
-            // Time is driven by hand.
-        }
-    });
+                        @Override
+                        public void wakeIn(double pause, double now) {
+                            // Time is driven by hand.
+                        }
+                    });
 
     @Test
     void nodesThatAreGoneForLongAreForgottenOnceTheirLastAttemptHasEnded() {
         host.listed(List.of(entry(1, 0), entry(2, 1)), true, 0);
-        Operation operation = new Operation(1, host.deployment().bands().get(0), host.volume(1, 0), 7, 1, 0, 0, 1000,
-                false);
+        Operation operation =
+                new Operation(
+                        1,
+                        host.deployment().bands().get(0),
+                        host.volume(1, 0),
+                        7,
+                        1,
+                        0,
+                        0,
+                        1000,
+                        false);
         host.arrived(operation);
         host.settle(0);
         host.settle(0);
         Attempt attempt = sent.get(0);
         assertEquals(1, attempt.node.id);
         assertEquals(List.of(), host.listed(List.of(entry(2, 1)), true, 100));
-        assertEquals(List.of(), host.listed(List.of(entry(3, 0)), false, 40_000), "its hop is still out");
+        assertEquals(
+                List.of(),
+                host.listed(List.of(entry(3, 0)), false, 40_000),
+                "its hop is still out");
         attempt.outcome = Outcome.SATISFIED;
         host.ended(attempt, true, 40_000);
         assertEquals(List.of(attempt.node), host.listed(List.of(entry(4, 2)), false, 40_001));
--- a/src/test/java/sagepulley/keep/GenerationsTest.java
+++ b/src/test/java/sagepulley/keep/GenerationsTest.java
@@ -16,8 +16,7 @@
 
 /** Files in generations: the newest that is whole is read. */
 class GenerationsTest {
-    @TempDir
-    private Path folder;
+    @TempDir private Path folder;
 
     private Generations open(String owner) {
         return new Generations(folder.resolve("list"), "list", 3, owner, 2);
@@ -41,20 +40,30 @@
                 whole.write(body(text), 1);
             }
             int[] left = {stop};
-            Generations killed = new Generations(place.resolve("list"), "list", 3, "site", 2, (step, generation) -> {
-                if (left[0]-- == 0) {
-                    throw new IOException("killed after " + step);
-                }
-            });
+            Generations killed =
+                    new Generations(
+                            place.resolve("list"),
+                            "list",
+                            3,
+                            "site",
+                            2,
+                            (step, generation) -> {
+                                if (left[0]-- == 0) {
+                                    throw new IOException("killed after " + step);
+                                }
+                            });
             boolean done = true;
             try {
                 killed.write(body("four"), 2);
             } catch (IOException e) {
                 done = false;
             }
-            Generations.Reading after = new Generations(place.resolve("list"), "list", 3, "site", 2).read();
+            Generations.Reading after =
+                    new Generations(place.resolve("list"), "list", 3, "site", 2).read();
             String found = text(after);
-            assertTrue(found.equals("four") || found.equals("three") && !done, "killed at " + stop + ": " + found);
+            assertTrue(
+                    found.equals("four") || found.equals("three") && !done,
+                    "killed at " + stop + ": " + found);
             assertTrue(after.refused().isEmpty());
             // And the next life writes on.
             Generations next = new Generations(place.resolve("list"), "list", 3, "site", 2);
@@ -88,7 +97,10 @@
             Files.write(folder.resolve("list"), flipped);
             Generations.Found found = open("site").read().found();
             // Leading zeros and letter case of the checksum itself may differ and mean the same.
-            assertTrue(found == null || Arrays.equals(found.body(), body("the first body")) && found.writtenAt() == 1,
+            assertTrue(
+                    found == null
+                            || Arrays.equals(found.body(), body("the first body"))
+                                    && found.writtenAt() == 1,
                     "bit " + bit);
         }
     }
@@ -104,8 +116,14 @@
         assertTrue(open("site").read().refused().isEmpty());
         new Generations(folder.resolve("list"), "list", 4, "site", 2).write(body("y"), 1);
         assertTrue(open("site").read().refused().get(0).why().contains("format 4"));
-        assertEquals("y", new String(new Generations(folder.resolve("list"), "list", 4, "", 2).read().found().body(),
-                StandardCharsets.UTF_8));
+        assertEquals(
+                "y",
+                new String(
+                        new Generations(folder.resolve("list"), "list", 4, "", 2)
+                                .read()
+                                .found()
+                                .body(),
+                        StandardCharsets.UTF_8));
     }
 
     @Test
--- a/src/test/java/sagepulley/membership/MembershipTest.java
+++ b/src/test/java/sagepulley/membership/MembershipTest.java
@@ -38,11 +38,18 @@
     }
 
     private static NodeLine.Standing use(Membership of, int node, double now) {
-        return of.seen(now).stream().filter(seen -> seen.line().node() == node).findFirst().orElseThrow().use();
+        return of.seen(now).stream()
+                .filter(seen -> seen.line().node() == node)
+                .findFirst()
+                .orElseThrow()
+                .use();
     }
 
     private static Membership.Seen seen(Membership of, int node, double now) {
-        return of.seen(now).stream().filter(one -> one.line().node() == node).findFirst().orElseThrow();
+        return of.seen(now).stream()
+                .filter(one -> one.line().node() == node)
+                .findFirst()
+                .orElseThrow();
     }
 
     private Membership startedFrom(double age, NodeLine... lines) {
@@ -101,8 +108,16 @@
         assertEquals(NodeLine.Standing.GONE, use(after, 1, now));
         assertEquals(NodeLine.Standing.GONE, use(after, 2, now));
         assertEquals(NodeLine.Standing.DRAINING, use(after, 3, now));
-        after.told(new Told("site", 1, 6, false, List.of(new NodeLine(1, 1, 0, 0, NodeLine.Standing.READY, 0, 1, "h9",
-                7000))), now);
+        after.told(
+                new Told(
+                        "site",
+                        1,
+                        6,
+                        false,
+                        List.of(
+                                new NodeLine(
+                                        1, 1, 0, 0, NodeLine.Standing.READY, 0, 1, "h9", 7000))),
+                now);
         assertEquals(NodeLine.Standing.READY, use(after, 1, now));
         assertEquals(NodeLine.Standing.GONE, use(after, 2, now));
     }
@@ -111,7 +126,9 @@
     void whatARestartedNodeSaysIsThoughtOverAgain() {
         Membership after = startedFrom(MINUTE, ready(1));
         double now = START + MINUTE;
-        assertEquals(Membership.Welcome.THINK_AGAIN, after.welcomed(1, 1, 1, false, (long) now - 500, now));
+        assertEquals(
+                Membership.Welcome.THINK_AGAIN,
+                after.welcomed(1, 1, 1, false, (long) now - 500, now));
         assertEquals((long) now - 500, seen(after, 1, now).line().startedAt());
         // A directory that lags does not make it warm again.
         after.told(whole(6, ready(1)), now + 10);
@@ -122,7 +139,16 @@
     void aListOfAnotherSiteOrAnEmptyOneIsNone() {
         Membership of = fresh();
         of.told(whole(5, ready(1)), START);
-        assertFalse(of.told(new Told("other", 1, 9, true, List.of(line(1, NodeLine.Standing.GONE))), START).believed());
+        assertFalse(
+                of.told(
+                                new Told(
+                                        "other",
+                                        1,
+                                        9,
+                                        true,
+                                        List.of(line(1, NodeLine.Standing.GONE))),
+                                START)
+                        .believed());
         assertFalse(of.told(whole(9), START).believed());
         assertEquals(NodeLine.Standing.READY, use(of, 1, START));
     }
@@ -131,11 +157,15 @@
     void anOlderVersionRestrictsAndPermitsNothing() {
         Membership of = fresh();
         of.told(whole(5, ready(1), line(2, NodeLine.Standing.DRAINING), ready(3)), START);
-        Membership.Belief belief = of.told(whole(4, line(1, NodeLine.Standing.DRAINING), ready(2)), START + 1);
+        Membership.Belief belief =
+                of.told(whole(4, line(1, NodeLine.Standing.DRAINING), ready(2)), START + 1);
         assertFalse(belief.believed());
         assertEquals(NodeLine.Standing.DRAINING, use(of, 1, START + 1));
         assertEquals(NodeLine.Standing.DRAINING, use(of, 2, START + 1));
-        assertEquals(NodeLine.Standing.READY, use(of, 3, START + 1), "what an older list leaves out says nothing");
+        assertEquals(
+                NodeLine.Standing.READY,
+                use(of, 3, START + 1),
+                "what an older list leaves out says nothing");
     }
 
     @Test
@@ -195,11 +225,13 @@
     }
 
     /**
-     * A plain model of what may be believed, beside random lists, welcomes, losses, restarts from disk and time:
-     * who is restricted by the last word of anybody is never used, and nobody is used beyond the trust there is.
+     * A plain model of what may be believed, beside random lists, welcomes, losses, restarts from
+     * disk and time: who is restricted by the last word of anybody is never used, and nobody is
+     * used beyond the trust there is.
      */
     @Property(tries = 400, seed = "17")
-    void nothingIsUsedBeyondWhatMayBeBelieved(@ForAll @Size(min = 5, max = 120) List<@IntRange(max = 9_999) Integer> steps) {
+    void nothingIsUsedBeyondWhatMayBeBelieved(
+            @ForAll @Size(min = 5, max = 120) List<@IntRange(max = 9_999) Integer> steps) {
         Membership of = fresh();
         double now = START;
         long version = 3;
@@ -220,18 +252,38 @@
                         lines.add(line(i, NodeLine.Standing.values()[1 + (much >> i & 1)]));
                     }
                     of.told(new Told("site", history, ++version, true, lines), now);
-                    lines.forEach(line -> listedReady.put(line.node(), line.standing() == NodeLine.Standing.READY));
+                    lines.forEach(
+                            line ->
+                                    listedReady.put(
+                                            line.node(),
+                                            line.standing() == NodeLine.Standing.READY));
                     confirmed = now;
                     any = true;
                 }
                 case 2 -> {
                     if (any) {
                         NodeLine.Standing standing = NodeLine.Standing.values()[much % 3];
-                        of.told(new Told("site", history, version - 1, false, List.of(line(node, standing))), now);
-                        listedReady.computeIfPresent(node, (id, was) -> was && standing == NodeLine.Standing.READY);
+                        of.told(
+                                new Told(
+                                        "site",
+                                        history,
+                                        version - 1,
+                                        false,
+                                        List.of(line(node, standing))),
+                                now);
+                        listedReady.computeIfPresent(
+                                node, (id, was) -> was && standing == NodeLine.Standing.READY);
                     }
                 }
-                case 3 -> of.told(new Told("elsewhere", history, version + 9, true, List.of(ready(node))), now);
+                case 3 ->
+                        of.told(
+                                new Told(
+                                        "elsewhere",
+                                        history,
+                                        version + 9,
+                                        true,
+                                        List.of(ready(node))),
+                                now);
                 case 4 -> {
                     boolean drains = much % 3 == 0;
                     int who = much % 7 == 0 ? 99 : node;
@@ -265,8 +317,10 @@
                     of.kept(kept, now);
                     another.clear();
                     provenNow.clear();
-                    confirmed = kept.confirmedAt() == 0 || kept.confirmedAt() > now + 1000 ? Double.NEGATIVE_INFINITY
-                            : confirmed;
+                    confirmed =
+                            kept.confirmedAt() == 0 || kept.confirmedAt() > now + 1000
+                                    ? Double.NEGATIVE_INFINITY
+                                    : confirmed;
                 }
                 default -> {
                     of.pass(now);
@@ -277,17 +331,28 @@
         }
     }
 
-    private static void assertBelievable(Membership of, double now, double confirmed, Map<Integer, Boolean> listedReady,
-                                         Map<Integer, Boolean> self, Map<Integer, Boolean> another,
-                                         Map<Integer, Boolean> provenNow) {
+    private static void assertBelievable(
+            Membership of,
+            double now,
+            double confirmed,
+            Map<Integer, Boolean> listedReady,
+            Map<Integer, Boolean> self,
+            Map<Integer, Boolean> another,
+            Map<Integer, Boolean> provenNow) {
         for (Membership.Seen seen : of.seen(now)) {
             int id = seen.line().node();
             if (seen.use() == NodeLine.Standing.READY) {
-                assertTrue(listedReady.get(id), "node " + id + " is used though the list restricts it");
-                assertFalse(self.getOrDefault(id, false), "node " + id + " is used though it drains");
-                assertFalse(another.getOrDefault(id, false), "node " + id + " is used though it is another");
+                assertTrue(
+                        listedReady.get(id),
+                        "node " + id + " is used though the list restricts it");
+                assertFalse(
+                        self.getOrDefault(id, false), "node " + id + " is used though it drains");
+                assertFalse(
+                        another.getOrDefault(id, false),
+                        "node " + id + " is used though it is another");
                 boolean old = now - confirmed > Membership.Bounds.USUAL.aged();
-                assertTrue(!old || seen.proven(), "node " + id + " is used by an old list, unproven");
+                assertTrue(
+                        !old || seen.proven(), "node " + id + " is used by an old list, unproven");
             }
             if (seen.takesNew()) {
                 assertEquals(NodeLine.Standing.READY, seen.use());
--- a/src/test/java/sagepulley/nbd/NbdCodecTest.java
+++ b/src/test/java/sagepulley/nbd/NbdCodecTest.java
@@ -24,7 +24,8 @@
 
 /** The NBD handshake and commands, however their bytes are split. */
 class NbdCodecTest {
-    private static final Export EXPORT = new Export("vol", "a volume", 1 << 20, false, true, 512, 4096, 65536);
+    private static final Export EXPORT =
+            new Export("vol", "a volume", 1 << 20, false, true, 512, 4096, 65536);
 
     /** A server's side without a socket: what reached the session, and what ended it. */
     private static final class Server {
@@ -36,46 +37,51 @@
         Runnable later;
 
         Server() {
-            Exports exports = new Exports() {
-                @Override
-                public List<Export> all() {
-                    return List.of(EXPORT);
-                }
-
-                @Override
-                public Export named(String name) {
-                    return name.equals("vol") ? EXPORT : null;
-                }
-            };
-            Gate gate = new Gate() {
-                @Override
-                public boolean admit(long bytes, Runnable again) {
-                    later = again;
-                    return open;
-                }
-
-                @Override
-                public void returned(long bytes) {
-                }
-            };
+            Exports exports =
+                    new Exports() {
+                        @Override
+                        public List<Export> all() {
+                            return List.of(EXPORT);
+                        }
+
+                        @Override
+                        public Export named(String name) {
+                            return name.equals("vol") ? EXPORT : null;
+                        }
+                    };
+            Gate gate =
+                    new Gate() {
+                        @Override
+                        public boolean admit(long bytes, Runnable again) {
+                            later = again;
+                            return open;
+                        }
+
+                        @Override
+                        public void returned(long bytes) {}
+                    };
             channel = new EmbeddedChannel();
-            NbdServer.onto(channel.pipeline(), exports, gate, new ChannelInboundHandlerAdapter() {
-                @Override
-                public void channelRead(ChannelHandlerContext ctx, Object message) {
-                    requests.add((NbdRequest) message);
-                }
-
-                @Override
-                public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-                    attached = (Attached) event;
-                }
-
-                @Override
-                public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                    ended = cause;
-                    ctx.close();
-                }
-            });
+            NbdServer.onto(
+                    channel.pipeline(),
+                    exports,
+                    gate,
+                    new ChannelInboundHandlerAdapter() {
+                        @Override
+                        public void channelRead(ChannelHandlerContext ctx, Object message) {
+                            requests.add((NbdRequest) message);
+                        }
+
+                        @Override
+                        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+                            attached = (Attached) event;
+                        }
+
+                        @Override
+                        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                            ended = cause;
+                            ctx.close();
+                        }
+                    });
             channel.pipeline().fireChannelActive();
         }
 
@@ -90,7 +96,9 @@
         /** The types of the option replies that were sent. */
         List<Integer> replies() {
             ByteBuf all = Unpooled.buffer();
-            for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+            for (ByteBuf part = channel.readOutbound();
+                    part != null;
+                    part = channel.readOutbound()) {
                 all.writeBytes(part);
                 part.release();
             }
@@ -111,8 +119,11 @@
     }
 
     private static byte[] named(String name, int... shorts) {
-        ByteBuf data = Unpooled.buffer().writeInt(name.length())
-                .writeBytes(name.getBytes(StandardCharsets.UTF_8)).writeShort(shorts.length);
+        ByteBuf data =
+                Unpooled.buffer()
+                        .writeInt(name.length())
+                        .writeBytes(name.getBytes(StandardCharsets.UTF_8))
+                        .writeShort(shorts.length);
         for (int one : shorts) {
             data.writeShort(one);
         }
@@ -125,16 +136,26 @@
         option(all, Nbd.OPT_GO, named("vol", Nbd.INFO_BLOCK_SIZE));
         for (int i = 0; i < payloads.size(); i++) {
             byte[] payload = payloads.get(i);
-            all.writeInt(Nbd.REQUEST_MAGIC).writeShort(0).writeShort(Nbd.CMD_WRITE).writeLong(i)
-                    .writeLong(512L * i).writeInt(payload.length).writeBytes(payload);
-            all.writeInt(Nbd.REQUEST_MAGIC).writeShort(0).writeShort(Nbd.CMD_READ).writeLong(1000 + i)
-                    .writeLong(0).writeInt(512);
+            all.writeInt(Nbd.REQUEST_MAGIC)
+                    .writeShort(0)
+                    .writeShort(Nbd.CMD_WRITE)
+                    .writeLong(i)
+                    .writeLong(512L * i)
+                    .writeInt(payload.length)
+                    .writeBytes(payload);
+            all.writeInt(Nbd.REQUEST_MAGIC)
+                    .writeShort(0)
+                    .writeShort(Nbd.CMD_READ)
+                    .writeLong(1000 + i)
+                    .writeLong(0)
+                    .writeInt(512);
         }
         return ByteBufUtil.getBytes(all);
     }
 
     @Property(tries = 200, seed = "21")
-    void anySplitGivesTheSameRequests(@ForAll @Size(min = 1, max = 4) List<@Size(max = 200) byte[]> payloads,
+    void anySplitGivesTheSameRequests(
+            @ForAll @Size(min = 1, max = 4) List<@Size(max = 200) byte[]> payloads,
             @ForAll @Size(min = 1, max = 8) List<@IntRange(min = 1, max = 70) Integer> lengths) {
         Server server = new Server();
         server.feed(session(payloads), lengths);
@@ -151,7 +172,8 @@
     }
 
     @Property(tries = 400, seed = "22")
-    void randomBytesEndTheConnectionOrAreAnswered(@ForAll @Size(min = 1, max = 300) byte[] bytes,
+    void randomBytesEndTheConnectionOrAreAnswered(
+            @ForAll @Size(min = 1, max = 300) byte[] bytes,
             @ForAll @IntRange(min = 0, max = 100) int keep) {
         byte[] all = session(List.of(new byte[64]));
         int start = Math.min(keep, all.length);
@@ -167,13 +189,17 @@
     }
 
     @Property(tries = 300, seed = "23")
-    void randomBytesNeverDoMoreThanEndAClient(@ForAll @Size(min = 20, max = 300) byte[] bytes,
-            @ForAll boolean greeted) {
+    void randomBytesNeverDoMoreThanEndAClient(
+            @ForAll @Size(min = 20, max = 300) byte[] bytes, @ForAll boolean greeted) {
         EmbeddedChannel client = new EmbeddedChannel();
         NbdClientDecoder decoder = new NbdClientDecoder(cookie -> 512);
         client.pipeline().addLast(decoder);
         if (greeted) {
-            client.writeInbound(Unpooled.buffer().writeLong(Nbd.NBDMAGIC).writeLong(Nbd.IHAVEOPT).writeShort(3));
+            client.writeInbound(
+                    Unpooled.buffer()
+                            .writeLong(Nbd.NBDMAGIC)
+                            .writeLong(Nbd.IHAVEOPT)
+                            .writeShort(3));
         }
         Throwable thrown = null;
         try {
@@ -184,9 +210,14 @@
         }
         assertInstanceOf(BadBytes.class, thrown);
         for (Object told = client.readInbound(); told != null; told = client.readInbound()) {
-            ByteBuf data = told instanceof NbdClientDecoder.Chunk chunk ? chunk.data()
-                    : told instanceof NbdClientDecoder.Simple simple ? simple.data()
-                    : told instanceof NbdClientDecoder.OptionReply reply ? reply.data() : null;
+            ByteBuf data =
+                    told instanceof NbdClientDecoder.Chunk chunk
+                            ? chunk.data()
+                            : told instanceof NbdClientDecoder.Simple simple
+                                    ? simple.data()
+                                    : told instanceof NbdClientDecoder.OptionReply reply
+                                            ? reply.data()
+                                            : null;
             if (data != null) {
                 data.release();
             }
@@ -208,18 +239,38 @@
         option(all, Nbd.OPT_INFO, named("vol", Nbd.INFO_NAME, Nbd.INFO_DESCRIPTION));
         option(all, Nbd.OPT_ABORT, new byte[0]);
         server.feed(ByteBufUtil.getBytes(all), List.of(50));
-        assertEquals(List.of(Nbd.REP_SERVER, Nbd.REP_ACK, Nbd.REP_ERR_INVALID, Nbd.REP_ERR_UNSUP,
-                Nbd.REP_ERR_UNKNOWN, Nbd.REP_ERR_INVALID, Nbd.REP_ERR_INVALID, Nbd.REP_ERR_UNSUP,
-                Nbd.REP_ERR_TOO_BIG, Nbd.REP_INFO, Nbd.REP_INFO, Nbd.REP_INFO, Nbd.REP_INFO, Nbd.REP_ACK,
-                Nbd.REP_ACK), server.replies());
+        assertEquals(
+                List.of(
+                        Nbd.REP_SERVER,
+                        Nbd.REP_ACK,
+                        Nbd.REP_ERR_INVALID,
+                        Nbd.REP_ERR_UNSUP,
+                        Nbd.REP_ERR_UNKNOWN,
+                        Nbd.REP_ERR_INVALID,
+                        Nbd.REP_ERR_INVALID,
+                        Nbd.REP_ERR_UNSUP,
+                        Nbd.REP_ERR_TOO_BIG,
+                        Nbd.REP_INFO,
+                        Nbd.REP_INFO,
+                        Nbd.REP_INFO,
+                        Nbd.REP_INFO,
+                        Nbd.REP_ACK,
+                        Nbd.REP_ACK),
+                server.replies());
         assertFalse(server.channel.isActive());
     }
 
     @Test
     void anOptionOfFourGigabytesIsNotWaitedFor() {
         Server server = new Server();
-        server.feed(ByteBufUtil.getBytes(Unpooled.buffer().writeInt(3).writeLong(Nbd.IHAVEOPT)
-                .writeInt(Nbd.OPT_INFO).writeInt(-1)), List.of(100));
+        server.feed(
+                ByteBufUtil.getBytes(
+                        Unpooled.buffer()
+                                .writeInt(3)
+                                .writeLong(Nbd.IHAVEOPT)
+                                .writeInt(Nbd.OPT_INFO)
+                                .writeInt(-1)),
+                List.of(100));
         assertInstanceOf(BadBytes.class, server.ended);
         assertFalse(server.channel.isActive());
         server.channel.finishAndReleaseAll();
--- a/src/test/java/sagepulley/platform/ConfigTest.java
+++ b/src/test/java/sagepulley/platform/ConfigTest.java
@@ -16,8 +16,7 @@
 
 /** What a gateway is told at its start. */
 class ConfigTest {
-    @TempDir
-    private Path folder;
+    @TempDir private Path folder;
 
     @Test
     void nestedSettingsAreReadAsTheFirstMessageIs() throws Exception {
@@ -32,18 +31,23 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "\"seed\": \"1\" | \"seed\": \"zz\" | seed=zz",
-        "\"listen\": \"127.0.0.1:1\" | \"listen\": \"host.name:1\" | listen=host.name:1",
-        "\"sockets\": 256 | \"sockets\": 3 | limits.sockets=3",
-        "\"sloNs\": 5000000000 | \"sloNs\": \"soon\" | classes.0.sloNs=soon",
-        "\"mostTries\": 2, | '' | limits.mostTries is missing",
-        "{\"name\" | [{\"name\" | not a JSON object",
-        "\"discovery\": \"127.0.0.1:1\", | '' | discovery is missing"})
-    void anUnusableFileIsNamedWithWhatIsWrongInOneLine(String good, String bad, String what) throws Exception {
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"seed\": \"1\" | \"seed\": \"zz\" | seed=zz",
+                "\"listen\": \"127.0.0.1:1\" | \"listen\": \"host.name:1\" | listen=host.name:1",
+                "\"sockets\": 256 | \"sockets\": 3 | limits.sockets=3",
+                "\"sloNs\": 5000000000 | \"sloNs\": \"soon\" | classes.0.sloNs=soon",
+                "\"mostTries\": 2, | '' | limits.mostTries is missing",
+                "{\"name\" | [{\"name\" | not a JSON object",
+                "\"discovery\": \"127.0.0.1:1\", | '' | discovery is missing"
+            })
+    void anUnusableFileIsNamedWithWhatIsWrongInOneLine(String good, String bad, String what)
+            throws Exception {
         String text = Rehearsal.text();
         assertTrue(text.contains(good));
-        ConfigError error = assertThrows(ConfigError.class, () -> Config.read(write(text.replace(good, bad))));
+        ConfigError error =
+                assertThrows(ConfigError.class, () -> Config.read(write(text.replace(good, bad))));
         assertTrue(error.getMessage().contains(what), error.getMessage());
         assertTrue(error.getMessage().contains("config.json"), error.getMessage());
         assertEquals(1, error.getMessage().lines().count());
@@ -51,10 +55,17 @@
 
     @Test
     void aMissingFileOrVariableIsNamed() {
-        assertEquals("GW_CONFIG is not set",
+        assertEquals(
+                "GW_CONFIG is not set",
                 assertThrows(ConfigError.class, () -> Config.read(Map.of())).getMessage());
-        ConfigError error = assertThrows(ConfigError.class,
-                () -> Config.read(Map.of("GW_CONFIG", folder.resolve("none.json").toString())));
+        ConfigError error =
+                assertThrows(
+                        ConfigError.class,
+                        () ->
+                                Config.read(
+                                        Map.of(
+                                                "GW_CONFIG",
+                                                folder.resolve("none.json").toString())));
         assertTrue(error.getMessage().endsWith("there is no such file"), error.getMessage());
     }
 
@@ -63,5 +74,4 @@
         Files.writeString(file, text);
         return Map.of("GW_CONFIG", file.toString());
     }
-
 }
--- a/src/test/java/sagepulley/platform/DiscoveryTest.java
+++ b/src/test/java/sagepulley/platform/DiscoveryTest.java
@@ -35,6 +35,7 @@
     private final List<Double> refusals = new CopyOnWriteArrayList<>();
     private final Clock clock = new Clock();
     private EventLoop loop;
+
     /** Where the link asks; the gateway of the peers has a discovery of its own. */
     private SocketAddress discovery;
 
@@ -45,27 +46,34 @@
     private DiscoveryLink link(Peers peers, long answerMs, long silenceMs) throws Exception {
         Transport transport = Transport.sockets();
         discovery = peers.discovery();
-        DiscoveryLink link = new DiscoveryLink(transport, discovery, 41, new DiscoveryLink.Owner() {
-            @Override
-            public void listed(Listing listing) {
-                told.add(listing);
-            }
+        DiscoveryLink link =
+                new DiscoveryLink(
+                        transport,
+                        discovery,
+                        41,
+                        new DiscoveryLink.Owner() {
+                            @Override
+                            public void listed(Listing listing) {
+                                told.add(listing);
+                            }
 
-            @Override
-            public void listConfirmed(double asOf) {
-                confirmations.add(asOf);
-            }
+                            @Override
+                            public void listConfirmed(double asOf) {
+                                confirmations.add(asOf);
+                            }
 
-            @Override
-            public void discoveryUnreachable(double at) {
-                refusals.add(at);
-            }
+                            @Override
+                            public void discoveryUnreachable(double at) {
+                                refusals.add(at);
+                            }
 
-            @Override
-            public void listFailed(String why) {
-                failures.add(why);
-            }
-        }, clock::now, new ListCall.Patience(answerMs, silenceMs));
+                            @Override
+                            public void listFailed(String why) {
+                                failures.add(why);
+                            }
+                        },
+                        clock::now,
+                        new ListCall.Patience(answerMs, silenceMs));
         loop = transport.loops().next();
         loop.submit(link::subscribe).get(10, TimeUnit.SECONDS);
         return link;
@@ -80,9 +88,13 @@
             assertTrue(peers.calls.get(1).startsWith("GET /v1/endpoints?watch=1&after=41 "));
             Peers.Talk watch = peers.watches.get(1);
             Peers.tell(watch, "");
-            Peers.tell(watch, CHANGE.formatted(43, "{\"id\":\"a\",\"host_port\":\"127.0.0.1:7\",\"locality\":\"here\","
-                    + "\"flavor\":\"plain\",\"cell\":0,\"phase\":\"DRAINING\",\"size\":1,\"up_since_ms\":0},"
-                    + "{\"id\":7},{\"id\":\"b\",\"phase\":\"DELETED\"}"));
+            Peers.tell(
+                    watch,
+                    CHANGE.formatted(
+                            43,
+                            "{\"id\":\"a\",\"host_port\":\"127.0.0.1:7\",\"locality\":\"here\","
+                                    + "\"flavor\":\"plain\",\"cell\":0,\"phase\":\"DRAINING\",\"size\":1,\"up_since_ms\":0},"
+                                    + "{\"id\":7},{\"id\":\"b\",\"phase\":\"DELETED\"}"));
             await().until(() -> told.size() == 2);
             assertEquals(2, told.get(1).members().size());
             assertEquals(1, told.get(1).unreadable().size());
@@ -94,9 +106,13 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", "HTTP nonsense\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{\"broken\n\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{}\n\r\n0\r\n\r\n"})
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+                "HTTP nonsense\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{\"broken\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{}\n\r\n0\r\n\r\n"
+            })
     void aCallThatFailsIsToldOnce(String answer) throws Exception {
         try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
             peers.listing = answer;
@@ -124,17 +140,22 @@
             DiscoveryLink link = link(peers);
             await().until(() -> told.size() == 1);
             var second = peers.discovery();
-            loop.submit(() -> {
-                assertTrue(link.moveTo(second));
-                assertFalse(link.moveTo(second), "it is there already");
-                link.subscribe();
-            }).get(10, TimeUnit.SECONDS);
+            loop.submit(
+                            () -> {
+                                assertTrue(link.moveTo(second));
+                                assertFalse(link.moveTo(second), "it is there already");
+                                link.subscribe();
+                            })
+                    .get(10, TimeUnit.SECONDS);
             await().until(() -> told.size() == 2);
             assertEquals(List.of(), failures);
         }
     }
 
-    /** The watch stands and is silent, and each new call takes longer than its time: the one that answers is heard. */
+    /**
+     * The watch stands and is silent, and each new call takes longer than its time: the one that
+     * answers is heard.
+     */
     @Test
     void aSlowAnswerIsTakenThoughASilentWatchStands() throws Exception {
         try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
@@ -155,7 +176,8 @@
     /** A living watch that is reset was current up to its end, unless a list was under way. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
-    void aWatchThatIsResetWasCurrentUpToItsEndUnlessAListWasUnderWay(boolean underWay) throws Exception {
+    void aWatchThatIsResetWasCurrentUpToItsEndUnlessAListWasUnderWay(boolean underWay)
+            throws Exception {
         try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
             link(peers);
             await().until(() -> confirmations.size() == 1);
@@ -172,7 +194,10 @@
         }
     }
 
-    /** What the old address still writes counts as told; it proves nothing any more once discovery has moved. */
+    /**
+     * What the old address still writes counts as told; it proves nothing any more once discovery
+     * has moved.
+     */
     @Test
     void theOldAddressIsHeardAndConfirmsNothingUntilTheNewOneHasToldAList() throws Exception {
         try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
@@ -181,16 +206,24 @@
             Peers.Talk former = lastWatch(peers);
             peers.listing = null;
             var second = peers.discovery();
-            loop.submit(() -> {
-                assertTrue(link.moveTo(second));
-                link.subscribe();
-            }).get(10, TimeUnit.SECONDS);
+            loop.submit(
+                            () -> {
+                                assertTrue(link.moveTo(second));
+                                link.subscribe();
+                            })
+                    .get(10, TimeUnit.SECONDS);
             int confirmed = confirmations.size();
             Peers.tell(former, CHANGE.formatted(60, ""));
             await().until(() -> told.size() == 2);
             assertEquals(confirmed, confirmations.size());
-            await().until(() -> peers.silent.stream().anyMatch(talk ->
-                    talk.socket.getLocalSocketAddress().equals(second)));
+            await().until(
+                            () ->
+                                    peers.silent.stream()
+                                            .anyMatch(
+                                                    talk ->
+                                                            talk.socket
+                                                                    .getLocalSocketAddress()
+                                                                    .equals(second)));
             Peers.Talk fresh = peers.silent.get(peers.silent.size() - 1);
             fresh.say("HTTP/1.1 200 OK\r\n\r\n" + CHANGE.formatted(61, "") + "\n");
             await().until(() -> told.size() == 3);
@@ -213,8 +246,14 @@
             var second = peers.discovery();
             peers.gateway.reload(peers.configAt(first), peers.gateway.now());
             peers.gateway.reload(peers.configAt(second), peers.gateway.now());
-            await().until(() -> peers.watches.stream().anyMatch(watch ->
-                    watch.socket.getLocalSocketAddress().equals(second)));
+            await().until(
+                            () ->
+                                    peers.watches.stream()
+                                            .anyMatch(
+                                                    watch ->
+                                                            watch.socket
+                                                                    .getLocalSocketAddress()
+                                                                    .equals(second)));
         }
     }
 
@@ -224,8 +263,9 @@
             link(peers);
             await().until(() -> told.size() == 1);
             Peers.Talk watch = lastWatch(peers);
-            String indented = "\n{\n  \"revision\": 50,\r\n\n  \"complete\": false,\n  \"members\": [\n"
-                    + "    {\n      \"id\": \"br}ace\\\"{\",\n      \"phase\": \"DELETED\"\n    }\n  ]\n}\n\n";
+            String indented =
+                    "\n{\n  \"revision\": 50,\r\n\n  \"complete\": false,\n  \"members\": [\n"
+                            + "    {\n      \"id\": \"br}ace\\\"{\",\n      \"phase\": \"DELETED\"\n    }\n  ]\n}\n\n";
             for (char each : indented.toCharArray()) {
                 watch.say("1\r\n" + each + "\r\n");
             }
@@ -241,13 +281,19 @@
 
     /** Announced first, then in pieces, with or without a length: all are forms of HTTP. */
     @ParameterizedTest
-    @ValueSource(strings = {"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"})
+    @ValueSource(
+            strings = {
+                "",
+                "HTTP/1.1 100 Continue\r\n\r\n",
+                "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+            })
     void anAnswerWithoutLengthOrBehindAnAnnouncementIsRead(String ahead) throws Exception {
         try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
             peers.listing = null;
             link(peers);
             await().until(() -> isSilent(peers));
-            String answer = ahead + "HTTP/1.1 200 OK\r\nX-Any: 1\r\n\r\n" + CHANGE.formatted(44, "") + "\n";
+            String answer =
+                    ahead + "HTTP/1.1 200 OK\r\nX-Any: 1\r\n\r\n" + CHANGE.formatted(44, "") + "\n";
             for (char each : answer.toCharArray()) {
                 last(peers.silent).say(String.valueOf(each));
             }
@@ -282,14 +328,21 @@
     void aListOf3200EndpointsIsTakenCompactAndIndented(String space) throws Exception {
         StringBuilder members = new StringBuilder();
         for (int i = 0; i < 3_200; i++) {
-            members.append(i == 0 ? "" : ",").append("{%s\"id\":\"s-%08x\",%s\"host_port\":\"10.1.%d.%d:6379\",".formatted(
-                    space, i, space, i / 256, i % 256)).append(("%s\"locality\":\"a\",%s\"flavor\":\"m2\",%s\"cell\":%d,"
-                    + "%s\"phase\":\"SERVING\",%s\"size\":1.0,%s\"up_since_ms\":0}").formatted(space, space, space, i,
-                    space, space, space));
+            members.append(i == 0 ? "" : ",")
+                    .append(
+                            "{%s\"id\":\"s-%08x\",%s\"host_port\":\"10.1.%d.%d:6379\","
+                                    .formatted(space, i, space, i / 256, i % 256))
+                    .append(
+                            ("%s\"locality\":\"a\",%s\"flavor\":\"m2\",%s\"cell\":%d,"
+                                            + "%s\"phase\":\"SERVING\",%s\"size\":1.0,%s\"up_since_ms\":0}")
+                                    .formatted(space, space, space, i, space, space, space));
         }
         try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
             peers.listing = "{\"revision\":44,\"complete\":true,\"members\":[" + members + "]}";
-            assertEquals(space.isEmpty(), peers.listing.length() < 1 << 20, "bytes " + peers.listing.length());
+            assertEquals(
+                    space.isEmpty(),
+                    peers.listing.length() < 1 << 20,
+                    "bytes " + peers.listing.length());
             link(peers);
             await().until(() -> told.size() == 1);
             assertEquals(3_200, told.get(0).members().size());
@@ -297,7 +350,10 @@
         }
     }
 
-    /** However long a list is on its way, it tells what discovery had when it was begun, and its line's end no more. */
+    /**
+     * However long a list is on its way, it tells what discovery had when it was begun, and its
+     * line's end no more.
+     */
     @Test
     void aListThatComesSlowlyConfirmsNoMoreThanWhatWasKnownWhenItWasBegun() throws Exception {
         try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE))) {
@@ -309,11 +365,15 @@
             slowly(talk, "HTTP/1.1 200 OK\r\n\r\n", CHANGE.formatted(44, "") + "\n");
             await().until(() -> told.size() == 1);
             Thread.sleep(100);
-            assertTrue(confirmations.stream().allMatch(asOf -> asOf <= asked), "as of " + confirmations);
+            assertTrue(
+                    confirmations.stream().allMatch(asOf -> asOf <= asked),
+                    "as of " + confirmations);
             double begun = clock.now();
             slowly(talk, "", CHANGE.formatted(45, "") + "\n\n");
             await().until(() -> told.size() == 2);
-            assertTrue(confirmations.stream().allMatch(asOf -> asOf <= begun + 100), "as of " + confirmations);
+            assertTrue(
+                    confirmations.stream().allMatch(asOf -> asOf <= begun + 100),
+                    "as of " + confirmations);
             Thread.sleep(700);
             double resting = clock.now();
             talk.say("\n");
@@ -391,15 +451,26 @@
         }
     }
 
-    /** Pushed or asked for, it counts as told 6 s after it could be had, to a process that has just begun too. */
+    /**
+     * Pushed or asked for, it counts as told 6 s after it could be had, to a process that has just
+     * begun too.
+     */
     @ParameterizedTest
     @ValueSource(strings = {"subscribe", "automatic"})
     void nobodyIsServedBeforeTheFirstList(String how) throws Exception {
         Transport transport = Transport.sockets();
         try (ServerSocket late = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
-            Config config = Config.of(Json.object(Rehearsal.text().replace("\"subscribe\"", "\"" + how + "\"")
-                    .getBytes(StandardCharsets.UTF_8)), Map.of()).at(new InetSocketAddress(
-                    InetAddress.getLoopbackAddress(), 0), late.getLocalSocketAddress(), late.getLocalSocketAddress());
+            Config config =
+                    Config.of(
+                                    Json.object(
+                                            Rehearsal.text()
+                                                    .replace("\"subscribe\"", "\"" + how + "\"")
+                                                    .getBytes(StandardCharsets.UTF_8)),
+                                    Map.of())
+                            .at(
+                                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                                    late.getLocalSocketAddress(),
+                                    late.getLocalSocketAddress());
             PlatformGateway gateway = new PlatformGateway(config, transport);
             gateway.begin();
             CompletableFuture<SocketAddress> ready = gateway.start();
@@ -417,8 +488,13 @@
 
     @Test
     void aListThatIsPushedIsWatchedAndKnownBeforeAnybodyIsServed() throws Exception {
-        try (Peers peers = new Peers((words, talk) -> talk.say(Peers.VALUE),
-                text -> text.replace("\"discovery\": \"subscribe\"", "\"discovery\": \"automatic\""))) {
+        try (Peers peers =
+                new Peers(
+                        (words, talk) -> talk.say(Peers.VALUE),
+                        text ->
+                                text.replace(
+                                        "\"discovery\": \"subscribe\"",
+                                        "\"discovery\": \"automatic\""))) {
             assertEquals(1, peers.calls.size());
             assertTrue(peers.calls.get(0).contains("watch=1"));
         }
@@ -430,12 +506,15 @@
 
     /** The last that the link opened. */
     private Peers.Talk last(List<Peers.Talk> talks) {
-        List<Peers.Talk> own = talks.stream().filter(talk -> talk.socket.getLocalSocketAddress().equals(discovery))
-                .toList();
+        List<Peers.Talk> own =
+                talks.stream()
+                        .filter(talk -> talk.socket.getLocalSocketAddress().equals(discovery))
+                        .toList();
         return own.get(own.size() - 1);
     }
 
     private boolean isSilent(Peers peers) {
-        return peers.silent.stream().anyMatch(talk -> talk.socket.getLocalSocketAddress().equals(discovery));
+        return peers.silent.stream()
+                .anyMatch(talk -> talk.socket.getLocalSocketAddress().equals(discovery));
     }
 }
--- a/src/test/java/sagepulley/platform/FrontTest.java
+++ b/src/test/java/sagepulley/platform/FrontTest.java
@@ -26,8 +26,9 @@
 import sagepulley.resp.RespBytes;
 
 /**
- * Clients' connections on real sockets while they end. The loop is held by hand, so that what a test puts into the
- * kernel meanwhile is always there, unread, when the end begins; the time of the front is the test's own.
+ * Clients' connections on real sockets while they end. The loop is held by hand, so that what a
+ * test puts into the kernel meanwhile is always there, unread, when the end begins; the time of the
+ * front is the test's own.
  */
 @Timeout(60)
 class FrontTest {
@@ -46,35 +47,46 @@
 
     @BeforeEach
     void listen() throws Exception {
-        front = new Front(transport, ROOM, 5_000, new ClientConnection.Owner() {
-            @Override
-            public void asked(ClientConnection connection, ClientConnection.Slot slot, List<byte[]> words) {
-                connection.asked = true;
-                slot.held = words;
-                connections.add(connection);
-                asked.add(slot);
-                if (connection.isEnding() || front.isEnding()) {
-                    slot.answer(RespBytes.error("BUSY"));
-                }
-            }
+        front =
+                new Front(
+                        transport,
+                        ROOM,
+                        5_000,
+                        new ClientConnection.Owner() {
+                            @Override
+                            public void asked(
+                                    ClientConnection connection,
+                                    ClientConnection.Slot slot,
+                                    List<byte[]> words) {
+                                connection.asked = true;
+                                slot.held = words;
+                                connections.add(connection);
+                                asked.add(slot);
+                                if (connection.isEnding() || front.isEnding()) {
+                                    slot.answer(RespBytes.error("BUSY"));
+                                }
+                            }
 
-            @Override
-            public void left(ClientConnection.Slot slot) {
-                left.incrementAndGet();
-            }
+                            @Override
+                            public void left(ClientConnection.Slot slot) {
+                                left.incrementAndGet();
+                            }
 
-            @Override
-            public void closed(ClientConnection connection) {
-                front.closed(connection);
-            }
+                            @Override
+                            public void closed(ClientConnection connection) {
+                                front.closed(connection);
+                            }
 
-            @Override
-            public double now() {
-                return now;
-            }
-        });
-        address = front.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync().channel()
-                .localAddress();
+                            @Override
+                            public double now() {
+                                return now;
+                            }
+                        });
+        address =
+                front.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                        .sync()
+                        .channel()
+                        .localAddress();
     }
 
     @AfterEach
@@ -96,16 +108,21 @@
         void run() throws IOException;
     }
 
-    /** The first step is done while the loop stands still, the second then on the loop before it reads. */
+    /**
+     * The first step is done while the loop stands still, the second then on the loop before it
+     * reads.
+     */
     private void crossing(Step meanwhile, Step then) throws Exception {
         CountDownLatch held = new CountDownLatch(1);
         CountDownLatch go = new CountDownLatch(1);
-        var done = loop.submit(() -> {
-            held.countDown();
-            go.await();
-            then.run();
-            return null;
-        });
+        var done =
+                loop.submit(
+                        () -> {
+                            held.countDown();
+                            go.await();
+                            then.run();
+                            return null;
+                        });
         held.await();
         try {
             meanwhile.run();
@@ -116,7 +133,7 @@
     }
 
     private void onLoop(Step step) throws Exception {
-        crossing(() -> { }, step);
+        crossing(() -> {}, step);
     }
 
     private void passTime(double length) throws Exception {
@@ -129,10 +146,12 @@
         Peers.Talk client = client();
         client.ask(Peers.read(1));
         await().until(() -> asked.size() == 1);
-        crossing(() -> client.say("*4\r\n$8\r\nBLK.RE"), () -> {
-            asked.get(0).answer(RespBytes.bulk(new byte[BIG]));
-            front.end();
-        });
+        crossing(
+                () -> client.say("*4\r\n$8\r\nBLK.RE"),
+                () -> {
+                    asked.get(0).answer(RespBytes.bulk(new byte[BIG]));
+                    front.end();
+                });
         assertEquals("$" + BIG, client.line());
         assertEquals(BIG, client.in.readNBytes(BIG).length);
         assertEquals("", client.line());
@@ -172,13 +191,15 @@
     @Test
     void whomTheKernelAcceptedBeforeTheListenerClosesIsAnswered() throws Exception {
         List<Peers.Talk> clients = new ArrayList<>();
-        crossing(() -> {
-            for (int i = 0; i < 20; i++) {
-                Peers.Talk client = client();
-                client.ask(Peers.read(i));
-                clients.add(client);
-            }
-        }, front::end);
+        crossing(
+                () -> {
+                    for (int i = 0; i < 20; i++) {
+                        Peers.Talk client = client();
+                        client.ask(Peers.read(i));
+                        clients.add(client);
+                    }
+                },
+                front::end);
         for (Peers.Talk client : clients) {
             assertEquals("-BUSY", client.answer());
         }
@@ -191,7 +212,11 @@
     }
 
     /** How a client ends its connection. */
-    enum Way { FIN, HALF_CLOSE, RESET }
+    enum Way {
+        FIN,
+        HALF_CLOSE,
+        RESET
+    }
 
     @ParameterizedTest
     @EnumSource(Way.class)
@@ -267,7 +292,8 @@
         }
         await().until(() -> front.size() <= ROOM);
         int ended = 0;
-        // The oldest of those that wait for the peer's end is closed for good, with nothing unread on it.
+        // The oldest of those that wait for the peer's end is closed for good, with nothing unread
+        // on it.
         for (Peers.Talk client : clients.subList(0, ROOM)) {
             assertNull(client.answer());
             ended++;
--- a/src/test/java/sagepulley/platform/Kernel.java
+++ b/src/test/java/sagepulley/platform/Kernel.java
@@ -9,24 +9,37 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** What the kernel's book of TCP connections says of the reading end, so that a test knows what lies unread there. */
+/**
+ * What the kernel's book of TCP connections says of the reading end, so that a test knows what lies
+ * unread there.
+ */
 final class Kernel {
-    private static final List<Path> BOOKS = List.of(Path.of("/proc/net/tcp"), Path.of("/proc/net/tcp6"));
+    private static final List<Path> BOOKS =
+            List.of(Path.of("/proc/net/tcp"), Path.of("/proc/net/tcp6"));
     private static final int CLOSE_WAIT = 8;
 
-    private Kernel() {
-    }
+    private Kernel() {}
 
     /** Until the end that the far port sent lies unread at the near one. */
     static void awaitEnd(int near, int far) {
-        await().until(() -> lines(near, far).stream()
-                .anyMatch(fields -> Integer.parseInt(fields[3], 16) == CLOSE_WAIT));
+        await().until(
+                        () ->
+                                lines(near, far).stream()
+                                        .anyMatch(
+                                                fields ->
+                                                        Integer.parseInt(fields[3], 16)
+                                                                == CLOSE_WAIT));
     }
 
     /** Until bytes lie unread at the near one. */
     static void awaitUnread(int near, int far) {
-        await().until(() -> lines(near, far).stream()
-                .anyMatch(fields -> Long.parseLong(fields[4].split(":")[1], 16) > 0));
+        await().until(
+                        () ->
+                                lines(near, far).stream()
+                                        .anyMatch(
+                                                fields ->
+                                                        Long.parseLong(fields[4].split(":")[1], 16)
+                                                                > 0));
     }
 
     /** Until the near one's connection has been reset, or is gone. */
--- a/src/test/java/sagepulley/platform/NodeCrossingsTest.java
+++ b/src/test/java/sagepulley/platform/NodeCrossingsTest.java
@@ -30,7 +30,10 @@
 import sagepulley.model.Outcome;
 import sagepulley.resp.Resp;
 
-/** Calls to a node whose connection ends, comes up late or brings what nobody asked for; the loop is held by hand. */
+/**
+ * Calls to a node whose connection ends, comes up late or brings what nobody asked for; the loop is
+ * held by hand.
+ */
 @Timeout(60)
 class NodeCrossingsTest {
     private static final double LONG = 600_000;
@@ -39,31 +42,34 @@
     private final Transport transport = Transport.sockets();
     private final EventLoop loop = transport.loops().next();
     private final BlockingQueue<Peers.Talk> taken = new LinkedBlockingQueue<>();
-    private final NodeLinks links = new NodeLinks(transport, 100, 5_000, LONG, LONG, new Clock()::now);
+    private final NodeLinks links =
+            new NodeLinks(transport, 100, 5_000, LONG, LONG, new Clock()::now);
     private ServerSocket node;
     private SocketAddress address;
 
-    private record End(Outcome outcome, String value) {
-    }
+    private record End(Outcome outcome, String value) {}
 
     @BeforeEach
     void listen() throws IOException {
         node = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         address = node.getLocalSocketAddress();
-        Thread thread = new Thread(() -> {
-            try {
-                while (true) {
-                    Socket socket = node.accept();
-                    try {
-                        taken.add(new Peers.Talk(socket));
-                    } catch (SocketException reset) {
-                        continue; // before anything could come on it
-                    }
-                }
-            } catch (IOException closed) {
-                // The test is over.
-            }
-        }, "node");
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                while (true) {
+                                    Socket socket = node.accept();
+                                    try {
+                                        taken.add(new Peers.Talk(socket));
+                                    } catch (SocketException reset) {
+                                        continue; // before anything could come on it
+                                    }
+                                }
+                            } catch (IOException closed) {
+                                // The test is over.
+                            }
+                        },
+                        "node");
         thread.setDaemon(true);
         thread.start();
     }
@@ -77,10 +83,24 @@
     /** On the loop; the command tells the time that is left. */
     private CompletableFuture<End> call(Attempt attempt, double timeout) {
         CompletableFuture<End> end = new CompletableFuture<>();
-        links.send(attempt, address, left -> List.of(Long.toString((long) left).getBytes(StandardCharsets.US_ASCII)),
-                timeout, (outcome, answer, at) -> end.complete(new End(outcome, answer == null ? null
-                        : new String(((Resp.Bulk) ((Resp.Array) answer).items().get(0)).bytes(),
-                                StandardCharsets.US_ASCII))));
+        links.send(
+                attempt,
+                address,
+                left -> List.of(Long.toString((long) left).getBytes(StandardCharsets.US_ASCII)),
+                timeout,
+                (outcome, answer, at) ->
+                        end.complete(
+                                new End(
+                                        outcome,
+                                        answer == null
+                                                ? null
+                                                : new String(
+                                                        ((Resp.Bulk)
+                                                                        ((Resp.Array) answer)
+                                                                                .items()
+                                                                                .get(0))
+                                                                .bytes(),
+                                                        StandardCharsets.US_ASCII))));
         return end;
     }
 
@@ -106,29 +126,32 @@
 
     @Test
     void aSecondAnswerThatLiesUnreadIsNotTakenForTheNextOne() throws Exception {
-        assertServedOnAnotherConnectionAfter(talk -> {
-            serve(talk, "stale");
-            Kernel.awaitUnread(talk.socket.getPort(), talk.socket.getLocalPort());
-        });
+        assertServedOnAnotherConnectionAfter(
+                talk -> {
+                    serve(talk, "stale");
+                    Kernel.awaitUnread(talk.socket.getPort(), talk.socket.getLocalPort());
+                });
     }
 
     @Test
     void aConnectionThatTheNodeHasClosedIsNotUsedAgain() throws Exception {
-        assertServedOnAnotherConnectionAfter(talk -> {
-            int port = talk.socket.getPort();
-            talk.socket.close();
-            Kernel.awaitEnd(port, node.getLocalPort());
-        });
+        assertServedOnAnotherConnectionAfter(
+                talk -> {
+                    int port = talk.socket.getPort();
+                    talk.socket.close();
+                    Kernel.awaitEnd(port, node.getLocalPort());
+                });
     }
 
     @Test
     void aConnectionThatTheNodeHasResetIsNotUsedAgain() throws Exception {
-        assertServedOnAnotherConnectionAfter(talk -> {
-            int port = talk.socket.getPort();
-            talk.socket.setSoLinger(true, 0);
-            talk.socket.close();
-            Kernel.awaitNone(port, node.getLocalPort());
-        });
+        assertServedOnAnotherConnectionAfter(
+                talk -> {
+                    int port = talk.socket.getPort();
+                    talk.socket.setSoLinger(true, 0);
+                    talk.socket.close();
+                    Kernel.awaitNone(port, node.getLocalPort());
+                });
     }
 
     private interface Step {
@@ -144,7 +167,10 @@
         assertEquals(new End(Outcome.SATISFIED, "two"), second.get());
     }
 
-    /** One call is served and its connection free; then, before the loop looks again, the step and a second call. */
+    /**
+     * One call is served and its connection free; then, before the loop looks again, the step and a
+     * second call.
+     */
     private CompletableFuture<End> secondCallOn(List<Peers.Talk> kept, Step step) throws Exception {
         CompletableFuture<End> first = call();
         Peers.Talk talk = taken.take();
@@ -152,18 +178,21 @@
         talk.command();
         serve(talk, "one");
         assertEquals("one", first.get().value());
-        assumeTrue(transport.socket() == EpollSocketChannel.class, "only there the kernel is asked");
-        return loop.submit(() -> {
-            hold();
-            step.run(talk);
-            return call(attempt(), LONG);
-        }).get();
+        assumeTrue(
+                transport.socket() == EpollSocketChannel.class, "only there the kernel is asked");
+        return loop.submit(
+                        () -> {
+                            hold();
+                            step.run(talk);
+                            return call(attempt(), LONG);
+                        })
+                .get();
     }
 
     @Test
     void aFreeConnectionOnWhichNothingHappenedIsUsedAgain() throws Exception {
         List<Peers.Talk> first = new ArrayList<>();
-        CompletableFuture<End> second = secondCallOn(first, talk -> { });
+        CompletableFuture<End> second = secondCallOn(first, talk -> {});
         first.get(0).command();
         serve(first.get(0), "two");
         assertEquals("two", second.get().value());
@@ -172,11 +201,14 @@
 
     @Test
     void aNodeIsToldWhatIsLeftThoughTheConnectionComesUpLate() throws Exception {
-        CompletableFuture<End> end = loop.submit(() -> {
-            CompletableFuture<End> called = call(attempt(), 5_000);
-            hold();
-            return called;
-        }).get();
+        CompletableFuture<End> end =
+                loop.submit(
+                                () -> {
+                                    CompletableFuture<End> called = call(attempt(), 5_000);
+                                    hold();
+                                    return called;
+                                })
+                        .get();
         Peers.Talk talk = taken.take();
         long told = Long.parseLong(talk.command().get(0));
         assertTrue(told <= 5_000 - HELD_MS, "told " + told);
@@ -186,11 +218,14 @@
 
     @Test
     void nothingIsSentOnAConnectionThatComesUpWhenTheTimeIsOver() throws Exception {
-        CompletableFuture<End> end = loop.submit(() -> {
-            CompletableFuture<End> called = call(attempt(), HELD_MS / 2);
-            hold();
-            return called;
-        }).get();
+        CompletableFuture<End> end =
+                loop.submit(
+                                () -> {
+                                    CompletableFuture<End> called = call(attempt(), HELD_MS / 2);
+                                    hold();
+                                    return called;
+                                })
+                        .get();
         assertEquals(Outcome.NO_CONNECTION, end.get().outcome());
         assertNull(taken.take().command(), "closed with nothing sent");
     }
@@ -198,8 +233,14 @@
     @Test
     void whatMayNotBeginAnyMoreWhenTheConnectionIsUpIsNeverSent() throws Exception {
         CompletableFuture<Outcome> end = new CompletableFuture<>();
-        loop.execute(() -> links.send(attempt(), address, left -> null, LONG, (outcome, answer, at) ->
-                end.complete(outcome)));
+        loop.execute(
+                () ->
+                        links.send(
+                                attempt(),
+                                address,
+                                left -> null,
+                                LONG,
+                                (outcome, answer, at) -> end.complete(outcome)));
         assertEquals(Outcome.MOOT, end.get());
         assertNull(taken.take().command(), "closed with nothing sent");
     }
@@ -207,12 +248,15 @@
     @Test
     void whatIsCalledOffBeforeItIsWrittenIsNeverSent() throws Exception {
         Attempt attempt = attempt();
-        CompletableFuture<End> end = loop.submit(() -> {
-            CompletableFuture<End> called = call(attempt, LONG);
-            hold();
-            links.callOffUnwritten(attempt);
-            return called;
-        }).get();
+        CompletableFuture<End> end =
+                loop.submit(
+                                () -> {
+                                    CompletableFuture<End> called = call(attempt, LONG);
+                                    hold();
+                                    links.callOffUnwritten(attempt);
+                                    return called;
+                                })
+                        .get();
         assertEquals(Outcome.CALLED_OFF, end.get().outcome());
         CompletableFuture<End> next = loop.submit(() -> call(attempt(), HELD_MS * 100)).get();
         List<String> sent = null;
@@ -223,7 +267,9 @@
                 serve(talk, "next");
             }
         }
-        assertTrue(Long.parseLong(sent.get(0)) <= HELD_MS * 100, "the first that was sent is the next call");
+        assertTrue(
+                Long.parseLong(sent.get(0)) <= HELD_MS * 100,
+                "the first that was sent is the next call");
         assertEquals("next", next.get().value());
     }
 
@@ -243,13 +289,15 @@
         CompletableFuture<End> end = loop.submit(() -> call(attempt(), 2 * HELD_MS)).get();
         Peers.Talk talk = taken.take();
         talk.command();
-        loop.submit(() -> {
-            serve(talk, "value");
-            hold();
-            hold();
-            hold();
-            return null;
-        }).get();
+        loop.submit(
+                        () -> {
+                            serve(talk, "value");
+                            hold();
+                            hold();
+                            hold();
+                            return null;
+                        })
+                .get();
         assertEquals("value", end.get().value());
         await().until(() -> loop.submit(links::attemptsOut).get() == 0);
     }
--- a/src/test/java/sagepulley/platform/NodeLinksTest.java
+++ b/src/test/java/sagepulley/platform/NodeLinksTest.java
@@ -33,17 +33,21 @@
     /** A node that says this to whoever connects, and then nothing more. */
     private SocketAddress node(String says) throws IOException {
         node = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        Thread thread = new Thread(() -> {
-            try {
-                while (true) {
-                    Socket socket = node.accept();
-                    socket.getOutputStream().write(says.getBytes(StandardCharsets.US_ASCII));
-                    taken.add(socket);
-                }
-            } catch (IOException closed) {
-                // The test is over.
-            }
-        }, "node");
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                while (true) {
+                                    Socket socket = node.accept();
+                                    socket.getOutputStream()
+                                            .write(says.getBytes(StandardCharsets.US_ASCII));
+                                    taken.add(socket);
+                                }
+                            } catch (IOException closed) {
+                                // The test is over.
+                            }
+                        },
+                        "node");
         thread.setDaemon(true);
         thread.start();
         return node.getLocalSocketAddress();
@@ -55,8 +59,16 @@
 
     private Outcome call(NodeLinks links, SocketAddress address, double timeout) {
         CompletableFuture<Outcome> ended = new CompletableFuture<>();
-        transport.loops().next().execute(() -> links.probe(address, List.of("PING".getBytes(
-                StandardCharsets.US_ASCII)), timeout, (outcome, answer, at) -> ended.complete(outcome)));
+        transport
+                .loops()
+                .next()
+                .execute(
+                        () ->
+                                links.probe(
+                                        address,
+                                        List.of("PING".getBytes(StandardCharsets.US_ASCII)),
+                                        timeout,
+                                        (outcome, answer, at) -> ended.complete(outcome)));
         return ended.join();
     }
 
@@ -80,19 +92,30 @@
         assertEquals(Outcome.FAULT, call(links(20), node("*3\r\n$5\r\nva"), NEVER));
     }
 
-    /** The loop is held up by hand until the kernel's own clock says that the answer has lain there for long. */
+    /**
+     * The loop is held up by hand until the kernel's own clock says that the answer has lain there
+     * for long.
+     */
     @Test
     void aLoopThatWasHeldUpTellsWhenTheAnswerCame() throws IOException {
-        assumeTrue(transport.socket() == EpollSocketChannel.class, "only there the kernel is asked");
+        assumeTrue(
+                transport.socket() == EpollSocketChannel.class, "only there the kernel is asked");
         SocketAddress address = node("+PONG\r\n");
         NodeLinks links = links(NEVER);
         Clock clock = new Clock();
         CompletableFuture<Double> late = new CompletableFuture<>();
-        transport.loops().next().execute(() -> {
-            links.probe(address, List.of("PING".getBytes(StandardCharsets.US_ASCII)), NEVER,
-                    (outcome, answer, at) -> late.complete(clock.now() - at));
-            transport.loops().next().execute(() -> holdUp());
-        });
+        transport
+                .loops()
+                .next()
+                .execute(
+                        () -> {
+                            links.probe(
+                                    address,
+                                    List.of("PING".getBytes(StandardCharsets.US_ASCII)),
+                                    NEVER,
+                                    (outcome, answer, at) -> late.complete(clock.now() - at));
+                            transport.loops().next().execute(() -> holdUp());
+                        });
         assertTrue(late.join() >= HELD_UP / 2, "told " + late.join() + " ms ago");
     }
 
--- a/src/test/java/sagepulley/platform/Peers.java
+++ b/src/test/java/sagepulley/platform/Peers.java
@@ -59,7 +59,10 @@
             return line.toString().trim();
         }
 
-        /** The first line of an HTTP request, read to its end; null where the caller left before that. */
+        /**
+         * The first line of an HTTP request, read to its end; null where the caller left before
+         * that.
+         */
         String requestLine() throws IOException {
             String request = line();
             String header = request;
@@ -97,12 +100,16 @@
     final List<List<String>> commands = new CopyOnWriteArrayList<>();
     final List<String> calls = new CopyOnWriteArrayList<>();
     final List<Talk> watches = new CopyOnWriteArrayList<>();
+
     /** Calls to discovery that were not answered. */
     final List<Talk> silent = new CopyOnWriteArrayList<>();
+
     final PlatformGateway gateway;
     final Transport transport = Transport.sockets();
+
     /** What discovery answers a call with; null: it says nothing. */
     volatile String listing = "{\"revision\":2,\"complete\":false,\"members\":[]}";
+
     private final List<Closeable> open = new CopyOnWriteArrayList<>();
     private final SocketAddress front;
     private final Config config;
@@ -113,43 +120,57 @@
 
     /** The same with another configuration file. */
     Peers(Script script, UnaryOperator<String> change) throws Exception {
-        ServerSocket node = serve(talk -> {
-            for (List<String> words = talk.command(); words != null; words = talk.command()) {
-                commands.add(words);
-                script.answer(words, talk);
-            }
-        });
+        ServerSocket node =
+                serve(
+                        talk -> {
+                            for (List<String> words = talk.command();
+                                    words != null;
+                                    words = talk.command()) {
+                                commands.add(words);
+                                script.answer(words, talk);
+                            }
+                        });
         SocketAddress discovery = discovery();
-        config = Config.of(Json.object(change.apply(Rehearsal.text()).getBytes(StandardCharsets.UTF_8)),
-                Map.of());
-        gateway = new PlatformGateway(config.at(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                discovery, node.getLocalSocketAddress()), transport);
+        config =
+                Config.of(
+                        Json.object(
+                                change.apply(Rehearsal.text()).getBytes(StandardCharsets.UTF_8)),
+                        Map.of());
+        gateway =
+                new PlatformGateway(
+                        config.at(
+                                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                                discovery,
+                                node.getLocalSocketAddress()),
+                        transport);
         gateway.begin();
         front = gateway.start().get(PATIENCE_MS, TimeUnit.MILLISECONDS);
     }
 
     /** One more discovery; it answers as the listing says, and keeps the watch open. */
     SocketAddress discovery() throws IOException {
-        return serve(talk -> {
-            String call = talk.requestLine();
-            if (call == null) {
-                return;
-            }
-            if (listing == null) {
-                silent.add(talk);
-            }
-            calls.add(call);
-            if (listing == null) {
-                talk.in.read();
-            } else if (listing.startsWith("HTTP")) {
-                talk.say(listing);
-            } else {
-                talk.say(LIST);
-                watches.add(talk);
-                tell(talk, listing);
-                talk.in.read();
-            }
-        }).getLocalSocketAddress();
+        return serve(
+                        talk -> {
+                            String call = talk.requestLine();
+                            if (call == null) {
+                                return;
+                            }
+                            if (listing == null) {
+                                silent.add(talk);
+                            }
+                            calls.add(call);
+                            if (listing == null) {
+                                talk.in.read();
+                            } else if (listing.startsWith("HTTP")) {
+                                talk.say(listing);
+                            } else {
+                                talk.say(LIST);
+                                watches.add(talk);
+                                tell(talk, listing);
+                                talk.in.read();
+                            }
+                        })
+                .getLocalSocketAddress();
     }
 
     static void tell(Talk talk, String line) throws IOException {
@@ -182,7 +203,14 @@
     }
 
     static String fields(String band, int patience, int shard) {
-        return "c=" + band + ",t=any,d=" + patience + ",volume=" + Figures.id(3) + ",units=2,shard=" + shard
+        return "c="
+                + band
+                + ",t=any,d="
+                + patience
+                + ",volume="
+                + Figures.id(3)
+                + ",units=2,shard="
+                + shard
                 + ",hosts=1";
     }
 
@@ -193,17 +221,19 @@
     private ServerSocket serve(Task task) throws IOException {
         ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         open.add(server);
-        daemon(() -> {
-            while (true) {
-                Socket socket = server.accept();
-                open.add(socket);
-                daemon(() -> {
-                    try (socket) {
-                        task.with(new Talk(socket));
+        daemon(
+                () -> {
+                    while (true) {
+                        Socket socket = server.accept();
+                        open.add(socket);
+                        daemon(
+                                () -> {
+                                    try (socket) {
+                                        task.with(new Talk(socket));
+                                    }
+                                });
                     }
                 });
-            }
-        });
         return server;
     }
 
@@ -212,13 +242,16 @@
     }
 
     private static void daemon(Work work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } catch (IOException ended) {
-                // The other end, or the test, has closed it.
-            }
-        }, "peer");
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                work.run();
+                            } catch (IOException ended) {
+                                // The other end, or the test, has closed it.
+                            }
+                        },
+                        "peer");
         thread.setDaemon(true);
         thread.start();
     }
--- a/src/test/java/sagepulley/platform/PlatformPathTest.java
+++ b/src/test/java/sagepulley/platform/PlatformPathTest.java
@@ -34,11 +34,17 @@
             assertEquals("+PONG", client.answer());
             client.ask(Peers.read(1));
             assertEquals("$5 value", client.answer());
-            client.ask("BLK.WRITE", Figures.id(7), Figures.id(2), Peers.fields("put", 9000, -1) + ",k=9", "bytes");
+            client.ask(
+                    "BLK.WRITE",
+                    Figures.id(7),
+                    Figures.id(2),
+                    Peers.fields("put", 9000, -1) + ",k=9",
+                    "bytes");
             assertEquals("$5 value", client.answer());
             assertEquals("BLK.READ", peers.commands.get(0).get(0));
             String sent = peers.commands.get(1).get(3);
-            assertEquals(Peers.fields("put", 9000, -1).replaceAll(",d=\\d+", "") + ",k=9",
+            assertEquals(
+                    Peers.fields("put", 9000, -1).replaceAll(",d=\\d+", "") + ",k=9",
                     sent.replaceAll(",d=\\d+", ""));
             int patience = Integer.parseInt(sent.replaceAll(".*,d=(\\d+),.*", "$1"));
             assertTrue(patience > 0 && patience < 9000, "told " + patience);
@@ -49,17 +55,22 @@
     @Test
     void answersKeepTheOrderOfTheCommandsThoughALaterOneIsReadyFirst() throws Exception {
         CountDownLatch later = new CountDownLatch(1);
-        try (Peers peers = new Peers((words, talk) -> {
-            if (words.get(2).equals(Figures.id(1))) {
-                awaitQuietly(later);
-            }
-            talk.say("*3\r\n$16\r\n" + words.get(2) + "\r\n$-1\r\n$-1\r\n");
-            if (words.get(2).equals(Figures.id(2))) {
-                later.countDown();
-            }
-        })) {
+        try (Peers peers =
+                new Peers(
+                        (words, talk) -> {
+                            if (words.get(2).equals(Figures.id(1))) {
+                                awaitQuietly(later);
+                            }
+                            talk.say("*3\r\n$16\r\n" + words.get(2) + "\r\n$-1\r\n$-1\r\n");
+                            if (words.get(2).equals(Figures.id(2))) {
+                                later.countDown();
+                            }
+                        })) {
             Peers.Talk client = peers.client();
-            client.say(Peers.command(Peers.read(1)) + Peers.command(Peers.read(2)) + Peers.command("PING"));
+            client.say(
+                    Peers.command(Peers.read(1))
+                            + Peers.command(Peers.read(2))
+                            + Peers.command("PING"));
             assertEquals("$16 " + Figures.id(1), client.answer());
             assertEquals("$16 " + Figures.id(2), client.answer());
             assertEquals("+PONG", client.answer());
@@ -67,15 +78,21 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"c=none,t=any,d=900,volume=0000000000000003,units=2,shard=0,hosts=1",
-        "c=get,t=none,d=900,volume=0000000000000003,units=2,shard=0,hosts=1",
-        "c=get,t=any,d=soon,volume=0000000000000003,units=2,shard=0,hosts=1",
-        "c=get,t=any,d=-9,volume=0000000000000003,units=2,shard=0,hosts=1",
-        "c=get,t=any,d=9,d=9,volume=0000000000000003,units=2,shard=0,hosts=1",
-        "c=get,t=any,d=900,volume=3,units=2,shard=0,hosts=1",
-        "c=get,t=any,d=900,volume=0000000000000003,units=NaN,shard=0,hosts=1",
-        "c=get,t=any,d=900,volume=0000000000000003,units=2,shard=99,hosts=1",
-        "c=put,t=any,d=900,volume=0000000000000003,units=2,shard=0,hosts=1", "c=get", "", "c=get,,t=any"})
+    @ValueSource(
+            strings = {
+                "c=none,t=any,d=900,volume=0000000000000003,units=2,shard=0,hosts=1",
+                "c=get,t=none,d=900,volume=0000000000000003,units=2,shard=0,hosts=1",
+                "c=get,t=any,d=soon,volume=0000000000000003,units=2,shard=0,hosts=1",
+                "c=get,t=any,d=-9,volume=0000000000000003,units=2,shard=0,hosts=1",
+                "c=get,t=any,d=9,d=9,volume=0000000000000003,units=2,shard=0,hosts=1",
+                "c=get,t=any,d=900,volume=3,units=2,shard=0,hosts=1",
+                "c=get,t=any,d=900,volume=0000000000000003,units=NaN,shard=0,hosts=1",
+                "c=get,t=any,d=900,volume=0000000000000003,units=2,shard=99,hosts=1",
+                "c=put,t=any,d=900,volume=0000000000000003,units=2,shard=0,hosts=1",
+                "c=get",
+                "",
+                "c=get,,t=any"
+            })
     void aCommandWithWrongFieldsGetsAnErrorAndNothingGoesToANode(String fields) throws Exception {
         try (Peers peers = new Peers(SERVES)) {
             Peers.Talk client = peers.client();
@@ -97,8 +114,13 @@
     void bytesThatAreNoCommandGetAnErrorAndTheEndAndHarmNobodyElse() throws Exception {
         try (Peers peers = new Peers(SERVES)) {
             Peers.Talk good = peers.client();
-            for (String bad : new String[] {"GET / HTTP/1.1\r\n", "*1\r\n$-7\r\n", "*5\r\n$62914560\r\n",
-                "*1\r\n$4\r\nPINGPING"}) {
+            for (String bad :
+                    new String[] {
+                        "GET / HTTP/1.1\r\n",
+                        "*1\r\n$-7\r\n",
+                        "*5\r\n$62914560\r\n",
+                        "*1\r\n$4\r\nPINGPING"
+                    }) {
                 Peers.Talk client = peers.client();
                 client.say(bad);
                 assertTrue(client.answer().startsWith("-ERR protocol error"));
@@ -112,10 +134,12 @@
     @Test
     void anIdThatIsInHandIsRefusedAndTheFirstIsServed() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
-        try (Peers peers = new Peers((words, talk) -> {
-            awaitQuietly(go);
-            talk.say(Peers.VALUE);
-        })) {
+        try (Peers peers =
+                new Peers(
+                        (words, talk) -> {
+                            awaitQuietly(go);
+                            talk.say(Peers.VALUE);
+                        })) {
             Peers.Talk first = peers.client();
             first.ask(Peers.read(1));
             await().until(() -> peers.commands.size() == 1);
@@ -145,13 +169,24 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"*3\r\n$3221225472\r\nxxxx", "*3\r\n$65537\r\nvalue",
-        "*3\r\n$9\r\nvalue\r\n$-1\r\n", "noise\r\n", "+OK\r\n",
-        "*3\r\n$-1\r\n$-1\r\n$-1\r\n", "*2\r\n$5\r\nvalue\r\n$-1\r\n", "*3\r\n$2\r\nvalue\r\n", ":7\r\n"})
+    @ValueSource(
+            strings = {
+                "*3\r\n$3221225472\r\nxxxx",
+                "*3\r\n$65537\r\nvalue",
+                "*3\r\n$9\r\nvalue\r\n$-1\r\n",
+                "noise\r\n",
+                "+OK\r\n",
+                "*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+                "*2\r\n$5\r\nvalue\r\n$-1\r\n",
+                "*3\r\n$2\r\nvalue\r\n",
+                ":7\r\n"
+            })
     void aSpoiltAnswerIsNeverServedAndItsConnectionNeverUsedAgain(String spoilt) throws Exception {
         AtomicInteger asked = new AtomicInteger();
-        try (Peers peers = new Peers((words, talk) ->
-                talk.say(asked.getAndIncrement() == 0 ? spoilt : Peers.VALUE))) {
+        try (Peers peers =
+                new Peers(
+                        (words, talk) ->
+                                talk.say(asked.getAndIncrement() == 0 ? spoilt : Peers.VALUE))) {
             Peers.Talk client = peers.client();
             client.ask(Peers.read(1));
             assertEquals("$5 value", client.answer(), "by a second hop");
@@ -162,8 +197,13 @@
     @Test
     void anAnswerThatStopsInsideIsNotWaitedForToTheEnd() throws Exception {
         AtomicInteger asked = new AtomicInteger();
-        try (Peers peers = new Peers((words, talk) ->
-                talk.say(asked.getAndIncrement() == 0 ? Peers.VALUE.substring(0, 9) : Peers.VALUE))) {
+        try (Peers peers =
+                new Peers(
+                        (words, talk) ->
+                                talk.say(
+                                        asked.getAndIncrement() == 0
+                                                ? Peers.VALUE.substring(0, 9)
+                                                : Peers.VALUE))) {
             Peers.Talk client = peers.client();
             client.ask(Peers.read(1));
             assertEquals("$5 value", client.answer());
@@ -173,10 +213,12 @@
 
     @Test
     void aSecondCopyBehindAnAnswerIsNotTakenForTheNext() throws Exception {
-        try (Peers peers = new Peers((words, talk) -> {
-            String answer = "*3\r\n$16\r\n" + words.get(2) + "\r\n$-1\r\n$-1\r\n";
-            talk.say(answer + answer);
-        })) {
+        try (Peers peers =
+                new Peers(
+                        (words, talk) -> {
+                            String answer = "*3\r\n$16\r\n" + words.get(2) + "\r\n$-1\r\n$-1\r\n";
+                            talk.say(answer + answer);
+                        })) {
             Peers.Talk client = peers.client();
             for (long id = 1; id <= 20; id++) {
                 client.ask(Peers.read(id));
@@ -187,8 +229,11 @@
 
     @Test
     void figuresThatCannotBeReadLeaveAGoodAnswerGood() throws Exception {
-        try (Peers peers = new Peers((words, talk) ->
-                talk.say("*3\r\n$5\r\nvalue\r\n$12\r\ncost=,used=x\r\n$3\r\n???\r\n"))) {
+        try (Peers peers =
+                new Peers(
+                        (words, talk) ->
+                                talk.say(
+                                        "*3\r\n$5\r\nvalue\r\n$12\r\ncost=,used=x\r\n$3\r\n???\r\n"))) {
             Peers.Talk client = peers.client();
             client.ask(Peers.read(1));
             assertEquals("$5 value", client.answer());
@@ -198,11 +243,13 @@
     @Test
     void aClientThatClosesHasItsAttemptCalledOff() throws Exception {
         CountDownLatch ended = new CountDownLatch(1);
-        try (Peers peers = new Peers((words, talk) -> {
-            if (talk.line() == null) {
-                ended.countDown();
-            }
-        })) {
+        try (Peers peers =
+                new Peers(
+                        (words, talk) -> {
+                            if (talk.line() == null) {
+                                ended.countDown();
+                            }
+                        })) {
             Peers.Talk client = peers.client();
             client.ask(Peers.read(1));
             await().until(() -> peers.commands.size() == 1);
@@ -211,7 +258,9 @@
         }
     }
 
-    /** Its command and its end lie in the kernel together, and a free connection to the node stands. */
+    /**
+     * Its command and its end lie in the kernel together, and a free connection to the node stands.
+     */
     @Test
     void whatAClientAskedThatHasGoneIsNotSent() throws Exception {
         try (Peers peers = new Peers(SERVES)) {
@@ -222,14 +271,18 @@
                 Peers.Talk gone = peers.client();
                 CountDownLatch held = new CountDownLatch(1);
                 CountDownLatch go = new CountDownLatch(1);
-                peers.transport.loops().next().execute(() -> {
-                    held.countDown();
-                    try {
-                        go.await();
-                    } catch (InterruptedException e) {
-                        throw new IllegalStateException(e);
-                    }
-                });
+                peers.transport
+                        .loops()
+                        .next()
+                        .execute(
+                                () -> {
+                                    held.countDown();
+                                    try {
+                                        go.await();
+                                    } catch (InterruptedException e) {
+                                        throw new IllegalStateException(e);
+                                    }
+                                });
                 held.await();
                 int port = gone.socket.getLocalPort();
                 gone.ask(Peers.read(id));
@@ -239,7 +292,8 @@
             }
             good.ask(Peers.read(2));
             assertEquals("$5 value", good.answer());
-            assertEquals(List.of(Figures.id(1), Figures.id(2)),
+            assertEquals(
+                    List.of(Figures.id(1), Figures.id(2)),
                     peers.commands.stream().map(words -> words.get(2)).toList());
         }
     }
@@ -251,7 +305,8 @@
             int port = Rehearsal.freePort();
             InetSocketAddress nobody = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
             InetSocketAddress front = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
-            PlatformGateway gateway = new PlatformGateway(Rehearsal.config(front, nobody, nobody), transport);
+            PlatformGateway gateway =
+                    new PlatformGateway(Rehearsal.config(front, nobody, nobody), transport);
             gateway.stop();
             gateway.begin();
             gateway.start().join();
@@ -264,17 +319,31 @@
 
     /** Control asks for none yet; what is written, and that any answer or none harms nobody. */
     @ParameterizedTest
-    @ValueSource(strings = {"+PONG\r\n", "-ERR busy\r\n", "$9\r\nmean_ms=7\r\n", "$-1\r\n", "$3\r\n???\r\n",
-        "noise\r\n"})
-    void aProbeIsWrittenAsTheSettingsSayAndItsAnswerIsNotTakenForAnother(String answer) throws Exception {
+    @ValueSource(
+            strings = {
+                "+PONG\r\n",
+                "-ERR busy\r\n",
+                "$9\r\nmean_ms=7\r\n",
+                "$-1\r\n",
+                "$3\r\n???\r\n",
+                "noise\r\n"
+            })
+    void aProbeIsWrittenAsTheSettingsSayAndItsAnswerIsNotTakenForAnother(String answer)
+            throws Exception {
         for (String fields : List.of("[]", "[\"mean_ms\"]")) {
-            try (Peers peers = new Peers((words, talk) ->
-                    talk.say(words.get(0).startsWith("BLK") ? Peers.VALUE : answer),
-                    text -> text.replace("\"how\": \"silent\", \"fields\": []",
-                            "\"how\": \"pull\", \"fields\": " + fields))) {
+            try (Peers peers =
+                    new Peers(
+                            (words, talk) ->
+                                    talk.say(words.get(0).startsWith("BLK") ? Peers.VALUE : answer),
+                            text ->
+                                    text.replace(
+                                            "\"how\": \"silent\", \"fields\": []",
+                                            "\"how\": \"pull\", \"fields\": " + fields))) {
                 peers.transport.loops().next().submit(() -> peers.gateway.probe(new Node(1))).get();
                 await().until(() -> peers.commands.size() == 1);
-                assertEquals(fields.equals("[]") ? List.of("PING") : List.of("INFO", "load"), peers.commands.get(0));
+                assertEquals(
+                        fields.equals("[]") ? List.of("PING") : List.of("INFO", "load"),
+                        peers.commands.get(0));
                 Peers.Talk client = peers.client();
                 client.ask(Peers.read(1));
                 assertEquals("$5 value", client.answer());
@@ -285,13 +354,15 @@
     @Test
     void aNodeThatClosesMidwayGetsTheOperationOnceMore() throws Exception {
         AtomicInteger asked = new AtomicInteger();
-        try (Peers peers = new Peers((words, talk) -> {
-            if (asked.getAndIncrement() == 0) {
-                talk.socket.close();
-            } else {
-                talk.say(Peers.VALUE);
-            }
-        })) {
+        try (Peers peers =
+                new Peers(
+                        (words, talk) -> {
+                            if (asked.getAndIncrement() == 0) {
+                                talk.socket.close();
+                            } else {
+                                talk.say(Peers.VALUE);
+                            }
+                        })) {
             Peers.Talk client = peers.client();
             client.ask(Peers.read(1));
             assertEquals("$5 value", client.answer());
@@ -319,15 +390,16 @@
             for (int i = 0; i < 400; i++) {
                 peers.client();
             }
-            await().until(() -> {
-                Peers.Talk client = peers.client();
-                try {
-                    client.ask(Peers.read(1));
-                    return "$5 value".equals(client.answer());
-                } catch (IOException turnedAway) {
-                    return false;
-                }
-            });
+            await().until(
+                            () -> {
+                                Peers.Talk client = peers.client();
+                                try {
+                                    client.ask(Peers.read(1));
+                                    return "$5 value".equals(client.answer());
+                                } catch (IOException turnedAway) {
+                                    return false;
+                                }
+                            });
         }
     }
 
@@ -338,8 +410,12 @@
             Peers.Talk bad = peers.client();
             byte[] chunk = new byte[1 << 20];
             try {
-                bad.say("*5\r\n$9\r\nBLK.WRITE\r\n$16\r\n" + Figures.id(7) + "\r\n$16\r\n" + Figures.id(1)
-                        + "\r\n$1\r\nx\r\n$62914560\r\n");
+                bad.say(
+                        "*5\r\n$9\r\nBLK.WRITE\r\n$16\r\n"
+                                + Figures.id(7)
+                                + "\r\n$16\r\n"
+                                + Figures.id(1)
+                                + "\r\n$1\r\nx\r\n$62914560\r\n");
                 for (int i = 0; i < 60; i++) {
                     bad.socket.getOutputStream().write(chunk);
                 }
--- a/src/test/java/sagepulley/platform/ServeTest.java
+++ b/src/test/java/sagepulley/platform/ServeTest.java
@@ -20,8 +20,7 @@
 /** A gateway as `run` starts it: from a file, with the operating system's signals. */
 @Timeout(60)
 class ServeTest {
-    @TempDir
-    Path folder;
+    @TempDir Path folder;
 
     /** The first file is a pipe whose reading is held up until the second signal is on its way. */
     @Test
@@ -59,19 +58,21 @@
     }
 
     /** Runs one on a thread of its own; completes when it has ended. */
-    private static CompletableFuture<Void> serve(Map<String, String> environment,
-                                                 CompletableFuture<PlatformGateway> ready) {
-        return CompletableFuture.runAsync(() -> {
-            try {
-                Serve.run(environment, ready::complete);
-            } catch (ConfigError bad) {
-                throw new IllegalStateException(bad);
-            }
-        });
+    private static CompletableFuture<Void> serve(
+            Map<String, String> environment, CompletableFuture<PlatformGateway> ready) {
+        return CompletableFuture.runAsync(
+                () -> {
+                    try {
+                        Serve.run(environment, ready::complete);
+                    } catch (ConfigError bad) {
+                        throw new IllegalStateException(bad);
+                    }
+                });
     }
 
     private static boolean watched(Peers peers, SocketAddress discovery) {
-        return peers.watches.stream().anyMatch(watch -> watch.socket.getLocalSocketAddress().equals(discovery));
+        return peers.watches.stream()
+                .anyMatch(watch -> watch.socket.getLocalSocketAddress().equals(discovery));
     }
 
     @Test
@@ -105,12 +106,18 @@
     }
 
     private static String config(int port, SocketAddress discovery) throws Exception {
-        return Rehearsal.listeningAt(port).replace("\"discovery\": \"127.0.0.1:1\"",
-                "\"discovery\": \"127.0.0.1:" + ((InetSocketAddress) discovery).getPort() + "\"");
+        return Rehearsal.listeningAt(port)
+                .replace(
+                        "\"discovery\": \"127.0.0.1:1\"",
+                        "\"discovery\": \"127.0.0.1:"
+                                + ((InetSocketAddress) discovery).getPort()
+                                + "\"");
     }
 
     private static void hangUp() throws Exception {
-        Process kill = new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid())).start();
+        Process kill =
+                new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid()))
+                        .start();
         assertEquals(0, kill.waitFor());
     }
 }
--- a/src/test/java/sagepulley/resp/RespDecoderTest.java
+++ b/src/test/java/sagepulley/resp/RespDecoderTest.java
@@ -28,7 +28,8 @@
 
     @Property(tries = 300)
     void commandsComeOutAsWrittenHoweverTheBytesAreSplit(
-            @ForAll @Size(min = 1, max = 5) List<@Size(min = 1, max = 8) List<@Size(max = 60) byte[]>> commands,
+            @ForAll @Size(min = 1, max = 5)
+                    List<@Size(min = 1, max = 8) List<@Size(max = 60) byte[]>> commands,
             @ForAll @Size(max = 40) List<@IntRange(min = 1, max = 50) Integer> splits) {
         ByteBuf bytes = Unpooled.buffer();
         for (List<byte[]> command : commands) {
@@ -43,7 +44,8 @@
             Resp.Array read = channel.readInbound();
             assertEquals(command.size(), read.items().size());
             for (int i = 0; i < command.size(); i++) {
-                assertTrue(Arrays.equals(command.get(i), ((Resp.Bulk) read.items().get(i)).bytes()));
+                assertTrue(
+                        Arrays.equals(command.get(i), ((Resp.Bulk) read.items().get(i)).bytes()));
             }
         }
         assertNull(channel.readInbound());
@@ -56,7 +58,8 @@
         int errors = 0;
         for (int i = 0; i < noise.length; i += 7) {
             try {
-                channel.writeInbound(Unpooled.copiedBuffer(noise, i, Math.min(7, noise.length - i)));
+                channel.writeInbound(
+                        Unpooled.copiedBuffer(noise, i, Math.min(7, noise.length - i)));
             } catch (CorruptedFrameException bad) {
                 errors++;
             }
@@ -66,10 +69,27 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"nonsense", "\r\n", "PING\r\n", "*0\r\n", "*-1\r\n", "*9\r\n", "*x\r\n", "*1\r\n+PING\r\n",
-        "*1\r\n$-1\r\n", "*1\r\n$-5\r\n", "*1\r\n$1001\r\n", "*1\r\n$99999999999\r\n", "*1\r\n$ 4\r\n", "*1\n",
-        "*1\r\n$4\r\nPINGxx", "*1\r\n*1\r\n", "*3\r\n$1000\r\nBULK$1000\r\nBULK$1\r\n",
-        "*11111111111111111111111111111111111111111111111111111111"})
+    @ValueSource(
+            strings = {
+                "nonsense",
+                "\r\n",
+                "PING\r\n",
+                "*0\r\n",
+                "*-1\r\n",
+                "*9\r\n",
+                "*x\r\n",
+                "*1\r\n+PING\r\n",
+                "*1\r\n$-1\r\n",
+                "*1\r\n$-5\r\n",
+                "*1\r\n$1001\r\n",
+                "*1\r\n$99999999999\r\n",
+                "*1\r\n$ 4\r\n",
+                "*1\n",
+                "*1\r\n$4\r\nPINGxx",
+                "*1\r\n*1\r\n",
+                "*3\r\n$1000\r\nBULK$1000\r\nBULK$1\r\n",
+                "*11111111111111111111111111111111111111111111111111111111"
+            })
     void aCommandThatIsNoneIsRefusedAtItsFirstWrongByte(String text) {
         String bytes = text.replace("BULK", "x".repeat(1000) + "\r\n");
         EmbeddedChannel channel = new EmbeddedChannel(new RespDecoder(COMMANDS));
@@ -82,15 +102,19 @@
     @Test
     void aHugeLengthIsRefusedBeforeAnyOfItComes() {
         EmbeddedChannel channel = new EmbeddedChannel(new RespDecoder(REPLIES));
-        assertThrows(CorruptedFrameException.class, () -> channel.writeInbound(ascii("*3\r\n$3221225472\r\n")));
+        assertThrows(
+                CorruptedFrameException.class,
+                () -> channel.writeInbound(ascii("*3\r\n$3221225472\r\n")));
         channel.finishAndReleaseAll();
     }
 
     @Test
     void repliesOfEveryKindAreRead() {
         EmbeddedChannel channel = new EmbeddedChannel(new RespDecoder(REPLIES));
-        channel.writeInbound(ascii("+PONG\r\n-ERR failed used=3\r\n:42\r\n$-1\r\n$0\r\n\r\n*-1\r\n*3\r\n$1\r\nv\r\n$-1"
-                + "\r\n$-1\r\n"));
+        channel.writeInbound(
+                ascii(
+                        "+PONG\r\n-ERR failed used=3\r\n:42\r\n$-1\r\n$0\r\n\r\n*-1\r\n*3\r\n$1\r\nv\r\n$-1"
+                                + "\r\n$-1\r\n"));
         List<Resp> read = new ArrayList<>();
         for (Resp next = channel.readInbound(); next != null; next = channel.readInbound()) {
             read.add(next);
--- a/src/test/java/sagepulley/simhost/WireTest.java
+++ b/src/test/java/sagepulley/simhost/WireTest.java
@@ -27,21 +27,27 @@
         "00000001, the header ends after 4 of 12 bytes",
         "000000010000000000000004, a length of 4 bytes does not fit 0 records",
         "0000000100000001000000080000000000000000, a length of 8 bytes does not fit 1 records",
-        "00000001000000000000000800, the input ends after 1 of 8 bytes"})
+        "00000001000000000000000800, the input ends after 1 of 8 bytes"
+    })
     void aMalformedFrameIsNamed(String bytes, String what) {
         MalformedFrame bad = assertThrows(MalformedFrame.class, () -> answer(unhex(bytes)));
         assertEquals("frame 1: " + what, bad.getMessage());
     }
 
     @ParameterizedTest
-    @CsvSource({"63, unknown event code 99",
-        "0800 00000000 00000001, out of the tail", "0810, list number 16"})
+    @CsvSource({
+        "63, unknown event code 99",
+        "0800 00000000 00000001, out of the tail",
+        "0810, list number 16"
+    })
     void aMalformedRecordIsNamed(String record, String what) {
         byte[] bytes = new byte[56];
         byte[] start = unhex(record.replace(" ", ""));
         System.arraycopy(start, 0, bytes, 0, start.length);
         MalformedFrame bad = assertThrows(MalformedFrame.class, () -> answer(frame(1, 1, bytes)));
-        assertTrue(bad.getMessage().startsWith("frame 1: record 0: ") && bad.getMessage().contains(what),
+        assertTrue(
+                bad.getMessage().startsWith("frame 1: record 0: ")
+                        && bad.getMessage().contains(what),
                 bad.getMessage());
     }
 
@@ -58,8 +64,13 @@
     }
 
     private static byte[] frame(int number, int records, byte[] rest) {
-        return ByteBuffer.allocate(20 + rest.length).putInt(number).putInt(records).putInt(8 + rest.length)
-                .putLong(1_000_000).put(rest).array();
+        return ByteBuffer.allocate(20 + rest.length)
+                .putInt(number)
+                .putInt(records)
+                .putInt(8 + rest.length)
+                .putLong(1_000_000)
+                .put(rest)
+                .array();
     }
 
     private static byte[] answer(byte[] input) throws IOException {
--- a/src/test/java/sagepulley/site/SiteTest.java
+++ b/src/test/java/sagepulley/site/SiteTest.java
@@ -12,7 +12,8 @@
 
 /** Site files: what is read, and the error of each that is wrong. */
 class SiteTest {
-    private static final String GOOD = Town.demoSite("gw-1", 1, 3, 0, new InetSocketAddress("127.0.0.1", 9));
+    private static final String GOOD =
+            Town.demoSite("gw-1", 1, 3, 0, new InetSocketAddress("127.0.0.1", 9));
 
     @Test
     void theDemosFileIsReadWhole() throws SiteError {
@@ -24,29 +25,44 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "size = 64 MiB    | size = 64 parsecs | demo.ini: [volume demo] size: is '64 parsecs', allowed is a number",
-        "number = 1       | number = 3        | demo.ini: [gateway] number: is '3', allowed is a number from 0 to 2",
-        "zone = hall-a    | zone = hall-z     | demo.ini: [gateway] zone: is 'hall-z', allowed is one of hall-a",
-        "plan = reserved  | plan = gold       | demo.ini: [volume demo] plan: is 'gold', allowed is one of plain",
-        "target = 800 ms  | target = 9 s      | demo.ini: [band write] patience: is shorter than the target",
-        "writes = yes     | wirtes = yes      | demo.ini: [band write] wirtes: is not known",
-        "[rules]          | [rule]            | demo.ini: [rule]: is not known, allowed are accounts",
-        "rate = 2000      | rate = nan        | demo.ini: [plan plain] rate: is 'nan'",
-        "id = 1           | ; none            | demo.ini: [volume demo] id: is missing",
-        "fall-multiple = 2 | budget-window = 1 s | demo.ini: [rules] budget-free: is missing",
-        "id = 1           | id = 1, 2         | demo.ini: [volume demo] id",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "size = 64 MiB    | size = 64 parsecs | demo.ini: [volume demo] size: is '64 parsecs', allowed is a number",
+                "number = 1       | number = 3        | demo.ini: [gateway] number: is '3', allowed is a number from 0 to 2",
+                "zone = hall-a    | zone = hall-z     | demo.ini: [gateway] zone: is 'hall-z', allowed is one of hall-a",
+                "plan = reserved  | plan = gold       | demo.ini: [volume demo] plan: is 'gold', allowed is one of plain",
+                "target = 800 ms  | target = 9 s      | demo.ini: [band write] patience: is shorter than the target",
+                "writes = yes     | wirtes = yes      | demo.ini: [band write] wirtes: is not known",
+                "[rules]          | [rule]            | demo.ini: [rule]: is not known, allowed are accounts",
+                "rate = 2000      | rate = nan        | demo.ini: [plan plain] rate: is 'nan'",
+                "id = 1           | ; none            | demo.ini: [volume demo] id: is missing",
+                "fall-multiple = 2 | budget-window = 1 s | demo.ini: [rules] budget-free: is missing",
+                "id = 1           | id = 1, 2         | demo.ini: [volume demo] id",
+            })
     void aMistakeNamesFileSectionKeyAndWhatIsAllowed(String piece, String other, String told) {
         assertTrue(GOOD.contains(piece), piece);
-        SiteError error = assertThrows(SiteError.class, () -> Site.read("demo.ini", GOOD.replace(piece, other)));
+        SiteError error =
+                assertThrows(
+                        SiteError.class, () -> Site.read("demo.ini", GOOD.replace(piece, other)));
         assertTrue(error.getMessage().contains(told), error.getMessage());
     }
 
     @Test
     void everyMistakeIsToldAtOnce() {
-        SiteError error = assertThrows(SiteError.class, () -> Site.read("demo.ini",
-                GOOD.replace("size = 64 MiB", "size = x").replace("patience = 4 s", "patience = y")));
-        assertEquals(2, error.getMessage().lines().filter(line -> line.contains("allowed is a number")).count());
+        SiteError error =
+                assertThrows(
+                        SiteError.class,
+                        () ->
+                                Site.read(
+                                        "demo.ini",
+                                        GOOD.replace("size = 64 MiB", "size = x")
+                                                .replace("patience = 4 s", "patience = y")));
+        assertEquals(
+                2,
+                error.getMessage()
+                        .lines()
+                        .filter(line -> line.contains("allowed is a number"))
+                        .count());
     }
 }
--- a/src/test/java/sagepulley/store/MessagesTest.java
+++ b/src/test/java/sagepulley/store/MessagesTest.java
@@ -15,19 +15,32 @@
 import sagepulley.wire.Fields;
 import sagepulley.wire.Frame;
 
-/** Messages to nodes and directory: what is written is read, and random fields are refused, never worse. */
+/**
+ * Messages to nodes and directory: what is written is read, and random fields are refused, never
+ * worse.
+ */
 class MessagesTest {
     private interface Reading {
         Object read(Frame frame) throws BadBytes;
     }
 
-    private static final List<Reading> READINGS = List.of(StoreWire::hello, StoreWire::welcome, StoreWire::send,
-            StoreWire::answer, frame -> StoreWire.report(frame.head()), DirectoryWire::list, DirectoryWire::holders,
-            frame -> DirectoryWire.line(frame.head()), frame -> Fields.string(frame.head()));
+    private static final List<Reading> READINGS =
+            List.of(
+                    StoreWire::hello,
+                    StoreWire::welcome,
+                    StoreWire::send,
+                    StoreWire::answer,
+                    frame -> StoreWire.report(frame.head()),
+                    DirectoryWire::list,
+                    DirectoryWire::holders,
+                    frame -> DirectoryWire.line(frame.head()),
+                    frame -> Fields.string(frame.head()));
 
     @Property(tries = 2000, seed = "41")
-    void randomFieldsAreReadOrRefused(@ForAll @Size(max = 120) byte[] bytes,
-            @ForAll @IntRange(min = 0, max = 8) int which, @ForAll boolean small) {
+    void randomFieldsAreReadOrRefused(
+            @ForAll @Size(max = 120) byte[] bytes,
+            @ForAll @IntRange(min = 0, max = 8) int which,
+            @ForAll boolean small) {
         // Small numbers come further than random ones.
         byte[] head = bytes.clone();
         for (int i = 0; small && i < head.length; i++) {
@@ -43,19 +56,50 @@
     }
 
     @Property(tries = 200, seed = "42")
-    void whatIsWrittenIsRead(@ForAll long mark, @ForAll @IntRange(min = 0, max = 1 << 20) int offset,
-            @ForAll @Size(max = 64) byte[] data, @ForAll @IntRange(min = 0, max = 65535) int used,
-            @ForAll @Size(max = 5) List<@IntRange(min = 0, max = 65535) Integer> ports) throws BadBytes {
+    void whatIsWrittenIsRead(
+            @ForAll long mark,
+            @ForAll @IntRange(min = 0, max = 1 << 20) int offset,
+            @ForAll @Size(max = 64) byte[] data,
+            @ForAll @IntRange(min = 0, max = 65535) int used,
+            @ForAll @Size(max = 5) List<@IntRange(min = 0, max = 65535) Integer> ports)
+            throws BadBytes {
         ByteBuf payload = Unpooled.wrappedBuffer(data);
-        StoreWire.Send send = new StoreWire.Send(StoreWire.Kind.WRITE, 3, true, 1, mark, 2, 9, mark ^ 5, offset,
-                data.length, 1.5f, 77);
+        StoreWire.Send send =
+                new StoreWire.Send(
+                        StoreWire.Kind.WRITE,
+                        3,
+                        true,
+                        1,
+                        mark,
+                        2,
+                        9,
+                        mark ^ 5,
+                        offset,
+                        data.length,
+                        1.5f,
+                        77);
         assertEquals(send, StoreWire.send(StoreWire.send(4, send, payload)));
-        StoreWire.Answer answer = new StoreWire.Answer(StoreWire.Code.FULL, used, 2, 3, 4,
-                StoreWire.Answer.NO_REPORT);
+        StoreWire.Answer answer =
+                new StoreWire.Answer(
+                        StoreWire.Code.FULL, used, 2, 3, 4, StoreWire.Answer.NO_REPORT);
         assertEquals(answer, StoreWire.answer(StoreWire.answer(4, answer, Unpooled.EMPTY_BUFFER)));
-        List<DirectoryWire.Line> lines = ports.stream().map(port -> new DirectoryWire.Line(port, port, 1, 2,
-                DirectoryWire.Standing.DRAINING, mark, 0.5f, "host-" + port, port)).toList();
-        DirectoryWire.Listing listing = new DirectoryWire.Listing(8, mark, true, lines, mark * 3, "site");
+        List<DirectoryWire.Line> lines =
+                ports.stream()
+                        .map(
+                                port ->
+                                        new DirectoryWire.Line(
+                                                port,
+                                                port,
+                                                1,
+                                                2,
+                                                DirectoryWire.Standing.DRAINING,
+                                                mark,
+                                                0.5f,
+                                                "host-" + port,
+                                                port))
+                        .toList();
+        DirectoryWire.Listing listing =
+                new DirectoryWire.Listing(8, mark, true, lines, mark * 3, "site");
         assertEquals(listing, DirectoryWire.list(DirectoryWire.list(listing)));
     }
 }
--- a/src/test/java/sagepulley/store/NodeLinkTest.java
+++ b/src/test/java/sagepulley/store/NodeLinkTest.java
@@ -39,8 +39,15 @@
         volatile byte[] data;
 
         Peer(long gateway, int expected) {
-            link = new NodeLink(one, Loops.socket(), 1 << 20, expected, node.address(),
-                    new StoreWire.Hello(gateway, "peer"), this);
+            link =
+                    new NodeLink(
+                            one,
+                            Loops.socket(),
+                            1 << 20,
+                            expected,
+                            node.address(),
+                            new StoreWire.Hello(gateway, "peer"),
+                            this);
         }
 
         void write(long attempt, int fill) {
@@ -50,7 +57,8 @@
         }
 
         void send(long attempt, StoreWire.Kind kind, ByteBuf payload) {
-            StoreWire.Send send = new StoreWire.Send(kind, 0, false, 0, attempt, 0, 1, 7, 0, 512, 1, 0);
+            StoreWire.Send send =
+                    new StoreWire.Send(kind, 0, false, 0, attempt, 0, 1, 7, 0, 512, 1, 0);
             run(() -> link.send(attempt, send, payload));
         }
 
@@ -78,8 +86,7 @@
         }
 
         @Override
-        public void probed(long id, float[] report) {
-        }
+        public void probed(long id, float[] report) {}
 
         @Override
         public boolean welcomed(StoreWire.Welcome welcome) {
@@ -95,8 +102,10 @@
 
     @BeforeEach
     void start() {
-        node = Town.await(new StandInNode(NodeTraits.quick(3, 1 << 20), loops, Witness.NOBODY, 1)
-                .start(new InetSocketAddress("127.0.0.1", 0)));
+        node =
+                Town.await(
+                        new StandInNode(NodeTraits.quick(3, 1 << 20), loops, Witness.NOBODY, 1)
+                                .start(new InetSocketAddress("127.0.0.1", 0)));
     }
 
     @AfterEach
@@ -134,8 +143,10 @@
             Peer b = peer(2, 3);
             b.write(1, 2);
             assertEquals("SATISFIED", b.end(1));
-            StoreWire.Send send = new StoreWire.Send(StoreWire.Kind.WRITE, 0, false, 0, 1, 0, 1, 7, 0, 512, 1, 0);
-            late.getOutputStream().write(bytes(StoreWire.send(8, send, Unpooled.wrappedBuffer(new byte[512]))));
+            StoreWire.Send send =
+                    new StoreWire.Send(StoreWire.Kind.WRITE, 0, false, 0, 1, 0, 1, 7, 0, 512, 1, 0);
+            late.getOutputStream()
+                    .write(bytes(StoreWire.send(8, send, Unpooled.wrappedBuffer(new byte[512]))));
             in.readFully(new byte[24 + 12 + 4]); // that the pen is lost
             byte[] answer = new byte[25];
             in.readFully(answer);
@@ -182,11 +193,15 @@
     void whatIsGivenUpBeforeAConnectionStandsNeverWent() {
         Peer peer = peer(1, 3);
         boolean[] went = {true};
-        run(() -> {
-            peer.link.send(1, new StoreWire.Send(StoreWire.Kind.READ, 0, false, 0, 1, 0, 1, 7, 0, 512, 1, 0),
-                    Unpooled.EMPTY_BUFFER);
-            went[0] = peer.link.giveUp(1);
-        });
+        run(
+                () -> {
+                    peer.link.send(
+                            1,
+                            new StoreWire.Send(
+                                    StoreWire.Kind.READ, 0, false, 0, 1, 0, 1, 7, 0, 512, 1, 0),
+                            Unpooled.EMPTY_BUFFER);
+                    went[0] = peer.link.giveUp(1);
+                });
         assertEquals(false, went[0]);
         assertEquals(0, peer.read(2));
     }
--- a/src/test/java/sagepulley/traces/TailSamplerTest.java
+++ b/src/test/java/sagepulley/traces/TailSamplerTest.java
@@ -13,9 +13,13 @@
 
 /** Which operations a tail sampler keeps. */
 class TailSamplerTest {
-    /** Whatever comes, no stretch of time holds more than its budget and what was saved up before. */
+    /**
+     * Whatever comes, no stretch of time holds more than its budget and what was saved up before.
+     */
     @Property(tries = 40, seed = "3")
-    void theBudgetHolds(@ForAll long seed, @ForAll @IntRange(min = 1, max = 50) int perSecond,
+    void theBudgetHolds(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 1, max = 50) int perSecond,
             @ForAll @DoubleRange(min = 0.05, max = 20) double gap) {
         SplittableRandom random = new SplittableRandom(seed);
         TailSampler sampler = new TailSampler(perSecond, 0.5, random.split());
@@ -24,8 +28,16 @@
         while (now < 10_000) {
             now += gap * 2 * random.nextDouble();
             End end = End.values()[random.nextInt(4)];
-            kept += sampler.keeps(end, end != End.SATISFIED || random.nextInt(5) == 0, random.nextInt(3),
-                    random.nextDouble() * 500, now) > 0 ? 1 : 0;
+            kept +=
+                    sampler.keeps(
+                                            end,
+                                            end != End.SATISFIED || random.nextInt(5) == 0,
+                                            random.nextInt(3),
+                                            random.nextDouble() * 500,
+                                            now)
+                                    > 0
+                            ? 1
+                            : 0;
         }
         double most = perSecond * (now / 1000) + 2 * perSecond + 5;
         assertTrue(kept <= most, kept + " kept, bound " + most);
--- a/src/test/java/sagepulley/watch/WatchTest.java
+++ b/src/test/java/sagepulley/watch/WatchTest.java
@@ -35,11 +35,12 @@
 import sagepulley.standin.Witness;
 import sagepulley.wire.Loops;
 
-/** What a running gateway tells about itself: accounts over a restart, traces, figures over HTTP. */
+/**
+ * What a running gateway tells about itself: accounts over a restart, traces, figures over HTTP.
+ */
 class WatchTest {
     private static final int MIB = 1 << 20;
-    @TempDir
-    private Path folder;
+    @TempDir private Path folder;
     private Town town;
 
     @BeforeEach
@@ -65,8 +66,14 @@
     }
 
     private void work(Gateway gateway, int operations) {
-        NbdClient client = Town.await(NbdClient.open(town.loops(), Loops.socket(), gateway.address(), "demo",
-                NbdClient.Style.GO));
+        NbdClient client =
+                Town.await(
+                        NbdClient.open(
+                                town.loops(),
+                                Loops.socket(),
+                                gateway.address(),
+                                "demo",
+                                NbdClient.Style.GO));
         for (int i = 0; i < operations; i++) {
             Town.await(client.write(i % 8 * (long) MIB, new byte[4096])).release();
         }
@@ -109,23 +116,36 @@
         Files.write(file, java.util.Arrays.copyOf(whole, whole.length - 7));
         Gateway fourth = start(site, 4);
         assertTrue(Files.exists(folder.resolve("accounts.set-aside")));
-        assertEquals(21, Town.await(fourth.accounts(60_000)).get("demo").operations(), "the generation before");
+        assertEquals(
+                21,
+                Town.await(fourth.accounts(60_000)).get("demo").operations(),
+                "the generation before");
         Town.await(fourth.stop());
     }
 
     @Test
     void tracesGoToAFileAndAReceiverAndExplainTellsThem() throws Exception {
         AtomicReference<byte[]> received = new AtomicReference<>(new byte[0]);
-        HttpServer receiver = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 4);
-        receiver.createContext("/v1/traces", exchange -> {
-            received.set(exchange.getRequestBody().readAllBytes());
-            exchange.sendResponseHeaders(200, -1);
-            exchange.close();
-        });
+        HttpServer receiver =
+                HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 4);
+        receiver.createContext(
+                "/v1/traces",
+                exchange -> {
+                    received.set(exchange.getRequestBody().readAllBytes());
+                    exchange.sendResponseHeaders(200, -1);
+                    exchange.close();
+                });
         receiver.start();
         Path file = folder.resolve("traces");
-        Gateway gateway = start(site("\n[traces]\nfile = " + file + "\notlp = http://127.0.0.1:"
-                + receiver.getAddress().getPort() + "/v1/traces\nbudget = 100\nchance = 1\n"), 1);
+        Gateway gateway =
+                start(
+                        site(
+                                "\n[traces]\nfile = "
+                                        + file
+                                        + "\notlp = http://127.0.0.1:"
+                                        + receiver.getAddress().getPort()
+                                        + "/v1/traces\nbudget = 100\nchance = 1\n"),
+                        1);
         work(gateway, 5);
         Town.await(gateway.stop());
         receiver.stop(0);
@@ -134,13 +154,19 @@
         assertTrue(told.contains("hop 1 goes to node"), told);
         assertTrue(told.contains("worked on by the node"), told);
         assertTrue(told.contains("satisfied after"), told);
-        assertTrue(new String(received.get(), StandardCharsets.ISO_8859_1).contains("demo"), "the receiver got spans");
+        assertTrue(
+                new String(received.get(), StandardCharsets.ISO_8859_1).contains("demo"),
+                "the receiver got spans");
         assertEquals(3, printed("explain", file.toString(), "--list", "3").lines().count());
     }
 
     @Test
     void aReceiverThatIsNotThereHarmsNothing() throws Exception {
-        Gateway gateway = start(site("\n[traces]\notlp = http://127.0.0.1:9/v1/traces\nbudget = 100\nchance = 1\n"), 1);
+        Gateway gateway =
+                start(
+                        site(
+                                "\n[traces]\notlp = http://127.0.0.1:9/v1/traces\nbudget = 100\nchance = 1\n"),
+                        1);
         work(gateway, 20);
         assertEquals(21, gateway.tally().satisfied.sum());
         Town.await(gateway.stop());
@@ -151,16 +177,30 @@
         Site site = Site.read("site", site(""));
         Gateway gateway = Town.await(new Gateway(site, 1).start());
         work(gateway, 10);
-        try (Watch watch = new Watch(site, gateway, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
+        try (Watch watch =
+                new Watch(
+                        site,
+                        gateway,
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
             String base = "http://127.0.0.1:" + watch.address().getPort();
             HttpClient client = HttpClient.newHttpClient();
-            String text = client.send(HttpRequest.newBuilder(URI.create(base + "/metrics")).build(),
-                    HttpResponse.BodyHandlers.ofString()).body();
-            assertTrue(text.contains("sagepulley_operations_total{end=\"met\",volume=\"demo\"} 11.0"), text);
+            String text =
+                    client.send(
+                                    HttpRequest.newBuilder(URI.create(base + "/metrics")).build(),
+                                    HttpResponse.BodyHandlers.ofString())
+                            .body();
+            assertTrue(
+                    text.contains("sagepulley_operations_total{end=\"met\",volume=\"demo\"} 11.0"),
+                    text);
             assertTrue(text.contains("sagepulley_spent_seconds_total{part=\"node_work\"}"), text);
-            assertEquals(405, client.send(HttpRequest.newBuilder(URI.create(base + "/metrics"))
-                    .POST(HttpRequest.BodyPublishers.ofString("x")).build(),
-                    HttpResponse.BodyHandlers.discarding()).statusCode());
+            assertEquals(
+                    405,
+                    client.send(
+                                    HttpRequest.newBuilder(URI.create(base + "/metrics"))
+                                            .POST(HttpRequest.BodyPublishers.ofString("x"))
+                                            .build(),
+                                    HttpResponse.BodyHandlers.discarding())
+                            .statusCode());
             String top = printed("top", "127.0.0.1:" + watch.address().getPort(), "--once");
             assertTrue(top.contains("demo"), top);
             String nodes = printed("nodes", "127.0.0.1:" + watch.address().getPort());
@@ -172,14 +212,19 @@
     @Test
     void anOperatorsListIsImportedVerifiedAndExported() throws Exception {
         Path csv = folder.resolve("list.csv");
-        Files.writeString(csv, "node,cell,zone,kind,standing,host,port\n7,3,0,0,ready,10.0.0.7,7000\n");
+        Files.writeString(
+                csv, "node,cell,zone,kind,standing,host,port\n7,3,0,0,ready,10.0.0.7,7000\n");
         String file = folder.resolve("nodes").toString();
         printed("list-file", "import", file, "--site", "sahil", "--csv", csv.toString());
-        assertTrue(printed("list-file", "verify", file, "--site", "sahil").contains("good, 1 nodes"));
+        assertTrue(
+                printed("list-file", "verify", file, "--site", "sahil").contains("good, 1 nodes"));
         assertTrue(printed("list-file", "show", file).contains("last confirmed never"));
         assertEquals(Files.readString(csv), printed("list-file", "export", file));
         assertEquals(3, Commands.run("list-file", "verify", file, "--site", "another"));
         Files.writeString(csv, "7,3,0,0,ready,10.0.0.7,99999\n");
-        assertEquals(1, Commands.run("list-file", "import", file, "--site", "sahil", "--csv", csv.toString()));
+        assertEquals(
+                1,
+                Commands.run(
+                        "list-file", "import", file, "--site", "sahil", "--csv", csv.toString()));
     }
 }
--- a/src/test/java/sagepulley/wire/FrameTest.java
+++ b/src/test/java/sagepulley/wire/FrameTest.java
@@ -21,8 +21,12 @@
     private static byte[] encode(List<byte[]> payloads) {
         EmbeddedChannel out = new EmbeddedChannel(new FrameEncoder());
         for (int i = 0; i < payloads.size(); i++) {
-            out.writeOutbound(new Frame(i % 250, -i, Unpooled.wrappedBuffer(new byte[] {(byte) i, 7}),
-                    Unpooled.wrappedBuffer(payloads.get(i))));
+            out.writeOutbound(
+                    new Frame(
+                            i % 250,
+                            -i,
+                            Unpooled.wrappedBuffer(new byte[] {(byte) i, 7}),
+                            Unpooled.wrappedBuffer(payloads.get(i))));
         }
         ByteBuf all = Unpooled.buffer();
         for (ByteBuf part = out.readOutbound(); part != null; part = out.readOutbound()) {
@@ -33,7 +37,9 @@
         return ByteBufUtil.getBytes(all);
     }
 
-    /** Feeds bytes in pieces of the given lengths, over and over; tells the buffers that were fed. */
+    /**
+     * Feeds bytes in pieces of the given lengths, over and over; tells the buffers that were fed.
+     */
     static List<ByteBuf> feed(EmbeddedChannel to, byte[] bytes, List<Integer> lengths) {
         List<ByteBuf> fed = new ArrayList<>();
         for (int at = 0, i = 0; at < bytes.length; i++) {
@@ -47,7 +53,8 @@
     }
 
     @Property(tries = 200, seed = "11")
-    void anySplitGivesTheSameFrames(@ForAll @Size(min = 1, max = 5) List<@Size(max = 300) byte[]> payloads,
+    void anySplitGivesTheSameFrames(
+            @ForAll @Size(min = 1, max = 5) List<@Size(max = 300) byte[]> payloads,
             @ForAll @Size(min = 1, max = 8) List<@IntRange(min = 1, max = 90) Integer> lengths) {
         EmbeddedChannel in = new EmbeddedChannel(new FrameDecoder(300));
         List<ByteBuf> fed = feed(in, encode(payloads), lengths);
@@ -64,7 +71,8 @@
     }
 
     @Property(tries = 300, seed = "12")
-    void aFlippedBitEndsTheConnectionAndNothingElse(@ForAll @Size(max = 100) byte[] payload,
+    void aFlippedBitEndsTheConnectionAndNothingElse(
+            @ForAll @Size(max = 100) byte[] payload,
             @ForAll @IntRange(min = 0, max = 10_000) int where) {
         byte[] bytes = encode(List.of(payload, payload));
         bytes[where / 8 % bytes.length] ^= 1 << where % 8;
@@ -83,7 +91,8 @@
     }
 
     @Property(tries = 300, seed = "13")
-    void randomBytesNeverDoMoreThanEndTheConnection(@ForAll @Size(min = 24, max = 200) byte[] bytes) {
+    void randomBytesNeverDoMoreThanEndTheConnection(
+            @ForAll @Size(min = 24, max = 200) byte[] bytes) {
         EmbeddedChannel in = new EmbeddedChannel(new FrameDecoder(100));
         Throwable thrown = null;
         List<ByteBuf> fed = List.of();
