--- a/src/main/java/sagepulley/faults/SoakRun.java
+++ b/src/main/java/sagepulley/faults/SoakRun.java
@@ -25,6 +25,7 @@
     private static final int SHARDS = 6;
     private static final int CLIENTS = 4;
     private static final int CROWD = 130;
+    private static final int HANGUPS_IGNORED_ONE_IN = 6;
     private static final long QUIET_MS = 1_500;
     private static final long LONGEST_OUTAGE_MS = 12_000;
     private static final String HOLD_UP_SECONDS = "0.1";
@@ -76,6 +77,10 @@
             shim.environment(seed, failures).forEach(fleet::environment);
             note("system calls fail " + failures + " in 10,000");
         }
+        if (random.nextInt(HANGUPS_IGNORED_ONE_IN) == 0) {
+            fleet.launchWithHangupsIgnored();
+            note("gateways are started with SIGHUP ignored");
+        }
     }
 
     /** Runs it to its end, and gives what broke a rule. */
@@ -329,7 +334,7 @@
 
     private void planGatewayEvent(long at) {
         int gateway = random.nextInt(gateways);
-        switch (random.nextInt(5)) {
+        switch (random.nextInt(6)) {
             case 0 ->
                     at(
                             at,
@@ -341,6 +346,17 @@
                             "gateway " + gateway + " is told to end",
                             () -> inBackground(gateway, () -> restart(gateway, true)));
             case 3 -> at(at, "discovery moves for gateway " + gateway, () -> reload(gateway));
+            case 4 -> {
+                long unreadable = 300 + random.nextInt(6_000);
+                at(
+                        at,
+                        "discovery moves for gateway " + gateway + ", its file cannot be read",
+                        () -> reloadUnreadable(gateway));
+                at(
+                        at + unreadable,
+                        "the file of gateway " + gateway + " can be read",
+                        () -> writeConfig(gateway));
+            }
             default -> {
                 at(at, "discovery moves for gateway " + gateway, () -> reload(gateway));
                 at(at + 150, "and again", () -> reload(gateway));
@@ -425,6 +441,22 @@
         return String.join("\n", lines.subList(Math.max(0, lines.size() - 15), lines.size()));
     }
 
+    /** Where discovery is told elsewhere, but nobody can read where. */
+    private void reloadUnreadable(int gateway) throws IOException, InterruptedException {
+        if (Boolean.TRUE.equals(busy.get(gateway))) {
+            return;
+        }
+        fleet.moveDiscovery(gateway);
+        fleet.makeConfigUnreadable(gateway);
+        fleet.toldToReload(running.get(gateway));
+    }
+
+    private void writeConfig(int gateway) throws IOException {
+        if (!Boolean.TRUE.equals(busy.get(gateway))) {
+            fleet.writeConfig(gateway);
+        }
+    }
+
     private void reload(int gateway) throws IOException, InterruptedException {
         if (Boolean.TRUE.equals(busy.get(gateway))) {
             return;
--- a/src/main/java/sagepulley/faults/TestFleet.java
+++ b/src/main/java/sagepulley/faults/TestFleet.java
@@ -59,6 +59,11 @@
         environment.put(name, value);
     }
 
+    /** As under nohup: each gateway process that starts from now on has SIGHUP ignored. */
+    void launchWithHangupsIgnored() {
+        launchThrough("sh", "-c", "trap '' HUP; exec \"$0\" \"$@\"");
+    }
+
     /** A command in front of each gateway process that starts from now on. */
     void launchThrough(String... words) {
         launcher.clear();
@@ -135,7 +140,18 @@
         return folder.resolve("gateway-" + number + ".json");
     }
 
+    /**
+     * Nobody can read the gateway's file until it is written again: a directory is in its place.
+     */
+    void makeConfigUnreadable(int number) throws IOException {
+        Files.deleteIfExists(configFile(number));
+        Files.createDirectory(configFile(number));
+    }
+
     void writeConfig(int number) throws IOException {
+        if (Files.isDirectory(configFile(number))) {
+            Files.delete(configFile(number));
+        }
         Files.writeString(configFile(number), config(number));
     }
 
--- a/src/test/java/sagepulley/faults/ReloadTest.java
+++ b/src/test/java/sagepulley/faults/ReloadTest.java
@@ -86,15 +86,13 @@
             Thread.sleep(1_000);
             fleet.discovery.watchesSilent = true;
             FleetChecks.drain(fleet, 0);
-            Files.delete(fleet.configFile(0));
-            Files.createDirectory(fleet.configFile(0));
-            fleet.discovery.moveFor(0);
+            fleet.moveDiscovery(0);
+            fleet.makeConfigUnreadable(0);
             fleet.toldToReload(gateway);
             FleetChecks.drain(fleet, 1);
             Thread.sleep(WATCHED_MS);
             FleetChecks.assertNoSendAfterGrace(fleet);
             fleet.discovery.watchesSilent = false;
-            Files.delete(fleet.configFile(0));
             fleet.moveDiscovery(0);
             awaitActedOn(fleet, gateway);
             FleetChecks.assertServedAgain(fleet);
