--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -30,11 +30,18 @@
  * them.
  *
  * <p>How it is called (the types are those of sagepulley.model; times are milliseconds on one
- * clock): place(operation) where to send it, or not yet, or never; a SEND has already added its
- * attempt after(attempt) what to do for its operation after this outcome pause() how long to wait,
- * and what is due now: operations to place, probes, list calls; asked again until no operation is
- * due and told, with no answer: listed, listFailed, probed, left, found, needless. The caller keeps
- * timers and operations.
+ * clock):
+ *
+ * <ul>
+ *   <li>place(operation): where to send it, or not yet, or never; a SEND has already added its
+ *       attempt
+ *   <li>after(attempt): what to do for its operation after this outcome
+ *   <li>pause(): how long to wait, and what is due now: operations to place, probes, list calls;
+ *       asked again until no operation is due
+ *   <li>told, with no answer: listed, listFailed, probed, left, found, needless
+ * </ul>
+ *
+ * <p>The caller keeps timers and operations.
  */
 public final class Control {
     // The page's figures.
@@ -60,10 +67,8 @@
     private static final double BOUND_STEP = 0.25;
     private static final double BOUND_REST = 1;
     // The queue seen at a node, in quarters of the shortest target time: an answer's least weight,
-    // the time
-    // after which it weighs nearly alone (1.5 s and 6 s were worse), a time-out's part, what fades
-    // each
-    // second.
+    // the time after which it weighs nearly alone (1.5 s and 6 s were worse), a time-out's part,
+    // what fades each second.
     private static final double CROWD_STEP = 0.2;
     private static final double CROWD_TIME = 4_000;
     private static final double MOST_CROWD = 4;
@@ -71,8 +76,7 @@
     private static final double CROWD_KEEP = 0.8;
     private static final double CROWD_FADE = 0.95;
     // The queue that holds an operation back: in the reserve, in the share, over its level,
-    // anything. A third
-    // less or more lost 0.02 on one site or another.
+    // anything. A third less or more lost 0.02 on one site or another.
     private static final double CROWDED_RESERVE = 1.6;
     private static final double CROWDED_SHARE = 1.2;
     private static final double CROWDED = 1.6;
@@ -115,8 +119,7 @@
     private static final double LEFT_STEP = 0.02;
     private static final double LEFT_SHARE = 0.05;
     // The part of what a cold node bears that is asked of it, if the demand in share were all it
-    // can do warm
-    // (0.5 to 0.9 lie within 0.03), and the cap on one gateway in usual parts.
+    // can do warm (0.5 to 0.9 lie within 0.03), and the cap on one gateway in usual parts.
     private static final double COLD_PART = 0.8;
     private static final double COLD_BURST = 2;
     private static final double COLD_LOOK = 20;
@@ -938,8 +941,7 @@
             return 1;
         }
         // Where many gateways share a node, none sees enough of it to deal it out: a volume that
-        // takes far
-        // more of it than its weight of what all volumes are sized for surges.
+        // takes far more of it than its weight of what all volumes are sized for surges.
         double used =
                 (seat == null ? account.beyond : use(account, seat).beyond).sumOver(now)
                         + units / 2;
@@ -1095,8 +1097,7 @@
                 preference += 1;
             }
             // A busy degree a second old sends a second's new objects one way: what is out there
-            // now, and the
-            // queue that the latest answers showed, count with it.
+            // now, and the queue that the latest answers showed, count with it.
             double busy = seat.busy * (1 + OUT_PART * seat.out.size()) + seat.crowd;
             double score =
                     ALPHA * (seat.placements.sumOver(now) + 1) / (mean / ready + 1)
@@ -1190,9 +1191,8 @@
                 seat.faults += FAULT_STEP * (1 - seat.faults);
             }
             // A full node is up, but one that hangs turns work away as well: only an answer
-            // restores trust. A
-            // connection that breaks may be the only thing that did: if the node is down, the next
-            // one tells.
+            // restores trust. A connection that breaks may be the only thing that did: if the node
+            // is down, the next one tells.
             case NO_CONNECTION -> seat.distrusted |= seat.heardAt < attempt.sentAt;
             // An attempt that had little time left tells as little.
             case TIMED_OUT ->
@@ -1286,10 +1286,8 @@
         taken.add(now, 1);
         BandRow row = rows[operation.band.index()];
         // A client's repeat keeps the target time of its first try: it names the same extent and
-        // has less
-        // patience left than others. Any other with little patience is only hurried, its target
-        // time has just
-        // begun.
+        // has less patience left than others. Any other with little patience is only hurried, its
+        // target time has just begun.
         double left = operation.deadline - now;
         row.patienceSeen = Math.max(row.patienceSeen, left);
         double gone = row.patienceSeen - left;
--- a/src/main/java/sagepulley/nbd/NbdServerDecoder.java
+++ b/src/main/java/sagepulley/nbd/NbdServerDecoder.java
@@ -141,8 +141,7 @@
         request = new NbdRequest(flags, command, cookie, offset, length, Unpooled.EMPTY_BUFFER, 0);
         if (command == Nbd.CMD_WRITE && bytes > mostBlock) {
             // The text lets the server end the connection, or read it all and answer EINVAL: the
-            // second, while
-            // it is not out of all proportion.
+            // second, while it is not out of all proportion.
             if (bytes > 4L * mostBlock) {
                 throw new BadBytes("write of " + bytes + " bytes, at most " + mostBlock);
             }
--- a/src/main/java/sagepulley/platform/DiscoveryLink.java
+++ b/src/main/java/sagepulley/platform/DiscoveryLink.java
@@ -207,8 +207,7 @@
             relyOn(call);
         }
         // Lower numbers come from a discovery that started anew, which a new call's first list
-        // tells; or from
-        // an answer that something newer has overtaken.
+        // tells; or from an answer that something newer has overtaken.
         boolean startedAnew = call.hasOneList() && call.after() == revision;
         if (listing.revision() < revision && !startedAnew) {
             return;
--- a/src/main/java/sagepulley/standin/StandInNode.java
+++ b/src/main/java/sagepulley/standin/StandInNode.java
@@ -381,8 +381,7 @@
                 continue;
             }
             // Work is begun in the order it came, and has its effect when it begins: no later write
-            // of an
-            // extent can be undone by an earlier one.
+            // of an extent can be undone by an earlier one.
             begin(work);
         }
     }
