Retry budget, client repeats and per-key ordering are modules of their own; rested keys are forgotten

RetryBudget, RepeatWindow and KeyOrder hold one each, with tests. One change of behaviour: KeyOrder forgets keys of which nothing is in hand and that have rested; Control kept one object for each extent that an ordered band had ever named, for good.

--- a/src/main/java/sagepulley/control/Ticket.java
+++ b/src/main/java/sagepulley/control/Ticket.java
@@ -22,7 +22,7 @@
     Seat seat;
 
     /** Where its band asks for order. */
-    KeyLine line;
+    KeyOrder.Key key;
 
     /** Drawn once: a cold node takes the lowest first. */
     final double lot;
