--- a/src/main/java/sagepulley/platform/NodeLinks.java
+++ b/src/main/java/sagepulley/platform/NodeLinks.java
@@ -346,8 +346,8 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             if (ended == null) {
-                close("bytes that belong to no answer"); // more than belongs to an answer:
-                // nothing of it may meet the next call
+                // More than belongs to an answer: nothing of it may meet the next call.
+                close("bytes that belong to no answer");
                 return;
             }
             Resp answer = (Resp) message;
