Failing test: a list from the former address puts off the call at discovery's new one, for good

Change: HealthTest's new case; the soak judges that each gateway serves again 12 s after the last trouble.

--- a/src/main/java/sagepulley/faults/SoakRun.java
+++ b/src/main/java/sagepulley/faults/SoakRun.java
@@ -26,6 +26,11 @@
     private static final int CLIENTS = 4;
     private static final int CROWD = 130;
     private static final int HANGUPS_IGNORED_ONE_IN = 6;
+
+    /** Two list calls at the longest gap, and the time of the first one. */
+    private static final long RECOVERY_MS = 12_000;
+
+    private static final long SERVICE_WATCHED_MS = 2_000;
     private static final long QUIET_MS = 1_500;
     private static final long LONGEST_OUTAGE_MS = 12_000;
     private static final String HOLD_UP_SECONDS = "0.1";
@@ -118,12 +123,37 @@
         while (busy.containsValue(true)) {
             Thread.sleep(50);
         }
+        judgeService();
         for (ClientLoad load : fleet.loads) {
             load.stop();
         }
         return judge();
     }
 
+    /** All trouble is over: after a while each gateway has to serve again. */
+    private void judgeService() throws InterruptedException {
+        Thread.sleep(RECOVERY_MS);
+        long from = System.nanoTime();
+        Thread.sleep(SERVICE_WATCHED_MS);
+        for (int gateway = 0; gateway < gateways; gateway++) {
+            boolean serves =
+                    loadOf(gateway).requests.stream()
+                            .anyMatch(
+                                    request ->
+                                            request.sentAt >= from
+                                                    && request.end == Request.End.SERVED);
+            if (!serves) {
+                troubles.add(
+                        "gateway "
+                                + gateway
+                                + " serves nothing "
+                                + RECOVERY_MS
+                                + " ms after the last trouble: "
+                                + tail(running.get(gateway)));
+            }
+        }
+    }
+
     private List<String> judge() {
         List<Request> requests = fleet.requests();
         List<StoreServer.Arrival> arrivals = fleet.arrivals();
--- a/src/test/java/sagepulley/control/HealthTest.java
+++ b/src/test/java/sagepulley/control/HealthTest.java
@@ -293,6 +293,19 @@
         assertEquals(calls + 1, host.listCalls);
     }
 
+    /** The old address may still tell changes before the new one has been called. */
+    @Test
+    void aListFromTheFormerAddressDoesNotPutOffTheCallAtTheNewOne() {
+        FakeHost host = new FakeHost(1, 0, 100, true, Double.NaN, 6_000);
+        host.passTime(10);
+        host.control.listConfirmed(host.now);
+        int calls = host.listCalls;
+        host.control.listMoved(host.now);
+        host.relist();
+        host.passTime(302);
+        assertEquals(calls + 1, host.listCalls);
+    }
+
     /**
      * Many start anew at once while nodes drain: 6 s after a change that could be had it counts as
      * told to all.
