Only an answer from where discovery is counts as an answer to the call that is due

Control.listed put off the next list call whoever had told the list; on a platform listConfirmed does it now, which a watch at a former address never brings.

--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -244,7 +244,9 @@
             knowsList = true;
             bornAt = now;
             discovery.started(now);
-        } else {
+        } else if (!lease.isBounded()) {
+            // On a platform listConfirmed tells it: a list may also come from an address that
+            // discovery has left, which answers no call that is due.
             discovery.answered();
         }
         // Whoever waits for a node that drains, or for a shard that moved, is looked at anew.
