--- a/src/main/java/sagepulley/control/Control.java
+++ b/src/main/java/sagepulley/control/Control.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
@@ -101,6 +102,9 @@
     // at least.
     private static final double LATE_GRACE = 0.5;
     private static final double LATE_WORTH = 0.5;
+    // A client's repeat: sought among this many, and known by this part of the target time gone.
+    private static final int REPEATS_KEPT = 200;
+    private static final double REPEAT_GONE = 0.1;
     private static final double SHARE_WINDOW = 1_000;
     private static final double FAIR_REFRESH = 50;
     private static final double LOST_MEMORY = 5_000;
@@ -145,10 +149,19 @@
     private final Queue homeless = new Queue();
     private final Waits waits = new Waits();
     private final List<Attempt> unwanted = new ArrayList<>();
-    private final KeyOrder keyOrder;
+    private final Map<Long, KeyLine> lines = new HashMap<>();
+
+    /** By extent, when the target time of a first try ends that was lately given up or left. */
+    private final Map<Long, Double> unserved =
+            new LinkedHashMap<>() {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<Long, Double> eldest) {
+                    return size() > REPEATS_KEPT;
+                }
+            };
 
-    private final RepeatWindow repeats = new RepeatWindow();
-    private final RetryBudget retryBudget;
+    private final Ring taken;
+    private final Ring further;
     private final Load freshLoad = Load.over(OVERLOAD_WINDOW);
     private double shortestTarget;
     private final double lastCall;
@@ -194,8 +207,9 @@
         this.lastCall = 1.5 * site.tick();
         this.discovery = new DiscoverySchedule(site, chance);
         this.lease = new EndpointLease(site.notifiedWithin(), rules.drainGrace());
-        this.retryBudget = new RetryBudget(rules);
-        this.keyOrder = new KeyOrder(rules.keyRest());
+        double window = rules.hasBudget() ? rules.budgetWindow() : 1;
+        this.taken = new Ring(window, 50);
+        this.further = new Ring(window, 50);
     }
 
     // ---- facts ----
@@ -392,11 +406,11 @@
         state++;
         learn(attempt, seat, now);
         Ticket ticket = (Ticket) operation.kept;
-        if (ticket.key != null
+        if (ticket.line != null
                 && (attempt.outcome == Outcome.TIMED_OUT
                         || attempt.outcome == Outcome.RESET
                         || attempt.outcome == Outcome.CALLED_OFF)) {
-            keyOrder.rest(ticket.key, now);
+            ticket.line.restsUntil = now + rules.keyRest();
         }
         if (operation.over) {
             drop(operation);
@@ -505,8 +519,10 @@
                     || !rules.secondCopies() && operation.isOut()) {
                 return false;
             }
-            // 6: the budget of further attempts.
-            if (!retryBudget.allowsRetry(now)) {
+            // 6: the budget of further attempts, counted against ourselves where a bucket is cut.
+            if (rules.hasBudget()
+                    && further.sumOver(now) + 1
+                            > rules.budgetFree() + rules.budgetShare() * taken.sumWithin(now)) {
                 return false;
             }
         }
@@ -604,15 +620,15 @@
     }
 
     boolean isFirstOfKey(Operation operation, double now) {
-        KeyOrder.Key key = ((Ticket) operation.kept).key;
-        if (key == null) {
+        KeyLine line = ((Ticket) operation.kept).line;
+        if (line == null) {
             return true;
         }
-        if (!key.isFirst(operation)) {
+        if (line.operations.get(0) != operation) {
             return false;
         }
-        if (operation.attempts.isEmpty() && now <= key.restsUntil()) {
-            lookAt(key.restsUntil() + site.tick());
+        if (operation.attempts.isEmpty() && now <= line.restsUntil) {
+            lookAt(line.restsUntil + site.tick());
             return false;
         }
         return true;
@@ -662,7 +678,7 @@
             account.limit -= operation.units;
             spend(operation.volume, seat, operation.units, now);
         } else {
-            retryBudget.retried(now);
+            further.add(now, 1);
         }
         return Placement.send(seat.node, timeout(operation, now));
     }
@@ -1269,13 +1285,23 @@
         }
         Ticket ticket = new Ticket(operation, chance.nextDouble());
         operation.kept = ticket;
-        retryBudget.operationTaken(now);
+        taken.add(now, 1);
         BandRow row = rows[operation.band.index()];
+        // A client's repeat keeps the target time of its first try: it names the same extent and
+        // has less patience left than others. Any other with little patience is only hurried, its
+        // target time has just begun.
         double left = operation.deadline - now;
         row.patienceSeen = Math.max(row.patienceSeen, left);
-        ticket.targetEnds = repeats.targetEndsOf(operation, row.patienceSeen - left, now);
+        double gone = row.patienceSeen - left;
+        boolean shorter = gone > REPEAT_GONE * operation.band.targetTime();
+        Double first = shorter ? unserved.get(operation.extent) : null;
+        ticket.targetEnds =
+                first != null
+                        ? first
+                        : now + operation.band.targetTime() - (operation.clientRepeat ? gone : 0);
         if (operation.band.inOrder() && operation.extent != 0) {
-            ticket.key = keyOrder.enter(operation, now);
+            ticket.line = lines.computeIfAbsent(operation.extent, any -> new KeyLine());
+            ticket.line.operations.add(operation);
         }
         return ticket;
     }
@@ -1355,7 +1381,9 @@
      */
     private void forsake(Operation operation) {
         drop(operation);
-        repeats.endedUnserved(operation, ((Ticket) operation.kept).targetEnds);
+        if (operation.extent != 0) {
+            unserved.put(operation.extent, ((Ticket) operation.kept).targetEnds);
+        }
     }
 
     /**
@@ -1365,8 +1393,8 @@
     private void drop(Operation operation) {
         Ticket ticket = (Ticket) operation.kept;
         dequeue(operation);
-        if (ticket.key != null && !operation.isOut()) {
-            keyOrder.leave(ticket.key, operation);
+        if (ticket.line != null && !operation.isOut()) {
+            ticket.line.operations.remove(operation);
         }
     }
 }
--- a/src/main/java/sagepulley/control/Queue.java
+++ b/src/main/java/sagepulley/control/Queue.java
@@ -26,7 +26,7 @@
     private record Alike(long volume, int band, double units, long turn) {
         static Alike of(Ticket ticket) {
             Operation operation = ticket.operation;
-            boolean plain = operation.attempts.isEmpty() && ticket.key == null;
+            boolean plain = operation.attempts.isEmpty() && ticket.line == null;
             return new Alike(
                     operation.volume.id,
                     operation.band.index(),
--- a/src/main/java/sagepulley/control/Ticket.java
+++ b/src/main/java/sagepulley/control/Ticket.java
@@ -22,7 +22,7 @@
     Seat seat;
 
     /** Where its band asks for order. */
-    KeyOrder.Key key;
+    KeyLine line;
 
     /** Drawn once: a cold node takes the lowest first. */
     final double lot;
