Soak's judge: what is written to a process that is gone tells the next one nothing

Gateway 1 was killed at 9.68 s; the stand-in for discovery wrote the drain (10.945) to the dead process's connection 10 ms later, which the system takes, and the judge counted it for the new process, whose first list trickled until 13.5 s (traced by the story; the logs were gone). Change: what is written counts for a process only on connections made after its start; for those the rule is as strict as before, and the bound of 6 s stays.

--- a/src/main/java/sagepulley/faults/DiscoveryServer.java
+++ b/src/main/java/sagepulley/faults/DiscoveryServer.java
@@ -142,8 +142,11 @@
     /** An endpoint's state from a time on. */
     record Change(long at, long revision, Endpoint endpoint) {}
 
-    /** That a gateway was written all up to a revision, whole, at a time. */
-    record Written(long at, int gateway, long revision) {}
+    /**
+     * That a gateway was written all up to a revision, whole, at a time, on a connection made at
+     * another.
+     */
+    record Written(long at, int gateway, long revision, long connectedAt) {}
 
     private final Map<Integer, ServerSocket> listeners = new ConcurrentHashMap<>();
     private final Map<Integer, Integer> ports = new ConcurrentHashMap<>();
@@ -331,6 +334,7 @@
     // ---- one call ----
 
     private void answer(int gateway, Socket socket) throws IOException, InterruptedException {
+        long connectedAt = System.nanoTime();
         BufferedReader reader =
                 new BufferedReader(
                         new InputStreamReader(
@@ -362,13 +366,13 @@
         if (!watches) {
             write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n", 0);
             write(socket, list, now.trickleMs());
-            tell(gateway, revision);
+            tell(gateway, revision, connectedAt);
             return;
         }
         write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", 0);
         chunk(socket, list, now.trickleMs());
-        tell(gateway, revision);
-        follow(gateway, socket, revision);
+        tell(gateway, revision, connectedAt);
+        follow(gateway, socket, revision, connectedAt);
     }
 
     private boolean waitForTurn(Behaviour now) throws InterruptedException {
@@ -394,7 +398,7 @@
         }
     }
 
-    private void follow(int gateway, Socket socket, long from)
+    private void follow(int gateway, Socket socket, long from, long connectedAt)
             throws IOException, InterruptedException {
         long revision = from;
         long lastLine = System.nanoTime();
@@ -406,7 +410,7 @@
             if (revision() > revision) {
                 long next = revision();
                 chunk(socket, json(revision), behaviour.trickleMs());
-                tell(gateway, next);
+                tell(gateway, next, connectedAt);
                 revision = next;
                 lastLine = System.nanoTime();
             } else if (System.nanoTime() - lastLine > TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MS)) {
@@ -416,8 +420,8 @@
         }
     }
 
-    private synchronized void tell(int gateway, long revision) {
-        written.add(new Written(System.nanoTime(), gateway, revision));
+    private synchronized void tell(int gateway, long revision, long connectedAt) {
+        written.add(new Written(System.nanoTime(), gateway, revision, connectedAt));
     }
 
     private static void chunk(Socket socket, String text, long trickleMs)
--- a/src/main/java/sagepulley/faults/DrainRule.java
+++ b/src/main/java/sagepulley/faults/DrainRule.java
@@ -25,13 +25,15 @@
     private static final long SLACK_MS = 50 + 150;
 
     private final DiscoveryServer discovery;
+    private final List<GatewayProcess> processes;
 
     /** When each gateway was sent SIGHUP with a new address of discovery. */
     private final Map<Integer, List<Long>> reloads;
 
-    DrainRule(DiscoveryServer discovery, Map<Integer, List<Long>> reloads) {
-        this.discovery = discovery;
-        this.reloads = reloads;
+    DrainRule(TestFleet fleet) {
+        this.discovery = fleet.discovery;
+        this.reloads = fleet.reloads();
+        this.processes = fleet.gateways;
     }
 
     /** Sentences for the commands that broke it. */
@@ -50,6 +52,7 @@
             if (request == null) {
                 continue;
             }
+            long startedAt = startOfProcess(request.gateway, arrival.firstByteAt());
             for (DiscoveryServer.Change change :
                     changes.getOrDefault(arrival.endpoint(), List.of())) {
                 if (change.endpoint().state() == Endpoint.State.SERVING
@@ -57,10 +60,17 @@
                                 changes.get(arrival.endpoint()),
                                 change,
                                 arrival.firstByteAt(),
-                                each -> notifiedAt(each, request.gateway, written, unreachable))) {
+                                each ->
+                                        notifiedAt(
+                                                each,
+                                                request.gateway,
+                                                startedAt,
+                                                written,
+                                                unreachable))) {
                     continue;
                 }
-                long notified = notifiedAt(change, request.gateway, written, unreachable);
+                long notified =
+                        notifiedAt(change, request.gateway, startedAt, written, unreachable);
                 long late = TimeUnit.NANOSECONDS.toMillis(arrival.firstByteAt() - notified);
                 if (late > TestFleet.DRAIN_GRACE_MS + SLACK_MS) {
                     broken.add(
@@ -101,6 +111,7 @@
     private long notifiedAt(
             DiscoveryServer.Change change,
             int gateway,
+            long startedAt,
             List<DiscoveryServer.Written> written,
             List<long[]> unreachable) {
         long notified = reachableFor(change.at(), NOTIFIED_MS, unreachable);
@@ -111,7 +122,8 @@
             }
         }
         for (DiscoveryServer.Written each : written) {
-            if (each.gateway() == gateway
+            if (each.connectedAt() >= startedAt
+                    && each.gateway() == gateway
                     && each.revision() >= change.revision()
                     && each.at() >= change.at()) {
                 notified = Math.min(notified, each.at());
@@ -120,6 +132,15 @@
         return notified;
     }
 
+    /** What was written to a process that is gone by then tells the next one nothing. */
+    private long startOfProcess(int gateway, long at) {
+        return processes.stream()
+                .filter(process -> process.number == gateway && process.startedAt <= at)
+                .mapToLong(process -> process.startedAt)
+                .max()
+                .orElse(Long.MIN_VALUE);
+    }
+
     /** When discovery has been reachable for so long at a stretch since a time. */
     private static long reachableFor(long from, long ms, List<long[]> unreachable) {
         long since = from;
--- a/src/main/java/sagepulley/faults/SoakRun.java
+++ b/src/main/java/sagepulley/faults/SoakRun.java
@@ -158,7 +158,7 @@
         List<Request> requests = fleet.requests();
         List<StoreServer.Arrival> arrivals = fleet.arrivals();
         List<String> broken = new ArrayList<>(troubles);
-        broken.addAll(new DrainRule(fleet.discovery, fleet.reloads()).broken(arrivals, requests));
+        broken.addAll(new DrainRule(fleet).broken(arrivals, requests));
         broken.addAll(new AnswerRule(endings, !crowd.isEmpty()).broken(arrivals, requests));
         return broken;
     }
