--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -1,36 +1,51 @@
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Usual clients write values of 64 KiB while other clients stop in the middle of such a command and stay. Each request
- * of a usual client has to get its final answer.
+ * Clients send several bulk reads at once on a connection, and one of eight stores hangs. Each request has to get its final
+ * answer, also the requests of clients that send one at a time and never use the store that hangs.
  */
 public final class Case1 {
     private static final String HOST = "127.0.0.1";
     private static final int MEMORY_MB = 192;
     private static final int SOCKETS = 1024;
-    private static final int USUAL_CLIENTS = 6;
-    private static final double PAUSE_MILLIS = 100;
-    private static final int DEADLINE_MILLIS = 4000;
+    private static final int STORES = 8;
+
+    /** Lengths of the values of bulk reads, by the request's number; other reads have short ones. */
+    private static final int[] VALUE_BYTES = {65_000, 65_000, 65_000, 65_000, 65_000, 20_000, 5_000, 1_000};
+
+    private static final double SERVICE_MILLIS = 10;
+
+    private static final int PIPELINING_CLIENTS = 30;
+    private static final int COMMANDS_AT_ONCE = 64;
+    private static final double MILLIS_BETWEEN_BATCHES = 5000;
+    private static final int BULK_DEADLINE_MILLIS = 7500;
+
+    private static final int SINGLE_CLIENTS = 10;
+    private static final double PAUSE_MILLIS = 50;
+    private static final int READ_DEADLINE_MILLIS = 2500;
 
     /** A request later than this after its deadline, or never answered, is lost. */
     private static final double LATE_MILLIS = 500 + 50;
 
-    private static final int STALLED_CLIENTS = 300;
-    private static final int STALLED_BYTES = 40_000;
-    private static final double TROUBLE_MILLIS = 10_000;
+    private static final double HANG_MILLIS = 10_000;
+    private static final double AFTER_MILLIS = 4_000;
 
     private final Rig.Record record;
     private final boolean trouble;
-    private final AtomicInteger answered = new AtomicInteger();
+    private final AtomicLong lastId = new AtomicLong(1L << 40);
     private final AtomicInteger served = new AtomicInteger();
-    private final AtomicInteger resent = new AtomicInteger();
+    private final AtomicInteger unserved = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
+    private final AtomicInteger lostAfterwards = new AtomicInteger();
+    private volatile boolean hangs;
+    private volatile boolean hangOver;
     private volatile boolean ended;
     private int port;
 
@@ -52,28 +67,29 @@
     }
 
     private int run(Path root, Path dir) throws Exception {
-        Rig.Store first = new Rig.Store(HOST, "s-0", 0, record);
-        Rig.Store second = new Rig.Store(HOST, "s-1", 1, record);
-        String members =
-                Rig.member("s-0", first.address(), 0, "SERVING")
-                        + ","
-                        + Rig.member("s-1", second.address(), 1, "SERVING");
-        Rig.Discovery discovery = new Rig.Discovery(HOST, members, record);
+        StringBuilder members = new StringBuilder();
+        List<Rig.Store> stores = new ArrayList<>();
+        for (int i = 0; i < STORES; i++) {
+            Rig.Store store = new ReadStore("s-" + i, i);
+            stores.add(store);
+            members.append(i == 0 ? "" : ",").append(Rig.member(store.id, store.address(), i, "SERVING"));
+        }
+        Rig.Discovery discovery = new Rig.Discovery(HOST, members.toString(), record);
         port = Rig.freePort(HOST);
         String classes =
-                Rig.trafficClass("read", "retryable", 500, 2500)
+                Rig.trafficClass("read", "retryable", 500, READ_DEADLINE_MILLIS)
                         + ","
-                        + Rig.trafficClass("new-write", "retryable", 800, DEADLINE_MILLIS)
+                        + Rig.trafficClass("new-write", "retryable", 800, 4000)
                         + ","
-                        + Rig.trafficClass("bulk-read", "retryable", 2500, 7500);
+                        + Rig.trafficClass("bulk-read", "retryable", 2500, BULK_DEADLINE_MILLIS);
         String config =
                 Rig.config(
                         HOST + ":" + port,
                         discovery.address(),
-                        members,
+                        members.toString(),
                         MEMORY_MB,
                         SOCKETS,
-                        2,
+                        STORES,
                         classes,
                         "false,true,false",
                         "");
@@ -83,120 +99,171 @@
                 return 2;
             }
             List<Thread> clients = new ArrayList<>();
-            for (int i = 0; i < USUAL_CLIENTS; i++) {
-                int number = i;
-                clients.add(Rig.start(() -> usualClient(number)));
+            for (int i = 0; i < SINGLE_CLIENTS; i++) {
+                clients.add(Rig.start(this::singleClient));
             }
             Rig.sleep(3000);
-            record.line("before the trouble: answered %d, served %d, lost %d", answered.get(), served.get(), lost.get());
+            record.line("before: served %d, declined or failed %d, lost %d", served.get(), unserved.get(), lost.get());
+            int servedBefore = served.get();
+            if (servedBefore < 50 || lost.get() > 0) {
+                return 2;
+            }
             if (trouble) {
-                stalledClients();
+                hangs = true;
+                record.line("store s-0 hangs: it takes commands and answers none");
             }
-            Rig.sleep(TROUBLE_MILLIS);
+            Rig.sleep(500);
+            for (int i = 0; i < PIPELINING_CLIENTS; i++) {
+                int number = i;
+                clients.add(Rig.start(() -> pipeliningClient(number)));
+            }
+            record.line(
+                    "%d clients send %d bulk reads at once, each %.0f ms once all are answered",
+                    PIPELINING_CLIENTS, COMMANDS_AT_ONCE, MILLIS_BETWEEN_BATCHES);
+            Rig.sleep(HANG_MILLIS);
+            hangs = false;
+            hangOver = true;
+            record.line("the hang is over: served %d, declined or failed %d, lost %d", served.get(), unserved.get(), lost.get());
+            Rig.sleep(AFTER_MILLIS);
             ended = true;
             for (Thread client : clients) {
                 client.join();
             }
             boolean alive = gateway.process.isAlive();
             record.line(
-                    "answered %d (served %d), sent again after a close %d, lost %d, gateway alive %b, commands at the stores %d",
-                    answered.get(),
-                    served.get(),
-                    resent.get(),
-                    lost.get(),
-                    alive,
-                    first.commands.get() + second.commands.get());
-            if (answered.get() < 100) {
-                return 2;
+                    "served %d, declined or failed %d, lost %d, of these %d sent after the hang; gateway alive %b",
+                    served.get(), unserved.get(), lost.get(), lostAfterwards.get(), alive);
+            for (Rig.Store store : stores) {
+                record.line("store %s ran %d commands", store.id, store.commands.get());
             }
             return lost.get() > 0 || !alive ? 1 : 0;
         }
     }
 
+    /** Answers each read with a long value; the first store hangs for a while. */
+    private final class ReadStore extends Rig.Store {
+        ReadStore(String id, int cell) throws IOException {
+            super(HOST, id, cell, Case1.this.record);
+        }
+
+        @Override
+        void onCommand(Rig.Conn conn, Rig.Reply command) throws IOException {
+            boolean hung = cell == 0 && hangs;
+            while (cell == 0 && hangs) {
+                Rig.sleep(20);
+            }
+            if (hung) {
+                return; // what it took while it hung is never answered
+            }
+            Rig.sleep(SERVICE_MILLIS);
+            String value = valueFor(command);
+            if (argument(command, 3).startsWith("c=bulk-read,")) {
+                int length = VALUE_BYTES[(int) (Long.parseUnsignedLong(argument(command, 2), 16) % VALUE_BYTES.length)];
+                value += " ".repeat(length - value.length());
+            }
+            conn.write(Rig.ascii("*3\r\n" + bulk(value) + "$-1\r\n$-1\r\n"));
+        }
+    }
+
     /**
-     * Writes one value at a time on one connection. If that ends without an answer, the request is sent once more on a new
-     * connection, as a client does whose request crossed a close.
+     * Sends one read at a time, to the stores that do not hang. If the connection ends without an answer, the request is sent
+     * once more on a new one, as by a client whose request crossed a close.
      */
-    private void usualClient(int number) {
+    private void singleClient() {
         Rig.Conn conn = null;
-        for (long i = 1; !ended; i++) {
-            long id = (number + 1) * 1_000_000L + i;
-            byte[] body = new byte[65_536];
-            Arrays.fill(body, (byte) ('a' + number));
-            byte[] command = Rig.write(id, id, Rig.fields("new-write", DEADLINE_MILLIS, (int) (id % 2)), body);
-            String failure = null;
-            double sentAt = 0;
-            for (int sending = 0; sending < 2; sending++) {
-                sentAt = Rig.now();
+        while (!ended) {
+            long id = lastId.incrementAndGet();
+            boolean afterwards = hangOver;
+            byte[] command = Rig.read(id, id, Rig.fields("read", READ_DEADLINE_MILLIS, 1 + (int) (id % (STORES - 1))));
+            for (int sending = 1; sending <= 2; sending++) {
                 try {
                     if (conn == null) {
                         conn = new Rig.Conn(HOST, port);
                     }
-                    conn.timeout(sentAt + DEADLINE_MILLIS + LATE_MILLIS - Rig.now());
+                    conn.timeout(READ_DEADLINE_MILLIS + LATE_MILLIS);
                     conn.write(command);
-                    Rig.Reply reply = conn.readReply();
-                    failure = null;
-                    answered.incrementAndGet();
-                    if (reply.isServed()) {
-                        served.incrementAndGet();
-                    } else {
-                        record.line("request %s answered %s", Rig.hex(id), reply.describe());
-                    }
+                    count(conn.readReply());
                     break;
-                } catch (IOException ended) {
-                    failure = String.valueOf(ended.getMessage());
-                    record.line("request %s, sending %d: %s", Rig.hex(id), sending + 1, failure);
-                    if (conn != null) {
-                        conn.close();
-                        conn = null;
-                    }
-                    if (ended instanceof SocketTimeoutException) {
-                        break; // its time is over
-                    }
-                    if (sending == 0) {
-                        resent.incrementAndGet();
+                } catch (IOException failure) {
+                    conn = close(conn);
+                    if (sending == 2 || failure instanceof SocketTimeoutException) {
+                        lose(id, failure, afterwards);
+                        break;
                     }
+                    record.line("request %s: %s; sent once more", Rig.hex(id), failure.getMessage());
                 }
             }
-            if (failure != null) {
-                lost.incrementAndGet();
-                record.line("LOST request %s: no answer after %.0f ms (%s)", Rig.hex(id), Rig.now() - sentAt, failure);
-            }
             Rig.sleep(PAUSE_MILLIS);
         }
-        if (conn != null) {
-            conn.close();
-        }
+        close(conn);
     }
 
     /**
-     * Each stalled client sends the first part of a write, stays, and reads until the gateway ends its connection; then it
-     * does so again.
+     * Sends several bulk reads at once: the first to the store that may hang, the others to the other stores. Only the first is
+     * checked here, as the others have to wait for it.
      */
-    private void stalledClients() {
-        byte[] command =
-                Rig.write(5, 77, Rig.fields("new-write", DEADLINE_MILLIS, 0), new byte[65_536]);
-        byte[] part = Arrays.copyOf(command, STALLED_BYTES);
-        record.line("%d clients stop after %d of %d bytes of a command", STALLED_CLIENTS, part.length, command.length);
-        for (int i = 0; i < STALLED_CLIENTS; i++) {
-            int number = i;
-            Rig.start(
-                    () -> {
-                        while (!ended) {
-                            double connectedAt = Rig.now();
-                            String end = "closed";
-                            try (Rig.Conn conn = new Rig.Conn(HOST, port)) {
-                                conn.write(part);
-                                while (conn.in.read() >= 0) {}
-                            } catch (IOException reset) {
-                                end = reset.getMessage();
-                            }
-                            if (number % 50 == 0) {
-                                record.line("stalled client %d: %s after %.0f ms", number, end, Rig.now() - connectedAt);
-                            }
-                            Rig.sleep(100);
-                        }
-                    });
+    private void pipeliningClient(int number) {
+        Rig.Conn conn = null;
+        double nextAt = Rig.now();
+        while (!ended) {
+            Rig.sleep(nextAt - Rig.now());
+            nextAt = Rig.now() + MILLIS_BETWEEN_BATCHES;
+            ByteArrayOutputStream commands = new ByteArrayOutputStream();
+            long[] ids = new long[COMMANDS_AT_ONCE];
+            for (int i = 0; i < ids.length; i++) {
+                ids[i] = lastId.incrementAndGet();
+                int shard = i == 0 ? 0 : 1 + (int) (ids[i] % (STORES - 1));
+                commands.writeBytes(Rig.read(ids[i], ids[i], Rig.fields("bulk-read", BULK_DEADLINE_MILLIS, shard)));
+            }
+            int answered = 0;
+            boolean afterwards = hangOver;
+            try {
+                if (conn == null) {
+                    conn = new Rig.Conn(HOST, port);
+                }
+                conn.write(commands.toByteArray());
+                conn.timeout(BULK_DEADLINE_MILLIS + LATE_MILLIS);
+                for (; answered < ids.length; answered++) {
+                    count(conn.readReply());
+                }
+                if (number == 0) {
+                    record.line("pipelining client 0 has its %d answers", answered);
+                }
+            } catch (IOException failure) {
+                if (answered == 0 && failure instanceof SocketTimeoutException) {
+                    lose(ids[0], failure, afterwards);
+                } else {
+                    record.line("pipelining client %d: %s after %d answers", number, failure.getMessage(), answered);
+                }
+                conn = close(conn);
+            }
+        }
+        close(conn);
+    }
+
+    private void count(Rig.Reply reply) {
+        if (!reply.isServed()) {
+            unserved.incrementAndGet();
+            return;
+        }
+        served.incrementAndGet();
+    }
+
+    private void lose(long id, IOException failure, boolean afterwards) {
+        lost.incrementAndGet();
+        if (afterwards) {
+            lostAfterwards.incrementAndGet();
+        }
+        record.line(
+                "LOST request %s: %s",
+                Rig.hex(id),
+                failure instanceof SocketTimeoutException ? "no answer 550 ms after its time" : failure.getMessage());
+    }
+
+    private static Rig.Conn close(Rig.Conn conn) {
+        if (conn != null) {
+            conn.close();
         }
+        return null;
     }
 }
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -121,7 +121,15 @@
             process.destroyForcibly();
             try {
                 process.waitFor();
-            } catch (InterruptedException e) {
+                for (String line : Files.readAllLines(log)) {
+                    if (line.contains("Error")) {
+                        record.line("gateway's log: %s", line);
+                    }
+                }
+                if (System.getenv("KEEP_LOG") != null) {
+                    Files.copy(log, Path.of(System.getenv("KEEP_LOG")), StandardCopyOption.REPLACE_EXISTING);
+                }
+            } catch (InterruptedException | IOException e) {
                 throw new IllegalStateException(e);
             }
         }
