--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -34,7 +34,7 @@
     /** A request later than this after its deadline, or never answered, is lost. */
     private static final double LATE_MILLIS = 500 + 50;
 
-    private static final double HANG_MILLIS = 10_000;
+    private static final double HANG_MILLIS = 22_000;
     private static final double AFTER_MILLIS = 4_000;
 
     private final Rig.Record record;
@@ -161,7 +161,7 @@
                 int length = VALUE_BYTES[(int) (Long.parseUnsignedLong(argument(command, 2), 16) % VALUE_BYTES.length)];
                 value += " ".repeat(length - value.length());
             }
-            conn.write(Rig.ascii("*3\r\n" + bulk(value) + "$-1\r\n$-1\r\n"));
+            answer(conn, command, value);
         }
     }
 
@@ -181,8 +181,9 @@
                         conn = new Rig.Conn(HOST, port);
                     }
                     conn.timeout(READ_DEADLINE_MILLIS + LATE_MILLIS);
+                    record.line("send %s", Rig.hex(id));
                     conn.write(command);
-                    count(conn.readReply());
+                    count(id, conn.readReply());
                     break;
                 } catch (IOException failure) {
                     conn = close(conn);
@@ -221,13 +222,11 @@
                 if (conn == null) {
                     conn = new Rig.Conn(HOST, port);
                 }
+                record.line("send %s to %s at once", Rig.hex(ids[0]), Rig.hex(ids[ids.length - 1]));
                 conn.write(commands.toByteArray());
                 conn.timeout(BULK_DEADLINE_MILLIS + LATE_MILLIS);
                 for (; answered < ids.length; answered++) {
-                    count(conn.readReply());
-                }
-                if (number == 0) {
-                    record.line("pipelining client 0 has its %d answers", answered);
+                    count(ids[answered], conn.readReply());
                 }
             } catch (IOException failure) {
                 if (answered == 0 && failure instanceof SocketTimeoutException) {
@@ -241,7 +240,8 @@
         close(conn);
     }
 
-    private void count(Rig.Reply reply) {
+    private void count(long id, Rig.Reply reply) {
+        record.line("answer to %s: %s", Rig.hex(id), reply.describe().trim());
         if (!reply.isServed()) {
             unserved.incrementAndGet();
             return;
--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -133,14 +133,14 @@
                         conn = new Rig.Conn(HOST, port);
                     }
                     conn.timeout(sentAt + DEADLINE_MILLIS + LATE_MILLIS - Rig.now());
+                    record.line("send %s", Rig.hex(id));
                     conn.write(command);
                     Rig.Reply reply = conn.readReply();
+                    record.line("answer to %s: %s", Rig.hex(id), reply.describe());
                     failure = null;
                     answered.incrementAndGet();
                     if (reply.isServed()) {
                         served.incrementAndGet();
-                    } else {
-                        record.line("request %s answered %s", Rig.hex(id), reply.describe());
                     }
                     break;
                 } catch (IOException ended) {
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -50,11 +50,17 @@
 
         Record(Path file) throws IOException {
             out = new PrintWriter(Files.newBufferedWriter(file));
+            start(
+                    () -> {
+                        while (true) {
+                            sleep(500);
+                            out.flush();
+                        }
+                    });
         }
 
         synchronized void line(String format, Object... values) {
             out.printf(Locale.ROOT, "%10.1f %s%n", now(), String.format(Locale.ROOT, format, values));
-            out.flush();
         }
 
         @Override
@@ -314,6 +320,7 @@
                         conn.write(ascii("+PONG\r\n"));
                     } else {
                         commands.incrementAndGet();
+                        record.line("store %s takes %s", id, argument(command, 2));
                         onCommand(conn, command);
                     }
                 }
@@ -331,7 +338,12 @@
         }
 
         void answer(Conn conn, Reply command) throws IOException {
-            conn.write(ascii("*3\r\n" + bulk(valueFor(command)) + "$-1\r\n$-1\r\n"));
+            answer(conn, command, valueFor(command));
+        }
+
+        void answer(Conn conn, Reply command, String value) throws IOException {
+            record.line("store %s has run %s", id, argument(command, 2));
+            conn.write(ascii("*3\r\n" + bulk(value) + "$-1\r\n$-1\r\n"));
         }
 
         static String bulk(String text) {
