The process ends when the thread of its event loop ends

Cause: an Error that Netty throws on ended the only event loop's thread, and GatewayServer.run went on waiting. Change: the thread's end, for whatever reason, writes a line to standard error and ends the process with status 70; what that needs is allocated at the start.

--- a/src/main/java/sagepulley/codec/frame/EventLoops.java
+++ b/src/main/java/sagepulley/codec/frame/EventLoops.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.ThreadFactory;
 
 /**
  * Creates event loops and selects the matching channel types: epoll where available, NIO otherwise.
@@ -23,10 +24,13 @@
 
     /** Creates event loops that run on daemon threads with the given name prefix. */
     public static EventLoopGroup group(int loops, String name) {
+        return group(loops, new DefaultThreadFactory(name, true));
+    }
+
+    /** Creates event loops that run on threads of the factory. */
+    public static EventLoopGroup group(int loops, ThreadFactory threads) {
         return new MultiThreadIoEventLoopGroup(
-                loops,
-                new DefaultThreadFactory(name, true),
-                EPOLL ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
+                loops, threads, EPOLL ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
     }
 
     /** Returns the class of client sockets. */
--- a/src/main/java/sagepulley/frontend/resp/DueWorkScheduler.java
+++ b/src/main/java/sagepulley/frontend/resp/DueWorkScheduler.java
@@ -10,6 +10,8 @@
  * the engine requests. Runs on the event loop.
  */
 final class DueWorkScheduler {
+    private static final double RETRY_DELAY_MILLIS = 100;
+
     private final EventLoop loop;
     private final Clock clock;
     private final GatewayEngine engine;
@@ -38,8 +40,17 @@
         }
     }
 
+    /** Runs the due work; if it fails, it runs again a little later. */
     void runNow() {
-        engine.runDueWork(clock.now());
+        boolean succeeded = false;
+        try {
+            engine.runDueWork(clock.now());
+            succeeded = true;
+        } finally {
+            if (!succeeded) {
+                wakeUpAt(clock.now() + RETRY_DELAY_MILLIS);
+            }
+        }
     }
 
     /** Schedules the due work for this time at the latest; an infinite time has no effect. */
--- a/src/main/java/sagepulley/frontend/resp/RespGateway.java
+++ b/src/main/java/sagepulley/frontend/resp/RespGateway.java
@@ -217,8 +217,18 @@
         return ready;
     }
 
+    /** Runs a task at fixed intervals, also after it has failed. */
     private void runPeriodically(Runnable task, long intervalMillis) {
-        loop.scheduleWithFixedDelay(task, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> {
+                    try {
+                        task.run();
+                    } finally {
+                        runPeriodically(task, intervalMillis);
+                    }
+                },
+                intervalMillis,
+                TimeUnit.MILLISECONDS);
     }
 
     private void listen(CompletableFuture<SocketAddress> ready) {
--- a/src/main/java/sagepulley/lifecycle/GatewayServer.java
+++ b/src/main/java/sagepulley/lifecycle/GatewayServer.java
@@ -34,7 +34,7 @@
             throws ConfigException {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         GatewayConfig config = GatewayConfig.read(environment);
-        RespGateway gateway = new RespGateway(config, Transport.sockets());
+        RespGateway gateway = new RespGateway(config, Transport.sockets(new EventLoopGuard()));
         SignalHandlers.setHandler("TERM", gateway::stop);
         SignalHandlers.setHandler("INT", gateway::stop);
         ConfigReloader reloader = new ConfigReloader(environment, gateway);
--- a/src/main/java/sagepulley/logging/LogWriter.java
+++ b/src/main/java/sagepulley/logging/LogWriter.java
@@ -19,10 +19,12 @@
     public static final String WARM_UP_THREAD_PREFIX = "rehearsal";
 
     private static final int MAX_QUEUED_LINES = 1000;
+    private static final int MAX_QUEUED_CHARS = 500_000;
     private static final int MAX_VALUE_CHARS = 4000;
     private static final BlockingQueue<String> LINES = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
     private static final AtomicLong DROPPED = new AtomicLong();
     private static final AtomicLong UNWRITTEN = new AtomicLong();
+    private static final AtomicLong QUEUED_CHARS = new AtomicLong();
 
     static {
         Thread writer = new Thread(() -> write(System.err), "log");
@@ -66,7 +68,9 @@
                     .append(formatValue(namesAndValues[i + 1]));
         }
         UNWRITTEN.incrementAndGet();
-        if (!LINES.offer(line.toString())) {
+        QUEUED_CHARS.addAndGet(line.length());
+        if (QUEUED_CHARS.get() > MAX_QUEUED_CHARS || !LINES.offer(line.toString())) {
+            QUEUED_CHARS.addAndGet(-line.length());
             UNWRITTEN.decrementAndGet();
             DROPPED.incrementAndGet();
         }
@@ -91,7 +95,9 @@
     private static void write(PrintStream out) {
         try {
             while (true) {
-                out.println(LINES.take());
+                String line = LINES.take();
+                QUEUED_CHARS.addAndGet(-line.length());
+                out.println(line);
                 UNWRITTEN.decrementAndGet();
                 long dropped = DROPPED.getAndSet(0);
                 if (dropped > 0) {
