--- a/src/main/java/sagepulley/codec/resp/Resp.java
+++ b/src/main/java/sagepulley/codec/resp/Resp.java
@@ -28,4 +28,7 @@
 
     /** An array; the items are null for the null array. */
     record Array(List<Resp> items) implements Resp {}
+
+    /** A value that was received whole, but whose bytes were not kept for lack of memory. */
+    record Discarded() implements Resp {}
 }
--- a/src/main/java/sagepulley/codec/resp/RespDecoder.java
+++ b/src/main/java/sagepulley/codec/resp/RespDecoder.java
@@ -1,26 +1,40 @@
 package sagepulley.codec.resp;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.handler.codec.CorruptedFrameException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
- * Decodes RESP2 strictly.
+ * Decodes RESP2 strictly, and keeps no buffer of the channel: what is incomplete is copied to the
+ * heap as it arrives, within an {@link InputBudget}.
  *
- * <p>A length over its limit is an error as soon as it is read, and bulk strings are allocated only
- * once their bytes have arrived. The first error is reported once, as a {@link
+ * <p>A length over its limit is an error as soon as it is read, and memory for bulk strings is
+ * taken as their bytes arrive. The first error is reported once, as a {@link
  * CorruptedFrameException}; all later input is dropped. The exception messages are sent to clients,
  * so they contain numbers but no text from the input.
+ *
+ * <p>While the budget does not let the next value be decoded, input that was already read waits;
+ * the next read of the channel decodes it first.
  */
-public final class RespDecoder extends ByteToMessageDecoder {
+public final class RespDecoder extends ChannelDuplexHandler {
     private static final int NO_BULK = -1;
     private static final int MAX_DIGITS = 10;
+    private static final int MIN_BULK_CAPACITY_BYTES = 512;
+    private static final byte[] LINE_END = {'\r', '\n'};
 
     private final RespLimits limits;
+    private final InputBudget budget;
+
+    /** The header line received in part, with its first byte and CR LF. */
+    private final byte[] line;
+
+    private int lineLength;
     private List<Resp> items;
     private int remainingItems;
 
@@ -30,71 +44,269 @@
     /** Length of the current bulk string in bytes; {@link #NO_BULK} if there is none. */
     private int bulkLength = NO_BULK;
 
+    private byte[] bulk = {};
+    private int bulkReceived;
+    private int lineEndReceived;
+
+    /** Bytes reserved for the value received in part. */
+    private int reservedBytes;
+
+    /** Whether the bytes of the current value are dropped for lack of memory. */
+    private boolean discarding;
+
+    /** Input that waits to be decoded; null if there is none. */
+    private ByteBuf waiting;
+
+    /** Bytes reserved for the input that waits. */
+    private int waitingBytes;
+
+    /** Whether values of one input are being passed on. */
+    private boolean decoding;
+
+    private boolean resumeScheduled;
     private boolean failed;
 
-    /** Creates a decoder that fails on any value over these limits. */
+    /** Creates a decoder that fails on any value over these limits and keeps any valid input. */
     public RespDecoder(RespLimits limits) {
+        this(limits, InputBudget.UNLIMITED);
+    }
+
+    /** Creates a decoder that fails on any value over these limits. */
+    public RespDecoder(RespLimits limits, InputBudget budget) {
         this.limits = limits;
+        this.budget = budget;
+        this.line = new byte[limits.maxLineBytes() + 1 + LINE_END.length];
     }
 
     /** Returns whether a value has been received in part. */
     public boolean hasPartialValue() {
-        return items != null || bulkLength != NO_BULK || actualReadableBytes() > 0;
+        return items != null || bulkLength != NO_BULK || lineLength > 0;
+    }
+
+    /** Returns whether input that was read is not decoded yet. */
+    public boolean hasWaitingInput() {
+        return waiting != null || decoding;
+    }
+
+    /** Returns whether the input was malformed or the decoder is closed. */
+    public boolean hasFailed() {
+        return failed;
+    }
+
+    /** Returns the bytes reserved for a value received in part. */
+    public int partialBytes() {
+        return reservedBytes;
+    }
+
+    /**
+     * Drops the bytes of the value received in part, and those that are still to come. Once the
+     * value is complete, {@link Resp.Discarded} is passed on in its place.
+     */
+    public void discardPartialValue() {
+        if (!hasPartialValue()) {
+            return;
+        }
+        discarding = true;
+        if (items != null) {
+            items.clear();
+        }
+        bulk = new byte[0];
+        releaseReserved();
+    }
+
+    /** Releases all memory and drops later input. */
+    public void close() {
+        failed = true;
+        items = null;
+        lineLength = 0;
+        bulkLength = NO_BULK;
+        bulk = new byte[0];
+        releaseReserved();
+        releaseWaiting();
+    }
+
+    @Override
+    public void handlerRemoved(ChannelHandlerContext ctx) {
+        close();
     }
 
+    // ---- input ----
+
     @Override
-    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
-        if (failed) {
-            in.skipBytes(in.readableBytes());
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        ByteBuf in = (ByteBuf) message;
+        try {
+            if (waiting == null) {
+                decodeAll(ctx, in);
+            }
+            if (in.isReadable() && !failed) {
+                keepWaiting(in);
+            }
+        } finally {
+            in.release();
+        }
+    }
+
+    private void keepWaiting(ByteBuf in) {
+        int bytes = in.readableBytes();
+        budget.reserveWaiting(bytes);
+        waitingBytes += bytes;
+        waiting =
+                waiting == null
+                        ? Unpooled.buffer(bytes).writeBytes(in)
+                        : Unpooled.wrappedBuffer(waiting, Unpooled.buffer(bytes).writeBytes(in));
+    }
+
+    private void releaseWaiting() {
+        if (waiting != null) {
+            waiting.release();
+            waiting = null;
+        }
+        budget.release(waitingBytes);
+        waitingBytes = 0;
+    }
+
+    /** Decodes the waiting input, in a task of its own, before anything more is read. */
+    @Override
+    public void read(ChannelHandlerContext ctx) {
+        if (waiting == null) {
+            ctx.read();
+        } else if (!resumeScheduled) {
+            resumeScheduled = true;
+            ctx.executor().execute(() -> resume(ctx));
+        }
+    }
+
+    private void resume(ChannelHandlerContext ctx) {
+        resumeScheduled = false;
+        if (waiting == null || ctx.isRemoved()) {
             return;
         }
+        ByteBuf in = waiting;
+        waiting = null;
+        try {
+            decodeAll(ctx, in);
+        } catch (CorruptedFrameException failure) {
+            ctx.fireExceptionCaught(failure);
+        }
+        waiting = in;
+        if (!in.isReadable() || failed) {
+            releaseWaiting();
+        }
+        ctx.fireChannelReadComplete();
+        if (waiting == null && ctx.channel().config().isAutoRead()) {
+            ctx.read();
+        }
+    }
+
+    private void decodeAll(ChannelHandlerContext ctx, ByteBuf in) {
+        decoding = true;
         try {
-            Resp value = bulkLength != NO_BULK ? decodeBulk(in) : decodeHeader(in);
-            if (value != null) {
-                emit(value, out);
+            while (in.isReadable() && !failed && (hasPartialValue() || budget.mayDecode())) {
+                Resp value = bulkLength != NO_BULK ? decodeBulk(in) : decodeHeader(in);
+                if (value != null) {
+                    emit(ctx, value);
+                }
             }
         } catch (CorruptedFrameException failure) {
-            failed = true;
-            in.skipBytes(in.readableBytes());
+            close();
             throw failure;
+        } finally {
+            decoding = false;
         }
     }
 
-    private void emit(Resp value, List<Object> out) {
-        if (items == null) {
-            out.add(value);
-            return;
-        }
-        items.add(value);
-        if (--remainingItems == 0) {
-            out.add(new Resp.Array(items));
+    private void emit(ChannelHandlerContext ctx, Resp value) {
+        Resp complete = value;
+        if (items != null) {
+            if (!discarding) {
+                items.add(value);
+            }
+            if (--remainingItems > 0) {
+                return;
+            }
+            complete = new Resp.Array(items);
             items = null;
         }
+        if (discarding) {
+            complete = new Resp.Discarded();
+            discarding = false;
+        }
+        releaseReserved();
+        ctx.fireChannelRead(complete);
+    }
+
+    private void releaseReserved() {
+        budget.release(reservedBytes);
+        reservedBytes = 0;
+    }
+
+    // ---- bulk strings ----
+
+    private void beginBulk(int length) {
+        bulkLength = length;
+        bulk = new byte[0];
+        bulkReceived = 0;
+        lineEndReceived = 0;
     }
 
     private Resp decodeBulk(ByteBuf in) {
-        if (in.readableBytes() < bulkLength + 2) {
+        receiveBulk(in, Math.min(in.readableBytes(), bulkLength - bulkReceived));
+        if (bulkReceived < bulkLength) {
             return null;
         }
-        byte[] bytes = new byte[bulkLength];
-        in.readBytes(bytes);
-        if (in.readByte() != '\r' || in.readByte() != '\n') {
-            throw new CorruptedFrameException(
-                    "expected CR LF after a bulk string of " + bulkLength + " bytes");
+        while (lineEndReceived < LINE_END.length && in.isReadable()) {
+            if (in.readByte() != LINE_END[lineEndReceived++]) {
+                throw new CorruptedFrameException(
+                        "expected CR LF after a bulk string of " + bulkLength + " bytes");
+            }
+        }
+        if (lineEndReceived < LINE_END.length) {
+            return null;
         }
         bulkLength = NO_BULK;
+        byte[] bytes = bulk;
+        bulk = new byte[0];
         return new Resp.Bulk(bytes);
     }
 
+    private void receiveBulk(ByteBuf in, int count) {
+        if (!discarding) {
+            growBulk(bulkReceived + count);
+        }
+        if (discarding) {
+            in.skipBytes(count);
+        } else {
+            in.readBytes(bulk, bulkReceived, count);
+        }
+        bulkReceived += count;
+    }
+
+    /** Grows the bulk string's array to the capacity, or further; discards it if it may not. */
+    private void growBulk(int capacity) {
+        if (capacity <= bulk.length) {
+            return;
+        }
+        int wanted = Math.max(capacity, Math.max(MIN_BULK_CAPACITY_BYTES, 2 * bulk.length));
+        int newCapacity = Math.min(bulkLength, wanted);
+        int added = newCapacity - bulk.length;
+        if (!budget.reserve(added)) {
+            discardPartialValue();
+            return;
+        }
+        reservedBytes += added;
+        bulk = Arrays.copyOf(bulk, newCapacity);
+    }
+
+    // ---- header lines ----
+
     /**
      * Decodes a header line, and its value if that has arrived; returns null if more input is
      * needed.
      */
     private Resp decodeHeader(ByteBuf in) {
-        if (!in.isReadable()) {
-            return null;
-        }
-        char kind = (char) in.getUnsignedByte(in.readerIndex());
+        byte first = lineLength > 0 ? line[0] : in.getByte(in.readerIndex());
+        char kind = (char) (first & 0xff);
         if (limits.commandsOnly()
                 ? kind != (items == null ? '*' : '$')
                 : "+-:$*".indexOf(kind) < 0) {
@@ -112,7 +324,7 @@
         }
         return switch (kind) {
             case '$' -> {
-                bulkLength = parseLength(text, limits.maxBulkBytes());
+                beginBulk(parseLength(text, limits.maxBulkBytes()));
                 arrayBytes += Math.max(0, bulkLength);
                 if (arrayBytes > limits.maxArrayBytes()) {
                     throw new CorruptedFrameException(
@@ -152,27 +364,27 @@
 
     /** Reads a line without its first byte and CR LF; returns null if the line is incomplete. */
     private String readLine(ByteBuf in) {
-        int end =
-                in.indexOf(
-                        in.readerIndex(),
-                        in.readerIndex() + Math.min(in.readableBytes(), limits.maxLineBytes() + 3),
-                        (byte) '\n');
+        int available = Math.min(in.readableBytes(), line.length - lineLength);
+        int end = in.indexOf(in.readerIndex(), in.readerIndex() + available, (byte) '\n');
+        int count = end < 0 ? available : end + 1 - in.readerIndex();
+        in.readBytes(line, lineLength, count);
+        lineLength += count;
         if (end < 0) {
-            if (in.readableBytes() > limits.maxLineBytes() + 2) {
+            if (lineLength == line.length) {
                 throw new CorruptedFrameException(
                         "line is longer than the limit of " + limits.maxLineBytes() + " bytes");
             }
             return null;
         }
-        int length = end - in.readerIndex() - 2;
-        if (length < 0 || in.getByte(end - 1) != '\r') {
+        int length = lineLength - 1 - LINE_END.length;
+        if (length < 0 || line[lineLength - 2] != '\r') {
             throw new CorruptedFrameException("line ends in LF without CR, expected CR LF");
         }
-        String text = in.toString(in.readerIndex() + 1, length, StandardCharsets.ISO_8859_1);
+        lineLength = 0;
+        String text = new String(line, 1, length, StandardCharsets.ISO_8859_1);
         if (text.indexOf('\r') >= 0) {
             throw new CorruptedFrameException("CR inside a line, expected only at its end");
         }
-        in.readerIndex(end + 1);
         return text;
     }
 
--- a/src/main/java/sagepulley/codec/resp/RespEncoder.java
+++ b/src/main/java/sagepulley/codec/resp/RespEncoder.java
@@ -12,18 +12,26 @@
 
     private RespEncoder() {}
 
-    /** Encodes a command from its arguments, starting with its name. */
+    /**
+     * Encodes a command from its arguments, starting with its name. The last argument is not copied
+     * and must not change afterwards.
+     */
     public static ByteBuf command(List<byte[]> arguments) {
         int size = MAX_HEADER_BYTES;
         for (byte[] argument : arguments) {
             size += MAX_HEADER_BYTES + argument.length;
         }
-        ByteBuf out = Unpooled.buffer(size);
+        int last = arguments.size() - 1;
+        byte[] lastArgument = arguments.get(last);
+        ByteBuf out = Unpooled.buffer(size - lastArgument.length);
         writeHeader(out, '*', arguments.size());
-        for (byte[] argument : arguments) {
-            bulk(out, argument);
+        for (byte[] argument : arguments.subList(0, last)) {
+            writeHeader(out, '$', argument.length);
+            out.writeBytes(argument).writeBytes(CRLF);
         }
-        return out;
+        writeHeader(out, '$', lastArgument.length);
+        return Unpooled.wrappedBuffer(
+                out, Unpooled.wrappedBuffer(lastArgument), Unpooled.wrappedBuffer(CRLF));
     }
 
     /** Encodes a bulk string. The bytes are not copied and must not change afterwards. */
@@ -49,11 +57,6 @@
         return Unpooled.buffer(bytes.length + 3).writeByte(kind).writeBytes(bytes).writeBytes(CRLF);
     }
 
-    private static void bulk(ByteBuf out, byte[] bytes) {
-        writeHeader(out, '$', bytes.length);
-        out.writeBytes(bytes).writeBytes(CRLF);
-    }
-
     private static void writeHeader(ByteBuf out, char kind, int count) {
         out.writeByte(kind).writeCharSequence(Integer.toString(count), StandardCharsets.US_ASCII);
         out.writeBytes(CRLF);
--- a/src/main/java/sagepulley/frontend/resp/ClientConnection.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientConnection.java
@@ -1,7 +1,6 @@
 package sagepulley.frontend.resp;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -10,20 +9,24 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.List;
+import sagepulley.codec.resp.InputBudget;
 import sagepulley.codec.resp.Resp;
 import sagepulley.codec.resp.RespDecoder;
 import sagepulley.codec.resp.RespEncoder;
+import sagepulley.codec.resp.RespLimits;
 import sagepulley.logging.LogWriter;
 import sagepulley.transport.KernelReceiveTime;
+import sagepulley.transport.SocketWriter;
 
 /**
  * Manages one client connection: reads commands and writes the replies in the order of the
  * commands.
  *
- * <p>Draining shuts down the output once all replies are written. Input is still read after that,
- * so that the peer's FIN is detected and no unread bytes remain in the kernel at the close, which
- * would turn it into a reset. Runs on the event loop; times are in milliseconds of the handler's
- * clock.
+ * <p>Commands behind others are decoded as far as the memory for their replies allows; the rest
+ * stays unread. Draining shuts down the output once all replies are written. Input is still read
+ * after that, so that the peer's FIN is detected and no unread bytes remain in the kernel at the
+ * close, which would turn it into a reset. Runs on the event loop; times are in milliseconds of the
+ * handler's clock.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private enum Phase {
@@ -35,15 +38,39 @@
         CLOSED
     }
 
+    private static final int MAX_LINE_BYTES = 64;
+    private static final int MAX_ARGUMENTS = 8;
+    private static final int MAX_OTHER_ARGUMENTS_BYTES = 4096;
+    private static final RespLimits LIMITS =
+            RespLimits.commands(
+                    MAX_LINE_BYTES,
+                    RespLimits.MAX_VALUE_BYTES,
+                    RespLimits.MAX_VALUE_BYTES + MAX_OTHER_ARGUMENTS_BYTES,
+                    MAX_ARGUMENTS);
+
     /** Reading pauses while this many replies of the connection are pending. */
     private static final int MAX_PENDING_REPLIES = 64;
 
+    /** Memory of a pending reply without its bytes. */
+    private static final int PENDING_REPLY_BYTES = 256;
+
+    /** Reading pauses from the high to the low mark of bytes that the client has not read. */
+    private static final int UNREAD_LOW_BYTES = 65_536;
+
+    private static final int UNREAD_HIGH_BYTES = 262_144;
+
     /** Handles commands and connection events of clients. */
     interface Handler {
         /** Handles a read or write command. The pending reply is completed immediately or later. */
         void onRequest(
                 ClientConnection connection, PendingReply pendingReply, List<byte[]> arguments);
 
+        /**
+         * Handles a command that was received whole, but not kept for lack of memory, and completes
+         * the pending reply.
+         */
+        void onDiscarded(PendingReply pendingReply);
+
         /** Called when the connection has closed before a command in flight was replied to. */
         void onClientCancelled(PendingReply pendingReply);
 
@@ -59,28 +86,59 @@
         private final ClientConnection connection;
         private ByteBuf reply;
 
+        /** Bytes of the request memory that the command and its reply use. */
+        private long usedBytes;
+
         /** State that the handler associates with the command; null once it is replied to. */
         Object attachment;
 
         private PendingReply(ClientConnection connection) {
             this.connection = connection;
+            use(PENDING_REPLY_BYTES);
+        }
+
+        /** Reserves memory until the reply is set; returns false if there is too little left. */
+        boolean tryReserve(long bytes) {
+            if (!connection.memory.tryAdmit(bytes)) {
+                return false;
+            }
+            usedBytes += bytes;
+            connection.usedBytes += bytes;
+            return true;
+        }
+
+        /** Returns whether there is memory for a reply of this size. */
+        boolean canKeep(int replyBytes) {
+            long added = PENDING_REPLY_BYTES + replyBytes - usedBytes;
+            return connection.pendingReplies.peek() == this
+                    ? connection.memory.mayWrite(added)
+                    : connection.memory.mayQueue(added);
         }
 
         /** Sets the reply and writes all replies that are ready. Must be called at most once. */
         void reply(ByteBuf bytes) {
             attachment = null;
             reply = bytes;
+            use(PENDING_REPLY_BYTES + bytes.readableBytes() - usedBytes);
             connection.writeReadyReplies();
         }
+
+        private void use(long bytes) {
+            usedBytes += bytes;
+            connection.use(bytes);
+        }
     }
 
     private final Handler handler;
-    private final RespDecoder decoder;
+    private final ClientMemory memory;
+    private final RespDecoder decoder = new RespDecoder(LIMITS, inputBudget());
     private final ArrayDeque<PendingReply> pendingReplies = new ArrayDeque<>();
     private Channel channel;
-    private ClientWriter writer;
+    private SocketWriter writer;
     private Phase phase = Phase.OPEN;
-    private boolean isShuttingDownOutput;
+
+    /** Bytes of the request memory that this connection uses. */
+    private long usedBytes;
 
     /** Time at which the client connected. */
     double connectedAt;
@@ -95,12 +153,15 @@
     double partialCommandSince = Double.POSITIVE_INFINITY;
 
     /**
-     * Time since which the client has been too slow to read its replies; infinite while the channel
-     * is writable.
+     * Time since which the client has left too many bytes of its replies unread; infinite if it has
+     * not.
      */
     double unwritableSince = Double.POSITIVE_INFINITY;
 
-    /** Time since which the draining connection has no pending replies; infinite before that. */
+    /** Time at which draining began; infinite before that. */
+    double drainingSince = Double.POSITIVE_INFINITY;
+
+    /** Time since which the output is shut down; infinite before that. */
     double drainedSince = Double.POSITIVE_INFINITY;
 
     /** Whether a valid read or write, or a PING, has been received. */
@@ -109,9 +170,42 @@
     /** Reason for the close, for the log; null unless this side closed it or an error occurred. */
     private String closeReason;
 
-    ClientConnection(Handler handler, RespDecoder decoder) {
+    ClientConnection(Handler handler, ClientMemory memory) {
         this.handler = handler;
-        this.decoder = decoder;
+        this.memory = memory;
+    }
+
+    /** Returns the decoder, which precedes this handler in the channel's pipeline. */
+    RespDecoder decoder() {
+        return decoder;
+    }
+
+    private InputBudget inputBudget() {
+        return new InputBudget() {
+            @Override
+            public boolean mayDecode() {
+                boolean mayRead = mayRead();
+                if (!mayRead) {
+                    updateAutoRead();
+                }
+                return mayRead;
+            }
+
+            @Override
+            public boolean reserve(int bytes) {
+                return memory.reserveInput(bytes);
+            }
+
+            @Override
+            public void reserveWaiting(int bytes) {
+                memory.input().reserve(bytes);
+            }
+
+            @Override
+            public void release(int bytes) {
+                memory.input().release(bytes);
+            }
+        };
     }
 
     /** Returns whether a command has been received in part. */
@@ -119,6 +213,16 @@
         return decoder.hasPartialValue();
     }
 
+    /** Returns the bytes of a command received in part. */
+    int partialCommandBytes() {
+        return decoder.partialBytes();
+    }
+
+    /** Drops the bytes of a command received in part; it is rejected once it is complete. */
+    void discardPartialCommand() {
+        decoder.discardPartialValue();
+    }
+
     boolean hasPendingReplies() {
         return !pendingReplies.isEmpty();
     }
@@ -143,11 +247,16 @@
     void drain(String reason) {
         if (phase == Phase.OPEN) {
             closeReason = reason;
-            phase = Phase.DRAINING;
+            beginDraining();
             writeReadyReplies();
         }
     }
 
+    private void beginDraining() {
+        phase = Phase.DRAINING;
+        drainingSince = handler.now();
+    }
+
     /** Closes the connection immediately. */
     void close(String reason) {
         if (channel != null) {
@@ -159,7 +268,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
-        writer = new ClientWriter(channel, this::updateAutoRead);
+        writer = new SocketWriter(channel, this::onWritten);
         connectedAt = handler.now();
         lastActiveAt = connectedAt;
         lastReadAt = connectedAt;
@@ -168,12 +277,15 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        if (phase == Phase.HALF_CLOSED || isShuttingDownOutput) {
-            return; // dropped, because the output is already being shut down
+        if (phase == Phase.HALF_CLOSED || phase == Phase.CLOSED) {
+            return; // dropped, because the output is already shut down
         }
         lastActiveAt = handler.now();
-        PendingReply pendingReply = new PendingReply(this);
-        pendingReplies.add(pendingReply);
+        PendingReply pendingReply = addPendingReply();
+        if (message instanceof Resp.Discarded) {
+            handler.onDiscarded(pendingReply);
+            return;
+        }
         List<byte[]> arguments = BlockCommand.arguments((Resp.Array) message);
         String name = BlockCommand.text(arguments.get(0));
         switch (name) {
@@ -201,8 +313,19 @@
         updateAutoRead();
     }
 
+    private PendingReply addPendingReply() {
+        PendingReply pendingReply = new PendingReply(this);
+        pendingReplies.add(pendingReply);
+        return pendingReply;
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        recordRead();
+        shutDownIfDrained();
+    }
+
+    private void recordRead() {
         lastReadAt = handler.now();
         partialCommandSince =
                 !isReadingCommand()
@@ -210,64 +333,100 @@
                         : Math.min(partialCommandSince, lastReadAt);
     }
 
+    // ---- replies ----
+
     private void writeReadyReplies() {
+        if (phase == Phase.CLOSED) {
+            return; // onChannelClosed releases the replies
+        }
         boolean hasWritten = false;
         while (!pendingReplies.isEmpty() && pendingReplies.peek().reply != null) {
-            ByteBuf bytes = pendingReplies.poll().reply;
-            if (phase == Phase.CLOSED) {
-                bytes.release();
-            } else {
-                writer.write(bytes);
-                hasWritten = true;
-            }
-        }
-        if (phase == Phase.CLOSED) {
-            return;
+            PendingReply next = pendingReplies.poll();
+            next.use(next.reply.readableBytes() - next.usedBytes);
+            writer.write(next.reply);
+            hasWritten = true;
         }
         if (hasWritten) {
             lastActiveAt = handler.now();
             writer.flush();
-        }
-        if (phase == Phase.DRAINING && pendingReplies.isEmpty() && !isShuttingDownOutput) {
-            isShuttingDownOutput = true;
-            drainedSince = handler.now();
-            writer.runAfterFlush(
-                    () ->
-                            channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                                    .addListener(flushed -> shutDownOutput()));
+            updateUnwritable();
         }
         updateAutoRead();
+        shutDownIfDrained();
     }
 
-    /** Sends FIN once all replies are written. The client's FIN then closes the connection. */
-    private void shutDownOutput() {
-        if (phase != Phase.DRAINING) {
+    private void onWritten(long bytes) {
+        use(-bytes);
+        updateUnwritable();
+        updateAutoRead();
+        if (writer.queuedBytes() == 0) {
+            shutDownIfDrained();
+        }
+    }
+
+    private void use(long bytes) {
+        usedBytes += bytes;
+        memory.adjust(bytes);
+    }
+
+    private void updateUnwritable() {
+        long unreadBytes = writer.queuedBytes();
+        if (unreadBytes < UNREAD_LOW_BYTES) {
+            unwritableSince = Double.POSITIVE_INFINITY;
+        } else if (unreadBytes > UNREAD_HIGH_BYTES) {
+            unwritableSince = Math.min(unwritableSince, handler.now());
+        }
+    }
+
+    // ---- reading ----
+
+    private boolean mayRead() {
+        if (phase == Phase.HALF_CLOSED) {
+            return true;
+        }
+        if (unwritableSince < Double.POSITIVE_INFINITY) {
+            return false;
+        }
+        return pendingReplies.isEmpty()
+                || (pendingReplies.size() < MAX_PENDING_REPLIES && memory.mayPipeline(usedBytes));
+    }
+
+    /**
+     * Pauses reading while too many replies are pending, the client does not read them, or there is
+     * no memory for more.
+     */
+    void updateAutoRead() {
+        if (phase == Phase.CLOSED) {
             return;
         }
-        phase = Phase.HALF_CLOSED;
-        if (channel instanceof DuplexChannel socket) {
-            socket.shutdownOutput();
+        boolean mayRead = mayRead();
+        if (mayRead || memory.hasRoomForPipelining()) {
+            memory.removePaused(this);
         } else {
-            channel.close();
+            memory.addPaused(this);
         }
+        channel.config().setAutoRead(mayRead);
     }
 
-    /** Pauses reading while too many replies are pending or the client does not read them. */
-    private void updateAutoRead() {
-        if (phase != Phase.CLOSED) {
-            channel.config()
-                    .setAutoRead(
-                            isShuttingDownOutput
-                                    || (pendingReplies.size() < MAX_PENDING_REPLIES
-                                            && channel.isWritable()
-                                            && !writer.hasQueuedReplies()));
+    // ---- end ----
+
+    /** Shuts down the output of a draining connection once it has nothing to write. */
+    private void shutDownIfDrained() {
+        if (phase == Phase.DRAINING && pendingReplies.isEmpty() && writer.queuedBytes() == 0) {
+            shutDownOutput();
         }
     }
 
-    @Override
-    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        unwritableSince = ctx.channel().isWritable() ? Double.POSITIVE_INFINITY : handler.now();
+    /** Sends FIN. The client's FIN then closes the connection. */
+    private void shutDownOutput() {
+        phase = Phase.HALF_CLOSED;
+        drainedSince = handler.now();
         updateAutoRead();
+        if (channel instanceof DuplexChannel socket) {
+            socket.shutdownOutput();
+        } else {
+            channel.close();
+        }
     }
 
     /**
@@ -276,6 +435,8 @@
      */
     private void onChannelClosed() {
         phase = Phase.CLOSED;
+        memory.removePaused(this);
+        decoder.close();
         for (PendingReply pendingReply : List.copyOf(pendingReplies)) {
             if (pendingReply.reply == null && pendingReply.attachment != null) {
                 handler.onClientCancelled(pendingReply);
@@ -287,18 +448,17 @@
             }
         }
         pendingReplies.clear();
-        writer.release();
+        writer.close();
+        use(-usedBytes);
         handler.onClosed(this);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof DecoderException && phase == Phase.OPEN) {
-            PendingReply pendingReply = new PendingReply(this);
-            pendingReplies.add(pendingReply);
-            phase = Phase.DRAINING;
+            beginDraining();
             closeReason = "protocol error";
-            pendingReply.reply(RespEncoder.error("ERR protocol error: " + cause.getMessage()));
+            addPendingReply().reply(RespEncoder.error("ERR protocol error: " + cause.getMessage()));
         } else if (!(cause instanceof DecoderException)) {
             // A reset by the client, or another I/O error, is not logged as a failure.
             closeReason = String.valueOf(cause.getMessage());
--- a/src/main/java/sagepulley/frontend/resp/ClientListener.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientListener.java
@@ -6,15 +6,13 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.WriteBufferWaterMark;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import sagepulley.codec.resp.RespDecoder;
-import sagepulley.codec.resp.RespLimits;
+import sagepulley.transport.MemoryAccount;
 import sagepulley.transport.Transport;
 
 /**
@@ -22,18 +20,7 @@
  * on the event loop; times are in milliseconds of the handler's clock.
  */
 final class ClientListener {
-    private static final int MAX_LINE_BYTES = 64;
-    private static final int MAX_ARGUMENTS = 8;
-    private static final int MAX_OTHER_ARGUMENTS_BYTES = 4096;
-    private static final RespLimits LIMITS =
-            RespLimits.commands(
-                    MAX_LINE_BYTES,
-                    RespLimits.MAX_VALUE_BYTES,
-                    RespLimits.MAX_VALUE_BYTES + MAX_OTHER_ARGUMENTS_BYTES,
-                    MAX_ARGUMENTS);
     private static final int ACCEPT_BACKLOG = 1024;
-    private static final int WRITE_BUFFER_LOW_BYTES = 65_536;
-    private static final int WRITE_BUFFER_HIGH_BYTES = 262_144;
 
     /** Maximum wait for the first command, or for further bytes of a partial command. */
     private static final double READ_TIMEOUT_MILLIS = 2_000;
@@ -43,6 +30,12 @@
 
     private static final double WRITE_TIMEOUT_MILLIS = 5_000;
 
+    /** Time without a byte after which a command received in part may have to make room. */
+    private static final double INPUT_STALL_MILLIS = 250;
+
+    /** Share of the input memory that is freed at once. */
+    private static final double FREED_INPUT_FRACTION = 0.125;
+
     /** Maximum wait of a drained connection for the client's FIN. */
     private static final double LINGER_TIMEOUT_MILLIS = 1_000;
 
@@ -58,6 +51,7 @@
     private final double maxCommandMillis;
     private final EventLoop loop;
     private final ClientConnection.Handler handler;
+    private final ClientMemory memory;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
     private boolean idleTimeoutDisabled;
@@ -68,17 +62,21 @@
     /**
      * @param maxConnections maximum number of open connections, including lingering ones
      * @param maxCommandMillis maximum time to receive a command; the read timeout if that is longer
+     * @param memory accounts for the memory of all connections of this listener
      */
     ClientListener(
             Transport transport,
             int maxConnections,
             double maxCommandMillis,
+            ClientMemory memory,
             ClientConnection.Handler handler) {
         this.transport = transport;
         this.loop = transport.eventLoops().next();
         this.maxConnections = maxConnections - MAX_LINGERING_CONNECTIONS;
         this.maxCommandMillis = Math.max(maxCommandMillis, READ_TIMEOUT_MILLIS);
+        this.memory = memory;
         this.handler = handler;
+        memory.setInputReclaimer(this::discardStalledInput);
     }
 
     /** Starts accepting connections. The future completes once the address is bound. */
@@ -88,9 +86,8 @@
                         .group(transport.eventLoops())
                         .channel(transport.server())
                         .childOption(
-                                ChannelOption.WRITE_BUFFER_WATER_MARK,
-                                new WriteBufferWaterMark(
-                                        WRITE_BUFFER_LOW_BYTES, WRITE_BUFFER_HIGH_BYTES))
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new AccountedReceiveAllocator(memory.input()))
                         .handler(new AcceptErrorHandler())
                         .childHandler(childInitializer());
         if (address instanceof InetSocketAddress) {
@@ -113,10 +110,9 @@
                     channel.close();
                     return;
                 }
-                RespDecoder decoder = new RespDecoder(LIMITS);
-                ClientConnection connection = new ClientConnection(handler, decoder);
+                ClientConnection connection = new ClientConnection(handler, memory);
                 connections.add(connection);
-                channel.pipeline().addLast(decoder, connection);
+                channel.pipeline().addLast(connection.decoder(), connection);
             }
         };
     }
@@ -218,6 +214,9 @@
                 connection.close("linger timeout");
             } else if (connection.hasPendingReplies()) {
                 continue;
+            } else if (now - Math.max(connection.drainingSince, connection.lastActiveAt)
+                    > WRITE_TIMEOUT_MILLIS) {
+                connection.close("drain timeout");
             } else if (isExpired(connection, idleTimeoutMillis, now)) {
                 connection.drain("idle");
             } else if (draining && now - connection.connectedAt > FIRST_COMMAND_GRACE_MILLIS) {
@@ -226,6 +225,24 @@
         }
     }
 
+    /**
+     * Discards the commands that were received in part and have stalled, until there is some room
+     * for others.
+     */
+    private void discardStalledInput() {
+        double now = handler.now();
+        MemoryAccount input = memory.input();
+        for (ClientConnection connection : connections) {
+            if (input.availableBytes() >= input.limitBytes() * FREED_INPUT_FRACTION) {
+                return;
+            }
+            if (connection.partialCommandBytes() > 0
+                    && now - connection.lastReadAt > INPUT_STALL_MILLIS) {
+                connection.discardPartialCommand();
+            }
+        }
+    }
+
     private boolean isExpired(ClientConnection connection, double idleTimeoutMillis, double now) {
         if (connection.isReadingCommand()) {
             return now - connection.lastReadAt > READ_TIMEOUT_MILLIS
--- a/src/main/java/sagepulley/frontend/resp/GatewayMetrics.java
+++ b/src/main/java/sagepulley/frontend/resp/GatewayMetrics.java
@@ -15,6 +15,13 @@
     long accepted;
     long invalidCommands;
     long rejectedAtCapacity;
+
+    /** Commands that were rejected because they could not be kept while they were received. */
+    long discardedCommands;
+
+    /** Replies of endpoints that were replaced by an error because they could not be kept. */
+    long discardedReplies;
+
     long cancelled;
     long attempts;
     private long withinObjective;
--- a/src/main/java/sagepulley/frontend/resp/RequestHandler.java
+++ b/src/main/java/sagepulley/frontend/resp/RequestHandler.java
@@ -21,6 +21,9 @@
  * of the gateway's clock.
  */
 final class RequestHandler implements ClientConnection.Handler {
+    /** Memory of an operation in flight without the bytes of its command and its reply. */
+    private static final long OPERATION_BYTES = 2_048;
+
     /** The command and the pending reply of an operation in flight. */
     private record PendingRequest(
             BlockCommand command, ClientConnection.PendingReply pendingReply) {}
@@ -46,8 +49,8 @@
     private final Listener listener;
     private final ClientListener clients;
     private final KernelReceiveTime receiveTime = new KernelReceiveTime();
-    private final long maxBytesInFlight;
-    private long bytesInFlight;
+    private final ClientMemory memory;
+    private final ReplySizeEstimator replySizes;
 
     /** Upper bound on the deadlines of newly accepted operations; infinite until shutdown. */
     private double latestDeadline = Double.POSITIVE_INFINITY;
@@ -62,7 +65,7 @@
             GatewayEngine engine,
             GatewayMetrics metrics,
             RateLimitedLog eventLog,
-            long maxBytesInFlight,
+            ClientMemory memory,
             Function<Operation, String> attemptsDescription,
             Function<ClientConnection.Handler, ClientListener> clientsFactory,
             Listener listener) {
@@ -71,7 +74,8 @@
         this.engine = engine;
         this.metrics = metrics;
         this.eventLog = eventLog;
-        this.maxBytesInFlight = maxBytesInFlight;
+        this.memory = memory;
+        this.replySizes = new ReplySizeEstimator(config.deployment().trafficClasses().size());
         this.attemptsDescription = attemptsDescription;
         this.listener = listener;
         this.clients = clientsFactory.apply(this);
@@ -82,9 +86,9 @@
         return clients;
     }
 
-    /** Returns the total size in bytes of all commands without a reply. */
-    long bytesInFlight() {
-        return bytesInFlight;
+    /** Returns the memory that clients make the gateway keep. */
+    ClientMemory memory() {
+        return memory;
     }
 
     /** Limits the deadlines of operations that are accepted from now on. */
@@ -120,8 +124,8 @@
         connection.hasSentCommand = true;
         if (connection.isDraining() || clients.isDraining()) {
             reject(command, pendingReply, "SHUTTING_DOWN");
-        } else if (bytesInFlight + command.sizeBytes() > maxBytesInFlight
-                || engine.inFlight().size() >= config.maxInFlight()) {
+        } else if (engine.inFlight().size() >= config.maxInFlight()
+                || !pendingReply.tryReserve(memoryOf(command))) {
             metrics.rejectedAtCapacity++;
             reject(command, pendingReply, "AT_CAPACITY");
         } else {
@@ -130,6 +134,20 @@
         }
     }
 
+    /** Returns the memory that an operation uses until its reply is known. */
+    private long memoryOf(BlockCommand command) {
+        return OPERATION_BYTES
+                + command.sizeBytes()
+                + replySizes.expectedBytes(command.trafficClass);
+    }
+
+    @Override
+    public void onDiscarded(ClientConnection.PendingReply pendingReply) {
+        metrics.discardedCommands++;
+        eventLog.info("command discarded", "reason", "INPUT_MEMORY");
+        pendingReply.reply(RespEncoder.error("BUSY"));
+    }
+
     private void reject(
             BlockCommand command, ClientConnection.PendingReply pendingReply, String reason) {
         eventLog.info(
@@ -142,7 +160,6 @@
             ClientConnection.PendingReply pendingReply,
             double receivedAt,
             double now) {
-        bytesInFlight += command.sizeBytes();
         metrics.accepted++;
         Volume volume = engine.volume(command.volume, command.plan.index());
         volume.gatewayCount = command.gatewayCount;
@@ -199,7 +216,22 @@
 
     /** Replies to an operation with the value that an endpoint returned. */
     void replyServed(Operation operation, byte[] value) {
-        reply(operation, RespEncoder.bulk(value));
+        PendingRequest request = (PendingRequest) operation.engineState;
+        replySizes.onReply(operation.trafficClass, value.length);
+        if (request.pendingReply().canKeep(value.length)) {
+            reply(operation, RespEncoder.bulk(value));
+        } else {
+            metrics.discardedReplies++;
+            eventLog.info(
+                    "reply discarded",
+                    "id",
+                    NumberParser.formatId(operation.id),
+                    "bytes",
+                    value.length,
+                    "reason",
+                    "REQUEST_MEMORY");
+            reply(operation, RespEncoder.error("ERR failed"));
+        }
     }
 
     /** Replies to an operation that the engine rejected or abandoned. */
@@ -256,7 +288,6 @@
     private PendingRequest release(Operation operation) {
         PendingRequest request = (PendingRequest) operation.engineState;
         operation.engineState = null;
-        bytesInFlight -= request.command().sizeBytes();
         return request;
     }
 }
--- a/src/main/java/sagepulley/frontend/resp/RespGateway.java
+++ b/src/main/java/sagepulley/frontend/resp/RespGateway.java
@@ -17,6 +17,7 @@
 import sagepulley.model.Operation;
 import sagepulley.model.RoutingDecision;
 import sagepulley.model.TrafficClass;
+import sagepulley.transport.MemoryLimits;
 import sagepulley.transport.Transport;
 import sagepulley.upstream.resp.EndpointConnectionPool;
 
@@ -46,11 +47,6 @@
      */
     private static final double STALL_TIMEOUT_FRACTION = 0.3;
 
-    /** Fraction of the configured memory that commands in flight may use. */
-    private static final double COMMAND_MEMORY_FRACTION = 0.1;
-
-    private static final int BYTES_PER_MB = 1 << 20;
-
     /**
      * Maximum wait for the first list before the gateway listens. It is shorter than the time after
      * which a change counts as notified, so that a list of this age is still current.
@@ -86,6 +82,8 @@
         this.dueWork = new DueWorkScheduler(loop, clock, engine);
         this.endpoints = new EndpointRegistry(config.zones(), config.kinds(), clock);
         SocketBudget sockets = SocketBudget.of(config.maxSockets());
+        MemoryLimits memoryLimits = MemoryLimits.ofProcess(config.memoryMb());
+        ClientMemory memory = new ClientMemory(memoryLimits, loop);
         this.requests =
                 new RequestHandler(
                         config,
@@ -93,16 +91,19 @@
                         engine,
                         metrics,
                         eventLog,
-                        (long) (config.memoryMb() * BYTES_PER_MB * COMMAND_MEMORY_FRACTION),
+                        memory,
                         endpoints::describeAttempts,
                         handler ->
                                 new ClientListener(
                                         transport,
                                         sockets.forClients(),
                                         maxDeadline(config),
+                                        memory,
                                         handler),
                         requestListener());
-        this.connections = connectionPool(transport, sockets.forEndpoints());
+        this.connections =
+                connectionPool(
+                        transport, sockets.forEndpoints(), memoryLimits.endpointInputBytes());
         this.attempts =
                 new AttemptDispatcher(
                         config.deployment(),
@@ -127,7 +128,8 @@
                         clock, engine, metrics, requests, connections, endpoints, discovery);
     }
 
-    private EndpointConnectionPool connectionPool(Transport transport, int maxConnections) {
+    private EndpointConnectionPool connectionPool(
+            Transport transport, int maxConnections, long maxReplyBytes) {
         EndpointConnectionPool pool =
                 new EndpointConnectionPool(
                         transport,
@@ -135,6 +137,7 @@
                         config.connectTimeoutMillis(),
                         config.idleTimeoutMillis() * IDLE_TIMEOUT_FRACTION,
                         minLatencyObjective(config) * STALL_TIMEOUT_FRACTION,
+                        maxReplyBytes,
                         clock::now);
         pool.setCloseListener(
                 (address, reason) ->
--- a/src/main/java/sagepulley/upstream/resp/EndpointConnection.java
+++ b/src/main/java/sagepulley/upstream/resp/EndpointConnection.java
@@ -16,12 +16,14 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
+import sagepulley.codec.resp.InputBudget;
 import sagepulley.codec.resp.Resp;
 import sagepulley.codec.resp.RespDecoder;
 import sagepulley.codec.resp.RespEncoder;
 import sagepulley.codec.resp.RespLimits;
 import sagepulley.model.Outcome;
 import sagepulley.transport.KernelReceiveTime;
+import sagepulley.transport.SocketWriter;
 import sagepulley.transport.Transport;
 import sagepulley.upstream.resp.EndpointConnectionPool.CommandSource;
 import sagepulley.upstream.resp.EndpointConnectionPool.ResultListener;
@@ -64,6 +66,7 @@
      * @param stallTimeoutMillis maximum pause within a reply before it counts as invalid
      * @param receiveTime determines when bytes arrived at this host
      * @param staleCheckBuffer receives the byte read to check an idle connection
+     * @param replyBudget accounts for replies received in part
      */
     record SharedResources(
             Transport transport,
@@ -72,13 +75,15 @@
             double stallTimeoutMillis,
             DoubleSupplier clock,
             KernelReceiveTime receiveTime,
-            ByteBuffer staleCheckBuffer) {}
+            ByteBuffer staleCheckBuffer,
+            InputBudget replyBudget) {}
 
     private final SocketAddress address;
     private final SharedResources shared;
     private final PoolListener pool;
-    private final RespDecoder decoder = new RespDecoder(LIMITS);
+    private final RespDecoder decoder;
     private Channel channel;
+    private SocketWriter writer;
     private CommandSource command;
     private double deadline;
 
@@ -97,6 +102,7 @@
         this.address = address;
         this.shared = shared;
         this.pool = pool;
+        this.decoder = new RespDecoder(LIMITS, shared.replyBudget());
     }
 
     SocketAddress address() {
@@ -142,6 +148,7 @@
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel newChannel) {
+                                        writer = new SocketWriter(newChannel, written -> {});
                                         newChannel
                                                 .pipeline()
                                                 .addLast(decoder, EndpointConnection.this);
@@ -164,13 +171,9 @@
             end(Outcome.NOT_EXECUTED);
             return;
         }
-        channel.writeAndFlush(RespEncoder.command(arguments))
-                .addListener(
-                        done -> {
-                            if (done.isSuccess()) {
-                                commandWritten = true;
-                            }
-                        });
+        command = null; // the writer keeps what is not written yet
+        writer.write(RespEncoder.command(arguments));
+        writer.runAfterFlush(() -> commandWritten = true);
     }
 
     /** Closes the connection and ends its request, if any, without a reply. */
@@ -205,6 +208,10 @@
             return;
         }
         closed = true;
+        decoder.close();
+        if (writer != null) {
+            writer.close();
+        }
         pool.onClosed(this, reason);
         if (channel != null) {
             channel.close();
@@ -299,6 +306,10 @@
                 && !value.isNull()) {
             return Outcome.SERVED;
         }
+        if (reply instanceof Resp.Discarded) {
+            pool.onInvalidReply("discarded");
+            return Outcome.FAILED;
+        }
         if (reply instanceof Resp.Line line && line.isError()) {
             return line.text().startsWith("BUSY") ? Outcome.REJECTED : Outcome.FAILED;
         }
--- a/src/main/java/sagepulley/upstream/resp/EndpointConnectionPool.java
+++ b/src/main/java/sagepulley/upstream/resp/EndpointConnectionPool.java
@@ -13,10 +13,12 @@
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.DoubleSupplier;
+import sagepulley.codec.resp.InputBudget;
 import sagepulley.codec.resp.Resp;
 import sagepulley.model.Attempt;
 import sagepulley.model.Outcome;
 import sagepulley.transport.KernelReceiveTime;
+import sagepulley.transport.MemoryAccount;
 import sagepulley.transport.Transport;
 
 /**
@@ -56,6 +58,7 @@
     }
 
     private final EventLoop loop;
+    private final MemoryAccount replyMemory;
     private final int maxConnections;
     private final double idleTimeoutMillis;
     private final DoubleSupplier clock;
@@ -77,6 +80,8 @@
     /**
      * @param idleTimeoutMillis idle time after which connections are closed
      * @param stallTimeoutMillis maximum pause within a reply before it counts as invalid
+     * @param maxReplyBytes maximum memory of all replies received in part; a reply that does not
+     *     fit fails its request
      * @param clock monotonic clock in milliseconds
      */
     public EndpointConnectionPool(
@@ -85,7 +90,9 @@
             double connectTimeoutMillis,
             double idleTimeoutMillis,
             double stallTimeoutMillis,
+            long maxReplyBytes,
             DoubleSupplier clock) {
+        this.replyMemory = new MemoryAccount(maxReplyBytes);
         this.loop = transport.eventLoops().next();
         this.maxConnections = maxConnections;
         this.idleTimeoutMillis = idleTimeoutMillis;
@@ -98,7 +105,32 @@
                         stallTimeoutMillis,
                         clock,
                         new KernelReceiveTime(),
-                        ByteBuffer.allocateDirect(1));
+                        ByteBuffer.allocateDirect(1),
+                        replyBudget());
+    }
+
+    private InputBudget replyBudget() {
+        return new InputBudget() {
+            @Override
+            public boolean mayDecode() {
+                return true;
+            }
+
+            @Override
+            public boolean reserve(int bytes) {
+                return replyMemory.tryReserve(bytes);
+            }
+
+            @Override
+            public void reserveWaiting(int bytes) {
+                replyMemory.reserve(bytes);
+            }
+
+            @Override
+            public void release(int bytes) {
+                replyMemory.release(bytes);
+            }
+        };
     }
 
     /** Sets the listener for the address and the reason of each closed connection. */
@@ -108,6 +140,11 @@
 
     // ---- statistics ----
 
+    /** Returns the account of replies received in part. */
+    public MemoryAccount replyMemory() {
+        return replyMemory;
+    }
+
     /** Returns the number of connections that are open or being opened. */
     public int openConnections() {
         return openConnections;
--- a/src/test/java/sagepulley/codec/resp/RespDecoderTest.java
+++ b/src/test/java/sagepulley/codec/resp/RespDecoderTest.java
@@ -130,6 +130,79 @@
         channel.finishAndReleaseAll();
     }
 
+    @Test
+    void valueThatMayNotBeKeptIsDiscardedAndTheNextIsDecoded() {
+        LimitedBudget budget = new LimitedBudget(600);
+        EmbeddedChannel channel = new EmbeddedChannel(new RespDecoder(COMMANDS, budget));
+        String tooLong = "*1\r\n$1000\r\n" + "x".repeat(1000) + "\r\n";
+        for (int i = 0; i < tooLong.length(); i += 100) {
+            channel.writeInbound(ascii(tooLong.substring(i, Math.min(i + 100, tooLong.length()))));
+        }
+        channel.writeInbound(ascii("*1\r\n$4\r\nPING\r\n"));
+        assertEquals(new Resp.Discarded(), channel.readInbound());
+        assertEquals(
+                "PING", ((Resp.Bulk) ((Resp.Array) channel.readInbound()).items().get(0)).text());
+        channel.finishAndReleaseAll();
+        assertEquals(0, budget.used);
+    }
+
+    @Test
+    void valuesWaitUntilTheyMayBeDecoded() {
+        LimitedBudget budget = new LimitedBudget(10_000);
+        EmbeddedChannel channel = new EmbeddedChannel(new RespDecoder(COMMANDS, budget));
+        String command = "*1\r\n$4\r\nPING\r\n";
+        budget.maxValues = 2;
+        channel.writeInbound(ascii(command.repeat(4) + command.substring(0, 9)));
+        channel.writeInbound(ascii(command.substring(9)));
+        assertEquals(2, channel.inboundMessages().size());
+        budget.maxValues = 5;
+        channel.read();
+        channel.runPendingTasks();
+        assertEquals(5, channel.inboundMessages().size());
+        channel.finishAndReleaseAll();
+        assertEquals(0, budget.used);
+    }
+
+    /** Limits the bytes that are kept and the values that are decoded. */
+    private static final class LimitedBudget implements InputBudget {
+        private final int maxBytes;
+        private int maxValues = Integer.MAX_VALUE;
+        private int values;
+        private int used;
+
+        LimitedBudget(int maxBytes) {
+            this.maxBytes = maxBytes;
+        }
+
+        @Override
+        public boolean mayDecode() {
+            if (values >= maxValues) {
+                return false;
+            }
+            values++;
+            return true;
+        }
+
+        @Override
+        public boolean reserve(int bytes) {
+            if (used + bytes > maxBytes) {
+                return false;
+            }
+            used += bytes;
+            return true;
+        }
+
+        @Override
+        public void reserveWaiting(int bytes) {
+            used += bytes;
+        }
+
+        @Override
+        public void release(int bytes) {
+            used -= bytes;
+        }
+    }
+
     private static ByteBuf ascii(String text) {
         return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
     }
--- a/src/test/java/sagepulley/frontend/resp/ClientListenerTest.java
+++ b/src/test/java/sagepulley/frontend/resp/ClientListenerTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import sagepulley.codec.resp.RespEncoder;
 import sagepulley.testing.ScriptedPeers;
+import sagepulley.transport.MemoryLimits;
 import sagepulley.transport.Transport;
 
 /**
@@ -35,12 +36,14 @@
 @Timeout(60)
 class ClientListenerTest {
     private static final int MAX_CONNECTIONS = 40;
+    private static final int MEMORY_MB = 48;
     private static final int LARGE_VALUE_BYTES = 60_000;
 
     private final Transport transport = Transport.sockets();
     private final EventLoop loop = transport.eventLoops().next();
     private final List<ClientConnection> connections = new CopyOnWriteArrayList<>();
     private final List<ClientConnection.PendingReply> requests = new CopyOnWriteArrayList<>();
+    private final ClientMemory memory = new ClientMemory(MemoryLimits.ofProcess(MEMORY_MB), loop);
     private final AtomicInteger cancelled = new AtomicInteger();
     private final List<Socket> sockets = new ArrayList<>();
     private volatile double now;
@@ -54,6 +57,7 @@
                         transport,
                         MAX_CONNECTIONS,
                         5_000,
+                        memory,
                         new ClientConnection.Handler() {
                             @Override
                             public void onRequest(
@@ -69,6 +73,11 @@
                                 }
                             }
 
+                            @Override
+                            public void onDiscarded(ClientConnection.PendingReply pendingReply) {
+                                pendingReply.reply(RespEncoder.error("BUSY"));
+                            }
+
                             @Override
                             public void onClientCancelled(
                                     ClientConnection.PendingReply pendingReply) {
--- a/src/test/java/sagepulley/testing/ScriptedPeers.java
+++ b/src/test/java/sagepulley/testing/ScriptedPeers.java
@@ -137,16 +137,7 @@
      * @param configEdit modifies the text of the file before it is parsed
      */
     public ScriptedPeers(Script script, UnaryOperator<String> configEdit) throws Exception {
-        ServerSocket endpoint =
-                serve(
-                        connection -> {
-                            for (List<String> arguments = connection.readCommand();
-                                    arguments != null;
-                                    arguments = connection.readCommand()) {
-                                commands.add(arguments);
-                                script.respond(arguments, connection);
-                            }
-                        });
+        SocketAddress endpoint = startEndpoint(script);
         SocketAddress discovery = startDiscovery();
         config =
                 GatewayConfig.parse(
@@ -160,12 +151,26 @@
                         config.withAddresses(
                                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                                 discovery,
-                                endpoint.getLocalSocketAddress()),
+                                endpoint),
                         transport);
         gateway.connectToDiscovery();
         clientAddress = gateway.start().get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Starts an endpoint, which responds to each command as the script says. */
+    public SocketAddress startEndpoint(Script script) throws IOException {
+        return serve(
+                        connection -> {
+                            for (List<String> arguments = connection.readCommand();
+                                    arguments != null;
+                                    arguments = connection.readCommand()) {
+                                commands.add(arguments);
+                                script.respond(arguments, connection);
+                            }
+                        })
+                .getLocalSocketAddress();
+    }
+
     /** Starts a discovery, which responds with the endpoint list and keeps watches open. */
     public SocketAddress startDiscovery() throws IOException {
         return serve(
--- a/src/test/java/sagepulley/upstream/resp/EndpointConnectionPoolTest.java
+++ b/src/test/java/sagepulley/upstream/resp/EndpointConnectionPoolTest.java
@@ -13,6 +13,8 @@
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -58,8 +60,18 @@
     }
 
     private EndpointConnectionPool pool(double stallTimeoutMillis) {
+        return pool(stallTimeoutMillis, Long.MAX_VALUE);
+    }
+
+    private EndpointConnectionPool pool(double stallTimeoutMillis, long maxReplyBytes) {
         return new EndpointConnectionPool(
-                transport, 100, 5_000, LONG_MILLIS, stallTimeoutMillis, new Clock()::now);
+                transport,
+                100,
+                5_000,
+                LONG_MILLIS,
+                stallTimeoutMillis,
+                maxReplyBytes,
+                new Clock()::now);
     }
 
     private Outcome sendPing(
@@ -99,6 +111,21 @@
                 Outcome.FAILED, sendPing(pool(20), startEndpoint("*3\r\n$5\r\nva"), LONG_MILLIS));
     }
 
+    /** Replies received in part filled the direct memory. */
+    @Test
+    void replyWithoutMemoryIsAFailureAndItsMemoryIsReturned() throws Exception {
+        String value = "v".repeat(5_000);
+        SocketAddress address = startEndpoint("*3\r\n$5000\r\n" + value + "\r\n$-1\r\n$-1\r\n");
+        EndpointConnectionPool pool = pool(LONG_MILLIS, 1_000);
+        assertEquals(Outcome.FAILED, sendPing(pool, address, LONG_MILLIS));
+        assertEquals(0L, onLoop(() -> pool.replyMemory().usedBytes()));
+        assertEquals(Map.of("discarded", 1), onLoop(() -> Map.copyOf(pool.invalidReplies())));
+    }
+
+    private <T> T onLoop(Callable<T> task) throws Exception {
+        return transport.eventLoops().next().submit(task).get();
+    }
+
     /** Blocks the loop until the reply has been in the kernel for some time. */
     @Test
     void receiveTimeIsTakenFromTheKernelWhenTheLoopIsDelayed() throws IOException {
--- a/src/test/java/sagepulley/upstream/resp/EndpointConnectionRaceTest.java
+++ b/src/test/java/sagepulley/upstream/resp/EndpointConnectionRaceTest.java
@@ -47,7 +47,13 @@
     private final BlockingQueue<ScriptedPeers.Connection> accepted = new LinkedBlockingQueue<>();
     private final EndpointConnectionPool pool =
             new EndpointConnectionPool(
-                    transport, 100, 5_000, LONG_MILLIS, LONG_MILLIS, new Clock()::now);
+                    transport,
+                    100,
+                    5_000,
+                    LONG_MILLIS,
+                    LONG_MILLIS,
+                    Long.MAX_VALUE,
+                    new Clock()::now);
     private ServerSocket server;
     private SocketAddress address;
 
