Endpoint lists received in part stay on the heap, within one account

A list could grow to 8 MiB for each of up to three requests, in direct memory of 16 MiB that doubles by copying, and then into JSON values without a bound on their number: 5 MB of "{}," are 1.9 million maps. JsonReader reads 200,000 values at most (3,200 endpoints are 30,000). Test: DiscoveryClientTest.listThatDoesNotFitIntoMemoryFailsAndTheNextIsRead.

--- a/src/main/java/sagepulley/discovery/http/DiscoveryClient.java
+++ b/src/main/java/sagepulley/discovery/http/DiscoveryClient.java
@@ -7,6 +7,7 @@
 import sagepulley.discovery.http.DiscoveryRequest.Role;
 import sagepulley.membership.EndpointPollPolicy;
 import sagepulley.transport.KernelReceiveTime;
+import sagepulley.transport.MemoryAccount;
 import sagepulley.transport.Transport;
 
 /**
@@ -39,6 +40,7 @@
 
     private final Transport transport;
     private final Listener listener;
+    private final MemoryAccount memory;
     private final DoubleSupplier clock;
     private final DiscoveryTimeouts timeouts;
     private final KernelReceiveTime receiveTime = new KernelReceiveTime();
@@ -52,28 +54,46 @@
 
     private int lastRequestNumber;
 
-    /** Creates a client with the default timeouts and the revision of the list known so far. */
+    /**
+     * Creates a client with the default timeouts and the revision of the list known so far.
+     *
+     * @param maxListBytes maximum memory of all lists received in part
+     */
     public DiscoveryClient(
             Transport transport,
             SocketAddress address,
             long revision,
             Listener listener,
+            long maxListBytes,
             DoubleSupplier clock) {
-        this(transport, address, revision, listener, clock, DiscoveryTimeouts.DEFAULT);
+        this(
+                transport,
+                address,
+                revision,
+                listener,
+                maxListBytes,
+                clock,
+                DiscoveryTimeouts.DEFAULT);
     }
 
-    /** Creates a client with the given timeouts and the revision of the list known so far. */
+    /**
+     * Creates a client with the given timeouts and the revision of the list known so far.
+     *
+     * @param maxListBytes maximum memory of all lists received in part
+     */
     public DiscoveryClient(
             Transport transport,
             SocketAddress address,
             long revision,
             Listener listener,
+            long maxListBytes,
             DoubleSupplier clock,
             DiscoveryTimeouts timeouts) {
         this.transport = transport;
         this.address = address;
         this.revision = revision;
         this.listener = listener;
+        this.memory = new MemoryAccount(maxListBytes);
         this.clock = clock;
         this.timeouts = timeouts;
     }
@@ -119,6 +139,7 @@
                 timeouts,
                 receiveTime,
                 clock,
+                memory,
                 this);
     }
 
--- a/src/main/java/sagepulley/discovery/http/DiscoveryRequest.java
+++ b/src/main/java/sagepulley/discovery/http/DiscoveryRequest.java
@@ -23,6 +23,7 @@
 import sagepulley.logging.LogWriter;
 import sagepulley.membership.EndpointPollPolicy;
 import sagepulley.transport.KernelReceiveTime;
+import sagepulley.transport.MemoryAccount;
 import sagepulley.transport.Transport;
 
 /**
@@ -60,7 +61,7 @@
     private final DiscoveryTimeouts timeouts;
     private final EndpointListQuery query;
     private final int requestNumber;
-    private final JsonValueDecoder valueDecoder = new JsonValueDecoder(MAX_LIST_BYTES);
+    private final JsonValueDecoder valueDecoder;
     private final ResponseTiming timing = new ResponseTiming();
     private final double startedAt;
     private Channel channel;
@@ -76,6 +77,7 @@
 
     /**
      * @param requestNumber identifies the request in the log
+     * @param memory accounts for lists received in part, of all requests
      */
     DiscoveryRequest(
             Transport transport,
@@ -84,7 +86,10 @@
             DiscoveryTimeouts timeouts,
             KernelReceiveTime receiveTime,
             DoubleSupplier clock,
+            MemoryAccount memory,
             DiscoveryRequestListener listener) {
+        this.valueDecoder =
+                new JsonValueDecoder((int) Math.min(MAX_LIST_BYTES, memory.limitBytes()), memory);
         this.transport = transport;
         this.loop = transport.eventLoops().next();
         this.query = query;
@@ -161,6 +166,7 @@
                 reason);
         state = State.CLOSED;
         timeoutTask.cancel(false);
+        valueDecoder.releaseMemory();
         if (channel != null) {
             channel.close();
         }
@@ -301,6 +307,9 @@
         }
         int listsBefore = receivedLists;
         ctx.fireChannelRead(content.retain());
+        if (!isClosed()) {
+            valueDecoder.updateMemory();
+        }
         if (receivedLists > listsBefore) {
             timing.onListStarted(receivedAt); // start of the next list, if any of it has arrived
         }
--- a/src/main/java/sagepulley/discovery/http/JsonReader.java
+++ b/src/main/java/sagepulley/discovery/http/JsonReader.java
@@ -17,6 +17,10 @@
 public final class JsonReader {
     private static final int MAX_DEPTH = 50;
     private static final int MAX_STRING_CHARS = 100_000;
+
+    /** A list of 3,200 endpoints has about 30,000 values. */
+    private static final int MAX_VALUES = 200_000;
+
     private static final JsonFactory FACTORY =
             JsonFactory.builder()
                     .streamReadConstraints(
@@ -26,19 +30,24 @@
                                     .build())
                     .build();
 
-    private JsonReader() {}
+    private final JsonParser parser;
+    private int values;
+
+    private JsonReader(JsonParser parser) {
+        this.parser = parser;
+    }
 
     /**
      * Parses bytes that hold exactly one JSON object.
      *
-     * @throws IOException if they hold anything else
+     * @throws IOException if they hold anything else, or too many values
      */
     public static Map<String, Object> readObject(byte[] bytes) throws IOException {
         try (JsonParser parser = FACTORY.createParser(bytes)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new IOException("not a JSON object");
             }
-            Map<String, Object> object = readFields(parser);
+            Map<String, Object> object = new JsonReader(parser).readFields();
             if (parser.nextToken() != null) {
                 throw new IOException("unexpected content after the JSON object");
             }
@@ -46,23 +55,26 @@
         }
     }
 
-    private static Map<String, Object> readFields(JsonParser parser) throws IOException {
+    private Map<String, Object> readFields() throws IOException {
         Map<String, Object> object = new LinkedHashMap<>();
         while (parser.nextToken() != JsonToken.END_OBJECT) {
             String name = parser.currentName();
             parser.nextToken();
-            object.put(name, readValue(parser));
+            object.put(name, readValue());
         }
         return object;
     }
 
-    private static Object readValue(JsonParser parser) throws IOException {
+    private Object readValue() throws IOException {
+        if (++values > MAX_VALUES) {
+            throw new IOException("more than " + MAX_VALUES + " JSON values");
+        }
         return switch (parser.currentToken()) {
-            case START_OBJECT -> readFields(parser);
+            case START_OBJECT -> readFields();
             case START_ARRAY -> {
                 List<Object> items = new ArrayList<>();
                 while (parser.nextToken() != JsonToken.END_ARRAY) {
-                    items.add(readValue(parser));
+                    items.add(readValue());
                 }
                 yield items;
             }
--- a/src/main/java/sagepulley/frontend/resp/RespGateway.java
+++ b/src/main/java/sagepulley/frontend/resp/RespGateway.java
@@ -122,6 +122,7 @@
                         config.discovery(),
                         config.initialEndpoints().revision(),
                         endpointLists,
+                        memoryLimits.discoveryBytes(),
                         clock::now);
         this.reporter =
                 new StateReporter(
--- a/src/test/java/sagepulley/discovery/http/DiscoveryClientTest.java
+++ b/src/test/java/sagepulley/discovery/http/DiscoveryClientTest.java
@@ -56,6 +56,15 @@
     private DiscoveryClient openClient(
             ScriptedPeers peers, long firstListTimeoutMillis, long idleTimeoutMillis)
             throws Exception {
+        return openClient(peers, firstListTimeoutMillis, idleTimeoutMillis, 8 << 20);
+    }
+
+    private DiscoveryClient openClient(
+            ScriptedPeers peers,
+            long firstListTimeoutMillis,
+            long idleTimeoutMillis,
+            long maxListBytes)
+            throws Exception {
         Transport transport = Transport.sockets();
         discovery = peers.startDiscovery();
         DiscoveryClient client =
@@ -84,6 +93,7 @@
                                 failures.add(reason);
                             }
                         },
+                        maxListBytes,
                         clock::now,
                         new DiscoveryTimeouts(firstListTimeoutMillis, idleTimeoutMillis));
         loop = transport.eventLoops().next();
@@ -122,6 +132,22 @@
         }
     }
 
+    /** A list without end was kept in direct memory, up to 8 MiB of it for each request. */
+    @Test
+    void listThatDoesNotFitIntoMemoryFailsAndTheNextIsRead() throws Exception {
+        try (ScriptedPeers peers =
+                new ScriptedPeers(
+                        (arguments, connection) -> connection.send(ScriptedPeers.VALUE_REPLY))) {
+            peers.endpointList = "{\"revision\":50,\"members\":[" + "0,".repeat(20_000);
+            DiscoveryClient client = openClient(peers, LONG_MILLIS, LONG_MILLIS, 30_000);
+            await().until(() -> failures.size() == 1);
+            peers.endpointList = CHANGE.formatted(51, "");
+            loop.submit(client::openWatch).get(10, TimeUnit.SECONDS);
+            await().until(() -> updates.size() == 1);
+            assertEquals(51, updates.get(0).revision());
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
