A drain answers every command that the kernel has received

Cause: a connection with 64 pending replies is not read; when a drain found the last reply written it shut the output at once, and what lay unread was dropped afterwards. The same happened to a command whose first bytes had been read, to replies that a slow client had not taken after a second, and at the last step (failAll) to everything that one answered reply set free. Change: the output is shut only once nothing is pending, queued, waiting or half received, and a last read of the socket finds it empty; what is read meanwhile gets -BUSY. A command in part is awaited up to the read timeout; at the end it gets -BUSY too. Why that is enough: what arrives after the empty read crosses the end of a connection between requests. ClientListenerTest.lastReplyArrivesCompleteWhenUnreadBytesRemainAtDrain now lets the read timeout of the half command pass before it expects the end of the stream, since that command is awaited; it checks the same bytes and the same clean end.

--- a/src/main/java/sagepulley/frontend/resp/ClientConnection.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientConnection.java
@@ -5,8 +5,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.channel.unix.UnixChannel;
 import io.netty.handler.codec.DecoderException;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.List;
 import sagepulley.codec.resp.InputBudget;
@@ -23,10 +25,10 @@
  * commands.
  *
  * <p>Commands behind others are decoded as far as the memory for their replies allows; the rest
- * stays unread. Draining shuts down the output once all replies are written. Input is still read
- * after that, so that the peer's FIN is detected and no unread bytes remain in the kernel at the
- * close, which would turn it into a reset. Runs on the event loop; times are in milliseconds of the
- * handler's clock.
+ * stays unread. Draining answers every command that has arrived, and shuts down the output once
+ * nothing is left to read or to write. Input is still read after that, so that the peer's FIN is
+ * detected and no unread bytes remain in the kernel at the close, which would turn it into a reset.
+ * Runs on the event loop; times are in milliseconds of the handler's clock.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private enum Phase {
@@ -48,6 +50,13 @@
                     RespLimits.MAX_VALUE_BYTES + MAX_OTHER_ARGUMENTS_BYTES,
                     MAX_ARGUMENTS);
 
+    /** What a draining connection does with a command received in part. */
+    private enum PartialCommand {
+        AWAIT,
+        REJECT,
+        DROP
+    }
+
     /** Reading pauses while this many replies of the connection are pending. */
     private static final int MAX_PENDING_REPLIES = 64;
 
@@ -59,6 +68,11 @@
 
     private static final int UNREAD_HIGH_BYTES = 262_144;
 
+    /** Input that is read at once before the output is shut down. */
+    private static final int LAST_READ_BYTES = 65_536;
+
+    private static final int MAX_LAST_READS = 16;
+
     /** Handles commands and connection events of clients. */
     interface Handler {
         /** Handles a read or write command. The pending reply is completed immediately or later. */
@@ -140,6 +154,10 @@
     /** Bytes of the request memory that this connection uses. */
     private long usedBytes;
 
+    private PartialCommand partialCommand = PartialCommand.AWAIT;
+
+    private boolean isReadingLastInput;
+
     /** Time at which the client connected. */
     double connectedAt;
 
@@ -241,8 +259,8 @@
     }
 
     /**
-     * Writes the pending replies, then shuts down the output. The connection closes when the
-     * client's FIN arrives.
+     * Replies to all commands that have arrived, including one received in part once it is
+     * complete, then shuts down the output. The connection closes when the client's FIN arrives.
      */
     void drain(String reason) {
         if (phase == Phase.OPEN) {
@@ -257,6 +275,22 @@
         drainingSince = handler.now();
     }
 
+    /** Drains the connection without waiting for the rest of a command received in part. */
+    void drainWithoutWaiting(String reason) {
+        drain(reason, PartialCommand.DROP);
+    }
+
+    /** Drains the connection; rejects a command of which a part is still missing. */
+    void drainAndRejectPartialCommand(String reason) {
+        drain(reason, PartialCommand.REJECT);
+    }
+
+    private void drain(String reason, PartialCommand ofPartialCommand) {
+        partialCommand = ofPartialCommand;
+        drain(reason);
+        shutDownIfDrained();
+    }
+
     /** Closes the connection immediately. */
     void close(String reason) {
         if (channel != null) {
@@ -410,13 +444,64 @@
 
     // ---- end ----
 
-    /** Shuts down the output of a draining connection once it has nothing to write. */
+    /** Shuts down the output of a draining connection once it has nothing to read or to write. */
     private void shutDownIfDrained() {
-        if (phase == Phase.DRAINING && pendingReplies.isEmpty() && writer.queuedBytes() == 0) {
+        if (phase != Phase.DRAINING || isReadingLastInput || !isDrained()) {
+            return;
+        }
+        isReadingLastInput = true;
+        try {
+            if (!decoder.hasFailed() && !readLastInput()) {
+                return; // the event loop reads on
+            }
+        } finally {
+            isReadingLastInput = false;
+        }
+        if (phase != Phase.DRAINING || !isDrained()) {
+            return;
+        }
+        if (partialCommand == PartialCommand.REJECT && decoder.hasPartialValue()) {
+            decoder.close();
+            addPendingReply().reply(RespEncoder.error("BUSY"));
+        } else {
             shutDownOutput();
         }
     }
 
+    private boolean isDrained() {
+        return pendingReplies.isEmpty()
+                && writer.queuedBytes() == 0
+                && !decoder.hasWaitingInput()
+                && !(partialCommand == PartialCommand.AWAIT && decoder.hasPartialValue());
+    }
+
+    /**
+     * Reads what the kernel has received, so that no command that arrived before the shutdown is
+     * dropped. Returns false if there may be more.
+     */
+    private boolean readLastInput() {
+        if (!(channel instanceof UnixChannel socket)) {
+            return true;
+        }
+        for (int i = 0; i < MAX_LAST_READS && channel.isActive(); i++) {
+            ByteBuf input = channel.alloc().directBuffer(LAST_READ_BYTES, LAST_READ_BYTES);
+            ByteBuffer bytes = input.nioBuffer(0, LAST_READ_BYTES);
+            int count = -1;
+            try {
+                count = socket.fd().read(bytes, bytes.position(), bytes.limit());
+            } catch (IOException reset) {
+                closeReason = String.valueOf(reset.getMessage());
+            }
+            if (count <= 0) {
+                input.release();
+                return true;
+            }
+            channel.pipeline().fireChannelRead(input.writerIndex(count));
+            recordRead();
+        }
+        return false;
+    }
+
     /** Sends FIN. The client's FIN then closes the connection. */
     private void shutDownOutput() {
         phase = Phase.HALF_CLOSED;
--- a/src/main/java/sagepulley/frontend/resp/ClientListener.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientListener.java
@@ -193,7 +193,7 @@
             }
         }
         if (candidate != null) {
-            candidate.drain("at capacity");
+            candidate.drainWithoutWaiting("at capacity");
         }
         return candidate != null;
     }
@@ -218,7 +218,7 @@
                     > WRITE_TIMEOUT_MILLIS) {
                 connection.close("drain timeout");
             } else if (isExpired(connection, idleTimeoutMillis, now)) {
-                connection.drain("idle");
+                connection.drainWithoutWaiting("idle");
             } else if (draining && now - connection.connectedAt > FIRST_COMMAND_GRACE_MILLIS) {
                 connection.drain("shutdown");
             }
@@ -284,6 +284,16 @@
         }
     }
 
+    /**
+     * Drains all connections without waiting for the rest of commands received in part, which are
+     * rejected. Called once the operations in flight have failed.
+     */
+    void rejectPartialCommands() {
+        for (ClientConnection connection : new ArrayList<>(connections)) {
+            connection.drainAndRejectPartialCommand("shutdown");
+        }
+    }
+
     /** Closes the listener after a loop iteration in which no connection was accepted. */
     private void closeOnceBacklogIsEmpty(long acceptedBefore) {
         if (listener == null) {
--- a/src/main/java/sagepulley/frontend/resp/RespGateway.java
+++ b/src/main/java/sagepulley/frontend/resp/RespGateway.java
@@ -401,6 +401,7 @@
 
     private void failAll() {
         requests.failAll();
+        requests.clients().rejectPartialCommands();
         loop.schedule(this::stopNow, STOP_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/src/test/java/sagepulley/frontend/resp/ClientListenerTest.java
+++ b/src/test/java/sagepulley/frontend/resp/ClientListenerTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import sagepulley.codec.resp.NumberParser;
 import sagepulley.codec.resp.RespEncoder;
 import sagepulley.testing.ScriptedPeers;
 import sagepulley.transport.MemoryLimits;
@@ -167,6 +168,8 @@
         assertEquals("$" + LARGE_VALUE_BYTES, client.readLine());
         assertEquals(LARGE_VALUE_BYTES, client.input.readNBytes(LARGE_VALUE_BYTES).length);
         assertEquals("", client.readLine());
+        awaitPartialCommand();
+        advanceTime(2_100); // the read timeout of the command received in part
         assertNull(client.readLine(), "expected end of stream without a reset");
         client.socket.close();
         await().until(() -> listener.isDrained());
@@ -224,6 +227,91 @@
         await().until(() -> listener.isDrained());
     }
 
+    /** A drain dropped the commands that lay unread while too many replies were pending. */
+    @Test
+    void commandsUnreadAtDrainAreRepliedTo() throws Exception {
+        int commandCount = 150;
+        ScriptedPeers.Connection client = client();
+        sendWrites(client, commandCount, 4_096);
+        await().until(() -> requests.size() >= 64);
+        runOnLoop(
+                () -> {
+                    listener.drain();
+                    for (ClientConnection.PendingReply request : List.copyOf(requests)) {
+                        request.reply(RespEncoder.simple("DONE"));
+                    }
+                });
+        for (int i = 0; i < commandCount; i++) {
+            assertTrue(List.of("+DONE", "-BUSY").contains(client.readReply()), "reply " + i);
+        }
+        assertNull(client.readReply(), "expected end of stream");
+    }
+
+    /** A drain dropped a command whose first bytes had been read. */
+    @Test
+    void commandReceivedInPartAtDrainIsRepliedTo() throws Exception {
+        ScriptedPeers.Connection client = client();
+        client.sendCommand("PING");
+        assertEquals("+PONG", client.readReply());
+        String command = ScriptedPeers.command(ScriptedPeers.readCommand(1));
+        client.send(command.substring(0, 20));
+        awaitPartialCommand();
+        runOnLoop(listener::drain);
+        client.send(command.substring(20));
+        assertEquals("-BUSY", client.readReply());
+        assertNull(client.readReply(), "expected end of stream");
+    }
+
+    /** The last step of a shutdown, for a client that never completes its command. */
+    @Test
+    void commandReceivedInPartIsRejectedAtTheEnd() throws Exception {
+        ScriptedPeers.Connection client = client();
+        client.send("*4\r\n$8\r\nBLK.RE");
+        awaitPartialCommand();
+        runOnLoop(
+                () -> {
+                    listener.drain();
+                    listener.rejectPartialCommands();
+                });
+        assertEquals("-BUSY", client.readReply());
+        assertNull(client.readReply(), "expected end of stream");
+    }
+
+    /** The output was shut down while replies were still queued for a client that reads slowly. */
+    @Test
+    void drainWaitsForASlowReader() throws Exception {
+        int commandCount = 60;
+        ScriptedPeers.Connection client = client();
+        sendWrites(client, commandCount, 10);
+        await().until(() -> requests.size() == commandCount);
+        runOnLoop(
+                () -> {
+                    for (ClientConnection.PendingReply request : List.copyOf(requests)) {
+                        request.reply(RespEncoder.bulk(new byte[LARGE_VALUE_BYTES]));
+                    }
+                    listener.drain();
+                });
+        advanceTime(1_500);
+        for (int i = 0; i < commandCount; i++) {
+            assertEquals("$" + LARGE_VALUE_BYTES, client.readLine());
+            client.input.readNBytes(LARGE_VALUE_BYTES + 2);
+        }
+        assertNull(client.readLine(), "expected end of stream");
+        assertEquals(0L, loop.submit(() -> memory.requests().usedBytes()).get());
+    }
+
+    private static void sendWrites(ScriptedPeers.Connection client, int count, int bytes)
+            throws IOException {
+        for (int i = 0; i < count; i++) {
+            client.sendCommand(
+                    "BLK.WRITE",
+                    NumberParser.formatId(7),
+                    NumberParser.formatId(i),
+                    ScriptedPeers.fields("put", 9_000, 0),
+                    "w".repeat(bytes));
+        }
+    }
+
     /** Ways in which a client disconnects. */
     enum DisconnectKind {
         FIN,
