New connections are accepted until the last step of a shutdown

Cause: at the drain step the gateway shut its idle connections and its listener at once. Test: ClientListenerTest.commandSentAgainWhileConnectionsDrainIsRepliedTo. StopTest and RespGatewayTest pass.

--- a/src/main/java/sagepulley/frontend/resp/ClientListener.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientListener.java
@@ -273,8 +273,16 @@
      * still accepted and may send a command; {@link #closeExpired} drains them.
      */
     void drain() {
-        draining = true;
+        drainConnections();
         closeOnceBacklogIsEmpty(-1);
+    }
+
+    /**
+     * Drains the open connections. New ones are still accepted and their commands rejected, so that
+     * a command which crosses the end of a connection and is sent again gets a reply.
+     */
+    void drainConnections() {
+        draining = true;
         double now = handler.now();
         for (ClientConnection connection : new ArrayList<>(connections)) {
             if (connection.hasSentCommand
@@ -285,10 +293,11 @@
     }
 
     /**
-     * Drains all connections without waiting for the rest of commands received in part, which are
-     * rejected. Called once the operations in flight have failed.
+     * Stops listening and drains all connections without waiting for the rest of commands received
+     * in part, which are rejected. Called once the operations in flight have failed.
      */
-    void rejectPartialCommands() {
+    void drainAndRejectPartialCommands() {
+        drain();
         for (ClientConnection connection : new ArrayList<>(connections)) {
             connection.drainAndRejectPartialCommand("shutdown");
         }
--- a/src/main/java/sagepulley/frontend/resp/RespGateway.java
+++ b/src/main/java/sagepulley/frontend/resp/RespGateway.java
@@ -390,10 +390,7 @@
         requests.clients().disableIdleTimeout();
         LogWriter.info("graceful shutdown started", "in-flight", engine.inFlight().size());
         loop.schedule(
-                () -> {
-                    requests.clients().drain();
-                    stopIfDrained();
-                },
+                requests.clients()::drainConnections,
                 (long) (shutdownSchedule.drainAt(signalledAt) - now),
                 TimeUnit.MILLISECONDS);
         loop.schedule(this::failAll, (long) (failAt - now), TimeUnit.MILLISECONDS);
@@ -401,7 +398,7 @@
 
     private void failAll() {
         requests.failAll();
-        requests.clients().rejectPartialCommands();
+        requests.clients().drainAndRejectPartialCommands();
         loop.schedule(this::stopNow, STOP_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/src/test/java/sagepulley/frontend/resp/ClientListenerTest.java
+++ b/src/test/java/sagepulley/frontend/resp/ClientListenerTest.java
@@ -262,6 +262,19 @@
         assertNull(client.readReply(), "expected end of stream");
     }
 
+    /** A command that crossed the end of its connection and was sent again found no listener. */
+    @Test
+    void commandSentAgainWhileConnectionsDrainIsRepliedTo() throws Exception {
+        ScriptedPeers.Connection client = client();
+        client.sendCommand("PING");
+        assertEquals("+PONG", client.readReply());
+        runOnLoop(listener::drainConnections);
+        assertNull(client.readReply(), "expected end of stream");
+        ScriptedPeers.Connection again = client();
+        again.sendCommand(ScriptedPeers.readCommand(1));
+        assertEquals("-BUSY", again.readReply());
+    }
+
     /** The last step of a shutdown, for a client that never completes its command. */
     @Test
     void commandReceivedInPartIsRejectedAtTheEnd() throws Exception {
@@ -270,8 +283,8 @@
         awaitPartialCommand();
         runOnLoop(
                 () -> {
-                    listener.drain();
-                    listener.rejectPartialCommands();
+                    listener.drainConnections();
+                    listener.drainAndRejectPartialCommands();
                 });
         assertEquals("-BUSY", client.readReply());
         assertNull(client.readReply(), "expected end of stream");
