Commands held back behind others get their full latency objective

Cause: a command that is left unread while the replies before it wait counted that time as its own. Change: such a command arrives when it is decoded; its deadline, and so the time that stores are told, still runs from its bytes. A command that is next on its connection reserves no room for its reply, which passes straight on. Commands in part that stalled for 100 ms (250 before) lose their bytes. Test: GatewayMemoryTest.longReplies... with an objective of 2 s, shorter than the hang.

--- a/src/main/java/sagepulley/frontend/resp/ClientConnection.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientConnection.java
@@ -121,12 +121,15 @@
             return true;
         }
 
+        /** Returns whether no earlier reply of the connection is pending. */
+        boolean isNext() {
+            return connection.pendingReplies.peek() == this;
+        }
+
         /** Returns whether there is memory for a reply of this size. */
         boolean canKeep(int replyBytes) {
             long added = PENDING_REPLY_BYTES + replyBytes - usedBytes;
-            return connection.pendingReplies.peek() == this
-                    ? connection.memory.mayWrite(added)
-                    : connection.memory.mayQueue(added);
+            return isNext() ? connection.memory.mayWrite(added) : connection.memory.mayQueue(added);
         }
 
         /** Sets the reply and writes all replies that are ready. Must be called at most once. */
@@ -157,6 +160,10 @@
     private PartialCommand partialCommand = PartialCommand.AWAIT;
 
     private boolean isReadingLastInput;
+    private boolean isPaused;
+
+    /** Time at which reading was last resumed. */
+    private double resumedAt = Double.NEGATIVE_INFINITY;
 
     /** Time at which the client connected. */
     double connectedAt;
@@ -254,6 +261,14 @@
         return receiveTime.millisSinceReceived(channel, lastActiveAt - connectedAt);
     }
 
+    /**
+     * Returns whether a command that arrived at the given time was left unread behind other
+     * commands.
+     */
+    boolean wasHeldBack(double receivedAt) {
+        return receivedAt < resumedAt;
+    }
+
     String closeReason() {
         return closeReason;
     }
@@ -439,6 +454,10 @@
         } else {
             memory.addPaused(this);
         }
+        if (isPaused && mayRead) {
+            resumedAt = handler.now();
+        }
+        isPaused = !mayRead;
         channel.config().setAutoRead(mayRead);
     }
 
--- a/src/main/java/sagepulley/frontend/resp/ClientListener.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientListener.java
@@ -31,7 +31,7 @@
     private static final double WRITE_TIMEOUT_MILLIS = 5_000;
 
     /** Time without a byte after which a command received in part may have to make room. */
-    private static final double INPUT_STALL_MILLIS = 250;
+    private static final double INPUT_STALL_MILLIS = 100;
 
     /** Share of the input memory that is freed at once. */
     private static final double FREED_INPUT_FRACTION = 0.125;
--- a/src/main/java/sagepulley/frontend/resp/RequestHandler.java
+++ b/src/main/java/sagepulley/frontend/resp/RequestHandler.java
@@ -125,20 +125,26 @@
         if (connection.isDraining() || clients.isDraining()) {
             reject(command, pendingReply, "SHUTTING_DOWN");
         } else if (engine.inFlight().size() >= config.maxInFlight()
-                || !pendingReply.tryReserve(memoryOf(command))) {
+                || !reserveMemory(command, pendingReply)) {
             metrics.rejectedAtCapacity++;
             reject(command, pendingReply, "AT_CAPACITY");
         } else {
             double receivedAt = now - connection.millisSinceReceived(receiveTime);
-            accept(command, pendingReply, receivedAt, now);
+            // The time spent waiting for earlier replies of the connection does not count.
+            double arrivedAt = connection.wasHeldBack(receivedAt) ? now : receivedAt;
+            double deadline = receivedAt + command.deadlineMillis;
+            accept(command, pendingReply, arrivedAt, deadline, now);
         }
     }
 
-    /** Returns the memory that an operation uses until its reply is known. */
-    private long memoryOf(BlockCommand command) {
-        return OPERATION_BYTES
-                + command.sizeBytes()
-                + replySizes.expectedBytes(command.trafficClass);
+    /**
+     * Reserves the memory of an operation, and of its reply if that may have to wait for an earlier
+     * one. Returns false if there is too little left.
+     */
+    private boolean reserveMemory(
+            BlockCommand command, ClientConnection.PendingReply pendingReply) {
+        int replyBytes = pendingReply.isNext() ? 0 : replySizes.expectedBytes(command.trafficClass);
+        return pendingReply.tryReserve(OPERATION_BYTES + command.sizeBytes() + replyBytes);
     }
 
     @Override
@@ -158,13 +164,13 @@
     private void accept(
             BlockCommand command,
             ClientConnection.PendingReply pendingReply,
-            double receivedAt,
+            double arrivedAt,
+            double clientDeadline,
             double now) {
         metrics.accepted++;
         Volume volume = engine.volume(command.volume, command.plan.index());
         volume.gatewayCount = command.gatewayCount;
-        double deadline =
-                Math.min(receivedAt + command.deadlineMillis, Math.max(now + 1, latestDeadline));
+        double deadline = Math.min(clientDeadline, Math.max(now + 1, latestDeadline));
         Operation operation =
                 new Operation(
                         command.id,
@@ -173,7 +179,7 @@
                         command.extent,
                         command.units,
                         command.shard,
-                        receivedAt,
+                        arrivedAt,
                         deadline,
                         command.clientRetry);
         operation.engineState = new PendingRequest(command, pendingReply);
--- a/src/test/java/sagepulley/lifecycle/GatewayMemoryTest.java
+++ b/src/test/java/sagepulley/lifecycle/GatewayMemoryTest.java
@@ -95,7 +95,10 @@
             int port = WarmUpConfig.freePort();
             try (ChildGateway gateway =
                     new ChildGateway(
-                            folder, port, config(port, peers.startDiscovery(), hung, sound))) {
+                            folder,
+                            port,
+                            config(port, peers.startDiscovery(), hung, sound)
+                                    .replace("\"sloNs\": 5000000000", "\"sloNs\": 2000000000"))) {
                 gateway.awaitReady();
                 int clients = 25;
                 ExecutorService threads = Executors.newFixedThreadPool(clients);
