--- a/src/main/java/sagepulley/codec/frame/EventLoops.java
+++ b/src/main/java/sagepulley/codec/frame/EventLoops.java
@@ -24,13 +24,30 @@
 
     /** Creates event loops that run on daemon threads with the given name prefix. */
     public static EventLoopGroup group(int loops, String name) {
-        return group(loops, new DefaultThreadFactory(name, true));
+        return group(loops, name, () -> {});
     }
 
-    /** Creates event loops that run on threads of the factory. */
-    public static EventLoopGroup group(int loops, ThreadFactory threads) {
+    /**
+     * Creates event loops that run on daemon threads with the given name prefix.
+     *
+     * @param onThreadEnd runs on each event loop's thread when that ends, for whatever reason
+     */
+    public static EventLoopGroup group(int loops, String name, Runnable onThreadEnd) {
+        ThreadFactory threads = new DefaultThreadFactory(name, true);
         return new MultiThreadIoEventLoopGroup(
-                loops, threads, EPOLL ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
+                loops,
+                task -> threads.newThread(runThen(task, onThreadEnd)),
+                EPOLL ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
+    }
+
+    private static Runnable runThen(Runnable task, Runnable onEnd) {
+        return () -> {
+            try {
+                task.run();
+            } finally {
+                onEnd.run();
+            }
+        };
     }
 
     /** Returns the class of client sockets. */
--- a/src/main/java/sagepulley/frontend/nbd/NbdGateway.java
+++ b/src/main/java/sagepulley/frontend/nbd/NbdGateway.java
@@ -9,6 +9,7 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import io.netty.util.internal.PlatformDependent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -58,10 +59,15 @@
     private static final long REPLY_FLUSH_MILLIS = 20;
 
     private static final int LISTEN_BACKLOG = 1024;
+
+    /** Exit status of an internal software error (sysexits.h, EX_SOFTWARE). */
+    private static final int EVENT_LOOP_ENDED_STATUS = 70;
+
     private static final Logger LOG = LoggerFactory.getLogger(NbdGateway.class);
 
     private final SiteConfig site;
-    private final EventLoopGroup engineGroup = EventLoops.group(1, "gateway");
+    private final EventLoopGroup engineGroup =
+            EventLoops.group(1, "gateway", this::onEventLoopEnded);
     private final EventLoopGroup clientGroup;
     private final NbdEngine engine;
     private final BufferBudget bufferBudget;
@@ -90,9 +96,9 @@
         this.site = site;
         this.clientGroup =
                 site.eventLoops() > 1
-                        ? EventLoops.group(site.eventLoops() - 1, "client")
+                        ? EventLoops.group(site.eventLoops() - 1, "client", this::onEventLoopEnded)
                         : engineGroup;
-        this.bufferBudget = new BufferBudget(site.maxTotalBytes());
+        this.bufferBudget = new BufferBudget(maxBufferBytes(site));
         this.tracer = site.tracing().isEnabled() ? new Tracer(site.tracing(), site.name()) : null;
         this.engine =
                 new NbdEngine(
@@ -106,6 +112,30 @@
                         tracer);
     }
 
+    /**
+     * Returns the limit of buffered requests: the configured one, or half of the direct memory of
+     * this process if that is less, but always enough for one client.
+     */
+    private static long maxBufferBytes(SiteConfig site) {
+        long available = PlatformDependent.maxDirectMemory() / 2;
+        if (site.maxTotalBytes() <= available) {
+            return site.maxTotalBytes();
+        }
+        LOG.atWarn()
+                .addKeyValue("configured", site.maxTotalBytes())
+                .addKeyValue("available", available)
+                .log("limit of buffered requests exceeds half of the direct memory");
+        return Math.max(available, site.maxClientBytes());
+    }
+
+    /** Ends the process if an event loop ends before a stop, because nothing is served then. */
+    private void onEventLoopEnded() {
+        if (stopResult.get() == null) {
+            LOG.atError().log("event loop ended, ending the process");
+            Runtime.getRuntime().halt(EVENT_LOOP_ENDED_STATUS);
+        }
+    }
+
     static Membership newMembership(SiteConfig site, long seed) {
         Membership.Policy defaults = Membership.Policy.DEFAULT;
         return new Membership(
--- a/src/main/java/sagepulley/transport/Transport.java
+++ b/src/main/java/sagepulley/transport/Transport.java
@@ -15,7 +15,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.ConnectException;
-import java.util.concurrent.ThreadFactory;
 import java.util.function.Consumer;
 import sagepulley.codec.frame.EventLoops;
 import sagepulley.logging.LogWriter;
@@ -36,23 +35,12 @@
      * @param onThreadEnd runs on the event loop's thread when that ends, for whatever reason
      */
     public static Transport sockets(Runnable onThreadEnd) {
-        ThreadFactory threads = new DefaultThreadFactory("gateway", true);
         return new Transport(
-                EventLoops.group(1, task -> threads.newThread(runThen(task, onThreadEnd))),
+                EventLoops.group(1, "gateway", onThreadEnd),
                 EventLoops.socket(),
                 EventLoops.server());
     }
 
-    private static Runnable runThen(Runnable task, Runnable onEnd) {
-        return () -> {
-            try {
-                task.run();
-            } finally {
-                onEnd.run();
-            }
-        };
-    }
-
     /** Returns a bootstrap for outgoing connections. */
     public Bootstrap connector() {
         Bootstrap connector = new Bootstrap().group(eventLoops).channel(socket);
