--- a/src/main/java/sagepulley/codec/frame/EventLoops.java
+++ b/src/main/java/sagepulley/codec/frame/EventLoops.java
@@ -33,11 +33,10 @@
      * @param onThreadEnd runs on each event loop's thread when that ends, for whatever reason
      */
     public static EventLoopGroup group(int loops, String name, Runnable onThreadEnd) {
-        ThreadFactory threads = new DefaultThreadFactory(name, true);
+        ThreadFactory daemons = new DefaultThreadFactory(name, true);
+        ThreadFactory threads = task -> daemons.newThread(runThen(task, onThreadEnd));
         return new MultiThreadIoEventLoopGroup(
-                loops,
-                task -> threads.newThread(runThen(task, onThreadEnd)),
-                EPOLL ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
+                loops, threads, EPOLL ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
     }
 
     private static Runnable runThen(Runnable task, Runnable onEnd) {
