--- a/src/main/java/sagepulley/engine/GatewayEngine.java
+++ b/src/main/java/sagepulley/engine/GatewayEngine.java
@@ -43,7 +43,10 @@
     private final Map<Integer, Node> nodes = new LinkedHashMap<>();
     private final Map<Integer, Double> removedAt = new HashMap<>();
 
-    /** Operations that are not routed yet; they are routed after all events of the same time. */
+    /**
+     * Operations that are not routed yet; they are routed after all events of the same time, so
+     * that all arrivals of one moment are known before anything is sent.
+     */
     private final Queue<Operation> arrivals = new ArrayDeque<>();
 
     /** Creates a gateway without endpoints. The seed makes its random draws reproducible. */
--- a/src/main/java/sagepulley/frontend/resp/ClientListener.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientListener.java
@@ -61,7 +61,8 @@
 
     /**
      * @param maxConnections maximum number of open connections, including lingering ones
-     * @param maxCommandMillis maximum time to receive a command; the read timeout if that is longer
+     * @param maxCommandMillis maximum time to receive a command, as one that takes longer is of no
+     *     use to its client; the read timeout if that is longer
      * @param memory accounts for the memory of all connections of this listener
      */
     ClientListener(
--- a/src/main/java/sagepulley/frontend/resp/RespGateway.java
+++ b/src/main/java/sagepulley/frontend/resp/RespGateway.java
@@ -316,8 +316,8 @@
     /**
      * Records that a new configuration was notified at the given time. A few seconds after that
      * time, changes at discovery count as notified. A bounded lease of the endpoint list therefore
-     * ends at most one drain grace later, and is not renewed before the configuration has been read
-     * or found invalid.
+     * ends at most one drain grace later, however long the file takes to read, and is not renewed
+     * before the configuration has been read or found invalid.
      */
     public void onReloadNotified(double notifiedAt) {
         loop.execute(
--- a/src/main/java/sagepulley/membership/DiscoverySchedule.java
+++ b/src/main/java/sagepulley/membership/DiscoverySchedule.java
@@ -23,7 +23,10 @@
     /** The jitter factor of a backoff is this plus a random number between 0 and 1. */
     private static final double MIN_JITTER_FACTOR = 0.5;
 
-    /** Minimum time after which a poll without a result is followed by another. */
+    /**
+     * Minimum time after which a poll without a result is followed by another. A poll reports its
+     * end within this time.
+     */
     private static final double POLL_TIMEOUT_MILLIS = 2_500;
 
     /** Maximum time between the first polls of two consecutive gateways. */
--- a/src/main/java/sagepulley/scheduler/SlowStartBudget.java
+++ b/src/main/java/sagepulley/scheduler/SlowStartBudget.java
@@ -10,9 +10,10 @@
  *
  * <p>All gateways together are assumed to send an endpoint at most what it serves when warm. The
  * fraction is therefore the overload multiple times the part of its full capacity that the endpoint
- * has on a linear ramp at the start of the current overload window, less a margin. It does not
- * depend on the number of gateways or on earlier traffic. A cap on the units sent limits surges.
- * Times are milliseconds.
+ * has on a linear ramp at the start of the current overload window, less a margin. The linear ramp
+ * is the slowest that the service rules allow. The fraction does not depend on the number of
+ * gateways or on earlier traffic, also not on what was sent before this gateway started. A cap on
+ * the units sent limits surges. Times are milliseconds.
  */
 final class SlowStartBudget {
     /** The fraction of the load allowed by the policy that is used. */
--- a/src/main/java/sagepulley/upstream/resp/EndpointConnectionPool.java
+++ b/src/main/java/sagepulley/upstream/resp/EndpointConnectionPool.java
@@ -291,7 +291,10 @@
         return oldest != null;
     }
 
-    /** Closes the connections that have been idle for longer than the idle timeout. */
+    /**
+     * Closes the connections that have been idle for longer than the idle timeout, before their
+     * endpoint does.
+     */
     public void closeExpired() {
         double now = clock.getAsDouble();
         for (ArrayDeque<EndpointConnection> connections : List.copyOf(idle.values())) {
