A draining gateway ends once no client is connected

Change: two checks 25 ms apart that find no client connected close the listener and end the process, as the end of the last connection did before.

--- a/src/main/java/sagepulley/frontend/resp/RespGateway.java
+++ b/src/main/java/sagepulley/frontend/resp/RespGateway.java
@@ -32,6 +32,8 @@
     private static final long MAINTENANCE_INTERVAL_MILLIS = 200;
     private static final long REPORT_INTERVAL_MILLIS = 5_000;
 
+    private static final long UNUSED_CHECK_INTERVAL_MILLIS = 25;
+
     /** Time for clients to read the last replies before the gateway stops. */
     private static final long STOP_DELAY_MILLIS = MAINTENANCE_INTERVAL_MILLIS / 2;
 
@@ -390,12 +392,33 @@
         requests.clients().disableIdleTimeout();
         LogWriter.info("graceful shutdown started", "in-flight", engine.inFlight().size());
         loop.schedule(
-                requests.clients()::drainConnections,
+                () -> {
+                    requests.clients().drainConnections();
+                    stopOnceUnused(false);
+                },
                 (long) (shutdownSchedule.drainAt(signalledAt) - now),
                 TimeUnit.MILLISECONDS);
         loop.schedule(this::failAll, (long) (failAt - now), TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Stops listening, and thereby the gateway, once two checks in a row find no client connected:
+     * a command that crossed the end of its connection would have been sent again by then.
+     */
+    private void stopOnceUnused(boolean wasUnused) {
+        boolean isUnused = requests.clients().connectionCount() == 0;
+        if (isUnused && wasUnused) {
+            requests.clients().drain();
+        }
+        stopIfDrained();
+        if (!stopped.isDone()) {
+            loop.schedule(
+                    () -> stopOnceUnused(isUnused),
+                    UNUSED_CHECK_INTERVAL_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void failAll() {
         requests.failAll();
         requests.clients().drainAndRejectPartialCommands();
