--- a/review/rig-2/NbdClient.java
+++ b/review/rig-2/NbdClient.java
@@ -16,6 +16,7 @@
     static final int READ = 0;
     static final int WRITE = 1;
     static final int FLUSH = 3;
+    static final int WRITE_ZEROES = 6;
 
     private static final long IHAVEOPT = 0x49484156454f5054L;
     private static final int OPT_GO = 7;
@@ -131,6 +132,10 @@
         return send(WRITE, offset, data.length, data);
     }
 
+    Request writeZeroes(long offset, int length) throws IOException {
+        return send(WRITE_ZEROES, offset, length, new byte[0]);
+    }
+
     Request flush() throws IOException {
         return send(FLUSH, 0, 0, new byte[0]);
     }
@@ -160,7 +165,12 @@
     }
 
     private static String kind(int command) {
-        return command == READ ? "read" : command == WRITE ? "write" : "flush";
+        return switch (command) {
+            case READ -> "read";
+            case WRITE -> "write";
+            case WRITE_ZEROES -> "write zeroes";
+            default -> "flush";
+        };
     }
 
     /** Returns the bytes of reads that have come so far. */
