--- a/review/rig-2/run-case.sh
+++ b/review/rig-2/run-case.sh
@@ -9,8 +9,15 @@
     exit 2
 fi
 temporary=$(mktemp -d)
-timeout 112 java -Xmx1g -cp "$review/target/rig-2" "$2" "$root/target/sagepulley.jar" "$temporary" "$folder/record.txt"
+timeout -k 4 112 java -Xmx1g -cp "$review/target/rig-2" "$2" "$root/target/sagepulley.jar" "$temporary" "$folder/record.txt" &
+rig=$!
+trap 'kill "$rig" 2>/dev/null' TERM INT HUP
+wait "$rig"
 status=$?
+while kill -0 "$rig" 2>/dev/null; do # a signal ended the wait
+    wait "$rig"
+    status=2
+done
 if [[ -n ${KEEP:-} ]]; then
     cp -r "$temporary" "$KEEP"
 fi
