--- a/src/main/java/sagepulley/cli/GatewayCommand.java
+++ b/src/main/java/sagepulley/cli/GatewayCommand.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletionException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
+import sagepulley.codec.frame.EventLoops;
 import sagepulley.config.SiteConfig;
 import sagepulley.frontend.nbd.NbdGateway;
 import sagepulley.monitoring.MonitoringServer;
@@ -26,6 +27,7 @@
 
     @Override
     public Integer call() throws Exception {
+        EventLoops.requireEpoll();
         SiteConfig site = SiteConfig.read(file);
         NbdGateway gateway = new NbdGateway(site, new SecureRandom().nextLong());
         gateway.start()
--- a/src/main/java/sagepulley/codec/frame/EventLoops.java
+++ b/src/main/java/sagepulley/codec/frame/EventLoops.java
@@ -16,12 +16,31 @@
 
 /**
  * Creates event loops and selects the matching channel types: epoll where available, NIO otherwise.
+ *
+ * <p>The gateways need epoll: NIO neither reports a disconnect while reading is paused nor the time
+ * at which the kernel received bytes. The stand-ins and the demo run on both.
  */
 public final class EventLoops {
     private static final boolean EPOLL = Epoll.isAvailable();
 
     private EventLoops() {}
 
+    /**
+     * Checks that epoll is available.
+     *
+     * @throws EpollUnavailableException if Netty's native library cannot be used on this machine
+     */
+    public static void requireEpoll() throws EpollUnavailableException {
+        if (!EPOLL) {
+            throw new EpollUnavailableException(Epoll.unavailabilityCause());
+        }
+    }
+
+    /** Returns the name of the transport in use. */
+    public static String transportName() {
+        return EPOLL ? "epoll" : "nio";
+    }
+
     /** Creates event loops that run on daemon threads with the given name prefix. */
     public static EventLoopGroup group(int loops, String name) {
         return group(loops, name, () -> {});
--- a/src/main/java/sagepulley/frontend/nbd/NbdGateway.java
+++ b/src/main/java/sagepulley/frontend/nbd/NbdGateway.java
@@ -254,6 +254,7 @@
                             LOG.atInfo()
                                     .addKeyValue("gateway", site.name())
                                     .addKeyValue("nbd", listener.localAddress())
+                                    .addKeyValue("transport", EventLoops.transportName())
                                     .addKeyValue("volumes", site.volumes().size())
                                     .log("ready");
                             ready.complete(this);
--- a/src/main/java/sagepulley/lifecycle/GatewayServer.java
+++ b/src/main/java/sagepulley/lifecycle/GatewayServer.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
+import sagepulley.codec.frame.EpollUnavailableException;
+import sagepulley.codec.frame.EventLoops;
 import sagepulley.config.resp.ConfigException;
 import sagepulley.config.resp.GatewayConfig;
 import sagepulley.frontend.resp.RespGateway;
@@ -24,15 +26,18 @@
      * Runs a gateway until it has stopped.
      *
      * @throws ConfigException if the configuration is invalid or its address cannot be listened on
+     * @throws EpollUnavailableException if this machine has no epoll transport
      */
-    public static void run(Map<String, String> environment) throws ConfigException {
+    public static void run(Map<String, String> environment)
+            throws ConfigException, EpollUnavailableException {
         run(environment, gateway -> {});
     }
 
     /** Runs a gateway until it has stopped, and calls the consumer once clients can connect. */
     static void run(Map<String, String> environment, Consumer<RespGateway> onReady)
-            throws ConfigException {
+            throws ConfigException, EpollUnavailableException {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        EventLoops.requireEpoll();
         GatewayConfig config = GatewayConfig.read(environment);
         RespGateway gateway = new RespGateway(config, Transport.sockets(new EventLoopGuard()));
         SignalHandlers.setHandler("TERM", gateway::stop);
@@ -53,6 +58,8 @@
                 config.name(),
                 "listen",
                 config.listen(),
+                "transport",
+                EventLoops.transportName(),
                 "traffic-classes",
                 describeTrafficClasses(config),
                 "idle-timeout-ms",
--- a/src/test/java/sagepulley/lifecycle/GatewayServerTest.java
+++ b/src/test/java/sagepulley/lifecycle/GatewayServerTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import sagepulley.codec.frame.EpollUnavailableException;
 import sagepulley.config.resp.ConfigException;
 import sagepulley.frontend.resp.RespGateway;
 import sagepulley.testing.ScriptedPeers;
@@ -70,7 +71,7 @@
                 () -> {
                     try {
                         GatewayServer.run(environment, ready::complete);
-                    } catch (ConfigException failure) {
+                    } catch (ConfigException | EpollUnavailableException failure) {
                         throw new IllegalStateException(failure);
                     }
                 });
