--- a/src/main/java/sagepulley/frontend/nbd/AttemptMessages.java
+++ b/src/main/java/sagepulley/frontend/nbd/AttemptMessages.java
@@ -29,7 +29,7 @@
                 part.offsetInExtent,
                 part.length,
                 (float) operation.units,
-                part.expectedNodeStart,
+                part.expectedNodeStart(),
                 extentMustExist);
     }
 
--- a/src/main/java/sagepulley/frontend/nbd/ExportedVolume.java
+++ b/src/main/java/sagepulley/frontend/nbd/ExportedVolume.java
@@ -1,7 +1,6 @@
 package sagepulley.frontend.nbd;
 
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import sagepulley.codec.nbd.Export;
@@ -20,20 +19,12 @@
     /** Preferred block size of the exports. */
     private static final int PREFERRED_BLOCK_BYTES = 4096;
 
-    /** Writes that a node acknowledged since the last flush there. */
-    static final class UnflushedWrites {
-        /** The start time of the node's incarnation, in wall-clock milliseconds. */
-        long nodeStartedAt;
-
-        long writeCount;
-    }
-
     final VolumeSettings settings;
     final Volume volume;
     final Export export;
 
-    /** Writes that may not be durable yet, by the cell of the node that acknowledged them. */
-    final Map<Integer, UnflushedWrites> unflushedByCell = new HashMap<>();
+    /** Acknowledged writes that may not be durable yet. */
+    final UnflushedWrites unflushedWrites = new UnflushedWrites();
 
     ExportedVolume(VolumeSettings settings, Volume volume, Export export) {
         this.settings = settings;
@@ -68,28 +59,4 @@
                 PREFERRED_BLOCK_BYTES,
                 maxBlockBytes);
     }
-
-    /** Records a write that a node acknowledged without making it durable. */
-    void recordWrite(int cell, long nodeStartedAt) {
-        UnflushedWrites unflushed = unflushedByCell.get(cell);
-        if (unflushed == null) {
-            unflushed = new UnflushedWrites();
-            unflushed.nodeStartedAt = nodeStartedAt;
-            unflushedByCell.put(cell, unflushed);
-        }
-        unflushed.writeCount++;
-    }
-
-    /**
-     * Records an acknowledged flush. The cell has no unflushed writes left unless further writes
-     * were acknowledged after the flush began.
-     *
-     * @param writeCount the number of unflushed writes at the cell when the flush began
-     */
-    void recordFlush(int cell, long writeCount) {
-        UnflushedWrites unflushed = unflushedByCell.get(cell);
-        if (unflushed != null && unflushed.writeCount == writeCount) {
-            unflushedByCell.remove(cell);
-        }
-    }
 }
--- a/src/main/java/sagepulley/frontend/nbd/ExtentLocator.java
+++ b/src/main/java/sagepulley/frontend/nbd/ExtentLocator.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sagepulley.codec.nbd.NbdConstants;
@@ -70,6 +71,9 @@
     /** Extents whose holder was read from disk and is not confirmed by a node yet. */
     private final Set<Long> unverified = new HashSet<>();
 
+    /** Cells that hold or held known extents, by volume id. */
+    private final Map<Integer, Set<Integer>> cellsByVolume = new HashMap<>();
+
     /**
      * Whether the directory is unreachable. Set when a call fails and the connection is closed, and
      * cleared by the next endpoint list. While it is set, no lookups are sent, and new first writes
@@ -104,11 +108,16 @@
             if (cells[i] >= 0) {
                 long key = ExtentHolders.key(volumeId, i);
                 holders.holderLearned(key, cells[i]);
+                addCell(volumeId, cells[i]);
                 unverified.add(key);
             }
         }
     }
 
+    private void addCell(int volumeId, int cell) {
+        cellsByVolume.computeIfAbsent(volumeId, any -> new HashSet<>()).add(cell);
+    }
+
     /** Returns the number of extents of a volume. */
     long extentCount(ExportedVolume volume) {
         return (volume.settings.sizeBytes() - 1) / extentBytes + 1;
@@ -119,6 +128,11 @@
         return holders.cell(ExtentHolders.key(volumeId, extent));
     }
 
+    /** Passes the cells that hold known extents of a volume to the consumer. */
+    void forEachHolder(ExportedVolume volume, IntConsumer consumer) {
+        cellsByVolume.getOrDefault(volume.settings.id(), Set.of()).forEach(consumer::accept);
+    }
+
     /** Returns whether a holder has changed since the last call. */
     boolean checkAndClearChanged() {
         boolean changed = changedSinceSnapshot;
@@ -292,6 +306,7 @@
         Set<RequestPart> parts = unlocated.remove(key);
         List<RequestPart> waitingParts = holders.holderLearned(key, cell);
         int holder = holders.cell(key);
+        addCell(ExtentHolders.volume(key), cell);
         changedSinceSnapshot = true;
         if (parts != null) {
             for (RequestPart part : parts) {
--- a/src/main/java/sagepulley/frontend/nbd/HolderPreloader.java
+++ b/src/main/java/sagepulley/frontend/nbd/HolderPreloader.java
@@ -19,7 +19,6 @@
     private final ExtentLocator locator;
     private final Deque<ExportedVolume> remaining;
     private final Runnable onCompleted;
-    private long nextExtent;
 
     /**
      * @param onCompleted runs once all holders are loaded or a lookup has failed; the holders that
@@ -36,43 +35,47 @@
         this.onCompleted = onCompleted;
     }
 
-    /** Looks up the next batch; runs the callback if no batch is left. */
+    /** Looks up the holders of the next volume; runs the callback if none is left. */
     void run() {
         if (remaining.isEmpty()) {
             onCompleted.run();
             return;
         }
         ExportedVolume volume = remaining.peek();
-        long first = nextExtent;
-        long extents = locator.extentCount(volume);
-        int count = (int) Math.min(ExtentLocator.MAX_EXTENTS_PER_STEP, extents - first);
-        directory.lookup(
-                volume.settings.id(),
-                first,
-                count,
-                (cells, failure) -> {
-                    if (cells == null) {
-                        LOG.atWarn()
-                                .addKeyValue("why", failure)
-                                .log("preloading extent holders failed");
-                        onCompleted.run();
-                        return;
-                    }
-                    recordHolders(volume.settings.id(), first, cells);
-                    nextExtent = first + count;
-                    if (nextExtent >= extents) {
-                        remaining.remove();
-                        nextExtent = 0;
-                    }
-                    run();
-                });
+        new HolderLookup(
+                        directory,
+                        volume.settings.id(),
+                        locator.extentCount(volume),
+                        new VolumeListener(volume.settings.id()))
+                .run();
     }
 
-    private void recordHolders(int volumeId, long first, int[] cells) {
-        for (int i = 0; i < cells.length; i++) {
-            if (cells[i] >= 0) {
-                locator.holderFound(ExtentHolders.key(volumeId, first + i), cells[i]);
+    /** Records the holders of one volume, then goes on to the next. */
+    private final class VolumeListener implements HolderLookup.Listener {
+        private final int volumeId;
+
+        VolumeListener(int volumeId) {
+            this.volumeId = volumeId;
+        }
+
+        @Override
+        public void found(long firstExtent, int[] cells) {
+            for (int i = 0; i < cells.length; i++) {
+                if (cells[i] >= 0) {
+                    locator.holderFound(ExtentHolders.key(volumeId, firstExtent + i), cells[i]);
+                }
+            }
+        }
+
+        @Override
+        public void ended(String failure) {
+            if (failure != null) {
+                LOG.atWarn().addKeyValue("why", failure).log("preloading extent holders failed");
+                onCompleted.run();
+                return;
             }
+            remaining.remove();
+            run();
         }
     }
 }
--- a/src/main/java/sagepulley/frontend/nbd/NbdEngine.java
+++ b/src/main/java/sagepulley/frontend/nbd/NbdEngine.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.IntConsumer;
 import sagepulley.accounts.LatencyAccount;
 import sagepulley.codec.nbd.NbdConstants;
 import sagepulley.codec.nbd.NbdRequest;
@@ -39,13 +40,14 @@
     private final Scheduler scheduler;
     private final Map<String, ExportedVolume> exportedVolumes;
     private final Counters counters = new Counters();
-    private final PendingRequests requests = new PendingRequests();
+    private final PendingRequests requests = new PendingRequests(this::flushBeforeReply);
     private final RequestSplitter splitter;
     private final NodeConnectionRegistry connections;
     private final DirectoryClient directory;
     private final OperationAccounting accounting;
     private final OperationDispatcher dispatcher;
     private final ExtentLocator locator;
+    private final FlushPlanner flushPlanner;
     private final EndpointListFollower endpointList;
     private final AccountReports accountReports;
     private final HolderSnapshots holderSnapshots;
@@ -108,6 +110,7 @@
                         requests,
                         counters);
         this.locator = dispatcher.locator();
+        this.flushPlanner = newFlushPlanner();
         this.endpointList =
                 new EndpointListFollower(
                         loop,
@@ -132,6 +135,16 @@
         this.holderSnapshots = new HolderSnapshots(loop, locator, exportedVolumes.values());
     }
 
+    private FlushPlanner newFlushPlanner() {
+        return new FlushPlanner(
+                loop,
+                directory,
+                locator,
+                site.deployment(),
+                this::forEachKnownCell,
+                this::dispatchFlush);
+    }
+
     // ---- start and shutdown ----
 
     /**
@@ -188,7 +201,8 @@
 
     /**
      * Begins the graceful shutdown: refuses new requests, and runs the callback once every request
-     * in flight has its reply. May be called from any thread.
+     * in flight has its reply. Writes are durable before their replies from then on, because the
+     * next incarnation may already have flushed what it knows of. May be called from any thread.
      */
     void stop(Runnable whenEmpty) {
         loop.execute(() -> requests.stop(whenEmpty));
@@ -196,6 +210,7 @@
 
     /** Closes all connections and timers. Called on the event loop. */
     void close() {
+        flushPlanner.close();
         accounting.close();
         endpointList.close();
         dispatcher.close();
@@ -228,10 +243,7 @@
         requests.add(request);
         switch (command.command()) {
             case NbdConstants.CMD_BLOCK_STATUS -> lookUpBlockStatus(request);
-            case NbdConstants.CMD_FLUSH -> {
-                splitter.splitFlush(request);
-                dispatchParts(request);
-            }
+            case NbdConstants.CMD_FLUSH -> flushPlanner.plan(request);
             default -> {
                 splitter.split(request);
                 command.payload().release();
@@ -240,6 +252,36 @@
         }
     }
 
+    private void dispatchFlush(PendingRequest request) {
+        if (requests.contains(request)) {
+            splitter.splitFlush(request);
+            dispatchParts(request);
+        }
+    }
+
+    /**
+     * Flushes the volume of a served write in the graceful shutdown. Returns whether the request
+     * has to wait for that.
+     */
+    private boolean flushBeforeReply(PendingRequest request) {
+        if (!requests.isStopping() || !request.leavesUnflushedWrites()) {
+            return false;
+        }
+        request.parts.clear();
+        splitter.splitFlush(request);
+        if (request.parts.isEmpty()) {
+            return false; // another flush has covered the write since
+        }
+        dispatchParts(request);
+        return true;
+    }
+
+    /** Passes the cells of all nodes, and of known extents of the volume, to the consumer. */
+    private void forEachKnownCell(ExportedVolume volume, IntConsumer consumer) {
+        connections.forEachCell(consumer);
+        locator.forEachHolder(volume, consumer);
+    }
+
     private void dispatchParts(PendingRequest request) {
         request.openParts = request.parts.size();
         counters.accepted.add(request.openParts);
--- a/src/main/java/sagepulley/frontend/nbd/NodeConnectionRegistry.java
+++ b/src/main/java/sagepulley/frontend/nbd/NodeConnectionRegistry.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.IntConsumer;
 import sagepulley.engine.Clock;
 import sagepulley.membership.EndpointRecord;
 import sagepulley.membership.Membership;
@@ -193,6 +194,15 @@
         return node == null ? 0 : node.id;
     }
 
+    /** Passes the cell of each node that is not removed to the consumer. */
+    void forEachCell(IntConsumer consumer) {
+        for (RegisteredNode registered : nodes.values()) {
+            if (registered.node.phase != Node.Phase.REMOVED) {
+                consumer.accept(registered.node.cell);
+            }
+        }
+    }
+
     /** Closes all connections; the attempts in flight fail. */
     void close() {
         for (RegisteredNode registered : nodes.values()) {
--- a/src/main/java/sagepulley/frontend/nbd/OperationDispatcher.java
+++ b/src/main/java/sagepulley/frontend/nbd/OperationDispatcher.java
@@ -298,6 +298,9 @@
         AttemptMessages.recordLoad(lastAttempt(part), answer);
         boolean denied =
                 answer.code() == StoreMessages.Code.NOT_EXECUTED && locator.holderDenied(part);
+        if (part.kind == StoreMessages.Kind.FLUSH && answer.code() == StoreMessages.Code.FAILED) {
+            part.faultAtNodeStart = connections.startedAt(lastAttempt(part).node.id);
+        }
         if (answer.code() == StoreMessages.Code.SERVED) {
             locator.holderVerified(part);
             accounting.attemptServed(part, answer);
@@ -392,7 +395,15 @@
             RequestPart part, Accounts.End end, Reason reason, int error, String message) {
         part.operation.ended = true;
         accounting.partEnded(part, end, reason);
-        part.request.addError(part.exportOffset, error, message);
+        if (part.faultAtNodeStart == null) {
+            part.request.addError(part.exportOffset, error, message);
+        } else {
+            part.request.addError(
+                    part.exportOffset,
+                    NbdConstants.EIO,
+                    "a node answered a fault: writes may not be durable, or were lost");
+            part.recordReportedFault();
+        }
         complete(part);
     }
 
--- a/src/main/java/sagepulley/frontend/nbd/PendingRequest.java
+++ b/src/main/java/sagepulley/frontend/nbd/PendingRequest.java
@@ -67,6 +67,16 @@
         return (command.flags() & NbdConstants.CMD_FLAG_FUA) != 0;
     }
 
+    /**
+     * Returns whether the request was served and has written data that the nodes need not have made
+     * durable.
+     */
+    boolean leavesUnflushedWrites() {
+        return errors.isEmpty()
+                && !isDurable()
+                && parts.stream().anyMatch(part -> part.kind.modifiesData());
+    }
+
     /** Returns the error of a simple reply; 0 if all parts were served. */
     int mostSevereError() {
         int mostSevere = 0;
--- a/src/main/java/sagepulley/frontend/nbd/PendingRequests.java
+++ b/src/main/java/sagepulley/frontend/nbd/PendingRequests.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Tracks the requests in flight by session, and completes the graceful shutdown after the last of
@@ -11,9 +12,18 @@
  */
 final class PendingRequests {
     private final Map<NbdSession, Set<PendingRequest>> bySession = new HashMap<>();
+    private final Predicate<PendingRequest> mustWait;
     private boolean stopping;
     private Runnable whenEmpty;
 
+    /**
+     * @param mustWait returns whether a request whose parts have ended has to wait for further
+     *     parts, which it has dispatched then
+     */
+    PendingRequests(Predicate<PendingRequest> mustWait) {
+        this.mustWait = mustWait;
+    }
+
     /** Adds a request, which stays in flight until {@link #complete} or {@link #removeAll}. */
     void add(PendingRequest request) {
         bySession.computeIfAbsent(request.session, any -> new HashSet<>()).add(request);
@@ -33,6 +43,9 @@
 
     /** Removes a request that has its result, and sends its reply. */
     void complete(PendingRequest request) {
+        if (mustWait.test(request)) {
+            return;
+        }
         Set<PendingRequest> requests = bySession.get(request.session);
         if (requests != null) {
             requests.remove(request);
--- a/src/main/java/sagepulley/frontend/nbd/RequestPart.java
+++ b/src/main/java/sagepulley/frontend/nbd/RequestPart.java
@@ -48,16 +48,11 @@
     /** Time accounting of the operation; null if accounts are disabled. */
     OperationTimer timer;
 
-    /**
-     * For a flush: the number of the volume's unflushed writes at the node when the flush began.
-     */
-    long writesBeforeFlush;
+    /** For a flush: the writes that it covers; null for other kinds. */
+    UnflushedWrites.FlushTarget flushTarget;
 
-    /**
-     * For a flush: the start time of the node incarnation that acknowledged the writes, which the
-     * node must still have; 0 otherwise.
-     */
-    long expectedNodeStart;
+    /** For a flush: the start of the node that last answered with a fault; null if none did. */
+    Long faultAtNodeStart;
 
     RequestPart(
             PendingRequest request,
@@ -87,12 +82,29 @@
      */
     void recordDurability(int cell, long nodeStartedAt) {
         if (kind == StoreMessages.Kind.FLUSH) {
-            request.volume.recordFlush(cell, writesBeforeFlush);
+            request.volume.unflushedWrites.recordFlush(flushTarget);
         } else if (kind.modifiesData() && !request.isDurable()) {
-            request.volume.recordWrite(cell, nodeStartedAt);
+            request.volume.unflushedWrites.recordWrite(cell, nodeStartedAt);
         }
     }
 
+    /** Records in the volume's unflushed writes that the client is told of a node's fault. */
+    void recordReportedFault() {
+        if (faultAtNodeStart != null) {
+            request.volume.unflushedWrites.recordReportedFault(flushTarget, faultAtNodeStart);
+        }
+    }
+
+    /**
+     * Returns the start of the node incarnation that acknowledged the writes that a flush covers;
+     * {@link UnflushedWrites#UNKNOWN_START} for other kinds.
+     */
+    long expectedNodeStart() {
+        return flushTarget == null
+                ? UnflushedWrites.UNKNOWN_START
+                : flushTarget.expectedNodeStart();
+    }
+
     /** Clears the state of an attempt that has ended, and cancels its timeout. */
     void clearAttempt() {
         attemptId = 0;
--- a/src/main/java/sagepulley/frontend/nbd/RequestSplitter.java
+++ b/src/main/java/sagepulley/frontend/nbd/RequestSplitter.java
@@ -71,13 +71,12 @@
         }
     }
 
-    /** Adds one flush part for each node that acknowledged writes since its last flush. */
+    /** Adds one flush part for each cell that may hold unflushed writes of the volume. */
     void splitFlush(PendingRequest request) {
-        request.volume.unflushedByCell.forEach(
-                (cell, unflushed) -> {
-                    RequestPart part = newFlushPart(request, cell);
-                    part.writesBeforeFlush = unflushed.writeCount;
-                    part.expectedNodeStart = unflushed.nodeStartedAt;
+        request.volume.unflushedWrites.forEachTarget(
+                target -> {
+                    RequestPart part = newFlushPart(request, target.cell());
+                    part.flushTarget = target;
                     request.parts.add(part);
                 });
     }
--- a/src/main/java/sagepulley/placement/ExtentHolders.java
+++ b/src/main/java/sagepulley/placement/ExtentHolders.java
@@ -41,6 +41,11 @@
         return (long) volume << EXTENT_BITS | extent + 1;
     }
 
+    /** Returns the volume of an extent's key. */
+    public static int volume(long key) {
+        return (int) (key >>> EXTENT_BITS);
+    }
+
     /** Returns the cell that holds an extent, or -1 if it is unknown. */
     public int cell(long key) {
         Extent<W> extent = extents.get(key);
--- a/src/main/java/sagepulley/standin/BlockStore.java
+++ b/src/main/java/sagepulley/standin/BlockStore.java
@@ -141,6 +141,11 @@
         return lost;
     }
 
+    /** Returns whether a power failure would lose writes. */
+    boolean hasUnflushedWrites() {
+        return !durable.isEmpty();
+    }
+
     /** Closes the files; each is reopened on its next access. */
     void close() {
         files.values()
--- a/src/main/java/sagepulley/standin/StandInNode.java
+++ b/src/main/java/sagepulley/standin/StandInNode.java
@@ -110,6 +110,11 @@
         return collapsed;
     }
 
+    /** Returns whether a power failure would lose writes. */
+    public CompletableFuture<Boolean> hasUnflushedWrites() {
+        return CompletableFuture.supplyAsync(blockStore::hasUnflushedWrites, loop);
+    }
+
     // ---- lifecycle ----
 
     /** Starts to listen at an address, with full capacity. */
