Volumes and ordered extents that clients name are no longer kept for good

Cause: GatewayEngine.volumes kept each volume that a command named, with its quota usage and an array of endpoints, and each endpoint's list of tenants, which the fair level walks every 50 ms. KeyOrdering kept a queue for each extent of an ordered class.

The scheduler drops the usage of a volume that is forgotten. A queue of KeyOrdering goes once it is empty and its idle time is over, when it equals a new one.

--- a/src/main/java/sagepulley/engine/GatewayEngine.java
+++ b/src/main/java/sagepulley/engine/GatewayEngine.java
@@ -39,7 +39,7 @@
     private final DecisionSink sink;
     private final Scheduler scheduler;
     private final Map<Long, Operation> operations = new HashMap<>();
-    private final Map<Long, Volume> volumes = new HashMap<>();
+    private final VolumeTable volumes;
     private final Map<Integer, Node> nodes = new LinkedHashMap<>();
     private final Map<Integer, Double> removedAt = new HashMap<>();
 
@@ -54,6 +54,7 @@
         this.deployment = deployment;
         this.sink = sink;
         this.scheduler = new Scheduler(deployment, seed);
+        this.volumes = new VolumeTable(scheduler::onVolumeForgotten);
     }
 
     /** Returns the settings of the deployment. */
@@ -149,13 +150,19 @@
     /** Accepts an operation, which {@link #runDueWork} routes unless its client cancels before. */
     public void onArrival(Operation operation) {
         operations.put(operation.id, operation);
+        operation.volume.operationsInFlight++;
         arrivals.add(operation);
     }
 
     /** Returns the volume with an id; creates it under the given plan if it is not known. */
     public Volume volume(long id, int plan) {
-        return volumes.computeIfAbsent(
-                id, newId -> new Volume(newId, deployment.plans().get(plan)));
+        return volumes.get(
+                id, nodes.size(), newId -> new Volume(newId, deployment.plans().get(plan)));
+    }
+
+    /** Returns the number of volumes whose state is kept. */
+    public int volumeCount() {
+        return volumes.size();
     }
 
     /** Returns the operation with an id; null if none is in flight. */
@@ -284,8 +291,8 @@
     }
 
     private void removeIfFinished(Operation operation) {
-        if (operation.ended && !operation.isInFlight()) {
-            operations.remove(operation.id);
+        if (operation.ended && !operation.isInFlight() && operations.remove(operation.id) != null) {
+            operation.volume.operationsInFlight--;
         }
     }
 }
--- a/src/main/java/sagepulley/model/Volume.java
+++ b/src/main/java/sagepulley/model/Volume.java
@@ -11,6 +11,9 @@
      */
     public int gatewayCount = 1;
 
+    /** Operations of the volume that have not ended or have an attempt in flight. */
+    public int operationsInFlight;
+
     /** The scheduler's state of the volume; accessed only by the scheduler. */
     public Object schedulerState;
 
--- a/src/main/java/sagepulley/scheduler/KeyOrdering.java
+++ b/src/main/java/sagepulley/scheduler/KeyOrdering.java
@@ -1,7 +1,9 @@
 package sagepulley.scheduler;
 
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Queue;
 import sagepulley.model.Attempt;
 import sagepulley.model.Operation;
 import sagepulley.model.Outcome;
@@ -12,11 +14,17 @@
  * next operation starts.
  */
 final class KeyOrdering {
+    /** Queues examined at each arrival, which adds one at most. */
+    private static final int MAX_REMOVED_PER_ARRIVAL = 2;
+
     private final double idleMillis;
     private final double tickMillis;
     private final WakeUpTime wakeUp;
     private final Map<Long, KeyQueue> queues = new HashMap<>();
 
+    /** Queues that became empty, in that order; they are removed once their idle time is over. */
+    private final Queue<KeyQueue> empty = new ArrayDeque<>();
+
     KeyOrdering(double idleMillis, double tickMillis, WakeUpTime wakeUp) {
         this.idleMillis = idleMillis;
         this.tickMillis = tickMillis;
@@ -27,14 +35,30 @@
      * Adds an arrived operation to the end of its key's queue, if its traffic class is ordered and
      * it has an extent.
      */
-    void onArrival(QueuedRequest request) {
+    void onArrival(QueuedRequest request, double now) {
         Operation operation = request.operation;
         if (operation.trafficClass.ordered() && operation.extent != 0) {
-            request.keyQueue = queues.computeIfAbsent(operation.extent, key -> new KeyQueue());
+            removeEmpty(now);
+            request.keyQueue = queues.computeIfAbsent(operation.extent, KeyQueue::new);
             request.keyQueue.operations.add(operation);
         }
     }
 
+    /** Removes queues that no longer differ from new ones. */
+    private void removeEmpty(double now) {
+        for (int i = 0; i < MAX_REMOVED_PER_ARRIVAL && !empty.isEmpty(); i++) {
+            KeyQueue queue = empty.peek();
+            if (queue.operations.isEmpty() && now <= queue.idleUntil) {
+                return;
+            }
+            empty.poll();
+            queue.listedAsEmpty = false;
+            if (queue.operations.isEmpty()) {
+                queues.remove(queue.key);
+            }
+        }
+    }
+
     /**
      * Returns whether the operation is the first of its key and, before its first attempt, whether
      * the key's idle time is over.
@@ -73,6 +97,10 @@
         KeyQueue queue = QueuedRequest.of(operation).keyQueue;
         if (queue != null && !operation.isInFlight()) {
             queue.operations.remove(operation);
+            if (queue.operations.isEmpty() && !queue.listedAsEmpty) {
+                queue.listedAsEmpty = true;
+                empty.add(queue);
+            }
         }
     }
 }
--- a/src/main/java/sagepulley/scheduler/QuotaTracker.java
+++ b/src/main/java/sagepulley/scheduler/QuotaTracker.java
@@ -238,6 +238,27 @@
         return endpointUsage;
     }
 
+    /** Discards the usage of a volume, as if it had never been seen. */
+    void forget(Volume volume) {
+        TenantUsage usage = TenantUsage.of(volume);
+        if (usage == null) {
+            return;
+        }
+        totalWeight -= volume.plan.weight();
+        totalShareRate -= provisionedShareRate(volume);
+        for (TenantEndpointUsage endpointUsage : usage.byEndpoint) {
+            if (endpointUsage != null) {
+                endpointUsage.endpoint.tenantUsages.remove(endpointUsage);
+            }
+        }
+        volume.schedulerState = null;
+    }
+
+    /** Returns the rate beyond its reservation for which a volume is provisioned. */
+    private static double provisionedShareRate(Volume volume) {
+        return Math.max(volume.plan.rate() / 2, volume.plan.rate() - volume.plan.reservation());
+    }
+
     /**
      * Returns the usage of a volume, created on first use, with its reservation refilled up to now.
      */
@@ -248,7 +269,7 @@
         if (usage == null) {
             usage = new TenantUsage(volume.plan.weight(), now, shareWindow());
             totalWeight += volume.plan.weight();
-            totalShareRate += Math.max(volume.plan.rate() / 2, volume.plan.rate() - rate);
+            totalShareRate += provisionedShareRate(volume);
             usage.reservationLeft = capacity;
             volume.schedulerState = usage;
         }
--- a/src/main/java/sagepulley/scheduler/Scheduler.java
+++ b/src/main/java/sagepulley/scheduler/Scheduler.java
@@ -16,6 +16,7 @@
 import sagepulley.model.RoutingDecision;
 import sagepulley.model.SchedulerTurn;
 import sagepulley.model.ServicePolicy;
+import sagepulley.model.Volume;
 
 /**
  * Decides for one gateway which operation is sent to which endpoint and when, and which operations
@@ -174,6 +175,11 @@
         }
     }
 
+    /** Discards the state of a volume that has no operation in flight. */
+    public void onVolumeForgotten(Volume volume) {
+        quota.forget(volume);
+    }
+
     /** Sets the cell of an operation that waits or is in flight; -1 stands for a new object. */
     public void onExtentLocated(Operation operation, int cell) {
         queues.relocate(operation, cell);
@@ -376,7 +382,7 @@
         operation.schedulerState = request;
         retryBudget.onArrival(now);
         request.objectiveEndsAt = clientRetries.objectiveEndsAt(operation, now);
-        keyOrdering.onArrival(request);
+        keyOrdering.onArrival(request, now);
         return request;
     }
 
