Clients share serve's event loop in turns; replies to one read go out at once

Cause: the input of one connection was decoded as far as its pending replies allowed, which commands that are answered at once never reach; each reply was written by itself; and the rest of a buffer was decoded in tasks that the loop runs for up to 1 s before it polls its sockets.

Change: after 64 commands or 256 KiB of a connection the rest waits for its turn in RoundRobinExecutor, which lets the loop poll after 1 ms of turns. While others wait, a read brings one command at once and the rest in turn. A command counts the same whatever it is. Replies are collected until what was read is decoded. A draining connection no longer reads on while input waits. Why it works: between two polls the loop works off a bounded number of commands, and a sound client's read is handled at the poll.

RespDecoderTest#valuesWaitUntilTheyMayBeDecoded: a read of the channel asks for a turn now and decoding happens in it; the test checks both.

--- a/src/main/java/sagepulley/codec/resp/InputBudget.java
+++ b/src/main/java/sagepulley/codec/resp/InputBudget.java
@@ -28,6 +28,18 @@
      */
     boolean mayDecode();
 
+    /** Called when the input at hand is decoded as far as it may be. */
+    default void decoded() {}
+
+    /** Counts bytes that were read from the channel, after what they complete was passed on. */
+    default void received(int bytes) {}
+
+    /**
+     * Requests that {@link RespDecoder#decodeWaiting} is called soon, because the channel is to be
+     * read while input waits. Not called if {@link #mayDecode} is always true.
+     */
+    default void requestTurn() {}
+
     /**
      * Reserves memory for a value received in part. If it returns false, the decoder discards the
      * value's bytes.
--- a/src/main/java/sagepulley/codec/resp/RespDecoder.java
+++ b/src/main/java/sagepulley/codec/resp/RespDecoder.java
@@ -19,8 +19,8 @@
  * CorruptedFrameException}; all later input is dropped. The exception messages are sent to clients,
  * so they contain numbers but no text from the input.
  *
- * <p>While the budget does not let the next value be decoded, input that was already read waits;
- * the next read of the channel decodes it first.
+ * <p>While the budget does not let the next value be decoded, input that was already read waits. A
+ * read of the channel requests a turn from the budget then, in which that input is decoded first.
  */
 public final class RespDecoder extends ChannelDuplexHandler {
     private static final int NO_BULK = -1;
@@ -63,7 +63,7 @@
     /** Whether values of one input are being passed on. */
     private boolean decoding;
 
-    private boolean resumeScheduled;
+    private ChannelHandlerContext context;
     private boolean failed;
 
     /** Creates a decoder that fails on any value over these limits and keeps any valid input. */
@@ -125,6 +125,11 @@
         releaseWaiting();
     }
 
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
     @Override
     public void handlerRemoved(ChannelHandlerContext ctx) {
         close();
@@ -135,6 +140,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         ByteBuf in = (ByteBuf) message;
+        int received = in.readableBytes();
         try {
             if (waiting == null) {
                 decodeAll(ctx, in);
@@ -145,6 +151,8 @@
         } finally {
             in.release();
         }
+        budget.received(received);
+        budget.decoded();
     }
 
     private void keepWaiting(ByteBuf in) {
@@ -166,36 +174,36 @@
         waitingBytes = 0;
     }
 
-    /** Decodes the waiting input, in a task of its own, before anything more is read. */
+    /** Requests a turn if input waits, which is decoded before anything more is read. */
     @Override
     public void read(ChannelHandlerContext ctx) {
         if (waiting == null) {
             ctx.read();
-        } else if (!resumeScheduled) {
-            resumeScheduled = true;
-            ctx.executor().execute(() -> resume(ctx));
+        } else {
+            budget.requestTurn();
         }
     }
 
-    private void resume(ChannelHandlerContext ctx) {
-        resumeScheduled = false;
-        if (waiting == null || ctx.isRemoved()) {
+    /** Decodes the input that waits, as far as the budget allows. */
+    public void decodeWaiting() {
+        if (waiting == null || context.isRemoved()) {
             return;
         }
         ByteBuf in = waiting;
         waiting = null;
         try {
-            decodeAll(ctx, in);
+            decodeAll(context, in);
         } catch (CorruptedFrameException failure) {
-            ctx.fireExceptionCaught(failure);
+            context.fireExceptionCaught(failure);
         }
         waiting = in;
         if (!in.isReadable() || failed) {
             releaseWaiting();
         }
-        ctx.fireChannelReadComplete();
-        if (waiting == null && ctx.channel().config().isAutoRead()) {
-            ctx.read();
+        budget.decoded();
+        context.fireChannelReadComplete();
+        if (waiting == null && context.channel().config().isAutoRead()) {
+            context.read();
         }
     }
 
--- a/src/main/java/sagepulley/faultinjection/GatewayProcess.java
+++ b/src/main/java/sagepulley/faultinjection/GatewayProcess.java
@@ -18,6 +18,11 @@
 final class GatewayProcess implements Closeable {
     private static final long MAX_START_SECONDS = 30;
     private static final long PING_INTERVAL_MILLIS = 50;
+    private static final String PEAK_MEMORY_KEY = "VmHWM:";
+
+    /** JVM options of processes that are not limited as in service. */
+    static final List<String> DEFAULT_OPTIONS =
+            List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Xss256k");
 
     final int number;
     final Path log;
@@ -35,23 +40,17 @@
             Path config,
             Path log,
             Map<String, String> environment,
-            List<String> launcher)
+            List<String> launcher,
+            List<String> options)
             throws IOException {
         this.number = number;
         this.listen = listen;
         this.log = log;
         List<String> command = new ArrayList<>(launcher);
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(options);
         command.addAll(
-                List.of(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-XX:+UseSerialGC",
-                        "-XX:TieredStopAtLevel=1",
-                        "-Xmx64m",
-                        "-Xss256k",
-                        "-cp",
-                        System.getProperty("java.class.path"),
-                        "sagepulley.Main",
-                        "serve"));
+                List.of("-cp", System.getProperty("java.class.path"), "sagepulley.Main", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("GW_CONFIG", config.toString());
         builder.environment().putAll(environment);
@@ -102,6 +101,15 @@
         }
     }
 
+    /** Returns the most resident memory that the process has used, in kilobytes. */
+    long peakMemoryKilobytes() throws IOException {
+        return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
+                .filter(line -> line.startsWith(PEAK_MEMORY_KEY))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+                .findFirst()
+                .orElseThrow(() -> new IOException("process status has no " + PEAK_MEMORY_KEY));
+    }
+
     /** Sends a signal, such as TERM; the process may have ended. */
     void signal(String name) throws IOException, InterruptedException {
         int result =
--- a/src/main/java/sagepulley/faultinjection/TestFleet.java
+++ b/src/main/java/sagepulley/faultinjection/TestFleet.java
@@ -23,6 +23,7 @@
     static final long MAX_DEADLINE_MILLIS = 1_500;
 
     private static final int SOCKETS = 256;
+    private static final long DEFAULT_OBJECTIVE_MILLIS = 500;
 
     final DiscoveryServer discovery = new DiscoveryServer();
     final List<StoreServer> stores = new ArrayList<>();
@@ -35,6 +36,9 @@
     private final Map<String, String> environment = new HashMap<>();
     private final Map<Integer, List<Long>> reloads = new HashMap<>();
     private final List<String> launcher = new ArrayList<>();
+    private long objectiveMillis = DEFAULT_OBJECTIVE_MILLIS;
+    private long deadlineMillis = MAX_DEADLINE_MILLIS;
+    private List<String> options = GatewayProcess.DEFAULT_OPTIONS;
     private final boolean automaticDiscovery;
 
     /** Creates a fleet with one listed endpoint per shard. */
@@ -76,6 +80,22 @@
         setLauncher("sh", "-c", "trap '' HUP; exec \"$0\" \"$@\"");
     }
 
+    /** Sets the JVM options of the gateway processes started from now on. */
+    void setOptions(List<String> jvmOptions) {
+        options = jvmOptions;
+    }
+
+    /** Sets the latency objective and the deadline in configurations written from now on. */
+    void setTimes(long newObjectiveMillis, long newDeadlineMillis) {
+        objectiveMillis = newObjectiveMillis;
+        deadlineMillis = newDeadlineMillis;
+    }
+
+    /** Returns the address on which a gateway listens. */
+    InetSocketAddress listenAddress(int number) {
+        return listenAddresses.get(number);
+    }
+
     /** Sets a command that launches, by exec, the gateway processes started from now on. */
     void setLauncher(String... command) {
         launcher.clear();
@@ -92,7 +112,8 @@
                         configFile(number),
                         folder.resolve("gateway-" + number + ".log"),
                         environment,
-                        launcher);
+                        launcher,
+                        options);
         gateways.add(gateway);
         return gateway;
     }
@@ -175,8 +196,8 @@
                   "me": %d, "balancers": %d, "az": 0, "tickNs": 1000000, "discovery": "%s",
                   "zones": ["here"], "kinds": ["plain"],
                   "classes": [
-                   {"name": "get", "effect": "retryable", "sloNs": 500000000, "hardLimitNs": %d000000, "worth": 1.0},
-                   {"name": "put", "effect": "fragile", "sloNs": 500000000, "hardLimitNs": %d000000, "worth": 1.0}],
+                   {"name": "get", "effect": "retryable", "sloNs": %d000000, "hardLimitNs": %d000000, "worth": 1.0},
+                   {"name": "put", "effect": "fragile", "sloNs": %d000000, "hardLimitNs": %d000000, "worth": 1.0}],
                   "plans": [{"name": "any", "rate": 1000.0, "guaranteed": 100.0, "weight": 1.0, "price": 1.0}],
                   "contract": {"graceToAnswerNs": 50000000, "drainGraceNs": %d000000, "coldFrom": 0.5,
                    "coldNs": 3000000000, "fallMultiple": 2.0, "overloadForNs": 1000000000,
@@ -198,8 +219,10 @@
                         number,
                         size,
                         automaticDiscovery ? "automatic" : "subscribe",
-                        MAX_DEADLINE_MILLIS,
-                        MAX_DEADLINE_MILLIS,
+                        objectiveMillis,
+                        deadlineMillis,
+                        objectiveMillis,
+                        deadlineMillis,
                         DRAIN_GRACE_MILLIS,
                         stores.size());
     }
--- a/src/main/java/sagepulley/frontend/resp/ClientConnection.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientConnection.java
@@ -18,6 +18,7 @@
 import sagepulley.codec.resp.RespLimits;
 import sagepulley.logging.LogWriter;
 import sagepulley.transport.KernelReceiveTime;
+import sagepulley.transport.RoundRobinExecutor;
 import sagepulley.transport.SocketWriter;
 
 /**
@@ -60,6 +61,15 @@
     /** Reading pauses while this many replies of the connection are pending. */
     private static final int MAX_PENDING_REPLIES = 64;
 
+    /** Commands of one connection that are decoded before others get their turn. */
+    private static final int MAX_TURN_COMMANDS = 64;
+
+    /** The same while other connections wait for their turn. */
+    private static final int MAX_TURN_COMMANDS_BESIDE_OTHERS = 1;
+
+    /** Bytes of one connection that are read before others get their turn. */
+    private static final int MAX_TURN_BYTES = 262_144;
+
     /** Memory of a pending reply without its bytes. */
     private static final int PENDING_REPLY_BYTES = 256;
 
@@ -148,6 +158,7 @@
 
     private final Handler handler;
     private final ClientMemory memory;
+    private final RoundRobinExecutor turns;
     private final RespDecoder decoder = new RespDecoder(LIMITS, inputBudget());
     private final ArrayDeque<PendingReply> pendingReplies = new ArrayDeque<>();
     private Channel channel;
@@ -162,6 +173,22 @@
     private boolean isReadingLastInput;
     private boolean isPaused;
 
+    /** Commands and bytes of the current turn. */
+    private int turnCommands;
+
+    private int turnBytes;
+
+    /** Whether the current turn is one that this connection has waited for. */
+    private boolean isRunningTurn;
+
+    /** Whether the current turn is used up, so that nothing is read before the next one. */
+    private boolean isTurnOver;
+
+    private boolean isTurnRequested;
+
+    /** Whether replies are collected until the input that was read is worked off. */
+    private boolean isCollectingReplies;
+
     /** Time at which reading was last resumed. */
     private double resumedAt = Double.NEGATIVE_INFINITY;
 
@@ -195,9 +222,10 @@
     /** Reason for the close, for the log; null unless this side closed it or an error occurred. */
     private String closeReason;
 
-    ClientConnection(Handler handler, ClientMemory memory) {
+    ClientConnection(Handler handler, ClientMemory memory, RoundRobinExecutor turns) {
         this.handler = handler;
         this.memory = memory;
+        this.turns = turns;
     }
 
     /** Returns the decoder, which precedes this handler in the channel's pipeline. */
@@ -209,13 +237,37 @@
         return new InputBudget() {
             @Override
             public boolean mayDecode() {
+                if (hasUsedCommands()) {
+                    endTurn();
+                }
                 boolean mayRead = mayRead();
-                if (!mayRead) {
+                if (mayRead) {
+                    turnCommands++;
+                } else {
                     updateAutoRead();
                 }
                 return mayRead;
             }
 
+            @Override
+            public void decoded() {
+                flushCollectedReplies();
+            }
+
+            @Override
+            public void received(int bytes) {
+                turnBytes += bytes;
+                if (turnBytes >= MAX_TURN_BYTES) {
+                    endTurn();
+                    updateAutoRead();
+                }
+            }
+
+            @Override
+            public void requestTurn() {
+                ClientConnection.this.requestTurn();
+            }
+
             @Override
             public boolean reserve(int bytes) {
                 return memory.reserveInput(bytes);
@@ -330,6 +382,7 @@
             return; // dropped, because the output is already shut down
         }
         lastActiveAt = handler.now();
+        isCollectingReplies = true;
         PendingReply pendingReply = addPendingReply();
         if (message instanceof Resp.Discarded) {
             handler.onDiscarded(pendingReply);
@@ -371,6 +424,10 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         recordRead();
+        flushCollectedReplies();
+        if (!isTurnOver) {
+            beginTurn();
+        }
         shutDownIfDrained();
     }
 
@@ -397,6 +454,11 @@
         }
         if (hasWritten) {
             lastActiveAt = handler.now();
+        }
+        if (isCollectingReplies) {
+            return; // flushCollectedReplies goes on
+        }
+        if (hasWritten) {
             writer.flush();
             updateUnwritable();
         }
@@ -404,6 +466,16 @@
         shutDownIfDrained();
     }
 
+    /** Writes the replies to the commands of one read at once. */
+    private void flushCollectedReplies() {
+        if (isCollectingReplies && phase != Phase.CLOSED) {
+            isCollectingReplies = false;
+            writer.flush();
+            updateUnwritable();
+            updateAutoRead();
+        }
+    }
+
     private void onWritten(long bytes) {
         use(-bytes);
         updateUnwritable();
@@ -427,9 +499,51 @@
         }
     }
 
+    // ---- turns ----
+
+    private void beginTurn() {
+        turnCommands = 0;
+        turnBytes = 0;
+        isTurnOver = false;
+    }
+
+    /** Returns whether the current turn has had its commands; a read is a turn of its own. */
+    private boolean hasUsedCommands() {
+        boolean besideOthers = !isRunningTurn && turns.isBusy();
+        return turnCommands >= (besideOthers ? MAX_TURN_COMMANDS_BESIDE_OTHERS : MAX_TURN_COMMANDS);
+    }
+
+    private void endTurn() {
+        isTurnOver = true;
+        requestTurn();
+    }
+
+    private void requestTurn() {
+        if (!isTurnRequested && phase != Phase.CLOSED) {
+            isTurnRequested = true;
+            turns.add(this::runTurn);
+        }
+    }
+
+    /** Decodes input that waits, or reads more, now that others had their turn. */
+    private void runTurn() {
+        isTurnRequested = false;
+        if (phase == Phase.CLOSED) {
+            return;
+        }
+        beginTurn();
+        isRunningTurn = true; // nothing more is read before the input that waits is decoded
+        decoder.decodeWaiting();
+        isRunningTurn = false;
+        updateAutoRead();
+    }
+
     // ---- reading ----
 
     private boolean mayRead() {
+        if (isTurnOver) {
+            return false;
+        }
         if (phase == Phase.HALF_CLOSED) {
             return true;
         }
@@ -445,7 +559,7 @@
      * no memory for more.
      */
     void updateAutoRead() {
-        if (phase == Phase.CLOSED) {
+        if (phase == Phase.CLOSED || isRunningTurn) {
             return;
         }
         boolean mayRead = mayRead();
@@ -517,6 +631,10 @@
             }
             channel.pipeline().fireChannelRead(input.writerIndex(count));
             recordRead();
+            flushCollectedReplies();
+            if (decoder.hasWaitingInput()) {
+                return false; // decoded in the next turn
+            }
         }
         return false;
     }
@@ -562,6 +680,7 @@
         if (cause instanceof DecoderException && phase == Phase.OPEN) {
             beginDraining();
             closeReason = "protocol error";
+            flushCollectedReplies();
             addPendingReply().reply(RespEncoder.error("ERR protocol error: " + cause.getMessage()));
         } else if (!(cause instanceof DecoderException)) {
             // A reset by the client, or another I/O error, is not logged as a failure.
--- a/src/main/java/sagepulley/frontend/resp/ClientListener.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientListener.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import sagepulley.transport.MemoryAccount;
+import sagepulley.transport.RoundRobinExecutor;
 import sagepulley.transport.Transport;
 
 /**
@@ -52,6 +53,7 @@
     private final EventLoop loop;
     private final ClientConnection.Handler handler;
     private final ClientMemory memory;
+    private final RoundRobinExecutor turns;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
     private boolean idleTimeoutDisabled;
@@ -76,6 +78,7 @@
         this.maxConnections = maxConnections - MAX_LINGERING_CONNECTIONS;
         this.maxCommandMillis = Math.max(maxCommandMillis, READ_TIMEOUT_MILLIS);
         this.memory = memory;
+        this.turns = new RoundRobinExecutor(loop);
         this.handler = handler;
         memory.setInputReclaimer(this::discardStalledInput);
     }
@@ -111,7 +114,7 @@
                     channel.close();
                     return;
                 }
-                ClientConnection connection = new ClientConnection(handler, memory);
+                ClientConnection connection = new ClientConnection(handler, memory, turns);
                 connections.add(connection);
                 channel.pipeline().addLast(connection.decoder(), connection);
             }
--- a/src/test/java/sagepulley/codec/resp/RespDecoderTest.java
+++ b/src/test/java/sagepulley/codec/resp/RespDecoderTest.java
@@ -149,15 +149,20 @@
     @Test
     void valuesWaitUntilTheyMayBeDecoded() {
         LimitedBudget budget = new LimitedBudget(10_000);
-        EmbeddedChannel channel = new EmbeddedChannel(new RespDecoder(COMMANDS, budget));
+        RespDecoder decoder = new RespDecoder(COMMANDS, budget);
+        EmbeddedChannel channel = new EmbeddedChannel(decoder);
         String command = "*1\r\n$4\r\nPING\r\n";
         budget.maxValues = 2;
         channel.writeInbound(ascii(command.repeat(4) + command.substring(0, 9)));
         channel.writeInbound(ascii(command.substring(9)));
         assertEquals(2, channel.inboundMessages().size());
         budget.maxValues = 5;
+        int requestedBefore = budget.requestedTurns;
         channel.read();
         channel.runPendingTasks();
+        assertEquals(requestedBefore + 1, budget.requestedTurns);
+        assertEquals(2, channel.inboundMessages().size());
+        decoder.decodeWaiting();
         assertEquals(5, channel.inboundMessages().size());
         channel.finishAndReleaseAll();
         assertEquals(0, budget.used);
@@ -169,6 +174,7 @@
         private int maxValues = Integer.MAX_VALUE;
         private int values;
         private int used;
+        private int requestedTurns;
 
         LimitedBudget(int maxBytes) {
             this.maxBytes = maxBytes;
@@ -183,6 +189,11 @@
             return true;
         }
 
+        @Override
+        public void requestTurn() {
+            requestedTurns++;
+        }
+
         @Override
         public boolean reserve(int bytes) {
             if (used + bytes > maxBytes) {
