Nothing is forwarded for a client that left with much unread; ids run once

Cause: with 64 commands pending a connection was not read. Once its receive window is full the FIN stands behind unread bytes, and no event of the kernel tells of the close. What was pending, and what was read next, went out as stores became free. Evidence: late attempts only for clients whose earlier reads had no reply yet; a reply ends the connection by its reset.

Change: input is read ahead of the commands that may be decoded, 256 KiB a connection and a quarter of the input memory in all. Beyond it an attempt is written only if the client was seen within 50 ms: the socket was read empty, or all that was written is acknowledged on a standing connection (TCP_INFO). Else its operation gets -BUSY, or -ERR where an attempt may have run. Why it works: a closed socket acknowledges no reply, and a socket that was read empty has no FIN behind it.

--- a/src/main/java/sagepulley/codec/resp/InputBudget.java
+++ b/src/main/java/sagepulley/codec/resp/InputBudget.java
@@ -23,22 +23,20 @@
             };
 
     /**
-     * Returns whether the next value may be decoded. If not, input waits until the channel reads
-     * again: the budget's owner turns off auto-read, and on again once there is room.
+     * Returns whether the next value may be decoded. If not, input waits: the budget's owner turns
+     * off auto-read, and calls {@link RespDecoder#decodeWaiting} once there is room.
      */
     boolean mayDecode();
 
     /** Called when the input at hand is decoded as far as it may be. */
     default void decoded() {}
 
-    /** Counts bytes that were read from the channel, after what they complete was passed on. */
-    default void received(int bytes) {}
-
     /**
-     * Requests that {@link RespDecoder#decodeWaiting} is called soon, because the channel is to be
-     * read while input waits. Not called if {@link #mayDecode} is always true.
+     * Counts bytes that were read from the channel, after what they complete was passed on.
+     *
+     * @param drained whether the read left room in its buffer, so that nothing more had arrived
      */
-    default void requestTurn() {}
+    default void received(int bytes, boolean drained) {}
 
     /**
      * Reserves memory for a value received in part. If it returns false, the decoder discards the
--- a/src/main/java/sagepulley/codec/resp/RespDecoder.java
+++ b/src/main/java/sagepulley/codec/resp/RespDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.CorruptedFrameException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -19,8 +20,8 @@
  * CorruptedFrameException}; all later input is dropped. The exception messages are sent to clients,
  * so they contain numbers but no text from the input.
  *
- * <p>While the budget does not let the next value be decoded, input that was already read waits. A
- * read of the channel requests a turn from the budget then, in which that input is decoded first.
+ * <p>While the budget does not let the next value be decoded, input that was already read waits for
+ * {@link #decodeWaiting}, and so does what is read after it.
  */
 public final class RespDecoder extends ChannelDuplexHandler {
     private static final int NO_BULK = -1;
@@ -54,8 +55,11 @@
     /** Whether the bytes of the current value are dropped for lack of memory. */
     private boolean discarding;
 
-    /** Input that waits to be decoded; null if there is none. */
-    private ByteBuf waiting;
+    /** Memory of a buffer of waiting input without its bytes. */
+    private static final int WAITING_BUFFER_BYTES = 128;
+
+    /** Input that waits to be decoded. */
+    private final ArrayDeque<ByteBuf> waiting = new ArrayDeque<>(2);
 
     /** Bytes reserved for the input that waits. */
     private int waitingBytes;
@@ -85,7 +89,17 @@
 
     /** Returns whether input that was read is not decoded yet. */
     public boolean hasWaitingInput() {
-        return waiting != null || decoding;
+        return !waiting.isEmpty() || decoding;
+    }
+
+    /** Returns whether values of one input are being passed on. */
+    public boolean isDecoding() {
+        return decoding;
+    }
+
+    /** Returns the bytes reserved for input that was read and waits. */
+    public int waitingBytes() {
+        return waitingBytes;
     }
 
     /** Returns whether the input was malformed or the decoder is closed. */
@@ -141,8 +155,9 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         ByteBuf in = (ByteBuf) message;
         int received = in.readableBytes();
+        boolean isDrained = in.isWritable();
         try {
-            if (waiting == null) {
+            if (waiting.isEmpty()) {
                 decodeAll(ctx, in);
             }
             if (in.isReadable() && !failed) {
@@ -151,60 +166,54 @@
         } finally {
             in.release();
         }
-        budget.received(received);
         budget.decoded();
+        budget.received(received, isDrained);
     }
 
     private void keepWaiting(ByteBuf in) {
         int bytes = in.readableBytes();
-        budget.reserveWaiting(bytes);
-        waitingBytes += bytes;
-        waiting =
-                waiting == null
-                        ? Unpooled.buffer(bytes).writeBytes(in)
-                        : Unpooled.wrappedBuffer(waiting, Unpooled.buffer(bytes).writeBytes(in));
+        ByteBuf kept = Unpooled.buffer(bytes).writeBytes(in);
+        int reserved = kept.capacity() + WAITING_BUFFER_BYTES;
+        budget.reserveWaiting(reserved);
+        waitingBytes += reserved;
+        waiting.add(kept);
     }
 
-    private void releaseWaiting() {
-        if (waiting != null) {
-            waiting.release();
-            waiting = null;
-        }
-        budget.release(waitingBytes);
-        waitingBytes = 0;
+    private void releaseFirstWaiting() {
+        ByteBuf first = waiting.poll();
+        int reserved = first.capacity() + WAITING_BUFFER_BYTES;
+        first.release();
+        budget.release(reserved);
+        waitingBytes -= reserved;
     }
 
-    /** Requests a turn if input waits, which is decoded before anything more is read. */
-    @Override
-    public void read(ChannelHandlerContext ctx) {
-        if (waiting == null) {
-            ctx.read();
-        } else {
-            budget.requestTurn();
+    private void releaseWaiting() {
+        while (!waiting.isEmpty()) {
+            releaseFirstWaiting();
         }
     }
 
     /** Decodes the input that waits, as far as the budget allows. */
     public void decodeWaiting() {
-        if (waiting == null || context.isRemoved()) {
+        if (waiting.isEmpty() || decoding || context.isRemoved()) {
             return;
         }
-        ByteBuf in = waiting;
-        waiting = null;
         try {
-            decodeAll(context, in);
+            while (!waiting.isEmpty() && !failed) {
+                ByteBuf first = waiting.peek();
+                decodeAll(context, first);
+                if (first.isReadable()) {
+                    break;
+                }
+                if (!failed) {
+                    releaseFirstWaiting();
+                }
+            }
         } catch (CorruptedFrameException failure) {
             context.fireExceptionCaught(failure);
         }
-        waiting = in;
-        if (!in.isReadable() || failed) {
-            releaseWaiting();
-        }
         budget.decoded();
         context.fireChannelReadComplete();
-        if (waiting == null && context.channel().config().isAutoRead()) {
-            context.read();
-        }
     }
 
     private void decodeAll(ChannelHandlerContext ctx, ByteBuf in) {
--- a/src/main/java/sagepulley/faultinjection/StoreServer.java
+++ b/src/main/java/sagepulley/faultinjection/StoreServer.java
@@ -18,7 +18,7 @@
 final class StoreServer implements Closeable {
     private static final Pattern DEADLINE = Pattern.compile("(?:^|,)d=(\\d+)(?:,|$)");
     private static final int BACKLOG = 500;
-    private static final long WORK_MILLIS = 2;
+    private static final long DEFAULT_WORK_MILLIS = 2;
     private static final long UNRESPONSIVE_POLL_MILLIS = 20;
 
     /**
@@ -43,6 +43,9 @@
     /** Commands are recorded but not answered while this is set. */
     volatile boolean unresponsive;
 
+    /** Time that the store works on a command. */
+    volatile long workMillis = DEFAULT_WORK_MILLIS;
+
     private final ServerSocket listener;
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
@@ -97,7 +100,7 @@
             while (unresponsive) {
                 Thread.sleep(UNRESPONSIVE_POLL_MILLIS);
             }
-            Thread.sleep(WORK_MILLIS);
+            Thread.sleep(workMillis);
             peer.send("*3\r\n$16\r\n" + arguments.get(2) + "\r\n$-1\r\n$-1\r\n");
         }
     }
--- a/src/main/java/sagepulley/faultinjection/TestFleet.java
+++ b/src/main/java/sagepulley/faultinjection/TestFleet.java
@@ -22,7 +22,10 @@
     /** The longest deadline of a client. */
     static final long MAX_DEADLINE_MILLIS = 1_500;
 
-    private static final int SOCKETS = 256;
+    /** The memory limit of a process in service. */
+    static final long DEPLOYED_MEMORY_KILOBYTES = 192 * 1024;
+
+    private static final int DEFAULT_SOCKETS = 256;
     private static final long DEFAULT_OBJECTIVE_MILLIS = 500;
 
     final DiscoveryServer discovery = new DiscoveryServer();
@@ -36,6 +39,7 @@
     private final Map<String, String> environment = new HashMap<>();
     private final Map<Integer, List<Long>> reloads = new HashMap<>();
     private final List<String> launcher = new ArrayList<>();
+    private int sockets = DEFAULT_SOCKETS;
     private long objectiveMillis = DEFAULT_OBJECTIVE_MILLIS;
     private long deadlineMillis = MAX_DEADLINE_MILLIS;
     private List<String> options = GatewayProcess.DEFAULT_OPTIONS;
@@ -91,6 +95,11 @@
         deadlineMillis = newDeadlineMillis;
     }
 
+    /** Sets the limit of descriptors in configurations written from now on. */
+    void setSockets(int newSockets) {
+        sockets = newSockets;
+    }
+
     /** Returns the address on which a gateway listens. */
     InetSocketAddress listenAddress(int number) {
         return listenAddresses.get(number);
@@ -213,7 +222,7 @@
                         hostAndPort(listenAddresses.get(number)),
                         hostAndPort(discoveryAddresses.get(number)),
                         number + 1,
-                        SOCKETS,
+                        sockets,
                         discovery.endpoints.revision(),
                         known,
                         number,
--- a/src/main/java/sagepulley/frontend/resp/AttemptDispatcher.java
+++ b/src/main/java/sagepulley/frontend/resp/AttemptDispatcher.java
@@ -73,15 +73,25 @@
         connections.send(
                 attempt,
                 address,
-                remainingMillis ->
-                        engine.mayStart(attempt, clock.now())
-                                ? command.withTimeout(remainingMillis)
-                                : null,
+                remainingMillis -> mayStart(attempt) ? command.withTimeout(remainingMillis) : null,
                 timeoutMillis,
                 (outcome, reply, receivedAt) ->
                         onAttemptEnded(attempt, outcome, reply, receivedAt));
     }
 
+    /** Returns whether an attempt may be written; ends its operation if its client may be gone. */
+    private boolean mayStart(Attempt attempt) {
+        if (!engine.mayStart(attempt, clock.now())) {
+            return false;
+        }
+        if (requests.isClientPresent(attempt.operation)) {
+            requests.recordForwarded(attempt.operation);
+            return true;
+        }
+        requests.endForAbsentClient(attempt.operation);
+        return false;
+    }
+
     private void onAttemptEnded(Attempt attempt, Outcome outcome, Resp reply, double receivedAt) {
         double now = clock.now();
         Operation operation = attempt.operation;
--- a/src/main/java/sagepulley/frontend/resp/ClientConnection.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientConnection.java
@@ -18,6 +18,7 @@
 import sagepulley.codec.resp.RespLimits;
 import sagepulley.logging.LogWriter;
 import sagepulley.transport.KernelReceiveTime;
+import sagepulley.transport.PeerAcknowledgement;
 import sagepulley.transport.RoundRobinExecutor;
 import sagepulley.transport.SocketWriter;
 
@@ -70,6 +71,12 @@
     /** Bytes of one connection that are read before others get their turn. */
     private static final int MAX_TURN_BYTES = 262_144;
 
+    /** Input that is read ahead of the commands that may be decoded. */
+    private static final int MAX_READ_AHEAD_BYTES = 262_144;
+
+    /** Time after which a client whose input is left unread counts as possibly gone. */
+    private static final double MAX_ABSENCE_MILLIS = 50;
+
     /** Memory of a pending reply without its bytes. */
     private static final int PENDING_REPLY_BYTES = 256;
 
@@ -131,6 +138,11 @@
             return true;
         }
 
+        /** Returns the connection that the command came on. */
+        ClientConnection connection() {
+            return connection;
+        }
+
         /** Returns whether no earlier reply of the connection is pending. */
         boolean isNext() {
             return connection.pendingReplies.peek() == this;
@@ -159,6 +171,7 @@
     private final Handler handler;
     private final ClientMemory memory;
     private final RoundRobinExecutor turns;
+    private final PeerAcknowledgement acknowledgement;
     private final RespDecoder decoder = new RespDecoder(LIMITS, inputBudget());
     private final ArrayDeque<PendingReply> pendingReplies = new ArrayDeque<>();
     private Channel channel;
@@ -173,6 +186,20 @@
     private boolean isReadingLastInput;
     private boolean isPaused;
 
+    /** Time at which the client was last known not to have closed the connection. */
+    private double presentAt;
+
+    /** Time at which the socket was last read, or its reading was turned on or off. */
+    private double socketReadAt;
+
+    /** Whether the last read left nothing unread. */
+    private boolean isDrained = true;
+
+    private boolean isReading = true;
+
+    /** Time at which the socket last took bytes of a reply. */
+    private double writtenAt = Double.NEGATIVE_INFINITY;
+
     /** Commands and bytes of the current turn. */
     private int turnCommands;
 
@@ -222,10 +249,15 @@
     /** Reason for the close, for the log; null unless this side closed it or an error occurred. */
     private String closeReason;
 
-    ClientConnection(Handler handler, ClientMemory memory, RoundRobinExecutor turns) {
+    ClientConnection(
+            Handler handler,
+            ClientMemory memory,
+            RoundRobinExecutor turns,
+            PeerAcknowledgement acknowledgement) {
         this.handler = handler;
         this.memory = memory;
         this.turns = turns;
+        this.acknowledgement = acknowledgement;
     }
 
     /** Returns the decoder, which precedes this handler in the channel's pipeline. */
@@ -255,19 +287,17 @@
             }
 
             @Override
-            public void received(int bytes) {
+            public void received(int bytes, boolean drained) {
+                recordPresence(drained);
                 turnBytes += bytes;
                 if (turnBytes >= MAX_TURN_BYTES) {
                     endTurn();
+                }
+                if (isTurnOver || decoder.waitingBytes() > 0) {
                     updateAutoRead();
                 }
             }
 
-            @Override
-            public void requestTurn() {
-                ClientConnection.this.requestTurn();
-            }
-
             @Override
             public boolean reserve(int bytes) {
                 return memory.reserveInput(bytes);
@@ -371,6 +401,8 @@
         channel = ctx.channel();
         writer = new SocketWriter(channel, this::onWritten);
         connectedAt = handler.now();
+        presentAt = connectedAt;
+        socketReadAt = connectedAt;
         lastActiveAt = connectedAt;
         lastReadAt = connectedAt;
         channel.closeFuture().addListener(closed -> onChannelClosed());
@@ -478,6 +510,7 @@
 
     private void onWritten(long bytes) {
         use(-bytes);
+        writtenAt = handler.now();
         updateUnwritable();
         updateAutoRead();
         if (writer.queuedBytes() == 0) {
@@ -525,7 +558,7 @@
         }
     }
 
-    /** Decodes input that waits, or reads more, now that others had their turn. */
+    /** Decodes input that waits, or reads more, after others had their turn. */
     private void runTurn() {
         isTurnRequested = false;
         if (phase == Phase.CLOSED) {
@@ -554,6 +587,61 @@
                 || (pendingReplies.size() < MAX_PENDING_REPLIES && memory.mayPipeline(usedBytes));
     }
 
+    /**
+     * Returns whether input is read though it has to wait. The client's FIN is found behind it, and
+     * a socket that is read empty proves that the client is still there.
+     */
+    private boolean mayReadAhead() {
+        return !isTurnOver
+                && decoder.waitingBytes() < MAX_READ_AHEAD_BYTES
+                && memory.mayReadAhead();
+    }
+
+    /** Records a read that brought bytes; drained if it left room in its buffer. */
+    private void recordPresence(boolean drained) {
+        double now = handler.now();
+        if (drained || isSocketEmpty(now)) {
+            presentAt = now;
+        }
+        isDrained = drained;
+        socketReadAt = now;
+    }
+
+    /** Returns whether nothing was left unread when the event loop last polled the socket. */
+    private boolean isSocketEmpty(double now) {
+        return isReading && (isDrained || now - socketReadAt > MAX_ABSENCE_MILLIS);
+    }
+
+    private void setReading(boolean reading) {
+        if (reading == isReading) {
+            return;
+        }
+        double now = handler.now();
+        if (isSocketEmpty(now)) {
+            presentAt = now;
+        }
+        isDrained = false;
+        socketReadAt = now;
+        isReading = reading;
+        channel.config().setAutoRead(reading);
+    }
+
+    /**
+     * Returns whether the client is known to have been there lately. While input is left unread its
+     * FIN may stand behind that; then only an acknowledged reply is a proof, for a closed socket
+     * answers it with a reset.
+     */
+    boolean isClientPresent() {
+        double now = handler.now();
+        if (isSocketEmpty(now) || now - presentAt <= MAX_ABSENCE_MILLIS) {
+            return true;
+        }
+        if (writtenAt > presentAt && acknowledgement.isComplete(channel)) {
+            presentAt = writtenAt;
+        }
+        return now - presentAt <= MAX_ABSENCE_MILLIS;
+    }
+
     /**
      * Pauses reading while too many replies are pending, the client does not read them, or there is
      * no memory for more.
@@ -563,6 +651,9 @@
             return;
         }
         boolean mayRead = mayRead();
+        if (mayRead && decoder.waitingBytes() > 0 && !decoder.isDecoding()) {
+            requestTurn();
+        }
         if (mayRead || memory.hasRoomForPipelining()) {
             memory.removePaused(this);
         } else {
@@ -572,7 +663,7 @@
             resumedAt = handler.now();
         }
         isPaused = !mayRead;
-        channel.config().setAutoRead(mayRead);
+        setReading((mayRead && decoder.waitingBytes() == 0) || mayReadAhead());
     }
 
     // ---- end ----
--- a/src/main/java/sagepulley/frontend/resp/ClientListener.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientListener.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import sagepulley.transport.MemoryAccount;
+import sagepulley.transport.PeerAcknowledgement;
 import sagepulley.transport.RoundRobinExecutor;
 import sagepulley.transport.Transport;
 
@@ -54,6 +55,7 @@
     private final ClientConnection.Handler handler;
     private final ClientMemory memory;
     private final RoundRobinExecutor turns;
+    private final PeerAcknowledgement acknowledgement = new PeerAcknowledgement();
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
     private boolean idleTimeoutDisabled;
@@ -114,7 +116,8 @@
                     channel.close();
                     return;
                 }
-                ClientConnection connection = new ClientConnection(handler, memory, turns);
+                ClientConnection connection =
+                        new ClientConnection(handler, memory, turns, acknowledgement);
                 connections.add(connection);
                 channel.pipeline().addLast(connection.decoder(), connection);
             }
--- a/src/main/java/sagepulley/frontend/resp/ClientMemory.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientMemory.java
@@ -29,11 +29,15 @@
     /** Connections that are read again in one task, so that others are not delayed. */
     private static final int RESUMED_PER_TASK = 16;
 
+    /** Share of the input memory up to which input is read that has to wait. */
+    private static final double READ_AHEAD_FRACTION = 0.25;
+
     private final MemoryAccount input;
     private final MemoryAccount requests;
     private final long pipeliningBytes;
     private final long admissionBytes;
     private final long connectionBytes;
+    private final long readAheadBytes;
     private final Executor loop;
     private final Set<ClientConnection> paused = new LinkedHashSet<>();
     private Runnable inputReclaimer = () -> {};
@@ -46,6 +50,7 @@
         this.pipeliningBytes = (long) (limits.requestBytes() * PIPELINING_FRACTION);
         this.admissionBytes = (long) (limits.requestBytes() * ADMISSION_FRACTION);
         this.connectionBytes = (long) (limits.requestBytes() * CONNECTION_FRACTION);
+        this.readAheadBytes = (long) (limits.clientInputBytes() * READ_AHEAD_FRACTION);
         this.loop = loop;
     }
 
@@ -75,6 +80,11 @@
         return input.tryReserve(bytes);
     }
 
+    /** Returns whether input may be read that has to wait for earlier commands. */
+    boolean mayReadAhead() {
+        return input.usedBytes() < readAheadBytes;
+    }
+
     // ---- requests ----
 
     /** Returns whether a connection with these bytes in use may decode a command behind others. */
--- a/src/main/java/sagepulley/frontend/resp/RequestHandler.java
+++ b/src/main/java/sagepulley/frontend/resp/RequestHandler.java
@@ -12,6 +12,7 @@
 import sagepulley.logging.RateLimitedLog;
 import sagepulley.model.Operation;
 import sagepulley.model.RoutingDecision;
+import sagepulley.model.TrafficClass;
 import sagepulley.model.Volume;
 import sagepulley.transport.KernelReceiveTime;
 
@@ -49,6 +50,7 @@
     private final Listener listener;
     private final ClientListener clients;
     private final KernelReceiveTime receiveTime = new KernelReceiveTime();
+    private final ForwardedIds forwardedIds = new ForwardedIds();
     private final ClientMemory memory;
     private final ReplySizeEstimator replySizes;
 
@@ -116,6 +118,12 @@
                                 + NumberParser.formatId(command.id)
                                 + " is already in flight, expected a unique id");
             }
+            if (forwardedIds.contains(command.id)) {
+                throw new BadCommandException(
+                        "operation id "
+                                + NumberParser.formatId(command.id)
+                                + " was forwarded before, expected a new id");
+            }
         } catch (BadCommandException invalid) {
             metrics.invalidCommands++;
             pendingReply.reply(RespEncoder.error("ERR " + invalid.getMessage()));
@@ -220,6 +228,35 @@
         return ((PendingRequest) operation.engineState).command();
     }
 
+    /**
+     * Returns whether the operation's client is known to be there, so that it may be forwarded.
+     * True after the reply, when its command is no longer needed.
+     */
+    boolean isClientPresent(Operation operation) {
+        PendingRequest request = (PendingRequest) operation.engineState;
+        return request == null || request.pendingReply().connection().isClientPresent();
+    }
+
+    /** Records that an attempt of an operation is written to an endpoint. */
+    void recordForwarded(Operation operation) {
+        if (operation.trafficClass.idempotency() == TrafficClass.Idempotency.NON_IDEMPOTENT) {
+            forwardedIds.add(operation.id);
+        }
+    }
+
+    /** Ends an operation, of which an attempt must not be sent because its client may have gone. */
+    void endForAbsentClient(Operation operation) {
+        eventLog.info(
+                "request rejected",
+                "id",
+                NumberParser.formatId(operation.id),
+                "reason",
+                "CLIENT_NOT_SEEN");
+        operation.ended = true;
+        boolean mayHaveRun = operation.attempts.size() > 1;
+        reply(operation, RespEncoder.error(mayHaveRun ? "ERR failed" : "BUSY"));
+    }
+
     /** Replies to an operation with the value that an endpoint returned. */
     void replyServed(Operation operation, byte[] value) {
         PendingRequest request = (PendingRequest) operation.engineState;
--- a/src/test/java/sagepulley/frontend/resp/RespGatewayTest.java
+++ b/src/test/java/sagepulley/frontend/resp/RespGatewayTest.java
@@ -322,6 +322,34 @@
         }
     }
 
+    /** Guards against an id that runs twice when it comes again after its client has left. */
+    @Test
+    void idOfAnUnrepeatableOperationIsForwardedOnce() throws Exception {
+        CountDownLatch forwarded = new CountDownLatch(1);
+        try (ScriptedPeers peers =
+                new ScriptedPeers(
+                        (arguments, connection) -> forwarded.countDown(),
+                        text ->
+                                text.replace(
+                                        "\"put\", \"effect\": \"retryable\"",
+                                        "\"put\", \"effect\": \"fragile\""))) {
+            String id = NumberParser.formatId(1);
+            String[] write = {"BLK.WRITE", id, id, ScriptedPeers.fields("put", 2_000, 0), "bytes"};
+            ScriptedPeers.Connection leaving = peers.connectClient();
+            leaving.sendCommand(write);
+            forwarded.await();
+            leaving.socket.close();
+            ScriptedPeers.Connection again = peers.connectClient();
+            String reply;
+            do {
+                again.sendCommand(write);
+                reply = again.readReply();
+            } while (reply.contains("already in flight"));
+            assertTrue(reply.contains("was forwarded before"), reply);
+            assertEquals(1, peers.commands.size());
+        }
+    }
+
     @Test
     void gatewayStoppedBeforeItIsReadyNeverListens() throws Exception {
         Transport transport = Transport.sockets();
