Input that waits has memory of its own; small commands are never turned away for large

Cause: commands in part and input that waits behind paused connections shared one account, and whoever came first took it whole. Evidence: 'command discarded reason=INPUT_MEMORY' for commands of 150 bytes while the account was full.

Change: a quarter of the input memory is an account for input that waits, and reads are 512 bytes while it is full; a buffer that waits counts 128 bytes beside its own. A connection may keep 2 KiB of a command in part in any case, 2 MB for 1,024 descriptors.

--- a/src/main/java/sagepulley/codec/resp/InputBudget.java
+++ b/src/main/java/sagepulley/codec/resp/InputBudget.java
@@ -47,6 +47,11 @@
     /** Reserves memory for input that was read and has to wait. */
     void reserveWaiting(int bytes);
 
-    /** Returns reserved memory. */
+    /** Returns the memory of input that waited. */
+    default void releaseWaiting(int bytes) {
+        release(bytes);
+    }
+
+    /** Returns the memory of a value received in part. */
     void release(int bytes);
 }
--- a/src/main/java/sagepulley/codec/resp/RespDecoder.java
+++ b/src/main/java/sagepulley/codec/resp/RespDecoder.java
@@ -183,7 +183,7 @@
         ByteBuf first = waiting.poll();
         int reserved = first.capacity() + WAITING_BUFFER_BYTES;
         first.release();
-        budget.release(reserved);
+        budget.releaseWaiting(reserved);
         waitingBytes -= reserved;
     }
 
--- a/src/main/java/sagepulley/frontend/resp/AccountedReceiveAllocator.java
+++ b/src/main/java/sagepulley/frontend/resp/AccountedReceiveAllocator.java
@@ -1,21 +1,18 @@
 package sagepulley.frontend.resp;
 
 import io.netty.channel.DefaultMaxMessagesRecvByteBufAllocator;
-import sagepulley.transport.MemoryAccount;
 
-/**
- * Sizes each read by the room that is left in an account, so that no more is read than can be kept.
- */
+/** Sizes each read by the room that is left for input, so that no more is read than can be kept. */
 final class AccountedReceiveAllocator extends DefaultMaxMessagesRecvByteBufAllocator {
     private static final int MAX_READ_BYTES = 65_536;
 
     /** Read size without room: enough to reject what arrives. */
     private static final int MIN_READ_BYTES = 512;
 
-    private final MemoryAccount account;
+    private final ClientMemory memory;
 
-    AccountedReceiveAllocator(MemoryAccount account) {
-        this.account = account;
+    AccountedReceiveAllocator(ClientMemory memory) {
+        this.memory = memory;
     }
 
     /** The overridden method has no other return type. */
@@ -27,7 +24,8 @@
             public int guess() {
                 return (int)
                         Math.max(
-                                MIN_READ_BYTES, Math.min(MAX_READ_BYTES, account.availableBytes()));
+                                MIN_READ_BYTES,
+                                Math.min(MAX_READ_BYTES, memory.availableInputBytes()));
             }
         };
     }
--- a/src/main/java/sagepulley/frontend/resp/ClientConnection.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientConnection.java
@@ -71,6 +71,9 @@
     /** Bytes of one connection that are read before others get their turn. */
     private static final int MAX_TURN_BYTES = 262_144;
 
+    /** Memory for a command in part that each connection has, however much others use. */
+    private static final int OWN_INPUT_BYTES = 2_048;
+
     /** Input that is read ahead of the commands that may be decoded. */
     private static final int MAX_READ_AHEAD_BYTES = 262_144;
 
@@ -300,12 +303,21 @@
 
             @Override
             public boolean reserve(int bytes) {
+                if (decoder.partialBytes() + bytes <= OWN_INPUT_BYTES) {
+                    memory.input().reserve(bytes);
+                    return true;
+                }
                 return memory.reserveInput(bytes);
             }
 
             @Override
             public void reserveWaiting(int bytes) {
-                memory.input().reserve(bytes);
+                memory.waitingInput().reserve(bytes);
+            }
+
+            @Override
+            public void releaseWaiting(int bytes) {
+                memory.waitingInput().release(bytes);
             }
 
             @Override
--- a/src/main/java/sagepulley/frontend/resp/ClientListener.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientListener.java
@@ -93,7 +93,7 @@
                         .channel(transport.server())
                         .childOption(
                                 ChannelOption.RECVBUF_ALLOCATOR,
-                                new AccountedReceiveAllocator(memory.input()))
+                                new AccountedReceiveAllocator(memory))
                         .handler(new AcceptErrorHandler())
                         .childHandler(childInitializer());
         if (address instanceof InetSocketAddress) {
--- a/src/main/java/sagepulley/frontend/resp/ClientMemory.java
+++ b/src/main/java/sagepulley/frontend/resp/ClientMemory.java
@@ -29,15 +29,15 @@
     /** Connections that are read again in one task, so that others are not delayed. */
     private static final int RESUMED_PER_TASK = 16;
 
-    /** Share of the input memory up to which input is read that has to wait. */
-    private static final double READ_AHEAD_FRACTION = 0.25;
+    /** Share of the input memory for input that waits; the rest is for commands in part. */
+    private static final double WAITING_FRACTION = 0.25;
 
     private final MemoryAccount input;
+    private final MemoryAccount waitingInput;
     private final MemoryAccount requests;
     private final long pipeliningBytes;
     private final long admissionBytes;
     private final long connectionBytes;
-    private final long readAheadBytes;
     private final Executor loop;
     private final Set<ClientConnection> paused = new LinkedHashSet<>();
     private Runnable inputReclaimer = () -> {};
@@ -45,12 +45,13 @@
 
     /** Creates the accounts; the executor runs tasks on the event loop. */
     ClientMemory(MemoryLimits limits, Executor loop) {
-        this.input = new MemoryAccount(limits.clientInputBytes());
+        long waitingBytes = (long) (limits.clientInputBytes() * WAITING_FRACTION);
+        this.input = new MemoryAccount(limits.clientInputBytes() - waitingBytes);
+        this.waitingInput = new MemoryAccount(waitingBytes);
         this.requests = new MemoryAccount(limits.requestBytes());
         this.pipeliningBytes = (long) (limits.requestBytes() * PIPELINING_FRACTION);
         this.admissionBytes = (long) (limits.requestBytes() * ADMISSION_FRACTION);
         this.connectionBytes = (long) (limits.requestBytes() * CONNECTION_FRACTION);
-        this.readAheadBytes = (long) (limits.clientInputBytes() * READ_AHEAD_FRACTION);
         this.loop = loop;
     }
 
@@ -64,6 +65,11 @@
         return input;
     }
 
+    /** Returns the account of input that was read and waits to be decoded. */
+    MemoryAccount waitingInput() {
+        return waitingInput;
+    }
+
     /** Returns the account of commands in flight and of replies not yet written. */
     MemoryAccount requests() {
         return requests;
@@ -80,9 +86,14 @@
         return input.tryReserve(bytes);
     }
 
+    /** Returns the bytes of input that can be kept, whether it waits or is part of a command. */
+    long availableInputBytes() {
+        return Math.min(input.availableBytes(), waitingInput.availableBytes());
+    }
+
     /** Returns whether input may be read that has to wait for earlier commands. */
     boolean mayReadAhead() {
-        return input.usedBytes() < readAheadBytes;
+        return waitingInput.availableBytes() > 0;
     }
 
     // ---- requests ----
