--- a/src/main/java/sagepulley/cli/SoakCommand.java
+++ b/src/main/java/sagepulley/cli/SoakCommand.java
@@ -14,6 +14,7 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import sagepulley.faultinjection.PeerSoakRun;
 import sagepulley.faultinjection.SoakRun;
 
 /** Runs fault-injection tests whose faults follow from a seed. */
@@ -63,6 +64,13 @@
             description = "keeps configurations and logs of each run there")
     private Path logs;
 
+    @Option(
+            names = "--peers",
+            description =
+                    "misbehaving clients against one process with the options of the deploy file, in place "
+                            + "of faults of the fleet; run from the root of a checkout")
+    private boolean peers;
+
     @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
     /** The result of one seed. */
@@ -90,6 +98,12 @@
 
     private Outcome run(long seed) throws IOException, InterruptedException {
         Path folder = Files.createDirectories(logs.resolve("seed-" + seed));
+        if (peers) {
+            try (PeerSoakRun run = new PeerSoakRun(seed, folder, seconds * 1_000L)) {
+                List<String> violations = run.violations();
+                return new Outcome(seed, violations, run.served(), run.journalText());
+            }
+        }
         try (SoakRun run = new SoakRun(seed, folder, seconds * 1_000L)) {
             List<String> violations = run.violations();
             return new Outcome(seed, violations, run.served(), run.journalText());
