--- a/src/main/java/sagepulley/frontend/nbd/NbdEngine.java
+++ b/src/main/java/sagepulley/frontend/nbd/NbdEngine.java
@@ -48,6 +48,7 @@
     private final OperationDispatcher dispatcher;
     private final ExtentLocator locator;
     private final FlushPlanner flushPlanner;
+    private final SessionQueues sessionQueues;
     private final EndpointListFollower endpointList;
     private final AccountReports accountReports;
     private final HolderSnapshots holderSnapshots;
@@ -111,6 +112,9 @@
                         counters);
         this.locator = dispatcher.locator();
         this.flushPlanner = newFlushPlanner();
+        this.sessionQueues =
+                new SessionQueues(
+                        loop, clock, splitter, this::dispatchPart, dispatcher, requests::complete);
         this.endpointList =
                 new EndpointListFollower(
                         loop,
@@ -245,9 +249,12 @@
             case NbdConstants.CMD_BLOCK_STATUS -> lookUpBlockStatus(request);
             case NbdConstants.CMD_FLUSH -> flushPlanner.plan(request);
             default -> {
-                splitter.split(request);
-                command.payload().release();
-                dispatchParts(request);
+                splitter.begin(request);
+                if (request.hasEnded()) {
+                    requests.complete(request);
+                } else {
+                    sessionQueues.add(request);
+                }
             }
         }
     }
@@ -255,7 +262,7 @@
     private void dispatchFlush(PendingRequest request) {
         if (requests.contains(request)) {
             splitter.splitFlush(request);
-            dispatchParts(request);
+            dispatchFlushParts(request);
         }
     }
 
@@ -267,12 +274,12 @@
         if (!requests.isStopping() || !request.leavesUnflushedWrites()) {
             return false;
         }
-        request.parts.clear();
+        request.flushedBeforeReply = true;
         splitter.splitFlush(request);
-        if (request.parts.isEmpty()) {
+        if (request.openParts.isEmpty()) {
             return false; // another flush has covered the write since
         }
-        dispatchParts(request);
+        dispatchFlushParts(request);
         return true;
     }
 
@@ -282,21 +289,22 @@
         locator.forEachHolder(volume, consumer);
     }
 
-    private void dispatchParts(PendingRequest request) {
-        request.openParts = request.parts.size();
-        counters.accepted.add(request.openParts);
-        if (request.openParts == 0) {
+    private void dispatchFlushParts(PendingRequest request) {
+        if (request.openParts.isEmpty()) {
             requests.complete(request);
         }
-        for (RequestPart part : request.parts) {
-            accounting.partStarted(part);
-        }
-        for (RequestPart part : List.copyOf(request.parts)) {
-            dispatcher.dispatch(part);
+        for (RequestPart part : List.copyOf(request.openParts)) {
+            dispatchPart(part);
         }
         dispatcher.scheduleTurn();
     }
 
+    private void dispatchPart(RequestPart part) {
+        counters.accepted.increment();
+        accounting.partStarted(part);
+        dispatcher.dispatch(part);
+    }
+
     /**
      * Looks up the holders at the directory, because the cache may miss extents that other gateways
      * have allocated.
@@ -342,7 +350,9 @@
     }
 
     private void cancel(PendingRequest request) {
-        for (RequestPart part : List.copyOf(request.parts)) {
+        sessionQueues.remove(request);
+        request.dropUnsplit();
+        for (RequestPart part : List.copyOf(request.openParts)) {
             if (!part.operation.ended) {
                 dispatcher.cancel(part);
             }
--- a/src/main/java/sagepulley/frontend/nbd/OperationDispatcher.java
+++ b/src/main/java/sagepulley/frontend/nbd/OperationDispatcher.java
@@ -104,6 +104,7 @@
         accounting.partEnded(part, Accounts.End.CANCELLED, Reason.NONE);
         accounting.schedulerWaitEnded(part);
         part.payload.release();
+        part.ended();
     }
 
     @Override
@@ -411,7 +412,8 @@
         accounting.schedulerWaitEnded(part);
         locator.stopLocating(part);
         part.payload.release();
-        if (--part.request.openParts == 0) {
+        part.ended();
+        if (part.request.hasEnded()) {
             requests.complete(part.request);
         }
     }
--- a/src/main/java/sagepulley/frontend/nbd/PendingRequest.java
+++ b/src/main/java/sagepulley/frontend/nbd/PendingRequest.java
@@ -2,7 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import sagepulley.codec.nbd.NbdConstants;
 import sagepulley.codec.nbd.NbdRequest;
 
@@ -37,7 +39,9 @@
     /** Time of arrival in engine milliseconds. */
     final double arrivedAt;
 
-    final List<RequestPart> parts = new ArrayList<>(1);
+    /** Parts that have not ended. */
+    final Set<RequestPart> openParts = new LinkedHashSet<>(2);
+
     final List<ReadChunk> readChunks = new ArrayList<>(1);
     final List<RequestError> errors = new ArrayList<>(0);
 
@@ -46,8 +50,14 @@
      */
     int[] blockDescriptors;
 
-    /** Number of parts that have not ended. */
-    int openParts;
+    /** Whether a flush was begun because the gateway shuts down. */
+    boolean flushedBeforeReply;
+
+    /** Offset in the export of the first byte for which there is no part yet. */
+    long nextOffset;
+
+    /** Bytes from there for which parts are still to be made. */
+    long unsplitBytes;
 
     PendingRequest(
             NbdSession session, NbdRequest command, ExportedVolume volume, double arrivedAt) {
@@ -72,9 +82,26 @@
      * durable.
      */
     boolean leavesUnflushedWrites() {
-        return errors.isEmpty()
-                && !isDurable()
-                && parts.stream().anyMatch(part -> part.kind.modifiesData());
+        return errors.isEmpty() && !isDurable() && modifiesData() && !flushedBeforeReply;
+    }
+
+    private boolean modifiesData() {
+        return command.command() == NbdConstants.CMD_WRITE
+                || command.command() == NbdConstants.CMD_TRIM
+                || command.command() == NbdConstants.CMD_WRITE_ZEROES;
+    }
+
+    /** Returns whether all parts have been made and have ended. */
+    boolean hasEnded() {
+        return unsplitBytes == 0 && openParts.isEmpty();
+    }
+
+    /** Gives up the bytes for which there is no part, and the rest of the payload. */
+    void dropUnsplit() {
+        if (unsplitBytes > 0) {
+            unsplitBytes = 0;
+            command.payload().release();
+        }
     }
 
     /** Returns the error of a simple reply; 0 if all parts were served. */
--- a/src/main/java/sagepulley/frontend/nbd/RequestPart.java
+++ b/src/main/java/sagepulley/frontend/nbd/RequestPart.java
@@ -30,6 +30,9 @@
     /** Data to write; empty for other kinds. Released when the part ends. */
     final ByteBuf payload;
 
+    /** Runs when the part has ended. */
+    Runnable onEnded = () -> {};
+
     /** Id on the wire of the attempt in flight; 0 if there is none. */
     long attemptId;
 
@@ -105,6 +108,12 @@
                 : flushTarget.expectedNodeStart();
     }
 
+    /** Removes the part from its request's open parts. */
+    void ended() {
+        request.openParts.remove(this);
+        onEnded.run();
+    }
+
     /** Clears the state of an attempt that has ended, and cancels its timeout. */
     void clearAttempt() {
         attemptId = 0;
--- a/src/main/java/sagepulley/frontend/nbd/RequestSplitter.java
+++ b/src/main/java/sagepulley/frontend/nbd/RequestSplitter.java
@@ -27,48 +27,69 @@
         this.unitBytes = site.unitBytes();
     }
 
+    /** Begins to split a request, whose payload it owns until the last part is made. */
+    void begin(PendingRequest request) {
+        request.nextOffset = request.command.offset();
+        request.unsplitBytes = Integer.toUnsignedLong(request.command.length());
+        if (request.unsplitBytes == 0) {
+            request.command.payload().release();
+        }
+    }
+
     /**
-     * Adds one part for each extent that the request covers. Each part owns a slice of the payload.
+     * Makes the next part of a request that has bytes left, up to the end of an extent. The part
+     * owns a slice of the payload.
      */
-    void split(PendingRequest request) {
-        long offset = request.command.offset();
-        long remaining = Integer.toUnsignedLong(request.command.length());
+    RequestPart next(PendingRequest request) {
+        StoreMessages.Kind kind = kind(request);
+        long offset = request.nextOffset;
+        int offsetInExtent = (int) (offset % extentBytes);
+        int length = (int) Math.min(request.unsplitBytes, extentBytes - offsetInExtent);
         ByteBuf payload = request.command.payload();
-        StoreMessages.Kind kind =
-                switch (request.command.command()) {
-                    case NbdConstants.CMD_READ -> StoreMessages.Kind.READ;
-                    case NbdConstants.CMD_WRITE -> StoreMessages.Kind.WRITE;
-                    case NbdConstants.CMD_TRIM -> StoreMessages.Kind.TRIM;
-                    default -> StoreMessages.Kind.ZERO;
-                };
+        RequestPart part =
+                newPart(
+                        request,
+                        kind,
+                        trafficClassIndex(request),
+                        offset / extentBytes,
+                        offsetInExtent,
+                        length,
+                        offset,
+                        kind == StoreMessages.Kind.WRITE
+                                ? payload.readRetainedSlice(length)
+                                : Unpooled.EMPTY_BUFFER);
+        request.nextOffset += length;
+        request.unsplitBytes -= length;
+        if (request.unsplitBytes == 0) {
+            payload.release();
+        }
+        request.openParts.add(part);
+        return part;
+    }
+
+    /** Returns the traffic class of a request's parts. */
+    TrafficClass trafficClass(PendingRequest request) {
+        return deployment.trafficClasses().get(trafficClassIndex(request));
+    }
+
+    private static StoreMessages.Kind kind(PendingRequest request) {
+        return switch (request.command.command()) {
+            case NbdConstants.CMD_READ -> StoreMessages.Kind.READ;
+            case NbdConstants.CMD_WRITE -> StoreMessages.Kind.WRITE;
+            case NbdConstants.CMD_TRIM -> StoreMessages.Kind.TRIM;
+            default -> StoreMessages.Kind.ZERO;
+        };
+    }
+
+    private static int trafficClassIndex(PendingRequest request) {
         VolumeSettings settings = request.volume.settings;
-        int trafficClassIndex =
-                kind.modifiesData()
-                        ? settings.writeTrafficClass()
-                        : remaining >= settings.bulkThresholdBytes()
-                                ? settings.bulkTrafficClass()
-                                : settings.readTrafficClass();
-        while (remaining > 0) {
-            long extent = offset / extentBytes;
-            int offsetInExtent = (int) (offset % extentBytes);
-            int length = (int) Math.min(remaining, extentBytes - offsetInExtent);
-            ByteBuf slice =
-                    kind == StoreMessages.Kind.WRITE
-                            ? payload.readRetainedSlice(length)
-                            : Unpooled.EMPTY_BUFFER;
-            request.parts.add(
-                    newPart(
-                            request,
-                            kind,
-                            trafficClassIndex,
-                            extent,
-                            offsetInExtent,
-                            length,
-                            offset,
-                            slice));
-            offset += length;
-            remaining -= length;
+        if (kind(request).modifiesData()) {
+            return settings.writeTrafficClass();
         }
+        long bytes = Integer.toUnsignedLong(request.command.length());
+        return bytes >= settings.bulkThresholdBytes()
+                ? settings.bulkTrafficClass()
+                : settings.readTrafficClass();
     }
 
     /** Adds one flush part for each cell that may hold unflushed writes of the volume. */
@@ -77,7 +98,7 @@
                 target -> {
                     RequestPart part = newFlushPart(request, target.cell());
                     part.flushTarget = target;
-                    request.parts.add(part);
+                    request.openParts.add(part);
                 });
     }
 
--- a/src/main/java/sagepulley/scheduler/DeadlineIndex.java
+++ b/src/main/java/sagepulley/scheduler/DeadlineIndex.java
@@ -3,9 +3,9 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.DoubleConsumer;
 import java.util.function.ToDoubleFunction;
@@ -79,14 +79,12 @@
                 NavigableSet<QueuedRequest> order,
                 ToDoubleFunction<QueuedRequest> endTime,
                 double now,
-                List<Operation> overdue,
+                Set<Operation> overdue,
                 DoubleConsumer nextEndTime) {
             for (QueuedRequest request : order) {
                 double at = endTime.applyAsDouble(request);
                 if (at <= now) {
-                    if (!overdue.contains(request.operation)) {
-                        overdue.add(request.operation);
-                    }
+                    overdue.add(request.operation);
                 } else if (!overdue.contains(request.operation)) {
                     nextEndTime.accept(at);
                     return;
--- a/src/main/java/sagepulley/scheduler/RequestQueues.java
+++ b/src/main/java/sagepulley/scheduler/RequestQueues.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import sagepulley.model.Node;
 import sagepulley.model.Operation;
 
@@ -143,7 +145,7 @@
      */
     List<Operation> overdue(
             LatencyTracker latencies, double deadlineMarginMillis, WakeUpTime wakeUp, double now) {
-        List<Operation> overdue = new ArrayList<>(0);
+        Set<Operation> found = new LinkedHashSet<>(0);
         for (DeadlineIndex.Group group : deadlines.groups()) {
             double required = latencies.requiredServiceTime(group.trafficClass, group.units);
             double objective = latencies.objective(group.trafficClass);
@@ -153,21 +155,22 @@
                     group.byObjective,
                     request -> request.objectiveEndsAt - required,
                     now,
-                    overdue,
+                    found,
                     wakeUp::noLaterThan);
             group.collectOverdue(
                     group.byArrival,
                     request -> request.operation.arrivedAt + objective - required,
                     now,
-                    overdue,
+                    found,
                     wakeUp::noLaterThan);
             group.collectOverdue(
                     group.byDeadline,
                     request -> request.operation.deadline - deadlineMarginMillis,
                     now,
-                    overdue,
+                    found,
                     wakeUp::noLaterThan);
         }
+        List<Operation> overdue = new ArrayList<>(found);
         overdue.sort(DeadlineIndex.BY_QUEUE);
         return overdue;
     }
