A late answer to a flush hides no write acknowledged since

Cause: unflushed writes of a cell were counted from 1 again after each flush that went well, and an answer was matched by the count. Evidence: UnflushedWritesTest, on the code before, finds no cell to flush after such an answer.

Change: a write's number is unique in the volume, and a flush covers the latest number that it saw. Why it works: an answer can only match the writes that its flush saw.

--- a/src/main/java/sagepulley/frontend/nbd/UnflushedWrites.java
+++ b/src/main/java/sagepulley/frontend/nbd/UnflushedWrites.java
@@ -16,14 +16,19 @@
     /** Start of a node of which nothing is known: any loss of data at the node counts. */
     static final long UNKNOWN_START = 0;
 
-    /** What a flush of one cell covers. */
-    record FlushTarget(int cell, long writeCount, long expectedNodeStart) {}
+    /**
+     * What a flush of one cell covers.
+     *
+     * @param lastWrite the number of the latest write at the cell when the flush began
+     */
+    record FlushTarget(int cell, long lastWrite, long expectedNodeStart) {}
 
     /** Unflushed writes at one cell; node starts are in wall-clock milliseconds. */
     private static final class CellWrites {
         private static final long NONE = Long.MAX_VALUE;
 
-        long writeCount;
+        /** The number of the latest write. */
+        long lastWrite;
 
         /** Start of the node when it acknowledged this incarnation's first unflushed write. */
         long ownStart = NONE;
@@ -41,6 +46,9 @@
     /** Node starts up to which the loss of earlier incarnations' writes was reported, by cell. */
     private final Map<Integer, Long> reportedStarts = new HashMap<>();
 
+    /** Numbers are unique in the volume, so that a late flush is not taken for a newer one. */
+    private long lastWrite;
+
     private boolean earlierWritesKnown;
 
     /** Returns whether all cells that may hold writes of earlier incarnations are recorded. */
@@ -56,14 +64,14 @@
     /** Records a write that a node acknowledged without making it durable. */
     void recordWrite(int cell, long nodeStartedAt) {
         CellWrites writes = byCell.computeIfAbsent(cell, any -> new CellWrites());
-        writes.writeCount++;
+        writes.lastWrite = ++lastWrite;
         writes.ownStart = Math.min(writes.ownStart, nodeStartedAt);
     }
 
     /** Records that a cell may hold unflushed writes of earlier incarnations. */
     void recordEarlierWrites(int cell) {
         CellWrites writes = byCell.computeIfAbsent(cell, any -> new CellWrites());
-        writes.writeCount++;
+        writes.lastWrite = ++lastWrite;
         writes.earlierStart = reportedStarts.getOrDefault(cell, UNKNOWN_START);
     }
 
@@ -73,7 +81,7 @@
                 (cell, writes) ->
                         consumer.accept(
                                 new FlushTarget(
-                                        cell, writes.writeCount, writes.expectedNodeStart())));
+                                        cell, writes.lastWrite, writes.expectedNodeStart())));
     }
 
     /**
@@ -82,7 +90,7 @@
      */
     void recordFlush(FlushTarget flushed) {
         CellWrites writes = byCell.get(flushed.cell());
-        if (writes != null && writes.writeCount == flushed.writeCount()) {
+        if (writes != null && writes.lastWrite == flushed.lastWrite()) {
             byCell.remove(flushed.cell());
         }
     }
