--- a/src/main/java/sagepulley/frontend/nbd/NbdEngine.java
+++ b/src/main/java/sagepulley/frontend/nbd/NbdEngine.java
@@ -112,9 +112,7 @@
                         counters);
         this.locator = dispatcher.locator();
         this.flushPlanner = newFlushPlanner();
-        this.sessionQueues =
-                new SessionQueues(
-                        loop, clock, splitter, this::dispatchPart, dispatcher, requests::complete);
+        this.sessionQueues = newSessionQueues();
         this.endpointList =
                 new EndpointListFollower(
                         loop,
@@ -139,6 +137,11 @@
         this.holderSnapshots = new HolderSnapshots(loop, locator, exportedVolumes.values());
     }
 
+    private SessionQueues newSessionQueues() {
+        return new SessionQueues(
+                loop, clock, splitter, this::dispatchPart, dispatcher, requests::complete);
+    }
+
     private FlushPlanner newFlushPlanner() {
         return new FlushPlanner(
                 loop,
